Let the lease of a silent executor end, and stop gangs that start in part

(2) Errors of the owner link left its task group as an exception group and ended six processes. Ruled out: lost records; the job was in the table of the new owner.

Change: a silent executor's lease is not extended; the link handles errors inside its group; a gang that is not complete after 1.5 s is stopped and placed again.

--- a/gypsumring/cell/attending.py
+++ b/gypsumring/cell/attending.py
@@ -103,6 +103,7 @@
                 await self.look(executor)
             except ExecutorSilent:
                 self.state.metrics.count("cell.holds.unanswered")
+                executor.is_silent = True
                 self.check_lease(executor)
                 await anyio.sleep(RETRY_PAUSE_S)
             except (ExecutorGone, StartRefused):
@@ -139,9 +140,10 @@
         """Extend the lease and apply the lists of one answer."""
         first = executor.first_contact_at is None
         undurable = executor.durable_end < executor.seen_end
-        wait_s = 0.0 if first or undurable else HOLD_WAIT_S
+        quick = first or undurable or executor.is_silent
+        wait_s = 0.0 if quick else HOLD_WAIT_S
         lease_until = None
-        if not first:
+        if not first and not executor.is_silent:
             lease_ms = int(self.state.timing.lease_s * 1000)
             lease_until = executor.extend_lease(lease_ms, self.state.clock())
         requested_at = anyio.current_time()
@@ -198,11 +200,8 @@
 
     def break_gang(self, run: Run) -> None:
         """Stop the other members of a gang that has lost one."""
-        step = run.step
-        if step.spec.gang and not step.is_done:
-            self.orders.stop_all(
-                [other for other in step.active_runs() if other.attempt == run.attempt]
-            )
+        if run.step.spec.gang and not run.step.is_done:
+            self.orders.stop_gang(run)
 
     def apply_lists(
         self, executor: ExecutorState, lists: TaskLists, requested_at: float
--- a/gypsumring/cell/orders.py
+++ b/gypsumring/cell/orders.py
@@ -22,6 +22,9 @@
 # An order without an answer is repeated after this time.
 ORDER_TIMEOUT_S = 0.4
 RETRY_PAUSE_S = 0.05
+# Members of a gang that are not all started within this time are stopped; it lies below
+# the time after which executors end them as alone.
+GANG_START_S = 1.5
 # An executor that refuses as unhealthy takes no work for a while.
 UNHEALTHY_S = 1.0
 
@@ -71,6 +74,12 @@
             executor = self.executor_of(run)
             if executor is None or run.state is not RunState.STARTING:
                 return
+            if step.spec.gang and self.is_late(run):
+                self.stop_gang(run)
+                return
+            if executor.is_silent:
+                await anyio.sleep(RETRY_PAUSE_S)
+                continue
             client = self.state.clients[run.executor_id]
             lease_ms = int(self.state.timing.lease_s * 1000)
             order = TaskStart(
@@ -127,13 +136,17 @@
         else:
             self.release(run)
         if run.step.spec.gang:
-            self.stop_all(
-                [
-                    other
-                    for other in run.step.active_runs()
-                    if other.attempt == run.attempt
-                ]
-            )
+            self.stop_gang(run)
+
+    def is_late(self, run: Run) -> bool:
+        """Tell whether the other members of a gang have waited long for this one."""
+        return anyio.current_time() - run.started_at > GANG_START_S
+
+    def stop_gang(self, run: Run) -> None:
+        """Stop all members of one run of a gang."""
+        self.stop_all(
+            [other for other in run.step.active_runs() if other.attempt == run.attempt]
+        )
 
     async def stop_run(self, run: Run) -> None:
         """Send a stop until it is answered; the lists tell when the room is free."""
--- a/gypsumring/cell/scheduling.py
+++ b/gypsumring/cell/scheduling.py
@@ -76,7 +76,14 @@
             if not (job.inherited and self.state.unsettled)
         ]
         for step, queue in order_steps(jobs, self.state.find_queue, now):
-            self.offer(step, queue, fleet, now)
+            if step.spec.gang and step.runs:
+                self.stop_partial(step)
+            else:
+                self.offer(step, queue, fleet, now)
+
+    def stop_partial(self, step: Step) -> None:
+        """Stop the members of a gang of which some do not run."""
+        self.orders.stop_all(step.active_runs())
 
     def offer(
         self, step: Step, queue: Queue, fleet: list[ExecutorState], now: float
--- a/gypsumring/fleet/executor.py
+++ b/gypsumring/fleet/executor.py
@@ -45,6 +45,7 @@
         "entry",
         "first_contact_at",
         "health",
+        "is_silent",
         "last_contact_at",
         "lease_until_ms",
         "listed",
@@ -66,6 +67,8 @@
         self.watched_since = now
         self.first_contact_at: float | None = None
         self.last_contact_at = 0.0
+        # The newest order or hold got no answer.
+        self.is_silent = False
         self.runs: dict[tuple[str, int], Run] = {}
         # Attempts whose start got no answer before the lease ended.
         self.unconfirmed: list[tuple[str, int]] = []
@@ -91,6 +94,7 @@
         if self.first_contact_at is None:
             self.first_contact_at = now
         self.last_contact_at = now
+        self.is_silent = False
         if clock_ms >= self.clock_ms:
             self.clock_ms = clock_ms
             self.clock_read_at = now
@@ -101,7 +105,12 @@
         return int(self.clock_ms + elapsed * 1000 * (1 - CLOCK_DRIFT))
 
     def extend_lease(self, lease_ms: int, now: float) -> int:
-        """Return the end of a lease to send, and remember the latest one."""
+        """Return the end of a lease to send, and remember the latest one.
+
+        The lease of a silent executor is not extended, so that it ends.
+        """
+        if self.is_silent:
+            return self.lease_until_ms
         until = self.clock_at_least_ms(now) + lease_ms
         self.lease_until_ms = max(self.lease_until_ms, until)
         return until
--- a/gypsumring/node/link.py
+++ b/gypsumring/node/link.py
@@ -17,6 +17,7 @@
 
 PING_PERIOD_S = 0.4
 PING_TIMEOUT_S = 0.8
+HELLO_S = 1.0
 LOOKUP_S = 0.5
 LOOKUP_PAUSE_S = 0.12
 
@@ -74,7 +75,7 @@
                     await self.follow(address)
             except (StoreUnavailable, StoreRefused) as error:
                 log.debug("owner not found: {}", error)
-            except (ConnectFailed, ChannelClosed) as error:
+            except ConnectFailed as error:
                 log.debug("owner not reached: {}", error)
             await anyio.sleep(LOOKUP_PAUSE_S)
 
@@ -95,9 +96,11 @@
         async with anyio.create_task_group() as group:
             group.start_soon(channel.run)
             try:
-                await channel.call(Hello(self.node), anyio.current_time() + 1.0)
+                await channel.call(Hello(self.node), anyio.current_time() + HELLO_S)
                 while await self.check(channel):
                     await anyio.sleep(PING_PERIOD_S)
+            except ChannelClosed as error:
+                log.debug("channel to {} ended: {}", address, error)
             finally:
                 if self.channel is channel:
                     self.channel = None
