--- a/gypsumring/cell/attending.py
+++ b/gypsumring/cell/attending.py
@@ -207,12 +207,13 @@
         self, executor: ExecutorState, lists: TaskLists, requested_at: float
     ) -> None:
         """Apply the running and ended attempts that an executor lists."""
-        if lists.born_ms and executor.born_ms and lists.born_ms != executor.born_ms:
+        first = executor.first_contact_at is None
+        reborn = bool(lists.born_ms) and lists.born_ms != executor.born_ms
+        if reborn and not first:
             log.warning("executor {} has started again", executor.executor_id)
             self.lose_all(executor, "executor has started again")
             executor.reset_life(lists.born_ms)
         executor.born_ms = lists.born_ms or executor.born_ms
-        first = executor.first_contact_at is None
         executor.note_clock(lists.clock_ms, self.state.clock())
         inherits = first and executor.executor_id in self.state.unsettled
         self.confirm_stops(executor)
--- /dev/null
+++ b/soak/cells.py
@@ -0,0 +1,251 @@
+"""Randomised runs of one cell on the platform's stand-in, with checks of its promises.
+
+Run with ``python -m soak.cells --seed N --seconds N``.
+"""
+
+import json
+import random
+import sys
+
+import anyio
+import click
+
+from gypsumring.cell.messages import Outcome
+from gypsumring.pipelines import JobPhase, StepSpec
+from gypsumring.utils.testing import run_on_mock_clock
+from stand_ins.platform.cluster import MemoryCluster, make_job
+from stand_ins.platform.world import World, random_behaviour
+
+__all__ = ["CellSoak", "run_cell_soak"]
+
+NODES = 3
+EXECUTORS = 5
+MAX_ATTEMPTS = 3
+# Time without faults at the end, in which all accepted jobs have to end.
+SETTLE_S = 60.0
+FAULTS = (
+    "kill_node",
+    "kill_all_nodes",
+    "store_away",
+    "store_refuses_one",
+    "store_slow",
+    "lost_answers",
+    "late_answers",
+    "cut_executor",
+    "crash_executor",
+    "drain_executor",
+    "deal_anew",
+    "forget_history",
+    "hang_tasks",
+)
+
+
+class CellSoak:
+    """Drive load and faults from one seed."""
+
+    __slots__ = ("accepted", "cluster", "faults", "random_source", "steps")
+
+    def __init__(self, cluster: MemoryCluster, random_source: random.Random):
+        self.cluster = cluster
+        self.random_source = random_source
+        self.accepted: list[str] = []
+        self.faults: list[str] = []
+        self.steps = 0
+
+    def draw_steps(self) -> list[StepSpec]:
+        """Return the steps of a new job."""
+        source = self.random_source
+        steps = []
+        for number in range(source.choice((1, 1, 2, 3))):
+            gang = source.random() < 0.25
+            steps.append(
+                StepSpec(
+                    task_count=source.randint(1, 4 if gang else 6),
+                    cpu_millis=source.choice((500, 1000, 3000)),
+                    memory_mb=256,
+                    estimated_ms=700,
+                    after=(number - 1,) if number else (),
+                    gang=gang,
+                    max_per_executor=0 if gang else source.choice((0, 0, 2)),
+                )
+            )
+        return steps
+
+    async def send_load(self, seconds: float) -> None:
+        """Submit and cancel jobs until the time is over."""
+        end = anyio.current_time() + seconds
+        async with anyio.create_task_group() as group:
+            while anyio.current_time() < end:
+                self.steps += 1
+                job_id = f"{self.steps:016x}"
+                group.start_soon(self.send_one, job_id)
+                await anyio.sleep(self.random_source.expovariate(2.0))
+
+    async def send_one(self, job_id: str) -> None:
+        """Submit one job, and cancel it at times."""
+        outcome = await self.cluster.submit(make_job(job_id, *self.draw_steps()))
+        if outcome is Outcome.REFUSED:
+            self.cluster.world.refused.add(job_id)
+        elif outcome is Outcome.OK:
+            self.accepted.append(job_id)
+        if self.random_source.random() < 0.1:
+            await anyio.sleep(self.random_source.uniform(0, 2))
+            await self.cluster.cancel(job_id)
+
+    async def inject(self, seconds: float) -> None:
+        """Inject faults until the time is over; they come in series and overlap."""
+        end = anyio.current_time() + seconds
+        async with anyio.create_task_group() as group:
+            while anyio.current_time() < end:
+                fault = self.random_source.choice(FAULTS)
+                lasts = self.random_source.uniform(0.3, 6.0)
+                self.faults.append(f"{anyio.current_time():.2f} {fault} {lasts:.2f}")
+                group.start_soon(self.play, fault, lasts)
+                await anyio.sleep(self.random_source.expovariate(0.5))
+
+    def draw_executor(self):
+        """Return one of the executors."""
+        models = list(self.cluster.executors.values())
+        return self.random_source.choice(models)
+
+    async def play(self, fault: str, lasts: float) -> None:
+        """Play one fault and undo it."""
+        cluster = self.cluster
+        source = self.random_source
+        name = source.choice(sorted(cluster.nodes))
+        if fault == "kill_node":
+            owner = cluster.owner_node()
+            await self.restart([owner.name if owner else name], lasts / 3)
+        elif fault == "kill_all_nodes":
+            await self.restart(sorted(cluster.nodes), lasts / 3)
+        elif fault == "crash_executor":
+            await self.crash(self.draw_executor(), lasts)
+        elif fault == "cut_executor":
+            executor_id = self.draw_executor().executor_id
+            faults = cluster.nodes[name].faults
+            faults.cut_executors.add(executor_id)
+            await anyio.sleep(lasts)
+            faults.cut_executors.discard(executor_id)
+        elif fault == "drain_executor":
+            model = self.draw_executor()
+            cluster.register(model, draining=True)
+            await anyio.sleep(lasts)
+            cluster.register(model)
+        elif fault == "deal_anew":
+            group = cluster.store.group("cells")
+            if group.members:
+                group.deal(shift=source.randint(0, 2))
+        elif fault == "forget_history":
+            cluster.store.forget_history("executors")
+        elif fault == "hang_tasks":
+            for run in self.draw_executor().runs.values():
+                run.ends_at = float("inf")
+        else:
+            await self.disturb_store(fault, lasts, name)
+
+    async def disturb_store(self, fault: str, lasts: float, name: str) -> None:
+        """Disturb calls of the nodes to the store and to executors."""
+        one = fault == "store_refuses_one"
+        nodes = [self.cluster.nodes[name]] if one else list(self.cluster.nodes.values())
+        field, value, usual = {
+            "store_away": ("store_away", True, False),
+            "store_refuses_one": ("store_refuses", True, False),
+            "store_slow": ("store_slow_s", 0.2, 0.0),
+            "lost_answers": ("lost_share", 0.3, 0.0),
+            "late_answers": ("late_share", 0.3, 0.0),
+        }[fault]
+        for node in nodes:
+            setattr(node.faults, field, value)
+        await anyio.sleep(lasts)
+        for node in nodes:
+            setattr(node.faults, field, usual)
+
+    async def restart(self, names: list[str], pause_s: float) -> None:
+        """Kill nodes and start them again."""
+        for name in names:
+            self.cluster.nodes[name].kill()
+        await anyio.sleep(pause_s)
+        for name in names:
+            if self.cluster.nodes[name].scope.cancel_called:
+                self.cluster.add_node(name)
+
+    async def crash(self, model, lasts: float) -> None:
+        """Crash an executor; it starts again under the same id."""
+        if not model.is_up:
+            return
+        model.crash()
+        await anyio.sleep(lasts)
+        model.start_life()
+        self.cluster.register(model)
+
+    async def settle(self) -> None:
+        """Check that all accepted jobs end once the faults are over."""
+        deadline = anyio.current_time() + SETTLE_S
+        for job_id in self.accepted:
+            left = max(1.0, deadline - anyio.current_time())
+            phase = await self.cluster.wait_final(job_id, left)
+            world = self.cluster.world
+            if phase is None:
+                world.violate("LOST", f"{job_id} is not known")
+            elif not phase.is_final:
+                world.violate("LOST", f"{job_id} is still {phase}")
+            elif phase is JobPhase.CANCELLED and job_id not in world.cancelled:
+                continue
+            elif phase is JobPhase.FAILED and not self.has_failed_task(job_id):
+                world.violate("LOST", f"{job_id} shown as failed without cause")
+        for job_id in self.cluster.world.cancelled:
+            for model in self.cluster.executors.values():
+                model.advance()
+                if any(run.task.startswith(job_id) for run in model.runs.values()):
+                    self.cluster.world.violate("UNASKED", f"{job_id} runs on")
+
+    def has_failed_task(self, job_id: str) -> bool:
+        """Tell whether a task of a job has used up its attempts."""
+        return any(
+            name.startswith(job_id) and count >= MAX_ATTEMPTS
+            for name, count in self.cluster.world.failed_runs.items()
+        )
+
+
+async def run_cell_soak(seed: int, seconds: float) -> dict[str, object]:
+    """Run one seed and return what was seen."""
+    world = World(random_behaviour(seed, 0.8, 0.05), MAX_ATTEMPTS)
+    async with anyio.create_task_group() as group:
+        policy_share = 0.6 if seed % 2 else None
+        cluster = MemoryCluster(
+            world, group, NODES, EXECUTORS, 8_000, policy_share, seed
+        )
+        soak = CellSoak(cluster, cluster.random_source)
+        async with anyio.create_task_group() as load:
+            load.start_soon(soak.send_load, seconds)
+            load.start_soon(soak.inject, seconds)
+        await soak.settle()
+        group.cancel_scope.cancel()
+    return {
+        "seed": seed,
+        "faults": len(soak.faults),
+        "steps": soak.steps,
+        "accepted": len(soak.accepted),
+        "starts": sum(world.starts.values()),
+        "invariant_violations": len(world.violations),
+        "trace": soak.faults if world.violations else [],
+        "violations": world.violations[:10],
+    }
+
+
+@click.command()
+@click.option("--seed", default=7, help="First seed.")
+@click.option("--seeds", default=1, help="Number of seeds.")
+@click.option("--seconds", default=30.0, help="Simulated seconds of load and faults.")
+def main(seed: int, seeds: int, seconds: float) -> None:
+    """Run seeds one after the other; exit with 1 if a check has failed."""
+    failed = False
+    for each in range(seed, seed + seeds):
+        result = run_on_mock_clock(run_cell_soak, each, seconds, seed=each)
+        failed = failed or bool(result["invariant_violations"])
+        click.echo(json.dumps(result))
+    sys.exit(1 if failed else 0)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/stand_ins/platform/faults.py
@@ -0,0 +1,47 @@
+"""Switches for the faults of the platform."""
+
+import random
+
+import anyio
+
+__all__ = ["Faults"]
+
+
+class Faults:
+    """Decide what happens to each call of one node; shares lie between 0 and 1."""
+
+    __slots__ = (
+        "cut_executors",
+        "late_s",
+        "late_share",
+        "lost_share",
+        "random_source",
+        "store_away",
+        "store_refuses",
+        "store_slow_s",
+    )
+
+    def __init__(self, random_source: random.Random):
+        self.random_source = random_source
+        # Calls that are carried out and not answered.
+        self.lost_share = 0.0
+        # Calls that get no answer and are carried out after ``late_s``.
+        self.late_share = 0.0
+        self.late_s = (2.0, 6.0)
+        self.store_away = False
+        self.store_refuses = False
+        self.store_slow_s = 0.0
+        self.cut_executors: set[str] = set()
+
+    def draw(self) -> str:
+        """Return how the next call goes: ``answered``, ``lost`` or ``late``."""
+        value = self.random_source.random()
+        if value < self.lost_share:
+            return "lost"
+        if value < self.lost_share + self.late_share:
+            return "late"
+        return "answered"
+
+    async def wait_in_vain(self, deadline: float) -> None:
+        """Wait until the caller gives up."""
+        await anyio.sleep(max(0.0, deadline - anyio.current_time()))
--- /dev/null
+++ b/stand_ins/platform/memory.py
@@ -0,0 +1,216 @@
+"""The platform's ports in one process, with faults, on the anyio clock."""
+
+from collections.abc import Callable
+from typing import Any
+
+import anyio
+import anyio.abc
+
+from gypsumring.exceptions import PortError
+from gypsumring.ports.store import (
+    Assignment,
+    KeyedRecord,
+    LogBatch,
+    Producer,
+    StoreRefused,
+    StoreUnavailable,
+)
+from gypsumring.ports.tasks import (
+    ExecutorGone,
+    ExecutorSilent,
+    PolicyUnavailable,
+    TaskLists,
+    TaskStart,
+)
+from stand_ins.platform.executor import ExecutorModel
+from stand_ins.platform.faults import Faults
+from stand_ins.platform.policy import PolicyModel
+from stand_ins.platform.store import StoreModel
+
+__all__ = ["MemoryExecutor", "MemoryPolicy", "MemoryStore"]
+
+NETWORK_S = 0.001
+APPEND_S = 0.004
+
+
+async def carry_out_late(faults: Faults, act: Callable[[], Any]) -> None:
+    """Carry out a call seconds later; nobody sees its result."""
+    await anyio.sleep(faults.random_source.uniform(*faults.late_s))
+    try:
+        act()
+    except PortError:
+        pass
+
+
+class MemoryStore:
+    """Offer a store model to one node through the port ``Store``."""
+
+    __slots__ = ("faults", "group", "model")
+
+    def __init__(self, model: StoreModel, faults: Faults, group: anyio.abc.TaskGroup):
+        self.model = model
+        self.faults = faults
+        # Late calls go on in this group after the caller has given up.
+        self.group = group
+
+    async def pass_faults(self, deadline: float) -> None:
+        """Raise the error of the fault that is switched on, if any."""
+        if self.faults.store_refuses:
+            await anyio.sleep(NETWORK_S)
+            raise StoreRefused("refused")
+        delay = NETWORK_S + self.faults.store_slow_s
+        if self.faults.store_away or anyio.current_time() + delay > deadline:
+            await self.faults.wait_in_vain(deadline)
+            raise StoreUnavailable("no answer")
+        await anyio.sleep(delay)
+
+    async def write(self, act: Callable[[], Any], deadline: float) -> Any:
+        """Carry out a write whose answer may be lost."""
+        await self.pass_faults(deadline)
+        how = self.faults.draw()
+        if how == "late":
+            self.group.start_soon(carry_out_late, self.faults, act)
+        result = act() if how != "late" else None
+        if how != "answered":
+            await self.faults.wait_in_vain(deadline)
+            raise StoreUnavailable("answer lost")
+        return result
+
+    async def append(
+        self,
+        topic: str,
+        partition: int,
+        records: list[tuple[str, bytes]],
+        producer: Producer,
+        deadline: float,
+    ) -> int:
+        """Append keyed records and return the end offset."""
+        await anyio.sleep(APPEND_S)
+        frozen = Producer(producer.name, producer.epoch, producer.sequence)
+        return await self.write(
+            lambda: self.model.append(topic, partition, records, frozen), deadline
+        )
+
+    async def newest(
+        self, topic: str, partition: int, deadline: float
+    ) -> tuple[list[KeyedRecord], int]:
+        """Return the newest record of each key and the end offset before the read."""
+        await self.pass_faults(deadline)
+        return self.model.newest(topic, partition)
+
+    async def read(
+        self, topic: str, partition: int, offset: int, wait_s: float, deadline: float
+    ) -> LogBatch:
+        """Return the records from ``offset`` on; raise OffsetExpired."""
+        await self.pass_faults(deadline)
+        with anyio.move_on_after(wait_s):
+            while not self.model.read(topic, partition, offset).records:
+                await self.model.changed.wait()
+        return self.model.read(topic, partition, offset)
+
+    async def join(
+        self,
+        group: str,
+        member: str,
+        topic: str,
+        ttl_s: float,
+        generation: int,
+        deadline: float,
+    ) -> Assignment:
+        """Join a group or renew the membership; acknowledge ``generation``."""
+        await self.pass_faults(deadline)
+        return self.model.join(group, member, ttl_s, generation)
+
+    async def leave(self, group: str, member: str, deadline: float) -> None:
+        """Leave a group."""
+        await self.pass_faults(deadline)
+        self.model.leave(group, member)
+
+    async def owners(self, group: str, deadline: float) -> dict[int, str]:
+        """Return the member that holds each partition."""
+        await self.pass_faults(deadline)
+        return self.model.owners(group)
+
+
+class MemoryExecutor:
+    """Offer an executor model to one node through the port ``TaskExecutor``."""
+
+    __slots__ = ("faults", "group", "model")
+
+    def __init__(
+        self, model: ExecutorModel, faults: Faults, group: anyio.abc.TaskGroup
+    ):
+        self.model = model
+        self.faults = faults
+        self.group = group
+
+    async def order(self, act: Callable[[], Any], deadline: float) -> Any:
+        """Carry out an order whose answer may be lost."""
+        if self.model.executor_id in self.faults.cut_executors or not self.model.is_up:
+            await self.faults.wait_in_vain(deadline)
+            raise ExecutorSilent(self.model.executor_id)
+        await anyio.sleep(NETWORK_S)
+        if not self.model.is_up:
+            raise ExecutorGone(self.model.executor_id)
+        how = self.faults.draw()
+        if how == "late":
+            self.group.start_soon(carry_out_late, self.faults, act)
+        result = act() if how != "late" else None
+        if how != "answered":
+            await self.faults.wait_in_vain(deadline)
+            raise ExecutorSilent(self.model.executor_id)
+        await anyio.sleep(NETWORK_S)
+        return result
+
+    async def start(self, start: TaskStart, fence: int, deadline: float) -> None:
+        """Start an attempt, or confirm that it is there; raise StartRefused."""
+        await self.order(lambda: self.model.start(start, fence), deadline)
+
+    async def stop(self, task: str, attempt: int, fence: int, deadline: float) -> None:
+        """Stop an attempt, and shut out a start of it that arrives later."""
+        await self.order(lambda: self.model.stop(task, attempt, fence), deadline)
+
+    async def hold(
+        self,
+        fence: int,
+        last_seen: int,
+        lease_until_ms: int | None,
+        wait_s: float,
+        deadline: float,
+    ) -> TaskLists:
+        """Extend the lease, forget ends up to ``last_seen`` and list the rest."""
+        await self.order(
+            lambda: self.model.hold(fence, last_seen, lease_until_ms), deadline
+        )
+        until = min(anyio.current_time() + wait_s, deadline - NETWORK_S * 2)
+        while not self.model.ended and anyio.current_time() < until:
+            pause = min(self.model.next_change_s(), until - anyio.current_time())
+            with anyio.move_on_after(max(0.001, pause)):
+                await self.model.changed.wait()
+            self.model.advance()
+        if not self.model.is_up:
+            await self.faults.wait_in_vain(deadline)
+            raise ExecutorSilent(self.model.executor_id)
+        return self.model.lists()
+
+    async def aclose(self) -> None:
+        """Do nothing."""
+
+
+class MemoryPolicy:
+    """Offer a policy model to one node, one call at a time."""
+
+    __slots__ = ("lock", "model")
+
+    def __init__(self, model: PolicyModel):
+        self.model = model
+        self.lock = anyio.Lock()
+
+    async def advise(
+        self, step: str, executor_ids: list[str], deadline: float
+    ) -> list[tuple[str, str]]:
+        """Return executor id and ticket of the executors that may run the step."""
+        with anyio.move_on_after(max(0.0, deadline - anyio.current_time())):
+            async with self.lock:
+                return await self.model.advise(step, executor_ids)
+        raise PolicyUnavailable("no answer in time")
--- /dev/null
+++ b/stand_ins/platform/store.py
@@ -0,0 +1,219 @@
+"""Model of the platform's store: keyed logs, fenced producers and groups."""
+
+import anyio
+
+from gypsumring.ports.exceptions import OffsetExpired
+from gypsumring.ports.store import (
+    AppendFenced,
+    Assignment,
+    KeyedRecord,
+    LogBatch,
+    Producer,
+    SequenceMismatch,
+)
+
+__all__ = ["StoreModel"]
+
+# Repeats of this many last appends of a producer get their first response again.
+REMEMBERED_APPENDS = 5
+
+
+class PartitionModel:
+    """Hold the records of one partition."""
+
+    __slots__ = ("end", "producers", "records")
+
+    def __init__(self):
+        self.records: list[KeyedRecord] = []
+        self.end = 0
+        self.producers: dict[str, ProducerModel] = {}
+
+    @property
+    def first(self) -> int:
+        """Return the first retained offset."""
+        return self.records[0].offset if self.records else self.end
+
+
+class ProducerModel:
+    """Remember the epoch and the last appends of a producer."""
+
+    __slots__ = ("epoch", "responses", "sequence")
+
+    def __init__(self, epoch: int):
+        self.epoch = epoch
+        self.sequence: int | None = None
+        self.responses: dict[int, int] = {}
+
+
+class GroupModel:
+    """Deal the partitions of a topic to the members of a group."""
+
+    __slots__ = ("generation", "holders", "members", "parts", "revoking", "wanted")
+
+    def __init__(self, parts: int):
+        self.parts = parts
+        self.generation = 0
+        # End of each membership and the generation that the member has named.
+        self.members: dict[str, tuple[float, int]] = {}
+        self.wanted: dict[int, str] = {}
+        self.holders: dict[int, str] = {}
+        self.revoking: dict[int, int] = {}
+
+    def expire(self, now: float) -> None:
+        """Remove members that have been silent for too long."""
+        gone = [name for name, (until, _) in self.members.items() if until <= now]
+        for name in gone:
+            self.remove(name)
+
+    def remove(self, name: str) -> None:
+        """Remove a member; its partitions are free at once."""
+        if self.members.pop(name, None) is None:
+            return
+        for part, holder in list(self.holders.items()):
+            if holder == name:
+                del self.holders[part]
+                self.revoking.pop(part, None)
+        self.deal()
+
+    def deal(self, shift: int = 0) -> None:
+        """Deal all partitions anew, in a new generation."""
+        self.generation += 1
+        names = sorted(self.members)
+        for part in range(self.parts):
+            if not names:
+                self.wanted.pop(part, None)
+                continue
+            self.wanted[part] = names[(part + shift) % len(names)]
+        self.hand_over()
+
+    def hand_over(self) -> None:
+        """Give free partitions to their new holders, and revoke the others."""
+        for part, name in self.wanted.items():
+            holder = self.holders.get(part)
+            if holder == name:
+                self.revoking.pop(part, None)
+                continue
+            if holder is None:
+                self.holders[part] = name
+                continue
+            self.revoking.setdefault(part, self.generation)
+            if self.members[holder][1] >= self.revoking[part]:
+                del self.revoking[part]
+                self.holders[part] = name
+
+    def held_by(self, name: str) -> frozenset[int]:
+        """Return the partitions that a member may use."""
+        return frozenset(
+            part
+            for part, holder in self.holders.items()
+            if holder == name and part not in self.revoking
+        )
+
+
+class StoreModel:
+    """Hold all topics and groups; ``calls`` counts the calls by name."""
+
+    __slots__ = ("calls", "changed", "groups", "parts", "partitions")
+
+    def __init__(self, parts: int = 2):
+        self.parts = parts
+        self.partitions: dict[tuple[str, int], PartitionModel] = {}
+        self.groups: dict[str, GroupModel] = {}
+        self.calls: dict[str, int] = {}
+        self.changed = anyio.Event()
+
+    def partition(self, topic: str, part: int) -> PartitionModel:
+        """Return a partition, created on first use."""
+        return self.partitions.setdefault((topic, part), PartitionModel())
+
+    def append(
+        self,
+        topic: str,
+        part: int,
+        records: list[tuple[str, bytes]],
+        producer: Producer | None,
+    ) -> int:
+        """Append records once; raise AppendFenced or SequenceMismatch."""
+        self.calls["append"] = self.calls.get("append", 0) + 1
+        partition = self.partition(topic, part)
+        if producer is None:
+            return self.extend(partition, records)
+        state = partition.producers.get(producer.name)
+        if state is None or producer.epoch > state.epoch:
+            state = ProducerModel(producer.epoch)
+            partition.producers[producer.name] = state
+        elif producer.epoch < state.epoch:
+            raise AppendFenced(f"epoch {producer.epoch} < {state.epoch}")
+        if producer.sequence in state.responses:
+            return state.responses[producer.sequence]
+        if state.sequence is not None and producer.sequence != state.sequence + 1:
+            raise SequenceMismatch(state.sequence + 1)
+        end = self.extend(partition, records)
+        state.sequence = producer.sequence
+        state.responses[producer.sequence] = end
+        state.responses.pop(producer.sequence - REMEMBERED_APPENDS, None)
+        return end
+
+    def extend(
+        self, partition: PartitionModel, records: list[tuple[str, bytes]]
+    ) -> int:
+        """Add records to a partition and return its end."""
+        for key, value in records:
+            partition.records.append(KeyedRecord(partition.end, key, value))
+            partition.end += 1
+        if records:
+            self.changed.set()
+            self.changed = anyio.Event()
+        return partition.end
+
+    def newest(self, topic: str, part: int) -> tuple[list[KeyedRecord], int]:
+        """Return the newest record of each key that has a value."""
+        self.calls["newest"] = self.calls.get("newest", 0) + 1
+        partition = self.partition(topic, part)
+        by_key = {record.key: record for record in partition.records}
+        return [record for record in by_key.values() if record.value], partition.end
+
+    def read(self, topic: str, part: int, offset: int) -> LogBatch:
+        """Return the records from an offset on; raise OffsetExpired."""
+        self.calls["read"] = self.calls.get("read", 0) + 1
+        partition = self.partition(topic, part)
+        if offset < partition.first:
+            raise OffsetExpired(topic, partition.first)
+        rows = [each for each in partition.records if each.offset >= offset]
+        return LogBatch(partition.end, rows)
+
+    def forget_history(self, topic: str, part: int = 0) -> None:
+        """Drop all records but the newest of each key, as an outage may."""
+        partition = self.partition(topic, part)
+        by_key = {record.key: record for record in partition.records}
+        kept = {id(record) for record in by_key.values()}
+        partition.records = [each for each in partition.records if id(each) in kept]
+
+    def group(self, name: str) -> GroupModel:
+        """Return a group, created on first use."""
+        return self.groups.setdefault(name, GroupModel(self.parts))
+
+    def join(
+        self, group_name: str, member: str, ttl_s: float, generation: int
+    ) -> Assignment:
+        """Join or renew a membership."""
+        self.calls["join"] = self.calls.get("join", 0) + 1
+        now = anyio.current_time()
+        group = self.group(group_name)
+        group.expire(now)
+        is_new = member not in group.members
+        group.members[member] = (now + ttl_s, generation)
+        if is_new:
+            group.deal()
+        group.hand_over()
+        return Assignment(group.generation, group.held_by(member))
+
+    def leave(self, group_name: str, member: str) -> None:
+        """Leave a group."""
+        self.group(group_name).remove(member)
+
+    def owners(self, group_name: str) -> dict[int, str]:
+        """Return the holder of each partition."""
+        group = self.group(group_name)
+        group.expire(anyio.current_time())
+        return dict(group.holders)
--- /dev/null
+++ b/stand_ins/platform/world.py
@@ -0,0 +1,164 @@
+"""What the tasks do, and checks of the promises from what executors see."""
+
+import random
+from collections.abc import Callable
+from typing import TYPE_CHECKING
+
+import anyio
+
+from gypsumring.pipelines import PipelineSpec, parse_task
+
+if TYPE_CHECKING:
+    from stand_ins.platform.executor import ExecutorModel, TaskRun
+
+__all__ = ["TaskBehaviour", "World"]
+
+
+class TaskBehaviour:
+    """Tell how long an attempt works, in seconds, and how it ends."""
+
+    __slots__ = ("how", "work_s")
+
+    def __init__(self, work_s: float, how: str = "done"):
+        self.work_s = work_s
+        self.how = how
+
+
+Behave = Callable[[str, int], TaskBehaviour]
+
+
+class World:
+    """Know what was submitted, and note each broken promise in ``violations``."""
+
+    __slots__ = (
+        "behave",
+        "cancelled",
+        "done",
+        "executors",
+        "failed_runs",
+        "jobs",
+        "max_attempts",
+        "refused",
+        "starts",
+        "violations",
+    )
+
+    def __init__(self, behave: Behave, max_attempts: int = 3):
+        self.behave = behave
+        self.max_attempts = max_attempts
+        self.jobs: dict[str, PipelineSpec] = {}
+        # Jobs of which each submission was refused.
+        self.refused: set[str] = set()
+        # Times at which a cancel was confirmed.
+        self.cancelled: dict[str, float] = {}
+        self.executors: list[ExecutorModel] = []
+        self.done: dict[str, float] = {}
+        self.failed_runs: dict[str, int] = {}
+        self.starts: dict[str, int] = {}
+        self.violations: list[str] = []
+
+    def violate(self, rule: str, detail: str) -> None:
+        """Note a broken promise."""
+        self.violations.append(f"{rule} at {anyio.current_time():.3f}: {detail}")
+
+    def check_start(self, executor: "ExecutorModel", run: "TaskRun") -> None:
+        """Check one start against everything that was seen before."""
+        self.starts[run.task] = self.starts.get(run.task, 0) + 1
+        parsed = parse_task(run.task)
+        spec = self.jobs.get(parsed[0]) if parsed else None
+        if spec is None or parsed[2] >= len(spec.steps):
+            self.violate("UNASKED", f"{run.task} on {executor.executor_id}")
+            return
+        if parsed[0] in self.refused:
+            self.violate("REFUSED", run.task)
+        step = spec.steps[parsed[2]]
+        self.check_twice(executor, run, step.speculative)
+        self.check_order(spec, run.task, step.after)
+        if self.failed_runs.get(self.failure_key(run.task), 0) >= self.max_attempts:
+            self.violate("BUDGET", run.task)
+        if executor.used_cpu > executor.cpu_millis:
+            self.violate("LIMIT", f"{executor.executor_id}: {executor.used_cpu}")
+
+    def check_twice(
+        self, executor: "ExecutorModel", run: "TaskRun", speculative: bool
+    ) -> None:
+        """Check that a task does not run twice, nor after its confirmed end."""
+        if speculative:
+            return
+        if run.task in self.done:
+            self.violate("TWICE", f"{run.task} started after its end was noted")
+        for other in self.executors:
+            if not other.is_up:
+                continue
+            if other is not executor:
+                other.advance()
+            for listed in other.runs.values():
+                if listed.task == run.task and listed is not run:
+                    self.violate(
+                        "TWICE",
+                        f"{run.task} on {executor.executor_id} and {other.executor_id}",
+                    )
+
+    def check_order(
+        self, spec: PipelineSpec, task: str, after: tuple[int, ...]
+    ) -> None:
+        """Check that the steps before have ended."""
+        for number in after:
+            for index in range(spec.steps[number].task_count):
+                name = f"{spec.job_id}.0.{number}.{index}"
+                if not any(name in each.done_here for each in self.executors):
+                    self.violate("ORDER", f"{task} before {name}")
+                    return
+
+    def failure_key(self, task: str) -> str:
+        """Return the name under which failures count: of a task, or of a gang."""
+        parsed = parse_task(task)
+        spec = self.jobs.get(parsed[0]) if parsed else None
+        if spec is not None and spec.steps[parsed[2]].gang:
+            return task.rpartition(".")[0]
+        return task
+
+    def note_seen(self, executor: "ExecutorModel", task: str, how: str) -> None:
+        """Note that an end was confirmed, so that the executor forgot it."""
+        if how == "done":
+            parsed = parse_task(task)
+            spec = self.jobs[parsed[0]]
+            if spec.steps[parsed[2]].gang:
+                for index in range(spec.steps[parsed[2]].task_count):
+                    name = f"{parsed[0]}.0.{parsed[2]}.{index}"
+                    self.done.setdefault(name, anyio.current_time())
+            self.done.setdefault(task, anyio.current_time())
+        elif how == "failed":
+            key = self.failure_key(task)
+            self.failed_runs[key] = self.failed_runs.get(key, 0) + 1
+
+    def is_complete(self, job_id: str) -> bool:
+        """Tell whether each task of a job has ended as done somewhere."""
+        spec = self.jobs[job_id]
+        for number, step in enumerate(spec.steps):
+            ended = [
+                any(
+                    f"{job_id}.0.{number}.{index}" in executor.done_here
+                    for executor in self.executors
+                )
+                for index in range(step.task_count)
+            ]
+            if not (any(ended) if step.gang else all(ended)):
+                return False
+        return True
+
+
+def steady_behaviour(work_s: float) -> Behave:
+    """Return a behaviour in which each attempt is done after the same time."""
+    return lambda task, attempt: TaskBehaviour(work_s)
+
+
+def random_behaviour(seed: int, mean_s: float, failing: float) -> Behave:
+    """Return a behaviour drawn for each task and attempt from a seed."""
+
+    def behave(task: str, attempt: int) -> TaskBehaviour:
+        source = random.Random(f"{seed}/{task}/{attempt}")
+        how = "failed" if source.random() < failing else "done"
+        return TaskBehaviour(source.uniform(0.2, 1.8) * mean_s, how)
+
+    return behave
