Keep attempts that reached a new incarnation, and stop tasks that stand still

Change: a new incarnation resets clock, lease and end numbers; attempts are released only when its lists lack them. An attempt without progress for 1.3 s is stopped, its executor rests.

--- a/gypsumring/cell/attending.py
+++ b/gypsumring/cell/attending.py
@@ -26,7 +26,10 @@
 log = logbook.Logger("executors")
 
 # How long an executor may hold back its lists while nothing ends.
-HOLD_WAIT_S = 1.0
+HOLD_WAIT_S = 0.5
+IDLE_HOLD_WAIT_S = 1.0
+# A task whose progress stands still for this long is started elsewhere.
+STALL_S = 1.3
 HOLD_MARGIN_S = 0.4
 FIRST_HOLD_S = 0.4
 RETRY_PAUSE_S = 0.1
@@ -141,7 +144,8 @@
         first = executor.first_contact_at is None
         undurable = executor.durable_end < executor.seen_end
         quick = first or undurable or executor.is_silent
-        wait_s = 0.0 if quick else HOLD_WAIT_S
+        usual_s = HOLD_WAIT_S if executor.runs else IDLE_HOLD_WAIT_S
+        wait_s = 0.0 if quick else usual_s
         lease_until = None
         if not first and not executor.is_silent:
             lease_ms = int(self.state.timing.lease_s * 1000)
@@ -211,8 +215,9 @@
         reborn = bool(lists.born_ms) and lists.born_ms != executor.born_ms
         if reborn and not first:
             log.warning("executor {} has started again", executor.executor_id)
-            self.lose_all(executor, "executor has started again")
-            executor.reset_life(lists.born_ms)
+            self.state.metrics.count("cell.executors.reborn")
+            longest_ms = int(self.state.timing.longest_lease_s * 1000)
+            executor.start_life(lists.born_ms, lists.clock_ms + longest_ms)
         executor.born_ms = lists.born_ms or executor.born_ms
         executor.note_clock(lists.clock_ms, self.state.clock())
         inherits = first and executor.executor_id in self.state.unsettled
@@ -260,8 +265,26 @@
             if listed.percent > run.percent:
                 run.percent = listed.percent
                 run.progress_at = now
+            elif now - run.progress_at > STALL_S:
+                self.stop_stalled(executor, run)
             run.step.save_checkpoint(run.index, listed.checkpoint)
 
+    def stop_stalled(self, executor: ExecutorState, run: Run) -> None:
+        """Stop an attempt that stands still, and let its executor rest."""
+        if run.state is not RunState.RUNNING or run.step.spec.long_running:
+            return
+        log.warning(
+            "task {} attempt {} stands still at {:.0f}% on executor {}",
+            run.task,
+            run.attempt,
+            run.percent,
+            executor.executor_id,
+        )
+        self.state.metrics.count("cell.attempts.stalled")
+        executor.health.quarantine(anyio.current_time())
+        run.step.avoided.setdefault(run.index, set()).add(run.executor_id)
+        self.orders.stop(run)
+
     def adopt(self, executor: ExecutorState, task: str, attempt: int) -> Run | None:
         """Take over an attempt of an earlier owner."""
         run = self.state.table.adopt(
--- a/gypsumring/fleet/executor.py
+++ b/gypsumring/fleet/executor.py
@@ -73,21 +73,25 @@
         # Attempts whose start got no answer before the lease ended.
         self.unconfirmed: list[tuple[str, int]] = []
         self.unknown_runs: set[tuple[str, int]] = set()
-        self.reset_life(entry.born_ms)
+        self.used_cpu = 0
+        self.used_memory = 0
+        self.used_accelerators = 0
+        self.start_life(entry.born_ms, 0)
+
+    def start_life(self, born_ms: int, lease_until_ms: int) -> None:
+        """Begin with a new incarnation; its clock and its ends count anew.
 
-    def reset_life(self, born_ms: int) -> None:
-        """Start over for a new incarnation, which runs nothing."""
+        Starts that were sent for the incarnation before may have reached this one, with
+        a lease by the other clock, so that attempts stay accounted until it lists what
+        it runs, and the lease is the longest that it grants.
+        """
         self.born_ms = born_ms
         self.clock_ms = 0
         self.clock_read_at = 0.0
-        self.lease_until_ms = 0
+        self.lease_until_ms = lease_until_ms
         self.seen_end = 0
         self.durable_end = 0
-        self.runs.clear()
         self.unknown_runs.clear()
-        self.used_cpu = 0
-        self.used_memory = 0
-        self.used_accelerators = 0
 
     def note_clock(self, clock_ms: int, now: float) -> None:
         """Note the executor's clock as read in an answer that has just arrived."""
