Shut out late copies of starts after a rebirth, and never reuse a fence number

Change: unanswered starts are shut out by a stop before the new incarnation takes work; it rests while an unanswered hold may reach it; a fence counts owners within a generation. The soak's order check lets one end stand for a gang, as executors list it.

--- a/gypsumring/cell/attending.py
+++ b/gypsumring/cell/attending.py
@@ -8,7 +8,7 @@
 from gypsumring.cell.exceptions import Deposed
 from gypsumring.cell.orders import Orders
 from gypsumring.cell.state import EXECUTOR_KEY, CellState
-from gypsumring.fleet import ExecutorEntry, ExecutorState
+from gypsumring.fleet import LATE_ORDER_S, ExecutorEntry, ExecutorState
 from gypsumring.pipelines import Job, Run, RunState, encode
 from gypsumring.ports.tasks import (
     ExecutorGone,
@@ -105,6 +105,7 @@
             try:
                 await self.look(executor)
             except ExecutorSilent:
+                executor.unanswered_hold_at = anyio.current_time()
                 self.state.metrics.count("cell.holds.unanswered")
                 executor.is_silent = True
                 self.check_lease(executor)
@@ -189,9 +190,8 @@
                 reason,
             )
             self.state.metrics.count("cell.attempts.lost", len(runs))
+        executor.was_lost = True
         for run in runs:
-            if run.unanswered and run.answered_at is None:
-                executor.unconfirmed.append((run.task, run.attempt))
             self.orders.release(run)
             self.break_gang(run)
         self.settle(executor)
@@ -218,10 +218,14 @@
             self.state.metrics.count("cell.executors.reborn")
             longest_ms = int(self.state.timing.longest_lease_s * 1000)
             executor.start_life(lists.born_ms, lists.clock_ms + longest_ms)
+            self.rest_after_rebirth(executor)
         executor.born_ms = lists.born_ms or executor.born_ms
+        was_lost = executor.was_lost
+        executor.was_lost = False
         executor.note_clock(lists.clock_ms, self.state.clock())
         inherits = first and executor.executor_id in self.state.unsettled
-        self.confirm_stops(executor)
+        if reborn or was_lost:
+            self.shut_out(executor)
         listed = {(each.task, each.attempt) for each in lists.running}
         self.apply_running(executor, lists.running, inherits)
         changed = self.apply_ended(executor, lists.ended, inherits)
@@ -234,14 +238,20 @@
         if changed or lists.ended or first:
             self.state.wake()
 
-    def confirm_stops(self, executor: ExecutorState) -> None:
-        """Shut out starts without an answer whose lease ended in silence."""
-        for task, attempt in executor.unconfirmed:
-            executor.unknown_runs.add((task, attempt))
-            self.state.group.start_soon(
-                self.orders.stop_listed, executor, task, attempt
-            )
-        executor.unconfirmed.clear()
+    def rest_after_rebirth(self, executor: ExecutorState) -> None:
+        """Give a new incarnation no work while an old hold may still reach it.
+
+        Such a hold would let it forget ends that nobody has seen.
+        """
+        until = executor.unanswered_hold_at + LATE_ORDER_S
+        health = executor.health
+        health.quarantined_until = max(health.quarantined_until, until)
+
+    def shut_out(self, executor: ExecutorState) -> None:
+        """Shut out starts without an answer that may still be carried out."""
+        for key in executor.take_unconfirmed(anyio.current_time()):
+            executor.shutting_out.add(key)
+            self.state.group.start_soon(self.orders.shut_out, executor, *key)
 
     def apply_running(
         self, executor: ExecutorState, running: list[ListedRun], inherits: bool
--- a/gypsumring/cell/orders.py
+++ b/gypsumring/cell/orders.py
@@ -90,11 +90,13 @@
                 step.checkpoint_of(run.index),
                 ticket,
             )
-            deadline = anyio.current_time() + ORDER_TIMEOUT_S
+            sent_at = anyio.current_time()
+            deadline = sent_at + ORDER_TIMEOUT_S
             try:
                 await client.start(order, self.state.fence, deadline)
             except ExecutorSilent:
                 run.unanswered += 1
+                executor.unconfirmed[(run.task, run.attempt)] = sent_at
                 self.state.metrics.count("cell.starts.unanswered")
                 await anyio.sleep(RETRY_PAUSE_S)
                 continue
@@ -165,6 +167,26 @@
             self.state.metrics.count("cell.stops")
             return
 
+    async def shut_out(self, executor: ExecutorState, task: str, attempt: int) -> None:
+        """Stop an attempt that may still be started, until that is answered."""
+        key = (task, attempt)
+        while key in executor.shutting_out:
+            client = self.state.clients.get(executor.executor_id)
+            if client is None:
+                return
+            deadline = anyio.current_time() + ORDER_TIMEOUT_S
+            try:
+                await client.stop(task, attempt, self.state.fence, deadline)
+            except FenceRefused as error:
+                raise Deposed(
+                    f"executor {executor.executor_id} has a new owner"
+                ) from error
+            except (ExecutorSilent, ExecutorGone, StartRefused):
+                await anyio.sleep(RETRY_PAUSE_S)
+                continue
+            executor.shutting_out.discard(key)
+            self.state.wake()
+
     async def stop_listed(
         self, executor: ExecutorState, task: str, attempt: int
     ) -> None:
--- a/gypsumring/fleet/executor.py
+++ b/gypsumring/fleet/executor.py
@@ -6,7 +6,7 @@
 from gypsumring.pipelines.model import StepSpec
 from gypsumring.pipelines.state import Run
 
-__all__ = ["ExecutorEntry", "ExecutorState"]
+__all__ = ["ExecutorEntry", "ExecutorState", "LATE_ORDER_S"]
 
 # The clock of an executor may be this much slow.
 CLOCK_DRIFT = 0.02
@@ -14,6 +14,8 @@
 LEASE_MARGIN_MS = 100
 # An executor takes new work only if it has answered within this time.
 CONTACT_S = 1.6
+# An order without an answer may be carried out this much later.
+LATE_ORDER_S = 13.0
 
 
 class ExecutorEntry(msgspec.Struct, frozen=True, kw_only=True, omit_defaults=True):
@@ -51,12 +53,15 @@
         "listed",
         "runs",
         "seen_end",
+        "shutting_out",
         "durable_end",
+        "unanswered_hold_at",
         "unconfirmed",
         "unknown_runs",
         "used_accelerators",
         "used_cpu",
         "used_memory",
+        "was_lost",
         "watched_since",
     )
 
@@ -70,8 +75,15 @@
         # The newest order or hold got no answer.
         self.is_silent = False
         self.runs: dict[tuple[str, int], Run] = {}
-        # Attempts whose start got no answer before the lease ended.
-        self.unconfirmed: list[tuple[str, int]] = []
+        # Attempts of which a copy of the start got no answer, and when it was sent; the
+        # executor may carry that copy out later.
+        self.unconfirmed: dict[tuple[str, int], float] = {}
+        # Attempts that a stop has to shut out before new work starts here.
+        self.shutting_out: set[tuple[str, int]] = set()
+        # Its attempts were given up since the newest answer.
+        self.was_lost = False
+        # When the newest hold without an answer was sent.
+        self.unanswered_hold_at = float("-inf")
         self.unknown_runs: set[tuple[str, int]] = set()
         self.used_cpu = 0
         self.used_memory = 0
@@ -130,6 +142,21 @@
             return now >= self.watched_since + limit
         return self.clock_at_least_ms(now) > self.lease_until_ms + LEASE_MARGIN_MS
 
+    def take_unconfirmed(self, now: float) -> list[tuple[str, int]]:
+        """Return the attempts to shut out, now that the executor answers again.
+
+        Starts under way are left out: their order is repeated until it is answered.
+        """
+        keys = []
+        for key, sent_at in list(self.unconfirmed.items()):
+            run = self.runs.get(key)
+            if run is not None and run.answered_at is None:
+                continue
+            del self.unconfirmed[key]
+            if now - sent_at <= LATE_ORDER_S:
+                keys.append(key)
+        return keys
+
     @property
     def executor_id(self) -> str:
         """Return the id of the executor."""
@@ -149,6 +176,7 @@
             and self.first_contact_at is not None
             and now - self.last_contact_at <= CONTACT_S
             and not self.unknown_runs
+            and not self.shutting_out
             and not self.health.is_quarantined(now)
         )
 
--- a/gypsumring/node/membership.py
+++ b/gypsumring/node/membership.py
@@ -1,6 +1,6 @@
 """Membership in the group that deals the cells to the nodes."""
 
-from collections.abc import Awaitable, Callable
+from collections.abc import Callable
 
 import anyio
 import anyio.abc
@@ -16,6 +16,8 @@
 JOIN_PERIOD_S = 0.25
 CALL_S = 0.6
 LEAVE_S = 0.5
+# A node that loses the cell more often than this within one generation stays out.
+OWNERS_PER_GENERATION = 1_000
 
 
 class Membership:
@@ -28,12 +30,14 @@
     __slots__ = (
         "cell",
         "confirmed_at",
+        "fence_generation",
         "generation",
         "group_name",
         "group",
         "make_owner",
         "member",
         "owner",
+        "owner_count",
         "owner_scope",
         "stopping",
         "store",
@@ -59,6 +63,8 @@
         self.ttl_s = ttl_s
         self.make_owner = make_owner
         self.generation = 0
+        self.fence_generation = -1
+        self.owner_count = 0
         self.owner: CellOwner | None = None
         self.owner_scope: anyio.CancelScope | None = None
         self.group: anyio.abc.TaskGroup | None = None
@@ -108,9 +114,20 @@
             return
         self.confirmed_at = sent
         if self.owner is None:
-            self.owner = self.make_owner(assignment.generation)
+            self.owner = self.make_owner(self.next_fence(assignment.generation))
             self.group.start_soon(self.run_owner, self.owner)
 
+    def next_fence(self, generation: int) -> int:
+        """Return a fence number above all earlier ones.
+
+        Generations differ between nodes; the count tells owners of one node apart.
+        """
+        if generation != self.fence_generation:
+            self.fence_generation = generation
+            self.owner_count = 0
+        self.owner_count += 1
+        return generation * OWNERS_PER_GENERATION + self.owner_count
+
     async def run_owner(self, owner: CellOwner) -> None:
         """Run an owner until it is stopped or deposed."""
         with anyio.CancelScope() as scope:
@@ -138,6 +155,3 @@
             )
         except (StoreUnavailable, StoreRefused) as error:
             log.warning("leave failed: {}", error)
-
-
-AskMember = Callable[[str], Awaitable[None]]
--- /dev/null
+++ b/gypsumring/node/tests/rig.py
@@ -0,0 +1,178 @@
+"""Run node processes against the platform's stand-ins on loopback."""
+
+import json
+import os
+import signal
+import socket
+import subprocess
+import sys
+import tempfile
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from pathlib import Path
+
+import anyio
+import httpx
+
+from stand_ins.platform.executor import ExecutorModel
+from stand_ins.platform.policy import PolicyModel
+from stand_ins.platform.servers import ExecutorApp, PolicyApp, StoreApp
+from stand_ins.platform.store import StoreModel
+from stand_ins.platform.world import World, steady_behaviour
+from stand_ins.servers.serving import serve_apps
+
+__all__ = ["NodeProcess", "ProgramRig", "running_programs"]
+
+START_LIMIT_S = 30.0
+ROUTE = {
+    "name": "batch",
+    "host": "jobs.example",
+    "pathPrefix": "/batch/",
+    "service": "svc",
+    "priority": 1,
+    "maxAttempts": 3,
+    "stretch": 2.0,
+    "sloMs": 1000,
+    "advice": {"decideMs": 20, "periodMs": 1, "validMs": 2000},
+}
+
+
+def free_port() -> int:
+    """Return a port that was free a moment ago."""
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        return probe.getsockname()[1]
+
+
+class NodeProcess:
+    """One running node program."""
+
+    __slots__ = ("caller", "process", "ready", "settings")
+
+    def __init__(self, name: str, addresses: dict[str, str], folder: Path):
+        self.caller = f"127.0.0.1:{free_port()}"
+        self.ready = f"127.0.0.1:{free_port()}"
+        self.settings = folder / f"{name}.json"
+        content = {
+            "node": name,
+            "data_centre": "a",
+            "region": "r",
+            "caller_address": self.caller,
+            "readiness_address": self.ready,
+            "peer_host": "127.0.0.1",
+            "peer_ports": [free_port()],
+            "store": {"address": addresses["store"]},
+            "policy_address": addresses["policy"],
+            "bounds": {"longest_lease_ms": 10_000},
+        }
+        self.settings.write_text(json.dumps(content))
+        self.start()
+
+    def start(self) -> None:
+        """Start the program."""
+        self.process = subprocess.Popen(
+            [sys.executable, "-m", "gypsumring.node", "--settings", self.settings],
+            stdout=subprocess.DEVNULL,
+            stderr=subprocess.DEVNULL,
+            env={**os.environ, "PYTHONHASHSEED": "0"},
+        )
+
+    def restart(self) -> "NodeProcess":
+        """Start the program again after its end and return this node."""
+        self.start()
+        return self
+
+    def end(self, signal_number: int) -> None:
+        """Send a signal to the process."""
+        if self.process.poll() is None:
+            self.process.send_signal(signal_number)
+
+
+class ProgramRig:
+    """Stand-ins and node programs of one test."""
+
+    __slots__ = ("client", "nodes", "store", "world")
+
+    def __init__(self, world: World, store: StoreModel, client: httpx.AsyncClient):
+        self.world = world
+        self.store = store
+        self.client = client
+        self.nodes: list[NodeProcess] = []
+
+    async def wait_ready(self) -> None:
+        """Wait until all nodes answer that they are ready."""
+        with anyio.fail_after(START_LIMIT_S):
+            for node in self.nodes:
+                while not await self.is_ready(node):
+                    await anyio.sleep(0.05)
+
+    async def is_ready(self, node: NodeProcess) -> bool:
+        """Tell whether a node is ready."""
+        try:
+            response = await self.client.get(f"http://{node.ready}/-/ready")
+        except httpx.HTTPError:
+            return False
+        return response.status_code == 200
+
+    async def call(
+        self, node: NodeProcess, method: str, path: str, body: bytes = b""
+    ) -> httpx.Response:
+        """Send a caller's request to a node."""
+        return await self.client.request(
+            method,
+            f"http://{node.caller}/batch/{path}",
+            content=body,
+            headers={"Host": "jobs.example", "Deadline-Ms": "5000"},
+        )
+
+    async def wait_state(self, node: NodeProcess, job_id: str, state: str) -> None:
+        """Wait until a job is shown in a state."""
+        with anyio.fail_after(START_LIMIT_S):
+            while True:
+                response = await self.call(node, "GET", job_id)
+                if response.status_code == 200 and response.json()["state"] == state:
+                    return
+                await anyio.sleep(0.1)
+
+
+def register(store: StoreModel, model: ExecutorModel, address: str) -> None:
+    """Write the entry of an executor as the platform does."""
+    entry = {
+        "service": "svc",
+        "address": address,
+        "zone": "a",
+        "state": "ready",
+        "capacity": {"cpu": model.cpu_millis, "memMb": model.memory_mb},
+        "labels": ["a", "r1"],
+        "born": model.born_ms,
+    }
+    value = json.dumps(entry).encode()
+    store.append("keyed.servers", 0, [(model.executor_id, value)], None)
+
+
+@asynccontextmanager
+async def running_programs(nodes: int = 2) -> AsyncIterator[ProgramRig]:
+    """Run the stand-ins and some node programs."""
+    world = World(steady_behaviour(0.2))
+    store = StoreModel()
+    models = [ExecutorModel(world, f"i-{number}") for number in range(3)]
+    apps = {model.executor_id: ExecutorApp(model) for model in models}
+    apps["store"] = StoreApp(store)
+    apps["policy"] = PolicyApp(PolicyModel(models, 0.7, 2.0))
+    with tempfile.TemporaryDirectory() as folder:
+        async with serve_apps(apps) as addresses, httpx.AsyncClient() as client:
+            for model in models:
+                register(store, model, addresses[model.executor_id])
+            config = json.dumps({"version": 1, "routes": [ROUTE]}).encode()
+            store.append("keyed.op", 0, [("config", config)], None)
+            rig = ProgramRig(world, store, client)
+            try:
+                for number in range(nodes):
+                    node = NodeProcess(f"n{number}", addresses, Path(folder))
+                    rig.nodes.append(node)
+                await rig.wait_ready()
+                yield rig
+            finally:
+                for node in rig.nodes:
+                    node.end(signal.SIGKILL)
+                    node.process.wait()
--- /dev/null
+++ b/gypsumring/node/tests/test_programs.py
@@ -0,0 +1,124 @@
+"""Node programs as separate processes, in the platform's wire format."""
+
+import functools
+import json
+import signal
+
+import anyio
+
+from gypsumring.node.tests.rig import running_programs
+from gypsumring.pipelines import PipelineSpec, StepSpec
+from gypsumring.utils.testing import make_load_tests
+
+JOB_ID = "00112233445566aa"
+STEPS = [
+    {"count": 4, "cpu": 500, "memMb": 64, "estRuntimeMs": 200},
+    {"count": 2, "cpu": 500, "memMb": 64, "estRuntimeMs": 200, "dependsOn": [0]},
+]
+BODY = json.dumps({"spec": "p", "pipeline": STEPS}).encode()
+
+
+def announce(world, job_id: str) -> None:
+    """Tell the checks what will be submitted."""
+    world.jobs[job_id] = PipelineSpec(
+        job_id=job_id,
+        queue="batch",
+        service="svc",
+        accepted_ms=0,
+        payload="p",
+        steps=(
+            StepSpec(task_count=4, cpu_millis=500),
+            StepSpec(task_count=2, cpu_millis=500, after=(0,)),
+        ),
+    )
+
+
+def on_real_clock(function):
+    """Run an async test on asyncio with real sockets and processes."""
+
+    @functools.wraps(function)
+    def run() -> None:
+        anyio.run(function, backend="asyncio")
+
+    del run.__wrapped__
+    return run
+
+
+@on_real_clock
+async def test_job_is_served_through_any_node():
+    async with running_programs() as rig:
+        announce(rig.world, JOB_ID)
+        first, second = rig.nodes
+        assert (await rig.call(first, "GET", JOB_ID)).status_code == 410
+        assert (await rig.call(first, "POST", JOB_ID, BODY)).status_code == 200
+        assert (await rig.call(second, "POST", JOB_ID, BODY)).status_code == 200
+        await rig.wait_state(second, JOB_ID, "completed")
+        pending = await rig.call(second, "GET", "")
+        assert pending.json() == {"pending": 0}
+        assert (await rig.call(first, "DELETE", JOB_ID)).status_code == 200
+        assert rig.world.violations == []
+        assert all(count == 1 for count in rig.world.starts.values())
+
+
+@on_real_clock
+async def test_bad_input_is_refused_and_harms_nothing():
+    async with running_programs(nodes=1) as rig:
+        (node,) = rig.nodes
+        for path, body in (
+            (JOB_ID, b"no json"),
+            (JOB_ID, b'{"spec":"s","pipeline":[{"count":-1}]}'),
+            (JOB_ID, b'{"spec":"s","pipeline":[{"dependsOn":[3]}]}'),
+            (JOB_ID, json.dumps({"spec": "x" * 65536, "pipeline": [{}]}).encode()),
+            ("not-an-id", BODY),
+        ):
+            response = await rig.call(node, "POST", path, body)
+            assert response.status_code == 400, response.text
+            assert response.json()["error"]
+        other = await rig.client.get(f"http://{node.caller}/unknown/x")
+        assert other.status_code == 404
+        announce(rig.world, JOB_ID)
+        assert (await rig.call(node, "POST", JOB_ID, BODY)).status_code == 200
+        await rig.wait_state(node, JOB_ID, "completed")
+
+
+@on_real_clock
+async def test_stop_signal_hands_over_and_ends_with_zero():
+    async with running_programs(nodes=2) as rig:
+        for number in range(4):
+            job_id = f"{number:016x}"
+            announce(rig.world, job_id)
+            node = rig.nodes[number % 2]
+            assert (await rig.call(node, "POST", job_id, BODY)).status_code == 200
+        stopping, staying = rig.nodes
+        stopping.end(signal.SIGTERM)
+        for number in range(4):
+            await rig.wait_state(staying, f"{number:016x}", "completed")
+        with anyio.fail_after(20):
+            while stopping.process.poll() is None:
+                await anyio.sleep(0.05)
+        assert stopping.process.returncode == 0
+        assert rig.world.violations == []
+
+
+@on_real_clock
+async def test_all_nodes_killed_lose_no_accepted_job():
+    async with running_programs(nodes=2) as rig:
+        for number in range(3):
+            job_id = f"{number:016x}"
+            announce(rig.world, job_id)
+            response = await rig.call(rig.nodes[0], "POST", job_id, BODY)
+            assert response.status_code == 200
+        for node in rig.nodes:
+            node.end(signal.SIGKILL)
+            node.process.wait()
+        old = rig.nodes[:]
+        rig.nodes.clear()
+        for node in old:
+            rig.nodes.append(node.restart())
+        await rig.wait_ready()
+        for number in range(3):
+            await rig.wait_state(rig.nodes[1], f"{number:016x}", "completed")
+        assert rig.world.violations == []
+
+
+load_tests = make_load_tests(globals())
--- /dev/null
+++ b/gypsumring/platform/tests/test_decoding.py
@@ -0,0 +1,144 @@
+"""Decoding of what the platform and callers send, sound and damaged."""
+
+import random
+
+from gypsumring.pipelines import JobPhase
+from gypsumring.platform import (
+    decode_desired_state,
+    decode_executor_entry,
+    decode_submission,
+    encode_phase,
+    read_time_limit_s,
+)
+from gypsumring.platform.exceptions import WireError
+from gypsumring.platform.executors import decode_lists
+from gypsumring.platform.store import decode_records, encode_records
+from gypsumring.ports.tasks import ExecutorSilent
+from gypsumring.utils.testing import make_load_tests
+
+JOB = (
+    b'{"spec":"s","pipeline":[{"count":4,"cpu":500,"memMb":256,"estRuntimeMs":900,'
+    b'"dataRack":"r1-3"},{"count":2,"dependsOn":[0],"checkpointing":true,"gang":true,'
+    b'"antiAffinity":1}]}'
+)
+ENTRY = (
+    b'{"service":"huvo","address":"10.1.0.9:8080","zone":"z","version":"v1",'
+    b'"slots":8,"state":"draining","coldLeftMs":0,"capacity":{"cpu":16000,'
+    b'"memMb":32768,"gpu":1},"labels":["a","r1-3"],"clockMs":4,"seqNo":4,"born":17}'
+)
+CONFIG = (
+    b'{"version":7,"routes":[{"name":"r","host":"h.example","pathPrefix":"/l/",'
+    b'"kind":"non_idempotent","timeoutMs":3000,"sloMs":1000,"priority":1,'
+    b'"service":"huvo","maxAttempts":3,"stretch":2.2,"advice":{"decideMs":832.5,'
+    b'"periodMs":7.4,"validMs":2000}}],"services":[{"name":"huvo","standby":false}],'
+    b'"limits":{"maxBodyBytes":100}}'
+)
+
+
+def wire_error(content: bytes) -> str:
+    """Return the text of the error that a submission raises."""
+    try:
+        decode_submission(content)
+    except WireError as error:
+        return str(error)
+    raise AssertionError("no error")
+
+
+def test_job_is_decoded_into_steps():
+    submission = decode_submission(JOB)
+    first, second = submission.steps
+    assert (first.task_count, first.cpu_millis, first.data_rack) == (4, 500, "r1-3")
+    assert second.after == (0,) and second.gang and second.checkpointing
+    assert second.max_per_executor == 1
+
+
+def test_wrong_jobs_are_refused_with_the_field_named():
+    assert "spec" in wire_error(b'{"pipeline":[]}')
+    assert "pipeline" in wire_error(b'{"spec":"s","pipeline":[]}')
+    assert "count" in wire_error(b'{"spec":"s","pipeline":[{"count":-1}]}')
+    assert "after" in wire_error(b'{"spec":"s","pipeline":[{"dependsOn":[0]}]}')
+    assert "spec" in wire_error(b'{"spec":"%s","pipeline":[{}]}' % (b"x" * 4001))
+    assert wire_error(b"not json") and wire_error(b"\xff\xfe")
+
+
+def test_entry_of_an_executor_is_decoded():
+    entry = decode_executor_entry("i-1", ENTRY)
+    assert entry.draining and entry.born_ms == 17 and entry.accelerators == 1
+    assert entry.cpu_millis == 16000 and entry.labels == ("a", "r1-3")
+
+
+def test_entries_of_other_writers_name_no_executor():
+    for damaged in (
+        ENTRY.replace(b'"draining"', b'"asleep"'),
+        ENTRY.replace(b'"capacity"', b'"room"'),
+        ENTRY.replace(b"16000", b'"many"'),
+        ENTRY[:40],
+        b"\x00\xff",
+        b"[]",
+    ):
+        assert decode_executor_entry("i-1", damaged) is None
+
+
+def test_desired_state_is_decoded_with_times_in_seconds():
+    desired = decode_desired_state(CONFIG)
+    queue = desired.match_queue("h.example", "/l/abc")
+    assert queue.latency_target_s == 1.0 and queue.max_attempts == 3
+    assert abs(queue.policy.call_s(10) - 0.9065) < 1e-9
+    assert desired.match_queue("other", "/l/abc") is None
+    assert desired.max_body_bytes == 100
+
+
+def test_longest_prefix_selects_the_queue():
+    text = CONFIG.replace(
+        b'"services"',
+        b'"services"',
+    )
+    desired = decode_desired_state(text)
+    longer = decode_desired_state(CONFIG.replace(b'"/l/"', b'"/l/m/"'))
+    both = type(desired)(version=1, queues=desired.queues + longer.queues)
+    assert both.match_queue("h.example", "/l/m/x").path_prefix == "/l/m/"
+    assert both.match_queue("h.example", "/l/x").path_prefix == "/l/"
+
+
+def test_damaged_bytes_raise_only_the_errors_of_the_adapter():
+    # Random damage must never raise anything that a caller does not handle.
+    source = random.Random(3)
+    lists = (
+        b'{"clockMs":1,"running":[["a",1,"",4]],"ended":[[1,"t",1,"done",""]]}'
+    )
+    for _ in range(3000):
+        for content, decode, kinds in (
+            (JOB, decode_submission, (WireError,)),
+            (CONFIG, decode_desired_state, (WireError,)),
+            (ENTRY, lambda value: decode_executor_entry("i", value), ()),
+            (lists, decode_lists, (ExecutorSilent,)),
+        ):
+            damaged = bytearray(content)
+            for _ in range(source.randint(1, 6)):
+                damaged[source.randrange(len(damaged))] = source.randrange(256)
+            try:
+                decode(bytes(damaged))
+            except kinds:
+                pass
+
+
+def test_records_survive_framing_and_truncation_is_noticed():
+    records = [("a", b"1"), ("bb", b""), ("c", b"x" * 300)]
+    body = encode_records(records)
+    decoded = decode_records(body, 5)
+    assert [(each.key, each.value) for each in decoded] == records
+    assert [each.offset for each in decoded] == [5, 6, 7]
+    try:
+        decode_records(body[:-1], 5)
+    except WireError:
+        return
+    raise AssertionError("truncated record accepted")
+
+
+def test_time_limit_and_phase():
+    assert read_time_limit_s({b"deadline-ms": b"1500"}) == 1.5
+    assert read_time_limit_s({b"deadline-ms": b"soon"}) == 3.0
+    assert encode_phase(JobPhase.COMPLETED) == b'{"state":"completed"}'
+
+
+load_tests = make_load_tests(globals())
--- a/stand_ins/platform/cluster.py
+++ b/stand_ins/platform/cluster.py
@@ -64,8 +64,10 @@
         self.store = MemoryStore(cluster.store, self.faults, cluster.group)
         self.policy = MemoryPolicy(cluster.policy) if cluster.policy else None
         self.scope = anyio.CancelScope()
+        cluster.starts += 1
+        member = f"{name}/{cluster.starts}"
         self.membership = Membership(
-            self.store, GROUP, CELL_TOPIC, 0, name, MEMBERSHIP_S, self.make_owner
+            self.store, GROUP, CELL_TOPIC, 0, member, MEMBERSHIP_S, self.make_owner
         )
 
     def make_owner(self, fence: int) -> CellOwner:
@@ -122,6 +124,7 @@
         "nodes",
         "policy",
         "random_source",
+        "starts",
         "store",
         "world",
     )
@@ -140,6 +143,7 @@
         self.group = group
         self.random_source = random.Random(seed)
         self.metrics = Metrics()
+        self.starts = 0
         self.store = StoreModel()
         self.executors: dict[str, ExecutorModel] = {}
         self.nodes: dict[str, MemoryNode] = {}
--- a/stand_ins/platform/world.py
+++ b/stand_ins/platform/world.py
@@ -104,11 +104,8 @@
     ) -> None:
         """Check that the steps before have ended."""
         for number in after:
-            for index in range(spec.steps[number].task_count):
-                name = f"{spec.job_id}.0.{number}.{index}"
-                if not any(name in each.done_here for each in self.executors):
-                    self.violate("ORDER", f"{task} before {name}")
-                    return
+            if not self.step_is_complete(spec, number):
+                self.violate("ORDER", f"{task} before step {number}")
 
     def failure_key(self, task: str) -> str:
         """Return the name under which failures count: of a task, or of a gang."""
@@ -135,17 +132,20 @@
     def is_complete(self, job_id: str) -> bool:
         """Tell whether each task of a job has ended as done somewhere."""
         spec = self.jobs[job_id]
-        for number, step in enumerate(spec.steps):
-            ended = [
-                any(
-                    f"{job_id}.0.{number}.{index}" in executor.done_here
-                    for executor in self.executors
-                )
-                for index in range(step.task_count)
-            ]
-            if not (any(ended) if step.gang else all(ended)):
-                return False
-        return True
+        return all(
+            self.step_is_complete(spec, number) for number in range(len(spec.steps))
+        )
+
+    def step_is_complete(self, spec: PipelineSpec, number: int) -> bool:
+        """Tell whether each task of a step has ended as done; one end is a gang's."""
+        ended = [
+            any(
+                f"{spec.job_id}.0.{number}.{index}" in executor.done_here
+                for executor in self.executors
+            )
+            for index in range(spec.steps[number].task_count)
+        ]
+        return any(ended) if spec.steps[number].gang else all(ended)
 
 
 def steady_behaviour(work_s: float) -> Behave:
