--- a/gypsumring/cell/attending.py
+++ b/gypsumring/cell/attending.py
@@ -30,6 +30,10 @@
 IDLE_HOLD_WAIT_S = 1.0
 # A task whose progress stands still for this long is started elsewhere.
 STALL_S = 1.3
+FULL_PERCENT = 100
+# A task at 100% is started elsewhere after this time and a multiple of its estimate.
+OVERDUE_S = 3.0
+OVERDUE_FACTOR = 2.0
 HOLD_MARGIN_S = 0.4
 FIRST_HOLD_S = 0.4
 RETRY_PAUSE_S = 0.1
@@ -275,7 +279,7 @@
             if listed.percent > run.percent:
                 run.percent = listed.percent
                 run.progress_at = now
-            elif now - run.progress_at > STALL_S:
+            elif now - run.progress_at > stall_limit_s(run):
                 self.stop_stalled(executor, run)
             run.step.save_checkpoint(run.index, listed.checkpoint)
 
@@ -392,3 +396,14 @@
         for job in jobs[:-1]:
             self.state.write_progress(job)
         self.state.write_progress(jobs[-1], forget)
+
+
+def stall_limit_s(run: Run) -> float:
+    """Return for how long an attempt may show no progress, in seconds.
+
+    Executors take the progress from the estimate, so that a task with a low estimate
+    stays at 100% for a while.
+    """
+    if run.percent < FULL_PERCENT:
+        return STALL_S
+    return OVERDUE_S + OVERDUE_FACTOR * run.step.spec.estimated_ms / 1000
--- a/soak/cells.py
+++ b/soak/cells.py
@@ -187,7 +187,7 @@
             world = self.cluster.world
             if phase is None:
                 world.violate("LOST", f"{job_id} is not known")
-            elif not phase.is_final:
+            elif not phase.is_final and self.can_fit(job_id):
                 world.violate("LOST", f"{job_id} is still {phase}")
             elif phase is JobPhase.CANCELLED and job_id not in world.cancelled:
                 continue
@@ -199,6 +199,21 @@
                 if any(run.task.startswith(job_id) for run in model.runs.values()):
                     self.cluster.world.violate("UNASKED", f"{job_id} runs on")
 
+    def can_fit(self, job_id: str) -> bool:
+        """Tell whether the gangs of a job fit on the executors that policy allows."""
+        cluster = self.cluster
+        for number, step in enumerate(cluster.world.jobs[job_id].steps):
+            name = f"{job_id}.0.{number}"
+            allowed = [
+                model
+                for model in cluster.executors.values()
+                if not cluster.policy or cluster.policy.allows(name, model.executor_id)
+            ]
+            room = sum(model.cpu_millis // step.cpu_millis for model in allowed)
+            if step.gang and room < step.task_count:
+                return False
+        return True
+
     def has_failed_task(self, job_id: str) -> bool:
         """Tell whether a task of a job has used up its attempts."""
         return any(
