--- a/gypsumring/cell/scheduling.py
+++ b/gypsumring/cell/scheduling.py
@@ -118,17 +118,19 @@
         eligible: list[ExecutorState],
         holding: list[ExecutorState],
     ) -> list[ExecutorState]:
-        """Return the executors to ask about: new ones, or allowed ones with room."""
+        """Return the executors to ask about.
+
+        New ones are asked about until the allowed ones have room for the step; allowed
+        ones whose ticket has ended are asked about again once they have room.
+        """
         new = [each for each in eligible if each.executor_id not in step.asked]
-        if new and not step.allowed:
-            return new[:MAX_ASKED]
         allowed = [each for each in eligible if each.executor_id in step.allowed]
-        expired = [each for each in allowed if each not in holding]
-        if not expired:
-            return new[:MAX_ASKED]
-        if place_step(step, allowed):
-            return [each for each in expired if each.fit_count(step.spec) > 0]
-        return []
+        placements = place_step(step, allowed) if allowed else []
+        asked = new if len(placements) < len(step.pending) else []
+        if placements:
+            expired = [each for each in allowed if each not in holding]
+            asked = asked + [each for each in expired if each.fit_count(step.spec)]
+        return asked[:MAX_ASKED]
 
     def start_all(self, step: Step, placements: list[Placement], now: float) -> None:
         """Start the placed tasks."""
--- a/soak/cells.py
+++ b/soak/cells.py
@@ -23,6 +23,7 @@
 MAX_ATTEMPTS = 3
 # Time without faults at the end, in which all accepted jobs have to end.
 SETTLE_S = 60.0
+CANCEL_S = 4.0
 FAULTS = (
     "kill_node",
     "kill_all_nodes",
@@ -193,6 +194,8 @@
                 continue
             elif phase is JobPhase.FAILED and not self.has_failed_task(job_id):
                 world.violate("LOST", f"{job_id} shown as failed without cause")
+        # A task may go on for a moment after its job's cancel.
+        await anyio.sleep(CANCEL_S)
         for job_id in self.cluster.world.cancelled:
             for model in self.cluster.executors.values():
                 model.advance()
