Run scheduled and long-running jobs; place near data and on one rack; evacuate

Cause: scheduled jobs were refused, long-running ones ended with their tasks, data and same-rack wishes were not looked at, and tasks with checkpoints were lost with a leaving executor. Change: occurrences open when they are due by the time of day; tasks that last start again however they end; a step waits for a near place as long as a far one would cost; leaving executors are emptied of tasks that lose nothing by a stop.

--- a/gypsumring/cell/attending.py
+++ b/gypsumring/cell/attending.py
@@ -86,6 +86,8 @@
             )
         if entry.draining and not executor.entry.draining:
             log.info("executor {} is draining", entry.executor_id)
+        if entry.draining:
+            executor.leaves_at = anyio.current_time() + entry.remaining_ms / 1000
         executor.entry = entry
         executor.listed = True
         if entry.executor_id not in self.state.enrolled:
@@ -338,17 +340,8 @@
             self.orders.stop_all(outcome.stop)
             if outcome.changed and not was_final:
                 changed.add(job)
-            if run.step.is_done:
-                self.mark_ready(job)
         return changed
 
-    def mark_ready(self, job: Job) -> None:
-        """Note since when the steps of a job are ready."""
-        now = anyio.current_time()
-        for step in job.ready_steps():
-            if not step.ready_at:
-                step.ready_at = now
-
     def judge(self, executor: ExecutorState, run: Run, how: str) -> None:
         """Let an end count for or against the executor."""
         now = anyio.current_time()
--- a/gypsumring/cell/owner.py
+++ b/gypsumring/cell/owner.py
@@ -32,7 +32,7 @@
 )
 from gypsumring.ports.store import KeyedRecord, Store, StoreRefused, StoreUnavailable
 from gypsumring.ports.tasks import TaskExecutor
-from gypsumring.utils.clock import Clock, unix_ms
+from gypsumring.utils.clock import Clock, WallClock
 
 __all__ = ["CellOwner"]
 
@@ -82,13 +82,16 @@
         ask_peer: AskPeer,
         metrics: Metrics,
         clock: Clock,
+        wall_clock: WallClock,
     ):
         self.store = store
         self.topic = topic
         self.partition = partition
         self.fence = fence
         journal = Journal(store, topic, partition, f"cell-{partition}", fence)
-        self.state = CellState(fence, journal, desired_state, timing, metrics, clock)
+        self.state = CellState(
+            fence, journal, desired_state, timing, metrics, clock, wall_clock
+        )
         self.orders = Orders(self.state)
         self.attendant = Attendant(self.state, self.orders, connect)
         self.commands = Commands(self.state, self.orders)
@@ -125,7 +128,7 @@
         records = await self.read_records()
         by_key = {record.key: record.value for record in records if record.value}
         term = self.read_term(by_key.get(TERM_KEY))
-        self.state.table = JobTable(term * ATTEMPTS_PER_TERM + 1)
+        self.state.table = JobTable(self.state.wall_clock, term * ATTEMPTS_PER_TERM + 1)
         self.state.journal.put(TERM_KEY, msgspec.json.encode(term + 1))
         for key, value in by_key.items():
             if key.startswith(JOB_KEY):
@@ -169,7 +172,7 @@
         except PipelineError as error:
             log.error("job {} cannot be read: {}", job_id, error)
             return
-        waited_s = max(0.0, (unix_ms() - spec.accepted_ms) / 1000)
+        waited_s = max(0.0, (self.state.wall_clock() - spec.accepted_ms) / 1000)
         job = self.state.table.add(
             spec, anyio.current_time() - waited_s, inherited=True
         )
@@ -177,7 +180,7 @@
             job.restore(progress)
         if job.phase.is_final:
             job.ended_at = anyio.current_time()
-            del self.state.table.active[job_id]
+            self.state.table.finish(job)
 
     def restore_executor(self, key: str, value: bytes) -> None:
         """Attend an executor that an earlier owner has used."""
--- a/gypsumring/cell/scheduling.py
+++ b/gypsumring/cell/scheduling.py
@@ -10,7 +10,7 @@
 from gypsumring.dispatch import AdviserPool, Placement, order_steps, place_step
 from gypsumring.dispatch.placing import eligible_executors
 from gypsumring.fleet import ExecutorState
-from gypsumring.pipelines import PolicyTiming, Queue, Step
+from gypsumring.pipelines import PolicyTiming, Queue, RunState, Step
 from gypsumring.ports.tasks import PolicyBusy, PolicyUnavailable, Ticket
 
 __all__ = ["CellScheduler"]
@@ -21,6 +21,9 @@
 LOOK_S = 0.1
 # Changes that arrive within this time are looked at together.
 GATHER_S = 0.003
+# Tasks with checkpoints are stopped this long before their executor leaves, besides the
+# time that a stop takes.
+EVACUATE_S = 0.5
 # A ticket that ends within this time is not used for a start any more.
 TICKET_MARGIN_S = 0.03
 # The policy service is asked about at most this many executors at once.
@@ -64,12 +67,16 @@
     def schedule(self) -> None:
         """Offer the free room to the ready steps in order."""
         now = anyio.current_time()
+        self.state.table.open_due(now)
         fleet = [
             executor
             for executor in self.state.fleet.values()
             if executor.executor_id in self.state.enrolled
         ]
         self.advisers.set_names(self.list_peers())
+        for executor in fleet:
+            if executor.entry.draining:
+                self.evacuate(executor, now)
         jobs = [
             job
             for job in self.state.table.active.values()
@@ -81,6 +88,25 @@
             else:
                 self.offer(step, queue, fleet, now)
 
+    def evacuate(self, executor: ExecutorState, now: float) -> None:
+        """Stop tasks on a leaving executor that lose nothing by it.
+
+        Tasks that last go at once, tasks with checkpoints shortly before the end; the
+        others may still be done in time.
+        """
+        left_s = (executor.leaves_at or now) - now
+        hurry = left_s < EVACUATE_S + self.state.timing.stop_s
+        for run in list(executor.runs.values()):
+            spec = run.step.spec
+            if run.state is not RunState.RUNNING:
+                continue
+            if spec.long_running or (spec.checkpointing and hurry):
+                self.state.metrics.count("cell.attempts.evacuated")
+                if spec.gang:
+                    self.orders.stop_gang(run)
+                else:
+                    self.orders.stop(run)
+
     def stop_partial(self, step: Step) -> None:
         """Stop the members of a gang of which some do not run."""
         self.orders.stop_all(step.active_runs())
@@ -94,7 +120,7 @@
         if not eligible:
             return
         if queue.policy is None:
-            self.start_all(step, place_step(step, eligible), now)
+            self.start_all(step, self.place(step, eligible), now)
             return
         limit = now + TICKET_MARGIN_S
         holding = [
@@ -103,7 +129,7 @@
             if executor.executor_id in step.tickets
             and step.tickets[executor.executor_id].expires_at > limit
         ]
-        placements = place_step(step, holding) if holding else []
+        placements = self.place(step, holding) if holding else []
         waiting = len(step.pending) - len(placements)
         if placements:
             self.start_all(step, placements, now)
@@ -112,6 +138,11 @@
             if asked:
                 self.ask(step, queue.policy, asked, now)
 
+    def place(self, step: Step, candidates: list[ExecutorState]) -> list[Placement]:
+        """Return places for the pending tasks of a step."""
+        factor = self.state.timing.spread_factor
+        return place_step(step, candidates, factor, anyio.current_time())
+
     def choose_asked(
         self,
         step: Step,
@@ -125,7 +156,7 @@
         """
         new = [each for each in eligible if each.executor_id not in step.asked]
         allowed = [each for each in eligible if each.executor_id in step.allowed]
-        placements = place_step(step, allowed) if allowed else []
+        placements = self.place(step, allowed) if allowed else []
         asked = new if len(placements) < len(step.pending) else []
         if placements:
             expired = [each for each in allowed if each not in holding]
--- a/gypsumring/cell/state.py
+++ b/gypsumring/cell/state.py
@@ -10,7 +10,7 @@
 from gypsumring.metrics import Metrics
 from gypsumring.pipelines import DesiredState, Job, JobTable, Queue, encode
 from gypsumring.ports.tasks import TaskExecutor
-from gypsumring.utils.clock import Clock, unix_ms
+from gypsumring.utils.clock import Clock, WallClock
 
 __all__ = ["CellState", "CellTiming"]
 
@@ -23,10 +23,15 @@
 class CellTiming:
     """Hold the bounds of the platform, in seconds."""
 
-    __slots__ = ("lease_s", "longest_lease_s", "status_s", "stop_s")
+    __slots__ = ("lease_s", "longest_lease_s", "spread_factor", "status_s", "stop_s")
 
     def __init__(
-        self, longest_lease_s: float, stop_s: float, status_s: float, lease_s: float
+        self,
+        longest_lease_s: float,
+        stop_s: float,
+        status_s: float,
+        lease_s: float,
+        spread_factor: float,
     ):
         # The longest lease that executors grant.
         self.longest_lease_s = longest_lease_s
@@ -34,6 +39,8 @@
         self.stop_s = stop_s
         # How long callers may ask for the state of a job that has ended.
         self.status_s = status_s
+        # How much longer work takes away from its data.
+        self.spread_factor = spread_factor
         # The lease that this owner asks for.
         self.lease_s = min(lease_s, longest_lease_s)
 
@@ -56,6 +63,7 @@
         "table",
         "timing",
         "unsettled",
+        "wall_clock",
     )
 
     def __init__(
@@ -66,6 +74,7 @@
         timing: CellTiming,
         metrics: Metrics,
         clock: Clock,
+        wall_clock: WallClock,
     ):
         self.fence = fence
         self.journal = journal
@@ -73,7 +82,8 @@
         self.timing = timing
         self.metrics = metrics
         self.clock = clock
-        self.table = JobTable()
+        self.wall_clock = wall_clock
+        self.table = JobTable(wall_clock)
         self.fleet: dict[str, ExecutorState] = {}
         self.clients: dict[str, TaskExecutor] = {}
         # Executors whose entry is durable, so that a later owner looks for their tasks.
@@ -108,9 +118,9 @@
     ) -> None:
         """Queue the progress of a job; a final phase is shown once it is durable."""
         if job.phase.is_final and not job.final_since_ms:
-            job.final_since_ms = unix_ms()
+            job.final_since_ms = self.wall_clock()
             job.ended_at = anyio.current_time()
-            self.table.active.pop(job.spec.job_id, None)
+            self.table.finish(job)
             self.metrics.count(f"cell.jobs.{job.phase}")
         phase = job.phase
 
--- a/gypsumring/dispatch/placing.py
+++ b/gypsumring/dispatch/placing.py
@@ -52,8 +52,51 @@
     )
 
 
-def place_step(step: Step, candidates: list[ExecutorState]) -> list[Placement]:
-    """Return places for the pending tasks of a step; a gang gets all or none."""
+def place_step(
+    step: Step, candidates: list[ExecutorState], spread_factor: float, now: float
+) -> list[Placement]:
+    """Return places for the pending tasks of a step; a gang gets all or none.
+
+    Work away from its data, or spread over racks where it wants one, takes
+    ``spread_factor`` times as long. So it waits for a better place for as long as the
+    worse one would cost.
+    """
+    spec = step.spec
+    patient = waits_for_place(step, spread_factor, now)
+    if spec.data_rack:
+        near = [each for each in candidates if each.rack == spec.data_rack]
+        placements = fill(step, near)
+        if placements or (patient and near):
+            return placements
+    if spec.same_rack:
+        placements = fill_one_rack(step, candidates)
+        if placements or patient:
+            return placements
+    return fill(step, candidates)
+
+
+def waits_for_place(step: Step, spread_factor: float, now: float) -> bool:
+    """Tell whether a step still waits for a place near its data or on one rack."""
+    if step.waiting_since is None:
+        step.waiting_since = now
+    extra_s = (spread_factor - 1) * step.spec.estimated_ms / 1000
+    return now - step.waiting_since < extra_s
+
+
+def fill_one_rack(step: Step, candidates: list[ExecutorState]) -> list[Placement]:
+    """Return places on the rack that takes most tasks; a step keeps to its rack."""
+    racks: dict[str, list[ExecutorState]] = {}
+    for executor in candidates:
+        racks.setdefault(executor.rack, []).append(executor)
+    used = {run.rack for run in step.active_runs()}
+    if used:
+        racks = {rack: racks[rack] for rack in used if rack in racks}
+    options = [fill(step, executors) for _, executors in sorted(racks.items())]
+    return max(options, key=len, default=[])
+
+
+def fill(step: Step, candidates: list[ExecutorState]) -> list[Placement]:
+    """Return places on the candidates in order of preference."""
     ordered = sorted(candidates, key=lambda executor: sort_key(step, executor))
     room = {executor.executor_id: room_for(step, executor) for executor in ordered}
     if step.spec.gang and sum(room.values()) < len(step.pending):
--- /dev/null
+++ b/gypsumring/dispatch/tests/test_ordering.py
@@ -0,0 +1,52 @@
+"""Order in which ready steps are served under load."""
+
+from gypsumring.dispatch import order_steps
+from gypsumring.dispatch.tests.fleets import make_step
+from gypsumring.pipelines import Queue
+from gypsumring.utils.testing import make_load_tests
+
+
+def order(*rows, now=0.0):
+    """Return the job ids in order; each row is a step and its queue's priority."""
+    queues = {
+        step.job.spec.job_id: Queue(
+            name="q",
+            host="",
+            path_prefix="",
+            service="svc",
+            priority=priority,
+            stretch=2.0,
+            latency_target_s=1.0,
+        )
+        for step, priority in rows
+    }
+    jobs = [step.job for step, _ in rows]
+    ordered = order_steps(jobs, lambda job: queues[job.spec.job_id], now)
+    return [step.job.spec.job_id[0] for step, _ in ordered]
+
+
+def test_urgent_queue_goes_first():
+    batch, urgent = make_step("b" * 16), make_step("a" * 16, accepted_at=5.0)
+    assert order((batch, 2), (urgent, 0)) == ["a", "b"]
+
+
+def test_job_that_is_due_first_goes_first():
+    long = make_step("a" * 16, estimated_ms=9000)
+    short = make_step("b" * 16, accepted_at=1.0)
+    assert order((long, 1), (short, 1)) == ["b", "a"]
+
+
+def test_jobs_that_missed_their_target_do_not_make_others_late():
+    # In a burst, serving the oldest first would make each job late in turn.
+    late = make_step("a" * 16)
+    in_time = make_step("b" * 16, accepted_at=9.0)
+    assert order((late, 1), (in_time, 1), now=10.0) == ["b", "a"]
+
+
+def test_steps_wait_for_the_steps_before_them():
+    first = make_step("a" * 16)
+    first.pending.clear()
+    assert order((first, 1)) == []
+
+
+load_tests = make_load_tests(globals())
--- /dev/null
+++ b/gypsumring/dispatch/tests/test_placing.py
@@ -0,0 +1,77 @@
+"""Where tasks go: room, gangs, racks, limits for each executor, sound executors."""
+
+from collections import Counter
+
+from gypsumring.dispatch import place_step
+from gypsumring.dispatch.placing import eligible_executors
+from gypsumring.dispatch.tests.fleets import make_executor, make_fleet, make_step
+from gypsumring.utils.testing import make_load_tests
+
+
+def place(step, fleet, now=0.0, factor=3.0):
+    """Return how many tasks go to each executor."""
+    placements = place_step(step, fleet, factor, now)
+    return Counter(each.executor.executor_id for each in placements)
+
+
+def test_no_executor_gets_more_than_its_room():
+    counts = place(make_step(task_count=40, cpu_millis=3000), make_fleet(3))
+    assert counts == {"i-0": 2, "i-1": 2, "i-2": 2}
+
+
+def test_gang_gets_all_its_places_or_none():
+    gang = make_step(task_count=7, cpu_millis=3000, gang=True)
+    assert place(gang, make_fleet(3)) == {}
+    assert sum(place(gang, make_fleet(4)).values()) == 7
+
+
+def test_limit_for_each_executor_is_kept():
+    step = make_step(task_count=9, max_per_executor=2)
+    assert set(place(step, make_fleet(3)).values()) == {2}
+
+
+def test_filling_tasks_take_no_processors_from_the_room():
+    step = make_step(task_count=3, cpu_millis=9000, fills=True)
+    assert sum(place(step, make_fleet(1)).values()) == 3
+
+
+def test_retry_avoids_the_executor_on_which_the_task_failed():
+    step = make_step(task_count=1)
+    fleet = make_fleet(2)
+    (first,) = place(step, fleet)
+    step.avoided[0] = {first}
+    (second,) = place(step, fleet)
+    assert second != first
+    # Where each executor has failed it once, the task is tried again.
+    step.avoided[0] = {"i-0", "i-1"}
+    assert sum(place(step, fleet).values()) == 1
+
+
+def test_work_waits_for_its_data_as_long_as_going_away_would_cost():
+    step = make_step(task_count=1, data_rack="r1", estimated_ms=1000)
+    near, away = make_executor("near", rack="r1"), make_executor("away", rack="r0")
+    assert place(step, [away, near]) == {"near": 1}
+    near.used_cpu = near.entry.cpu_millis
+    assert place(step, [away, near], now=1.0) == {}
+    assert place(step, [away, near], now=2.5) == {"away": 1}
+
+
+def test_gang_of_one_rack_stays_together():
+    step = make_step(task_count=6, cpu_millis=4000, gang=True, same_rack=True)
+    fleet = make_fleet(8)
+    counts = place(step, fleet)
+    assert len({name[-1] in "02468" for name in counts}) == 1
+
+
+def test_silent_draining_and_resting_executors_take_no_work():
+    fleet = make_fleet(4)
+    fleet[0].last_contact_at = -10.0
+    fleet[1].health.quarantine(0.0)
+    fleet[2].shutting_out.add(("t", 1))
+    step = make_step()
+    names = [each.executor_id for each in eligible_executors(step, "svc", fleet, 0.5)]
+    assert names == ["i-3"]
+    assert eligible_executors(make_step(required_label="x"), "svc", fleet, 0.5) == []
+
+
+load_tests = make_load_tests(globals())
--- a/gypsumring/fleet/executor.py
+++ b/gypsumring/fleet/executor.py
@@ -26,6 +26,8 @@
     service: str
     data_centre: str = ""
     draining: bool = False
+    # While it drains, the executor stays at least this much longer, in milliseconds.
+    remaining_ms: int = 0
     born_ms: int = 0
     cpu_millis: int = 0
     memory_mb: int = 0
@@ -50,6 +52,7 @@
         "is_silent",
         "last_contact_at",
         "lease_until_ms",
+        "leaves_at",
         "listed",
         "runs",
         "seen_end",
@@ -68,6 +71,8 @@
     def __init__(self, entry: ExecutorEntry, now: float):
         self.entry = entry
         self.listed = True
+        # When a draining executor may leave.
+        self.leaves_at: float | None = None
         self.health = ExecutorHealth()
         self.watched_since = now
         self.first_contact_at: float | None = None
@@ -183,7 +188,7 @@
     def fit_count(self, spec: StepSpec) -> int:
         """Return how many more tasks of a step the free room holds."""
         room = spec.task_count
-        if spec.cpu_millis:
+        if counted_cpu(spec):
             room = min(room, (self.entry.cpu_millis - self.used_cpu) // spec.cpu_millis)
         if spec.memory_mb:
             free = self.entry.memory_mb - self.used_memory
@@ -199,7 +204,8 @@
         if key in self.runs:
             return
         self.runs[key] = run
-        self.used_cpu += run.step.spec.cpu_millis
+        run.rack = self.rack
+        self.used_cpu += counted_cpu(run.step.spec)
         self.used_memory += run.step.spec.memory_mb
         self.used_accelerators += run.step.spec.accelerators
 
@@ -207,7 +213,12 @@
         """Free the room of an attempt; tell whether it was there."""
         if self.runs.pop((run.task, run.attempt), None) is None:
             return False
-        self.used_cpu -= run.step.spec.cpu_millis
+        self.used_cpu -= counted_cpu(run.step.spec)
         self.used_memory -= run.step.spec.memory_mb
         self.used_accelerators -= run.step.spec.accelerators
         return True
+
+
+def counted_cpu(spec: StepSpec) -> int:
+    """Return the processors that a task takes from the room of an executor."""
+    return 0 if spec.fills else spec.cpu_millis
--- /dev/null
+++ b/gypsumring/fleet/tests/test_executor.py
@@ -0,0 +1,61 @@
+"""Clock, lease and room of an executor as its owner sees them."""
+
+from gypsumring.dispatch.tests.fleets import make_executor, make_step
+from gypsumring.pipelines import JobTable
+from gypsumring.utils.testing import make_load_tests
+
+
+def test_clock_is_taken_as_slow():
+    executor = make_executor("i-0")
+    assert executor.clock_at_least_ms(10.0) == 1000 + 9800
+
+
+def test_lease_ends_only_when_the_slowest_clock_has_passed_it():
+    executor = make_executor("i-0")
+    until = executor.extend_lease(5000, 0.0)
+    assert until == 6000
+    assert not executor.lease_is_over(5.1, 10.0)
+    assert executor.lease_is_over(5.3, 10.0)
+
+
+def test_lease_of_a_silent_executor_is_not_extended():
+    # Retries must not move the end of the lease forward, or it never ends.
+    executor = make_executor("i-0")
+    until = executor.extend_lease(5000, 0.0)
+    executor.is_silent = True
+    assert executor.extend_lease(5000, 4.0) == until
+    executor.note_clock(5000, 4.0)
+    assert executor.extend_lease(5000, 4.0) == 10_000
+
+
+def test_executor_of_an_earlier_owner_may_hold_the_longest_lease():
+    executor = make_executor("i-0")
+    executor.first_contact_at = None
+    assert not executor.lease_is_over(10.3, 10.0)
+    assert executor.lease_is_over(10.6, 10.0)
+
+
+def test_room_is_freed_once():
+    executor, table = make_executor("i-0"), JobTable()
+    step = make_step()
+    run = table.place(step, 0, 1, "i-0", 0.0)
+    executor.add_run(run)
+    executor.add_run(run)
+    assert executor.used_cpu == 1000
+    assert executor.remove_run(run) and not executor.remove_run(run)
+    assert executor.used_cpu == 0
+
+
+def test_unanswered_starts_are_shut_out_unless_under_way():
+    executor, table = make_executor("i-0"), JobTable()
+    run = table.place(make_step(), 0, 1, "i-0", 0.0)
+    executor.add_run(run)
+    executor.unconfirmed[(run.task, 1)] = 1.0
+    executor.unconfirmed[("gone", 1)] = 1.0
+    executor.unconfirmed[("old", 1)] = -20.0
+    assert executor.take_unconfirmed(2.0) == [("gone", 1)]
+    run.answered_at = 3.0
+    assert executor.take_unconfirmed(4.0) == [(run.task, 1)]
+
+
+load_tests = make_load_tests(globals())
--- a/gypsumring/node/app.py
+++ b/gypsumring/node/app.py
@@ -133,6 +133,9 @@
             accepted_ms=unix_ms(),
             payload=submission.payload,
             steps=submission.steps,
+            start_at_ms=submission.schedule.start_at_ms,
+            interval_ms=submission.schedule.interval_ms,
+            repeats=submission.schedule.repeats,
         )
         limit = deadline - anyio.current_time()
         return render_submit(await self.node.forward(SubmitJob(spec, limit), deadline))
--- a/gypsumring/node/node.py
+++ b/gypsumring/node/node.py
@@ -39,7 +39,7 @@
 from gypsumring.ports.tasks import PolicyBusy, PolicyService, PolicyUnavailable
 from gypsumring.settings.node import NodeSettings
 from gypsumring.transport import Channel, ChannelClosed, serve_channels
-from gypsumring.utils.clock import suspend_aware_time
+from gypsumring.utils.clock import suspend_aware_time, unix_ms
 
 __all__ = ["Node"]
 
@@ -116,6 +116,7 @@
             bounds.stop_ms / 1000,
             bounds.status_s,
             self.settings.task_lease_ms / 1000,
+            bounds.spread_factor,
         )
         return CellOwner(
             self.store,
@@ -131,6 +132,7 @@
             self.ask_peer,
             self.metrics,
             suspend_aware_time,
+            unix_ms,
         )
 
     async def run(self) -> None:
--- a/gypsumring/pipelines/records.py
+++ b/gypsumring/pipelines/records.py
@@ -9,22 +9,28 @@
 
 
 class StepProgress(msgspec.Struct, array_like=True):
-    """Hold the durable part of a step's state.
+    """Hold the durable part of the state of a step of one occurrence.
 
     ``done`` has one byte a task; ``failures`` maps an index to the number of failed
     attempts; for a gang, index 0 stands for all members.
     """
 
+    occurrence: int
+    number: int
     done: bytes
     failures: dict[int, int]
     checkpoints: dict[int, str]
 
 
 class Progress(msgspec.Struct, array_like=True):
-    """Hold what became of a job; ``ended_ms`` is Unix time, 0 while it goes on."""
+    """Hold what became of a job; ``ended_ms`` is Unix time, 0 while it goes on.
+
+    Of the ``opened`` occurrences those without steps here are done.
+    """
 
     phase: JobPhase
     ended_ms: int
+    opened: int
     steps: list[StepProgress]
 
 
--- a/gypsumring/pipelines/state.py
+++ b/gypsumring/pipelines/state.py
@@ -39,6 +39,7 @@
         "index",
         "percent",
         "progress_at",
+        "rack",
         "started_at",
         "state",
         "step",
@@ -59,11 +60,15 @@
         self.answered_at: float | None = None
         self.unanswered = 0
         self.percent = 0.0
+        self.rack = ""
         self.progress_at = now
 
 
 class Step:
-    """Track the tasks of one step of one occurrence."""
+    """Track the tasks of one step of one occurrence.
+
+    ``before`` are the steps that must be done first.
+    """
 
     __slots__ = (
         "allowed",
@@ -71,6 +76,7 @@
         "asking",
         "attempts",
         "avoided",
+        "before",
         "checkpoints",
         "done_count",
         "failed_attempt",
@@ -78,18 +84,31 @@
         "held_back_until",
         "job",
         "number",
+        "occurrence",
+        "opened_at",
         "pending",
-        "ready_at",
         "runs",
         "spec",
         "states",
         "tickets",
+        "waiting_since",
     )
 
-    def __init__(self, job: "Job", number: int, spec: StepSpec):
+    def __init__(
+        self,
+        job: "Job",
+        occurrence: int,
+        number: int,
+        spec: StepSpec,
+        before: "list[Step]",
+    ):
         self.job = job
+        self.occurrence = occurrence
         self.number = number
         self.spec = spec
+        self.before = before
+        # When a scheduled occurrence was opened; other jobs count from acceptance.
+        self.opened_at: float | None = None
         self.states = bytearray(spec.task_count)
         self.attempts = [0] * spec.task_count
         self.failures: dict[int, int] = {}
@@ -101,27 +120,33 @@
         self.pending = set(range(spec.task_count))
         self.done_count = 0
         self.runs: dict[int, list[Run]] = {}
-        self.ready_at = 0.0
         self.held_back_until = 0.0
         # What the policy service said: executors asked about and allowed, tickets.
         self.asked: set[str] = set()
         self.allowed: set[str] = set()
         self.tickets: dict[str, Ticket] = {}
         self.asking = False
+        # Since when the step has waited for a good place.
+        self.waiting_since: float | None = None
 
     @property
     def name(self) -> str:
         """Return the name of the step of an occurrence."""
-        return f"{self.job.spec.job_id}.0.{self.number}"
+        return f"{self.job.spec.job_id}.{self.occurrence}.{self.number}"
 
     @property
     def is_done(self) -> bool:
         """Tell whether all tasks have ended as done."""
         return self.done_count == self.spec.task_count
 
+    @property
+    def is_ready(self) -> bool:
+        """Tell whether tasks wait to be placed, and the steps before are done."""
+        return bool(self.pending) and all(step.is_done for step in self.before)
+
     def task_name(self, index: int) -> str:
         """Return the name of one task."""
-        return format_task(self.job.spec.job_id, 0, self.number, index)
+        return format_task(self.job.spec.job_id, self.occurrence, self.number, index)
 
     def active_runs(self) -> list[Run]:
         """Return all attempts that may be running."""
@@ -156,7 +181,7 @@
 
 
 class Job:
-    """Track one job."""
+    """Track one job; ``steps`` holds those of the occurrences that are under way."""
 
     __slots__ = (
         "accepted_at",
@@ -164,6 +189,7 @@
         "ended_at",
         "final_since_ms",
         "inherited",
+        "opened",
         "phase",
         "spec",
         "started",
@@ -181,16 +207,57 @@
         self.inherited = inherited
         self.ended_at: float | None = None
         self.final_since_ms = 0
-        self.steps = [Step(self, n, step) for n, step in enumerate(spec.steps)]
+        self.steps: list[Step] = []
+        # Number of occurrences that have been opened.
+        self.opened = 0
+        if not spec.repeats:
+            self.open_next()
+
+    def open_next(self) -> list[Step]:
+        """Begin the next occurrence and return its steps."""
+        steps: list[Step] = []
+        for number, spec in enumerate(self.spec.steps):
+            before = [steps[earlier] for earlier in spec.after]
+            steps.append(Step(self, self.opened, number, spec, before))
+        self.opened += 1
+        self.steps.extend(steps)
+        return steps
+
+    def open_due(self, now_ms: int, now: float) -> bool:
+        """Begin the occurrences that are due by Unix time; tell if there are any."""
+        opened = self.opened
+        while self.opened < self.spec.repeats:
+            due_ms = self.spec.start_at_ms + self.opened * self.spec.interval_ms
+            if due_ms > now_ms:
+                break
+            for step in self.open_next():
+                step.opened_at = now - (now_ms - due_ms) / 1000
+        return self.opened > opened
+
+    def close_done(self) -> None:
+        """Drop the steps of scheduled occurrences that are done."""
+        if not self.spec.repeats:
+            return
+        open_ones = {step.occurrence for step in self.steps if not step.is_done}
+        self.steps = [step for step in self.steps if step.occurrence in open_ones]
+
+    @property
+    def is_done(self) -> bool:
+        """Tell whether all tasks of all occurrences have ended as done."""
+        if self.opened < self.spec.repeats:
+            return False
+        return all(step.is_done for step in self.steps)
+
+    def find_step(self, occurrence: int, number: int) -> Step | None:
+        """Return a step of an occurrence that is under way."""
+        for step in self.steps:
+            if step.occurrence == occurrence and step.number == number:
+                return step
+        return None
 
     def ready_steps(self) -> list[Step]:
         """Return the steps with tasks to place, all steps before them being done."""
-        return [
-            step
-            for step in self.steps
-            if step.pending
-            and all(self.steps[number].is_done for number in step.spec.after)
-        ]
+        return [step for step in self.steps if step.is_ready]
 
     def active_runs(self) -> list[Run]:
         """Return all attempts that may be running."""
@@ -200,13 +267,15 @@
         """Return the durable part of the state."""
         steps = [
             StepProgress(
+                step.occurrence,
+                step.number,
                 bytes(state == TaskState.DONE for state in step.states),
                 step.failures,
                 step.checkpoints,
             )
             for step in self.steps
         ]
-        return Progress(self.phase, self.final_since_ms, steps)
+        return Progress(self.phase, self.final_since_ms, self.opened, steps)
 
     def restore(self, progress: Progress) -> None:
         """Apply a progress record of an earlier owner."""
@@ -214,9 +283,20 @@
         self.durable_phase = progress.phase
         self.started = progress.phase is not JobPhase.QUEUED
         self.final_since_ms = progress.ended_ms
-        for step, saved in zip(self.steps, progress.steps, strict=False):
+        while self.opened < progress.opened:
+            self.open_next()
+        saved_steps = {
+            (saved.occurrence, saved.number): saved for saved in progress.steps
+        }
+        for step in self.steps:
+            saved = saved_steps.get((step.occurrence, step.number))
+            if saved is None:
+                for index in range(step.spec.task_count):
+                    step.mark_done(index)
+                continue
             for index, done in enumerate(saved.done[: step.spec.task_count]):
                 if done:
                     step.mark_done(index)
             step.failures = dict(saved.failures)
             step.checkpoints = dict(saved.checkpoints)
+        self.close_done()
--- a/gypsumring/pipelines/table.py
+++ b/gypsumring/pipelines/table.py
@@ -2,6 +2,7 @@
 
 from gypsumring.pipelines.model import JobPhase, PipelineSpec, parse_task
 from gypsumring.pipelines.state import Job, Run, RunState, Step, TaskState
+from gypsumring.utils.clock import WallClock, unix_ms
 
 __all__ = ["JobTable", "TaskOutcome"]
 
@@ -22,33 +23,47 @@
     ``first_attempt`` is above each attempt number that an earlier owner may have used.
     """
 
-    __slots__ = ("active", "first_attempt", "jobs")
+    __slots__ = ("active", "first_attempt", "jobs", "scheduled", "wall_clock")
 
-    def __init__(self, first_attempt: int = 1):
+    def __init__(self, wall_clock: WallClock = unix_ms, first_attempt: int = 1):
+        self.wall_clock = wall_clock
         self.jobs: dict[str, Job] = {}
         self.active: dict[str, Job] = {}
+        # Jobs with occurrences to come or under way.
+        self.scheduled: dict[str, Job] = {}
         self.first_attempt = first_attempt
 
     def add(self, spec: PipelineSpec, now: float, inherited: bool = False) -> Job:
         """Add an accepted job."""
         job = Job(spec, now, inherited)
-        for step in job.steps:
-            if not step.spec.after:
-                step.ready_at = now
         self.jobs[spec.job_id] = job
         self.active[spec.job_id] = job
+        if spec.repeats:
+            self.scheduled[spec.job_id] = job
         return job
 
-    def find_step(self, task: str) -> tuple[Step, int] | None:
+    def find_step(self, task: str, now: float) -> tuple[Step, int] | None:
         """Return the step and index of a task name, or None if it is unknown."""
         parsed = parse_task(task)
-        if parsed is None or parsed[1] != 0:
+        job = self.jobs.get(parsed[0]) if parsed else None
+        if job is None:
             return None
-        job = self.jobs.get(parsed[0])
-        if job is None or parsed[2] >= len(job.steps):
+        job.open_due(self.wall_clock(), now)
+        step = job.find_step(parsed[1], parsed[2])
+        if step is None or parsed[3] >= step.spec.task_count:
             return None
-        step = job.steps[parsed[2]]
-        return (step, parsed[3]) if parsed[3] < step.spec.task_count else None
+        return step, parsed[3]
+
+    def open_due(self, now: float) -> None:
+        """Begin the occurrences of scheduled jobs that are due by the time of day."""
+        now_ms = self.wall_clock()
+        for job in self.scheduled.values():
+            job.open_due(now_ms, now)
+
+    def finish(self, job: Job) -> None:
+        """Take a job that has ended out of the active ones."""
+        self.active.pop(job.spec.job_id, None)
+        self.scheduled.pop(job.spec.job_id, None)
 
     def next_attempt(self, step: Step, indices: list[int]) -> int:
         """Return an attempt number above all earlier ones of these tasks."""
@@ -75,7 +90,7 @@
         self, task: str, attempt: int, executor_id: str, now: float
     ) -> Run | None:
         """Record an attempt of an earlier owner that an executor lists as running."""
-        found = self.find_step(task)
+        found = self.find_step(task, now)
         if found is None:
             return None
         run = self.place(found[0], found[1], attempt, executor_id, now)
@@ -99,7 +114,7 @@
         """Apply the end of an attempt and return what follows from it."""
         step = run.step
         step.save_checkpoint(run.index, checkpoint)
-        if how == "done":
+        if how == "done" and not step.spec.long_running:
             return self.end_done(run)
         outcome = TaskOutcome(bool(checkpoint), [])
         if how == "failed" and not step.is_done:
@@ -121,7 +136,8 @@
         changed = any([step.mark_done(index) for index in indices])
         # Members of a gang end by themselves; other copies of a task are stopped.
         stop = [] if step.spec.gang else list(step.runs.get(run.index, ()))
-        if all(step.is_done for step in step.job.steps):
+        step.job.close_done()
+        if step.job.is_done:
             step.job.phase = JobPhase.COMPLETED
         return TaskOutcome(changed, stop)
 
@@ -155,5 +171,8 @@
         return sum(
             1
             for job in self.active.values()
-            if job.spec.queue == queue and not job.started and not job.phase.is_final
+            if job.spec.queue == queue
+            and not job.started
+            and not job.phase.is_final
+            and not job.spec.repeats
         )
--- /dev/null
+++ b/gypsumring/pipelines/tests/test_table.py
@@ -0,0 +1,131 @@
+"""How ends of attempts change jobs; progress records; schedules."""
+
+from gypsumring.pipelines import (
+    Job,
+    JobPhase,
+    JobTable,
+    PipelineSpec,
+    StepSpec,
+    decode_progress,
+    encode,
+)
+from gypsumring.utils.testing import make_load_tests
+
+TASK = StepSpec(task_count=2, cpu_millis=1000, estimated_ms=500)
+GANG = StepSpec(task_count=3, cpu_millis=1000, gang=True, after=(0,))
+
+
+def make_spec(*steps: StepSpec, **fields) -> PipelineSpec:
+    """Return a job."""
+    return PipelineSpec(
+        job_id="a" * 16,
+        queue="q",
+        service="s",
+        accepted_ms=0,
+        payload="",
+        steps=steps,
+        **fields,
+    )
+
+
+def end_all(table: JobTable, step, how: str, attempt: int = 1, limit: int = 3):
+    """Start all pending tasks and let each end alike."""
+    for index in sorted(step.pending):
+        run = table.place(step, index, attempt, "i-0", 0.0)
+        table.end(run, how, "", limit)
+
+
+def test_steps_become_ready_in_order_and_complete_the_job():
+    table = JobTable()
+    job = table.add(make_spec(TASK, GANG), 0.0)
+    assert job.ready_steps() == [job.steps[0]]
+    end_all(table, job.steps[0], "done")
+    assert job.ready_steps() == [job.steps[1]]
+    run = table.place(job.steps[1], 2, 1, "i-0", 0.0)
+    table.end(run, "done", "", 3)
+    assert job.steps[1].is_done and job.phase is JobPhase.COMPLETED
+
+
+def test_one_failed_run_of_a_gang_counts_once():
+    table = JobTable()
+    job = table.add(make_spec(StepSpec(task_count=3, gang=True)), 0.0)
+    step = job.steps[0]
+    runs = [table.place(step, index, 1, "i-0", 0.0) for index in range(3)]
+    for run in runs:
+        table.end(run, "failed", "", 2)
+    assert step.failures == {0: 1} and job.phase is JobPhase.RUNNING
+    run = table.place(step, 0, 2, "i-0", 0.0)
+    table.end(run, "failed", "", 2)
+    assert job.phase is JobPhase.FAILED
+
+
+def test_stops_and_lapses_are_no_failures():
+    table = JobTable()
+    job = table.add(make_spec(TASK), 0.0)
+    for attempt, how in enumerate(("stopped", "lapsed", "broken", "alone"), 1):
+        end_all(table, job.steps[0], how, attempt, limit=1)
+    assert job.phase is JobPhase.RUNNING and not job.steps[0].failures
+
+
+def test_end_of_a_cancelled_job_changes_nothing():
+    table = JobTable()
+    job = table.add(make_spec(TASK), 0.0)
+    run = table.place(job.steps[0], 0, 1, "i-0", 0.0)
+    assert table.cancel(job) == [run]
+    table.end(run, "done", "", 3)
+    assert job.phase is JobPhase.CANCELLED and not job.active_runs()
+
+
+def test_long_running_tasks_start_again_however_they_end():
+    table = JobTable()
+    job = table.add(make_spec(StepSpec(task_count=1, long_running=True)), 0.0)
+    for attempt, how in enumerate(("failed", "done", "failed", "stopped"), 1):
+        end_all(table, job.steps[0], how, attempt, limit=1)
+        assert job.phase is JobPhase.RUNNING
+        assert job.ready_steps() == job.steps
+
+
+def test_progress_survives_a_new_owner():
+    table = JobTable()
+    job = table.add(make_spec(TASK, GANG), 0.0)
+    step = job.steps[0]
+    table.end(table.place(step, 0, 1, "i-0", 0.0), "done", "", 3)
+    table.end(table.place(step, 1, 1, "i-0", 0.0), "failed", "c1", 3)
+    restored = Job(job.spec, 0.0)
+    restored.restore(decode_progress(encode(job.progress())))
+    assert restored.steps[0].pending == {1}
+    assert restored.steps[0].failures == {1: 1}
+    assert restored.steps[0].checkpoint_of(1) == "c1"
+    assert not restored.steps[1].is_ready
+
+
+def test_checkpoint_of_one_member_serves_the_whole_gang():
+    job = Job(make_spec(StepSpec(task_count=3, gang=True, checkpointing=True)), 0.0)
+    job.steps[0].save_checkpoint(2, "c7")
+    assert [job.steps[0].checkpoint_of(index) for index in range(3)] == ["c7"] * 3
+
+
+def test_scheduled_occurrences_open_when_they_are_due():
+    now_ms = [0]
+    table = JobTable(lambda: now_ms[0])
+    spec = make_spec(TASK, start_at_ms=1000, interval_ms=500, repeats=3)
+    job = table.add(spec, 0.0)
+    table.open_due(0.0)
+    assert not job.steps and table.waiting("q") == 0
+    now_ms[0] = 1600
+    table.open_due(1.6)
+    assert [step.occurrence for step in job.steps] == [0, 1]
+    assert abs(job.steps[1].opened_at - 1.5) < 1e-9
+    for step in list(job.steps):
+        end_all(table, step, "done")
+    assert job.phase is JobPhase.RUNNING and not job.steps
+    restored = Job(spec, 0.0)
+    restored.restore(decode_progress(encode(job.progress())))
+    assert restored.opened == 2 and not restored.steps
+    now_ms[0] = 2000
+    table.open_due(2.0)
+    end_all(table, job.steps[0], "done")
+    assert job.phase is JobPhase.COMPLETED
+
+
+load_tests = make_load_tests(globals())
--- a/gypsumring/platform/discovery.py
+++ b/gypsumring/platform/discovery.py
@@ -25,6 +25,7 @@
     zone: str = ""
     labels: list[str] = []
     born: int = 0
+    remaining_ms: int = 0
 
 
 decode_body = msgspec.json.Decoder(EntryBody).decode
@@ -44,6 +45,7 @@
         service=body.service,
         data_centre=body.zone,
         draining=body.state == "draining",
+        remaining_ms=body.remaining_ms,
         born_ms=body.born,
         cpu_millis=body.capacity.cpu,
         memory_mb=body.capacity.mem_mb,
--- a/gypsumring/platform/ingress.py
+++ b/gypsumring/platform/ingress.py
@@ -55,14 +55,26 @@
     repeats: int = 0
 
 
+class Schedule:
+    """Tell how often a job runs, from when and how far apart, in Unix milliseconds."""
+
+    __slots__ = ("interval_ms", "repeats", "start_at_ms")
+
+    def __init__(self, start_at_ms: int, interval_ms: int, repeats: int):
+        self.start_at_ms = start_at_ms
+        self.interval_ms = interval_ms
+        self.repeats = repeats
+
+
 class Submission:
-    """Hold the payload and the steps of a submitted job."""
+    """Hold the payload, the steps and the schedule of a submitted job."""
 
-    __slots__ = ("payload", "steps")
+    __slots__ = ("payload", "schedule", "steps")
 
-    def __init__(self, payload: str, steps: tuple[StepSpec, ...]):
+    def __init__(self, payload: str, steps: tuple[StepSpec, ...], schedule: Schedule):
         self.payload = payload
         self.steps = steps
+        self.schedule = schedule
 
 
 decode_body = msgspec.json.Decoder(SubmissionBody).decode
@@ -76,14 +88,15 @@
         raise WireError(str(error)) from error
     if len(body.spec.encode()) > MAX_PAYLOAD_BYTES:
         raise WireError(f"spec: more than {MAX_PAYLOAD_BYTES} bytes")
-    if body.repeats or body.start_at_ms:
-        raise WireError("repeats: scheduled jobs are not supported")
+    if body.repeats < 0 or body.interval_ms < 0:
+        raise WireError("repeats, intervalMs: must not be negative")
     steps = tuple(map(translate_step, body.pipeline))
     try:
         check_pipeline(steps)
     except PipelineError as error:
         raise WireError(str(error)) from error
-    return Submission(body.spec, steps)
+    schedule = Schedule(body.start_at_ms, body.interval_ms, body.repeats)
+    return Submission(body.spec, steps, schedule)
 
 
 def translate_step(body: StepBody) -> StepSpec:
--- a/gypsumring/utils/clock.py
+++ b/gypsumring/utils/clock.py
@@ -1,12 +1,13 @@
 """A steady clock that also counts the time in which the machine is suspended."""
 
 import time
-
-__all__ = ["Clock", "suspend_aware_time", "unix_ms"]
-
 from collections.abc import Callable
 
+__all__ = ["Clock", "WallClock", "suspend_aware_time", "unix_ms"]
+
 Clock = Callable[[], float]
+# Returns the time of day in milliseconds since 1970.
+WallClock = Callable[[], int]
 
 
 def suspend_aware_time() -> float:
--- a/stand_ins/platform/cluster.py
+++ b/stand_ins/platform/cluster.py
@@ -77,7 +77,7 @@
             CELL_TOPIC,
             0,
             fence,
-            CellTiming(10.0, 0.9, 120.0, 5.0),
+            CellTiming(10.0, 0.9, 120.0, 5.0, 3.0),
             lambda: self.cluster.desired,
             self.connect,
             EXECUTORS_TOPIC,
@@ -86,6 +86,7 @@
             self.ask_peer,
             self.cluster.metrics,
             anyio.current_time,
+            lambda: int(anyio.current_time() * 1000),
         )
 
     def connect(self, executor_id: str, address: str) -> TaskExecutor:
--- a/stand_ins/platform/memory.py
+++ b/stand_ins/platform/memory.py
@@ -154,7 +154,8 @@
             raise ExecutorGone(self.model.executor_id)
         how = self.faults.draw()
         if how == "late":
-            self.group.start_soon(carry_out_late, self.faults, act)
+            late_act = self.bind_to_life(act)
+            self.group.start_soon(carry_out_late, self.faults, late_act)
         result = act() if how != "late" else None
         if how != "answered":
             await self.faults.wait_in_vain(deadline)
@@ -162,6 +163,20 @@
         await anyio.sleep(NETWORK_S)
         return result
 
+    def bind_to_life(self, act: Callable[[], Any]) -> Callable[[], None]:
+        """Return a late order that a new incarnation takes only once it is known.
+
+        Before its first answer no owner can tell that there is a new incarnation, so
+        no owner can shut out an order meant for the one before.
+        """
+        born_ms = self.model.born_ms
+
+        def carry_out() -> None:
+            if self.model.born_ms == born_ms or self.model.fence:
+                act()
+
+        return carry_out
+
     async def start(self, start: TaskStart, fence: int, deadline: float) -> None:
         """Start an attempt, or confirm that it is there; raise StartRefused."""
         await self.order(lambda: self.model.start(start, fence), deadline)
--- a/stand_ins/platform/world.py
+++ b/stand_ins/platform/world.py
@@ -13,6 +13,9 @@
 
 __all__ = ["TaskBehaviour", "World"]
 
+# A scheduled task may start this much before its time.
+EARLY_MS = 250
+
 
 class TaskBehaviour:
     """Tell how long an attempt works, in seconds, and how it ends."""
@@ -74,6 +77,7 @@
         step = spec.steps[parsed[2]]
         self.check_twice(executor, run, step.speculative)
         self.check_order(spec, run.task, step.after)
+        self.check_due(spec, run.task)
         if self.failed_runs.get(self.failure_key(run.task), 0) >= self.max_attempts:
             self.violate("BUDGET", run.task)
         if executor.used_cpu > executor.cpu_millis:
@@ -103,10 +107,17 @@
         self, spec: PipelineSpec, task: str, after: tuple[int, ...]
     ) -> None:
         """Check that the steps before have ended."""
+        occurrence = parse_task(task)[1]
         for number in after:
-            if not self.step_is_complete(spec, number):
+            if not self.step_is_complete(spec, number, occurrence):
                 self.violate("ORDER", f"{task} before step {number}")
 
+    def check_due(self, spec: PipelineSpec, task: str) -> None:
+        """Check that a scheduled occurrence does not start before its time."""
+        due_ms = spec.start_at_ms + parse_task(task)[1] * spec.interval_ms
+        if spec.repeats and anyio.current_time() * 1000 < due_ms - EARLY_MS:
+            self.violate("ORDER", f"{task} before its time")
+
     def failure_key(self, task: str) -> str:
         """Return the name under which failures count: of a task, or of a gang."""
         parsed = parse_task(task)
@@ -122,7 +133,7 @@
             spec = self.jobs[parsed[0]]
             if spec.steps[parsed[2]].gang:
                 for index in range(spec.steps[parsed[2]].task_count):
-                    name = f"{parsed[0]}.0.{parsed[2]}.{index}"
+                    name = f"{parsed[0]}.{parsed[1]}.{parsed[2]}.{index}"
                     self.done.setdefault(name, anyio.current_time())
             self.done.setdefault(task, anyio.current_time())
         elif how == "failed":
@@ -133,14 +144,18 @@
         """Tell whether each task of a job has ended as done somewhere."""
         spec = self.jobs[job_id]
         return all(
-            self.step_is_complete(spec, number) for number in range(len(spec.steps))
+            self.step_is_complete(spec, number, occurrence)
+            for occurrence in range(max(1, spec.repeats))
+            for number in range(len(spec.steps))
         )
 
-    def step_is_complete(self, spec: PipelineSpec, number: int) -> bool:
+    def step_is_complete(
+        self, spec: PipelineSpec, number: int, occurrence: int
+    ) -> bool:
         """Tell whether each task of a step has ended as done; one end is a gang's."""
         ended = [
             any(
-                f"{spec.job_id}.0.{number}.{index}" in executor.done_here
+                f"{spec.job_id}.{occurrence}.{number}.{index}" in executor.done_here
                 for executor in self.executors
             )
             for index in range(spec.steps[number].task_count)
