--- a/gypsumring/pipelines/records.py
+++ b/gypsumring/pipelines/records.py
@@ -7,31 +7,40 @@
 
 __all__ = ["Progress", "decode_progress", "decode_spec", "encode"]
 
+# Fields are named, so that nodes of two versions can read each other's records.
+STEP_NAMES = {
+    "number": "n",
+    "done": "d",
+    "occurrence": "k",
+    "failures": "f",
+    "checkpoints": "c",
+}
 
-class StepProgress(msgspec.Struct, array_like=True):
+
+class StepProgress(msgspec.Struct, omit_defaults=True, rename=STEP_NAMES):
     """Hold the durable part of the state of a step of one occurrence.
 
     ``done`` has one byte a task; ``failures`` maps an index to the number of failed
     attempts; for a gang, index 0 stands for all members.
     """
 
-    occurrence: int
     number: int
     done: bytes
-    failures: dict[int, int]
-    checkpoints: dict[int, str]
+    occurrence: int = 0
+    failures: dict[int, int] = {}
+    checkpoints: dict[int, str] = {}
 
 
-class Progress(msgspec.Struct, array_like=True):
+class Progress(msgspec.Struct, omit_defaults=True):
     """Hold what became of a job; ``ended_ms`` is Unix time, 0 while it goes on.
 
     Of the ``opened`` occurrences those without steps here are done.
     """
 
     phase: JobPhase
-    ended_ms: int
-    opened: int
     steps: list[StepProgress]
+    ended_ms: int = 0
+    opened: int = 1
 
 
 encode = msgspec.msgpack.Encoder().encode
--- a/gypsumring/pipelines/state.py
+++ b/gypsumring/pipelines/state.py
@@ -267,15 +267,15 @@
         """Return the durable part of the state."""
         steps = [
             StepProgress(
-                step.occurrence,
                 step.number,
                 bytes(state == TaskState.DONE for state in step.states),
+                step.occurrence,
                 step.failures,
                 step.checkpoints,
             )
             for step in self.steps
         ]
-        return Progress(self.phase, self.final_since_ms, self.opened, steps)
+        return Progress(self.phase, steps, self.final_since_ms, self.opened)
 
     def restore(self, progress: Progress) -> None:
         """Apply a progress record of an earlier owner."""
--- a/gypsumring/pipelines/tests/test_table.py
+++ b/gypsumring/pipelines/tests/test_table.py
@@ -128,4 +128,13 @@
     assert job.phase is JobPhase.COMPLETED
 
 
+def test_progress_of_another_version_can_be_read():
+    # A field that is unknown here, and one that is missing, must not lose a job.
+    step = {"n": 0, "d": b"\1\0", "later": 5}
+    value = encode({"phase": "running", "steps": [step], "later": "x"})
+    job = Job(make_spec(TASK), 0.0)
+    job.restore(decode_progress(value))
+    assert job.steps[0].pending == {1}
+
+
 load_tests = make_load_tests(globals())
