Log decisions as bounded JSON lines with fields, serve metrics, trace a job

Cause: an engineer on call could not get from a job's id to what decided about it. Change: each node writes one JSON line for each decision to standard output without ever waiting for the reader; kinds above 400 lines a second are counted. Metrics are served as text. 'gypsumring trace ID LOGS' prints one job's way across nodes.

--- a/gypsumring/cell/attending.py
+++ b/gypsumring/cell/attending.py
@@ -3,7 +3,6 @@
 from collections.abc import Callable
 
 import anyio
-import logbook
 
 from gypsumring.cell.exceptions import Deposed
 from gypsumring.cell.orders import Orders
@@ -20,10 +19,11 @@
     TaskExecutor,
     TaskLists,
 )
+from gypsumring.utils.logs import EventLogger
 
 __all__ = ["Attendant"]
 
-log = logbook.Logger("executors")
+log = EventLogger("executors")
 
 # How long an executor may hold back its lists while nothing ends.
 HOLD_WAIT_S = 0.5
@@ -85,7 +85,7 @@
                 entry.executor_id, entry.address
             )
         if entry.draining and not executor.entry.draining:
-            log.info("executor {} is draining", entry.executor_id)
+            log.info("executor is draining", executor=entry.executor_id)
         if entry.draining:
             executor.leaves_at = anyio.current_time() + entry.remaining_ms / 1000
         executor.entry = entry
@@ -144,7 +144,7 @@
             if executor_id in self.state.enrolled:
                 self.state.enrolled.discard(executor_id)
                 self.state.journal.put(EXECUTOR_KEY + executor_id, b"")
-        log.info("executor {} has left", executor_id)
+        log.info("executor has left", executor=executor_id)
 
     async def look(self, executor: ExecutorState) -> None:
         """Extend the lease and apply the lists of one answer."""
@@ -190,10 +190,11 @@
         runs = list(executor.runs.values())
         if runs:
             log.warning(
-                "executor {}: {} attempts lost: {}",
-                executor.executor_id,
-                len(runs),
-                reason,
+                "attempts lost",
+                executor=executor.executor_id,
+                reason=reason,
+                tasks=[run.task for run in runs],
+                silent_s=round(self.state.clock() - executor.last_contact_at, 3),
             )
             self.state.metrics.count("cell.attempts.lost", len(runs))
         executor.was_lost = True
@@ -220,7 +221,7 @@
         first = executor.first_contact_at is None
         reborn = bool(lists.born_ms) and lists.born_ms != executor.born_ms
         if reborn and not first:
-            log.warning("executor {} has started again", executor.executor_id)
+            log.warning("executor has started again", executor=executor.executor_id)
             self.state.metrics.count("cell.executors.reborn")
             longest_ms = int(self.state.timing.longest_lease_s * 1000)
             executor.start_life(lists.born_ms, lists.clock_ms + longest_ms)
@@ -271,7 +272,12 @@
                 run = self.adopt(executor, listed.task, listed.attempt)
             if run is None:
                 if key not in executor.unknown_runs:
-                    log.warning("stopping unknown task {} attempt {}", *key)
+                    log.warning(
+                        "stopping an unknown attempt",
+                        task=listed.task,
+                        attempt=listed.attempt,
+                        executor=executor.executor_id,
+                    )
                     executor.unknown_runs.add(key)
                     self.state.group.start_soon(self.orders.stop_listed, executor, *key)
                 continue
@@ -290,11 +296,10 @@
         if run.state is not RunState.RUNNING or run.step.spec.long_running:
             return
         log.warning(
-            "task {} attempt {} stands still at {:.0f}% on executor {}",
-            run.task,
-            run.attempt,
-            run.percent,
-            executor.executor_id,
+            "attempt stands still",
+            **run.log_fields(),
+            percent=run.percent,
+            still_s=round(anyio.current_time() - run.progress_at, 3),
         )
         self.state.metrics.count("cell.attempts.stalled")
         executor.health.quarantine(anyio.current_time())
@@ -337,6 +342,7 @@
                 run, end.how, end.checkpoint, self.state.find_queue(job).max_attempts
             )
             self.state.metrics.count(f"cell.ends.{end.how}")
+            log.info("attempt ended", **run.log_fields(), how=end.how, end=end.number)
             self.orders.stop_all(outcome.stop)
             if outcome.changed and not was_final:
                 changed.add(job)
@@ -350,12 +356,6 @@
             executor.health.note_done(now - run.started_at, expected)
         elif how == "failed":
             executor.health.note_failed(now)
-            log.info(
-                "task {} attempt {} failed on executor {}",
-                run.task,
-                run.attempt,
-                executor.executor_id,
-            )
 
     def release_absent(
         self,
--- a/gypsumring/cell/commands.py
+++ b/gypsumring/cell/commands.py
@@ -1,16 +1,16 @@
 """Answer the commands of callers."""
 
 import anyio
-import logbook
 
 from gypsumring.cell.messages import JobAnswer, Outcome
 from gypsumring.cell.orders import Orders
 from gypsumring.cell.state import JOB_KEY, CellState
 from gypsumring.pipelines import JobPhase, PipelineSpec, encode
+from gypsumring.utils.logs import EventLogger
 
 __all__ = ["Commands"]
 
-log = logbook.Logger("jobs")
+log = EventLogger("jobs")
 
 # Part of the caller's time that is kept for the way back.
 ANSWER_MARGIN_S = 0.1
@@ -40,14 +40,19 @@
         if done is None:
             if self.state.journal.unanswered_s() > STORE_AWAY_S:
                 self.state.metrics.count("cell.jobs.refused.store_away")
-                log.info("job {} refused: the store does not answer", job_id)
+                log.info(
+                    "job refused",
+                    job=job_id,
+                    reason="the store does not answer",
+                    unanswered_s=round(self.state.journal.unanswered_s(), 3),
+                )
                 return JobAnswer(Outcome.REFUSED, retry_after_s=STORE_RETRY_AFTER_S)
             done = self.accept(spec)
         with anyio.move_on_after(max(0.0, deadline - anyio.current_time())):
             await done.wait()
             return JobAnswer(Outcome.OK)
         self.state.metrics.count("cell.jobs.uncertain")
-        log.warning("job {} uncertain: the store has not answered", job_id)
+        log.warning("job uncertain", job=job_id, reason="the store has not answered")
         return JobAnswer(Outcome.UNCERTAIN)
 
     def accept(self, spec: PipelineSpec) -> anyio.Event:
@@ -59,7 +64,13 @@
             del self.accepting[spec.job_id]
             self.state.table.add(spec, anyio.current_time())
             self.state.metrics.count("cell.jobs.accepted")
-            log.info("job {} accepted in queue {}", spec.job_id, spec.queue)
+            log.info(
+                "job accepted",
+                job=spec.job_id,
+                queue=spec.queue,
+                tasks=[step.task_count for step in spec.steps],
+                fence=self.state.fence,
+            )
             done.set()
             self.state.wake()
 
@@ -92,7 +103,7 @@
                 runs = self.state.table.cancel(job)
                 self.orders.stop_all(runs)
                 self.state.write_progress(job, done.set)
-                log.info("job {} cancelled, {} attempts stopped", job_id, len(runs))
+                log.info("job cancelled", job=job_id, attempts_stopped=len(runs))
             await done.wait()
             return JobAnswer(Outcome.OK)
         return JobAnswer(Outcome.UNCERTAIN)
--- a/gypsumring/cell/discovery.py
+++ b/gypsumring/cell/discovery.py
@@ -3,7 +3,6 @@
 from collections.abc import Callable
 
 import anyio
-import logbook
 
 from gypsumring.cell.attending import Attendant
 from gypsumring.cell.state import CellState
@@ -15,10 +14,11 @@
     StoreRefused,
     StoreUnavailable,
 )
+from gypsumring.utils.logs import EventLogger
 
 __all__ = ["ExecutorDirectory"]
 
-log = logbook.Logger("discovery")
+log = EventLogger("discovery")
 
 POLL_S = 0.25
 CALL_S = 1.0
@@ -66,7 +66,7 @@
                 await self.step()
             except (StoreUnavailable, StoreRefused) as error:
                 if not failed:
-                    log.warning("entries of executors cannot be read: {}", error)
+                    log.warning("entries of executors cannot be read", error=str(error))
                 failed = True
             else:
                 if failed:
@@ -111,7 +111,7 @@
             executor = self.state.fleet.get(record.key)
             if executor is not None and anyio.current_time() >= self.away_until:
                 executor.listed = False
-                log.info("executor {} is no longer listed", record.key)
+                log.info("executor is no longer listed", executor=record.key)
             return
         entry = self.decode(record.key, record.value)
         if entry is None:
--- a/gypsumring/cell/journal.py
+++ b/gypsumring/cell/journal.py
@@ -3,7 +3,6 @@
 from collections.abc import Callable
 
 import anyio
-import logbook
 
 from gypsumring.cell.exceptions import Deposed
 from gypsumring.ports.store import (
@@ -14,10 +13,11 @@
     StoreRefused,
     StoreUnavailable,
 )
+from gypsumring.utils.logs import EventLogger
 
 __all__ = ["Journal"]
 
-log = logbook.Logger("journal")
+log = EventLogger("journal")
 
 MAX_BATCH_BYTES = 512 * 1024
 # An append that takes this many times the usual time is sent again.
--- a/gypsumring/cell/orders.py
+++ b/gypsumring/cell/orders.py
@@ -1,7 +1,6 @@
 """Orders to executors: starts and stops of attempts."""
 
 import anyio
-import logbook
 
 from gypsumring.cell.exceptions import Deposed
 from gypsumring.cell.state import CellState
@@ -14,10 +13,11 @@
     StartRefused,
     TaskStart,
 )
+from gypsumring.utils.logs import EventLogger
 
 __all__ = ["Orders"]
 
-log = logbook.Logger("orders")
+log = EventLogger("orders")
 
 # An order without an answer is repeated after this time.
 ORDER_TIMEOUT_S = 0.4
@@ -113,17 +113,14 @@
             if run.state is RunState.STARTING:
                 run.state = RunState.RUNNING
             self.state.metrics.count("cell.starts")
+            waited_s = run.started_at - step.job.accepted_at
+            self.state.metrics.record_seconds("cell.wait", max(0.0, waited_s))
+            log.info("attempt started", **run.log_fields(), unanswered=run.unanswered)
             return
 
     def take_refusal(self, run: Run, executor: ExecutorState, reason: str) -> None:
         """Give up an attempt that the executor did not start."""
-        log.info(
-            "start refused: task {} attempt {} executor {} reason {}",
-            run.task,
-            run.attempt,
-            run.executor_id,
-            reason,
-        )
+        log.info("start refused", **run.log_fields(), reason=reason)
         self.state.metrics.count(f"cell.starts.refused.{reason}")
         if reason == "ticket":
             run.step.tickets.pop(run.executor_id, None)
--- a/gypsumring/cell/owner.py
+++ b/gypsumring/cell/owner.py
@@ -3,7 +3,6 @@
 from collections.abc import Callable
 
 import anyio
-import logbook
 import msgspec
 
 from gypsumring.cell.attending import Attendant
@@ -33,10 +32,11 @@
 from gypsumring.ports.store import KeyedRecord, Store, StoreRefused, StoreUnavailable
 from gypsumring.ports.tasks import TaskExecutor
 from gypsumring.utils.clock import Clock, WallClock
+from gypsumring.utils.logs import EventLogger
 
 __all__ = ["CellOwner"]
 
-log = logbook.Logger("cell")
+log = EventLogger("cell")
 
 # Attempt numbers of one term lie below those of the next.
 ATTEMPTS_PER_TERM = 1_000
@@ -104,7 +104,7 @@
 
     async def run(self) -> None:
         """Take over and own the cell until cancelled or deposed."""
-        log.info("taking over cell {} under fence {}", self.partition, self.fence)
+        log.info("taking over the cell", cell=self.partition, fence=self.fence)
         try:
             async with anyio.create_task_group() as group:
                 self.state.group = group
@@ -115,11 +115,37 @@
                 group.start_soon(self.scheduler.run)
                 group.start_soon(self.collect_ended)
         except* Deposed as errors:
-            log.warning("cell {} lost: {}", self.partition, errors.exceptions[0])
+            log.warning(
+                "cell lost",
+                cell=self.partition,
+                fence=self.fence,
+                reason=str(errors.exceptions[0]),
+            )
         finally:
             self.loaded = False
             self.stopped.set()
-            log.info("released cell {} under fence {}", self.partition, self.fence)
+            log.info("cell released", cell=self.partition, fence=self.fence)
+
+    def measure(self) -> dict[str, float]:
+        """Return the gauges of the cell."""
+        state = self.state
+        fleet = state.fleet.values()
+        now = state.clock()
+        return {
+            "cell.fence": self.fence,
+            "cell.jobs.active": len(state.table.active),
+            "cell.jobs.known": len(state.table.jobs),
+            "cell.executors": len(fleet),
+            "cell.executors.resting": sum(
+                executor.health.is_quarantined(now) for executor in fleet
+            ),
+            "cell.executors.silent": sum(executor.is_silent for executor in fleet),
+            "cell.attempts": sum(len(executor.runs) for executor in fleet),
+            "cell.used_cpu_millis": sum(executor.used_cpu for executor in fleet),
+            "cell.room_cpu_millis": sum(each.entry.cpu_millis for each in fleet),
+            "cell.journal.waiting": len(state.journal.queue),
+            "cell.journal.unanswered_s": state.journal.unanswered_s(),
+        }
 
     async def load(self) -> None:
         """Fence the owner before and read what it has written."""
@@ -136,13 +162,13 @@
             elif key.startswith(EXECUTOR_KEY):
                 self.restore_executor(key, value)
         log.info(
-            "cell {} read: {} jobs, {} active, {} executors, term {}, {:.0f} ms",
-            self.partition,
-            len(self.state.table.jobs),
-            len(self.state.table.active),
-            len(self.state.fleet),
-            term + 1,
-            (anyio.current_time() - started) * 1000,
+            "cell read",
+            cell=self.partition,
+            jobs=len(self.state.table.jobs),
+            active=len(self.state.table.active),
+            executors=len(self.state.fleet),
+            term=term + 1,
+            took_ms=round((anyio.current_time() - started) * 1000),
         )
 
     async def read_records(self) -> list[KeyedRecord]:
@@ -154,7 +180,7 @@
                 )
                 return records
             except (StoreUnavailable, StoreRefused) as error:
-                log.warning("cell {} not read: {}", self.partition, error)
+                log.warning("cell not read", cell=self.partition, error=str(error))
                 await anyio.sleep(RETRY_S)
 
     def read_term(self, value: bytes | None) -> int:
@@ -170,7 +196,7 @@
             progress_value = by_key.get(PROGRESS_KEY + job_id)
             progress = decode_progress(progress_value) if progress_value else None
         except PipelineError as error:
-            log.error("job {} cannot be read: {}", job_id, error)
+            log.error("job cannot be read", job=job_id, error=str(error))
             return
         waited_s = max(0.0, (self.state.wall_clock() - spec.accepted_ms) / 1000)
         job = self.state.table.add(
@@ -187,7 +213,7 @@
         try:
             entry = decode_entry(value)
         except msgspec.DecodeError as error:
-            log.error("executor {} cannot be read: {}", key, error)
+            log.error("executor cannot be read", key=key, error=str(error))
             return
         self.attendant.add(entry, inherited=True)
 
--- a/gypsumring/cell/scheduling.py
+++ b/gypsumring/cell/scheduling.py
@@ -3,7 +3,6 @@
 from collections.abc import Awaitable, Callable
 
 import anyio
-import logbook
 
 from gypsumring.cell.orders import Orders
 from gypsumring.cell.state import CellState
@@ -12,10 +11,11 @@
 from gypsumring.fleet import ExecutorState
 from gypsumring.pipelines import PolicyTiming, Queue, RunState, Step
 from gypsumring.ports.tasks import PolicyBusy, PolicyUnavailable, Ticket
+from gypsumring.utils.logs import EventLogger
 
 __all__ = ["CellScheduler"]
 
-log = logbook.Logger("scheduler")
+log = EventLogger("scheduler")
 
 # The scheduler looks again after this time even if nothing has changed.
 LOOK_S = 0.1
@@ -197,7 +197,9 @@
             rows = await self.ask_peer(adviser.name, step.name, executor_ids, deadline)
         except (PolicyUnavailable, PolicyBusy) as error:
             self.state.metrics.count("cell.advice.failed")
-            log.info("advice for step {} failed: {}", step.name, error)
+            log.info(
+                "advice failed", step=step.name, node=adviser.name, error=str(error)
+            )
             step.held_back_until = anyio.current_time() + ADVICE_RETRY_S
             return
         finally:
@@ -205,6 +207,14 @@
             step.asking = False
             self.state.wake()
         self.state.metrics.count("cell.advice")
+        log.info(
+            "advice received",
+            step=step.name,
+            node=adviser.name,
+            asked=len(executor_ids),
+            allowed=len(rows),
+            took_ms=round((anyio.current_time() - now) * 1000),
+        )
         expires_at = anyio.current_time() + timing.valid_s
         step.asked.update(executor_ids)
         for executor_id, value in rows:
--- a/gypsumring/cell/state.py
+++ b/gypsumring/cell/state.py
@@ -11,9 +11,12 @@
 from gypsumring.pipelines import DesiredState, Job, JobTable, Queue, encode
 from gypsumring.ports.tasks import TaskExecutor
 from gypsumring.utils.clock import Clock, WallClock
+from gypsumring.utils.logs import EventLogger
 
 __all__ = ["CellState", "CellTiming"]
 
+log = EventLogger("jobs")
+
 JOB_KEY = "j/"
 PROGRESS_KEY = "p/"
 EXECUTOR_KEY = "e/"
@@ -122,6 +125,14 @@
             job.ended_at = anyio.current_time()
             self.table.finish(job)
             self.metrics.count(f"cell.jobs.{job.phase}")
+            took_s = job.ended_at - job.accepted_at
+            self.metrics.record_seconds("cell.turnaround", max(0.0, took_s))
+            log.info(
+                "job ended",
+                job=job.spec.job_id,
+                phase=job.phase,
+                took_ms=round(took_s * 1000),
+            )
         phase = job.phase
 
         def publish() -> None:
--- a/gypsumring/cli/main.py
+++ b/gypsumring/cli/main.py
@@ -1,6 +1,7 @@
 """Command line for teams and operators."""
 
 import functools
+from pathlib import Path
 from typing import Any
 from urllib.parse import quote
 
@@ -10,6 +11,7 @@
 from gypsumring.cli.client import GatewayClient
 from gypsumring.cli.exceptions import BadInput, CommandError
 from gypsumring.cli.render import render
+from gypsumring.cli.tracing import read_job_lines, render_line
 from gypsumring.documents import DocumentError, parse_document
 from gypsumring.settings import CommandSettings, SettingsError, load_settings
 
@@ -106,6 +108,29 @@
     context.obj = CommandContext(settings_path, as_json)
 
 
+@cli.command()
+@click.argument("job_id")
+@click.argument("logs", nargs=-1, required=True, type=click.Path(exists=True))
+@click.pass_obj
+@report_errors
+def trace(context: CommandContext, job_id: str, logs: tuple[str, ...]) -> None:
+    """Print one job's way through log files or folders of several nodes.
+
+    Example: gypsumring trace 5c0e7a21d94b36f8 logs/
+    """
+    paths = []
+    for each in map(Path, logs):
+        paths += sorted(each.iterdir()) if each.is_dir() else [each]
+    lines = read_job_lines(paths, job_id)
+    if not lines:
+        raise BadInput(f"{job_id}: no log line names this job")
+    if context.as_json:
+        context.show(lines)
+        return
+    for line in lines:
+        click.echo(render_line(line))
+
+
 @cli.command()
 @click.argument("files", nargs=-1, required=True)
 @click.pass_obj
--- /dev/null
+++ b/gypsumring/cli/tracing.py
@@ -0,0 +1,71 @@
+"""Read log lines of several nodes and print the way of one job in time order."""
+
+from collections.abc import Iterable, Iterator
+from pathlib import Path
+from typing import Any
+
+import msgspec
+
+__all__ = ["read_job_lines", "render_line"]
+
+# Fields that a rendered line shows in front.
+FRONT_FIELDS = ("time", "level", "part", "message", "node")
+JSON_START = b"{"
+
+
+def read_lines(path: Path) -> Iterator[dict[str, Any]]:
+    """Return the log lines of a file; other text around them is passed over."""
+    with open(path, "rb") as file:
+        for line in file:
+            begin = line.find(JSON_START)
+            if begin < 0:
+                continue
+            try:
+                content = msgspec.json.decode(line[begin:])
+            except msgspec.DecodeError:
+                continue
+            if isinstance(content, dict) and "message" in content:
+                prefix = line[:begin].decode(errors="replace").split()
+                content.setdefault("node", prefix[-1] if prefix else path.stem)
+                yield content
+
+
+def names_job(content: dict[str, Any], job_id: str) -> bool:
+    """Tell whether a line is about a job."""
+    if content.get("job") == job_id:
+        return True
+    if str(content.get("step", "")).startswith(job_id):
+        return True
+    tasks = content.get("tasks", ())
+    return any(isinstance(task, str) and task.startswith(job_id) for task in tasks)
+
+
+def read_job_lines(paths: Iterable[Path], job_id: str) -> list[dict[str, Any]]:
+    """Return the lines about a job, and takeovers between them, in time order."""
+    lines = []
+    takeovers = []
+    for path in paths:
+        for content in read_lines(path):
+            if names_job(content, job_id):
+                lines.append(content)
+            elif content.get("part") == "cell":
+                takeovers.append(content)
+    if lines:
+        first = min(line["time"] for line in lines)
+        last = max(line["time"] for line in lines)
+        lines += [each for each in takeovers if first <= each["time"] <= last]
+    lines.sort(key=lambda line: line["time"])
+    return lines
+
+
+def render_line(content: dict[str, Any]) -> str:
+    """Return one line of text for a log line."""
+    rest = " ".join(
+        f"{name}={value}"
+        for name, value in content.items()
+        if name not in FRONT_FIELDS and value not in (None, "")
+    )
+    return (
+        f"{content['time']} {content.get('node', '-')} "
+        f"{content['part']}: {content['message']} {rest}".rstrip()
+    )
--- a/gypsumring/metrics/registry.py
+++ b/gypsumring/metrics/registry.py
@@ -105,6 +105,25 @@
             return 0.0
         return histogram.get_value_at_percentile(percent) / US_PER_S
 
+    def render_text(self) -> str:
+        """Return all values in the text format that metric collectors read.
+
+        Times are in seconds.
+        """
+        lines = []
+        for name, value in sorted(self.counters.items()):
+            lines.append(f"{metric_name(name)}_total {value}")
+        for name, value in sorted(self.gauges.items()):
+            lines.append(f"{metric_name(name)} {value}")
+        for name in sorted(self.histograms):
+            base = f"{metric_name(name)}_seconds"
+            for percent in (50, 90, 99, 99.9):
+                value = self.quantile_seconds(name, percent)
+                lines.append(f'{base}{{quantile="{percent / 100}"}} {value}')
+            count = self.histograms[name].get_total_count()
+            lines.append(f"{base}_count {count}")
+        return "\n".join(lines) + "\n"
+
     def snapshot(self) -> dict[str, object]:
         """Return all values as plain data for JSON; times are in seconds."""
         histograms = {}
@@ -122,3 +141,8 @@
             "gauges": dict(sorted(self.gauges.items())),
             "histograms": histograms,
         }
+
+
+def metric_name(name: str) -> str:
+    """Return the name of a metric as collectors accept it."""
+    return "gypsumring_" + "".join(char if char.isalnum() else "_" for char in name)
--- a/gypsumring/node/app.py
+++ b/gypsumring/node/app.py
@@ -5,7 +5,6 @@
 from typing import Any
 
 import anyio
-import logbook
 import msgspec
 
 from gypsumring.cell.messages import (
@@ -26,12 +25,14 @@
 )
 from gypsumring.platform.exceptions import WireError
 from gypsumring.utils.clock import unix_ms
+from gypsumring.utils.logs import EventLogger
 
 __all__ = ["NodeApp"]
 
-log = logbook.Logger("callers")
+log = EventLogger("callers")
 
 READY_PATH = "/-/ready"
+METRICS_PATH = "/-/metrics"
 JOB_ID = re.compile(r"^[0-9a-f]{16}$")
 # Part of the caller's time that is kept for the way back.
 ANSWER_MARGIN_S = 0.15
@@ -70,6 +71,10 @@
         if scope["path"] == READY_PATH:
             await respond(send, Answer(200 if self.node.is_ready() else 503))
             return
+        if scope["path"] == METRICS_PATH and self.is_internal(scope):
+            text = self.node.metrics.render_text().encode()
+            await respond(send, Answer(200, text))
+            return
         self.in_flight += 1
         try:
             answer = await self.serve(scope, receive)
@@ -78,6 +83,13 @@
         finally:
             self.in_flight -= 1
 
+    def is_internal(self, scope: dict[str, Any]) -> bool:
+        """Tell whether a request came to another address than the callers'."""
+        server = scope.get("server")
+        return server is None or (
+            f"{server[0]}:{server[1]}" != self.node.settings.caller_address
+        )
+
     async def serve(self, scope: dict[str, Any], receive: Any) -> Answer | None:
         """Return the response to a caller, or None if the caller has left."""
         headers = dict(scope["headers"])
@@ -124,7 +136,7 @@
             submission = decode_submission(body)
         except WireError as error:
             self.node.metrics.count("node.refused.bad_request")
-            log.info("job {} refused: {}", job_id, error)
+            log.info("job refused", job=job_id, reason=str(error))
             return refuse(400, str(error))
         spec = PipelineSpec(
             job_id=job_id,
--- a/gypsumring/node/desired.py
+++ b/gypsumring/node/desired.py
@@ -3,16 +3,16 @@
 from collections.abc import Callable
 
 import anyio
-import logbook
 
 from gypsumring.exceptions import GypsumringError
 from gypsumring.pipelines import DesiredState
 from gypsumring.ports.exceptions import OffsetExpired
 from gypsumring.ports.store import Store, StoreRefused, StoreUnavailable
+from gypsumring.utils.logs import EventLogger
 
 __all__ = ["DesiredStateWatch"]
 
-log = logbook.Logger("desired")
+log = EventLogger("desired")
 
 # The store holds back its answer for this time while nothing changes.
 WAIT_S = 1.0
@@ -51,7 +51,7 @@
                 await self.step()
             except (StoreUnavailable, StoreRefused) as error:
                 if not failed:
-                    log.warning("desired state cannot be read: {}", error)
+                    log.warning("desired state cannot be read", error=str(error))
                 failed = True
                 await anyio.sleep(RETRY_S)
             else:
@@ -86,9 +86,9 @@
         try:
             desired = self.decode(value)
         except GypsumringError as error:
-            log.error("desired state ignored: {}", error)
+            log.error("desired state ignored", error=str(error))
             return
         if self.current is not None and desired.version <= self.current.version:
             return
         self.current = desired
-        log.info("desired state version {} in force", desired.version)
+        log.info("desired state in force", version=desired.version)
--- a/gypsumring/node/link.py
+++ b/gypsumring/node/link.py
@@ -5,15 +5,15 @@
 
 import anyio
 import anyio.abc
-import logbook
 
 from gypsumring.cell.messages import Hello, Ping, Pong, decoder
 from gypsumring.ports.store import Store, StoreRefused, StoreUnavailable
 from gypsumring.transport import Channel, ChannelClosed, ConnectFailed
+from gypsumring.utils.logs import EventLogger
 
 __all__ = ["OwnerLink"]
 
-log = logbook.Logger("link")
+log = EventLogger("link")
 
 PING_PERIOD_S = 0.4
 PING_TIMEOUT_S = 0.8
@@ -74,9 +74,9 @@
                 if address is not None:
                     await self.follow(address)
             except (StoreUnavailable, StoreRefused) as error:
-                log.debug("owner not found: {}", error)
+                log.debug("owner not found", error=str(error))
             except ConnectFailed as error:
-                log.debug("owner not reached: {}", error)
+                log.debug("owner not reached", error=str(error))
             await anyio.sleep(LOOKUP_PAUSE_S)
 
     async def look_up(self) -> str | None:
@@ -100,11 +100,11 @@
                 while await self.check(channel):
                     await anyio.sleep(PING_PERIOD_S)
             except ChannelClosed as error:
-                log.debug("channel to {} ended: {}", address, error)
+                log.debug("channel ended", owner=address, error=str(error))
             finally:
                 if self.channel is channel:
                     self.channel = None
-                    log.info("lost the owner at {}", address)
+                    log.info("owner lost", owner=address)
                 with anyio.CancelScope(shield=True):
                     await channel.aclose()
                 group.cancel_scope.cancel()
@@ -119,6 +119,6 @@
         self.linked_at = anyio.current_time()
         if self.channel is not channel:
             self.channel = channel
-            log.info("linked to the owner, fence {}", pong.fence)
+            log.info("linked to the owner", fence=pong.fence)
             self.notify()
         return True
--- a/gypsumring/node/main.py
+++ b/gypsumring/node/main.py
@@ -7,7 +7,6 @@
 import click
 import hypercorn.asyncio
 import hypercorn.config
-import logbook
 
 from gypsumring.metrics import Metrics
 from gypsumring.node.app import NodeApp
@@ -15,11 +14,11 @@
 from gypsumring.platform import PlatformPolicyService, PlatformStore
 from gypsumring.settings import SettingsError, load_settings
 from gypsumring.settings.node import NodeSettings
-from gypsumring.utils.logs import set_up_logs
+from gypsumring.utils.logs import EventLogger, set_up_logs
 
 __all__ = ["main"]
 
-log = logbook.Logger("main")
+log = EventLogger("main")
 
 BAD_SETTINGS = 2
 KEEP_ALIVE_S = 120
@@ -57,6 +56,8 @@
     app = NodeApp(node)
     config = hypercorn.config.Config()
     config.bind = [settings.caller_address, settings.readiness_address]
+    if settings.metrics_address:
+        config.bind.append(settings.metrics_address)
     config.graceful_timeout = HTTP_SHUTDOWN_S
     config.keep_alive_timeout = KEEP_ALIVE_S
     config.include_server_header = False
@@ -76,7 +77,7 @@
     async with anyio.create_task_group() as group:
         group.start_soon(stop_on_signal)
         group.start_soon(node.run)
-        log.info("node {} serves callers at {}", settings.node, settings.caller_address)
+        log.info("node started", node=settings.node, address=settings.caller_address)
         await hypercorn.asyncio.serve(app, config, shutdown_trigger=stopped.wait)
         group.cancel_scope.cancel()
-    log.info("node {} has stopped", settings.node)
+    log.info("node stopped", node=settings.node)
--- a/gypsumring/node/membership.py
+++ b/gypsumring/node/membership.py
@@ -4,14 +4,14 @@
 
 import anyio
 import anyio.abc
-import logbook
 
 from gypsumring.cell import CellOwner
 from gypsumring.ports.store import Assignment, Store, StoreRefused, StoreUnavailable
+from gypsumring.utils.logs import EventLogger
 
 __all__ = ["Membership"]
 
-log = logbook.Logger("membership")
+log = EventLogger("membership")
 
 JOIN_PERIOD_S = 0.25
 CALL_S = 0.6
@@ -97,7 +97,7 @@
                         sent + CALL_S,
                     )
                 except (StoreUnavailable, StoreRefused) as error:
-                    log.debug("join failed: {}", error)
+                    log.debug("join failed", error=str(error))
                 else:
                     if not self.stopping:
                         await self.apply(assignment, sent)
@@ -139,7 +139,7 @@
         owner = self.owner
         if owner is None:
             return
-        log.info("cell {} given up: {}", self.cell, reason)
+        log.info("cell given up", cell=self.cell, reason=reason)
         if self.owner_scope is not None:
             self.owner_scope.cancel()
             await owner.stopped.wait()
@@ -154,4 +154,4 @@
                 self.group_name, self.member, anyio.current_time() + LEAVE_S
             )
         except (StoreUnavailable, StoreRefused) as error:
-            log.warning("leave failed: {}", error)
+            log.warning("leave failed", error=str(error))
--- a/gypsumring/node/node.py
+++ b/gypsumring/node/node.py
@@ -5,7 +5,6 @@
 from typing import Any
 
 import anyio
-import logbook
 
 from gypsumring.cell import CellOwner
 from gypsumring.cell.messages import (
@@ -40,16 +39,18 @@
 from gypsumring.settings.node import NodeSettings
 from gypsumring.transport import Channel, ChannelClosed, serve_channels
 from gypsumring.utils.clock import suspend_aware_time, unix_ms
+from gypsumring.utils.logs import EventLogger
 
 __all__ = ["Node"]
 
-log = logbook.Logger("node")
+log = EventLogger("node")
 
 GROUP = "cells"
 CELL_TOPIC = "keyed.cells"
 CELL = 0
 MEMBERSHIP_S = 1.0
 RETRY_PAUSE_S = 0.03
+MEASURE_S = 1.0
 # Without an owner for this time a node asks for no new callers.
 UNLINKED_S = 2.5
 NO_OWNER_RETRY_AFTER_S = 1.0
@@ -141,6 +142,7 @@
             group.start_soon(self.desired.run)
             group.start_soon(self.membership.run)
             group.start_soon(self.link.run)
+            group.start_soon(self.measure)
             await serve_channels(
                 self.settings.peer_address,
                 decoder,
@@ -149,6 +151,17 @@
                 self.forget_peer,
             )
 
+    async def measure(self) -> None:
+        """Set the gauges now and then."""
+        while True:
+            owner = self.membership.active_owner()
+            self.metrics.set_gauge("node.owns_cell", 1 if owner else 0)
+            self.metrics.set_gauge("node.ready", 1 if self.is_ready() else 0)
+            if owner is not None:
+                for name, value in owner.measure().items():
+                    self.metrics.set_gauge(name, value)
+            await anyio.sleep(MEASURE_S)
+
     async def stop(self) -> None:
         """Take no new callers and hand the cell over."""
         self.stopping = True
@@ -172,7 +185,7 @@
                 return await self.answer_policy(message)
             case SubmitJob() | QueryJob() | CancelJob() | CountWaiting():
                 return await self.execute(message)
-        log.warning("unexpected message {}", type(message).__name__)
+        log.warning("unexpected message", kind=type(message).__name__)
         return None
 
     def pong(self) -> Pong:
@@ -261,7 +274,7 @@
                 request.step, request.executor_ids, deadline
             )
         except (PolicyUnavailable, PolicyBusy) as error:
-            log.info("policy service: {}", error)
+            log.info("policy service failed", step=request.step, error=str(error))
             return PolicyAnswer(True)
         return PolicyAnswer(False, rows)
 
--- a/gypsumring/pipelines/state.py
+++ b/gypsumring/pipelines/state.py
@@ -63,6 +63,15 @@
         self.rack = ""
         self.progress_at = now
 
+    def log_fields(self) -> dict[str, object]:
+        """Return what names this attempt in a log line."""
+        return {
+            "job": self.step.job.spec.job_id,
+            "task": self.task,
+            "attempt": self.attempt,
+            "executor": self.executor_id,
+        }
+
 
 class Step:
     """Track the tasks of one step of one occurrence.
--- a/gypsumring/settings/node.py
+++ b/gypsumring/settings/node.py
@@ -37,6 +37,8 @@
     region: str
     caller_address: Port
     readiness_address: Port
+    # Empty: metrics are served on the readiness address only.
+    metrics_address: str = ""
     peer_host: str
     peer_ports: Annotated[tuple[int, ...], msgspec.Meta(min_length=1)]
     store: StoreSettings
--- a/gypsumring/transport/channel.py
+++ b/gypsumring/transport/channel.py
@@ -10,15 +10,15 @@
 
 import anyio
 import anyio.abc
-import logbook
 import msgspec
 
 from gypsumring.transport.exceptions import ChannelClosed, ConnectFailed
 from gypsumring.transport.http_client import set_socket_timeouts
+from gypsumring.utils.logs import EventLogger
 
 __all__ = ["Channel", "serve_channels"]
 
-log = logbook.Logger("channel")
+log = EventLogger("channel")
 
 LENGTH = struct.Struct(">I")
 MAX_FRAME_BYTES = 4 * 1024 * 1024
@@ -149,7 +149,7 @@
                 except STREAM_ERRORS:
                     pass
                 except (msgspec.DecodeError, ChannelClosed) as error:
-                    log.warning("closing channel of {}: {}", self.peer, error)
+                    log.warning("closing a channel", peer=self.peer, error=str(error))
                 group.cancel_scope.cancel()
         finally:
             with anyio.CancelScope(shield=True):
@@ -183,7 +183,7 @@
         try:
             await self.send(call_id, True, reply)
         except ChannelClosed as error:
-            log.debug("reply to {} not sent: {}", self.peer, error)
+            log.debug("reply not sent", peer=self.peer, error=str(error))
 
     async def aclose(self) -> None:
         """Close the channel; calls in flight raise ChannelClosed."""
--- a/gypsumring/utils/logs.py
+++ b/gypsumring/utils/logs.py
@@ -1,37 +1,130 @@
-"""Set up log output."""
+"""Set up log output: short lines, bounded, and never blocking the program."""
 
-import json
+import os
 import sys
+import time
+from collections import Counter
+from typing import Any
 
 import logbook
+import msgspec
 
 from gypsumring.settings import LogOutputSettings
 
-__all__ = ["set_up_logs"]
+__all__ = ["BoundedHandler", "EventLogger", "set_up_logs"]
 
 TEXT_FORMAT = (
     "{record.time:%Y-%m-%dT%H:%M:%S.%f} {record.level_name} "
     "{record.channel}: {record.message}"
 )
+# Lines that a stuck reader has not taken are kept up to this size, then dropped.
+MAX_BACKLOG_BYTES = 1024 * 1024
+# Each kind of line may be written this often in a second; the rest is counted.
+LINES_PER_KIND = 400
+STDOUT = 1
+
+encode_json = msgspec.json.Encoder(enc_hook=str).encode
 
 
 def format_as_json(record: logbook.LogRecord, handler: logbook.Handler) -> str:
     """Format a record as one line of JSON."""
-    return json.dumps(
-        {
-            "time": record.time.isoformat(),
-            "level": record.level_name,
-            "part": record.channel,
-            "message": record.message,
-        }
-    )
+    return encode_record(record).decode()
+
+
+def encode_record(record: logbook.LogRecord) -> bytes:
+    """Return a record as JSON, with its fields beside the message."""
+    content: dict[str, Any] = {
+        "time": record.time.isoformat(timespec="milliseconds"),
+        "level": record.level_name,
+        "part": record.channel,
+        "message": record.message,
+    }
+    content.update(record.extra)
+    return encode_json(content)
+
+
+class EventLogger:
+    """Log decisions of one part as a fixed message with fields."""
+
+    __slots__ = ("logger",)
+
+    def __init__(self, part: str):
+        self.logger = logbook.Logger(part)
+
+    def debug(self, message: str, **fields: Any) -> None:
+        """Log a detail."""
+        self.logger.debug(message, extra=fields)
+
+    def info(self, message: str, **fields: Any) -> None:
+        """Log an expected event."""
+        self.logger.info(message, extra=fields)
+
+    def warning(self, message: str, **fields: Any) -> None:
+        """Log an event that needs a look if it goes on."""
+        self.logger.warning(message, extra=fields)
+
+    def error(self, message: str, **fields: Any) -> None:
+        """Log an event that loses something."""
+        self.logger.error(message, extra=fields)
+
+
+class BoundedHandler(logbook.Handler):
+    """Write lines of JSON to a file descriptor without ever waiting for its reader.
+
+    Lines beyond the rate of their kind, and lines that do not fit the backlog of a
+    reader that is stuck, are dropped; the next line of the kind tells how many.
+    """
+
+    def __init__(self, level: str, descriptor: int = STDOUT):
+        super().__init__(level=level, bubble=False)
+        self.descriptor = descriptor
+        self.backlog = bytearray()
+        self.dropped: Counter[tuple[str, str]] = Counter()
+        self.written: Counter[tuple[str, str]] = Counter()
+        self.second = 0
+        os.set_blocking(descriptor, False)
+
+    def emit(self, record: logbook.LogRecord) -> None:
+        """Write one record, or count it."""
+        second = int(time.monotonic())
+        if second != self.second:
+            self.second = second
+            self.written.clear()
+        kind = (record.channel, record.msg)
+        self.written[kind] += 1
+        if self.written[kind] > LINES_PER_KIND:
+            self.dropped[kind] += 1
+            return
+        if kind in self.dropped:
+            record.extra["dropped_before"] = self.dropped.pop(kind)
+        line = encode_record(record)
+        if len(self.backlog) + len(line) >= MAX_BACKLOG_BYTES:
+            self.dropped[kind] += 1
+        else:
+            self.backlog += line
+            self.backlog += b"\n"
+        self.flush()
+
+    def flush(self) -> None:
+        """Write as much of the backlog as the reader takes."""
+        while self.backlog:
+            try:
+                count = os.write(self.descriptor, self.backlog)
+            except BlockingIOError:
+                return
+            except OSError:
+                # The reader has gone; nobody can be told.
+                self.backlog.clear()
+                return
+            del self.backlog[:count]
 
 
 def set_up_logs(settings: LogOutputSettings) -> None:
-    """Send log records to standard error in the chosen format."""
-    handler = logbook.StreamHandler(
-        sys.stderr, level=settings.level, format_string=TEXT_FORMAT
-    )
+    """Send log records to standard output as JSON, or to standard error as text."""
     if settings.json:
-        handler.formatter = format_as_json
+        handler: logbook.Handler = BoundedHandler(settings.level)
+    else:
+        handler = logbook.StreamHandler(
+            sys.stderr, level=settings.level, format_string=TEXT_FORMAT
+        )
     handler.push_application()
--- /dev/null
+++ b/gypsumring/utils/tests/test_logs.py
@@ -0,0 +1,62 @@
+"""Log lines never block the program and stay bounded."""
+
+import json
+import os
+
+import logbook
+
+from gypsumring.utils.logs import LINES_PER_KIND, BoundedHandler, EventLogger
+from gypsumring.utils.testing import make_load_tests
+
+
+def read_lines(descriptor: int) -> list[dict]:
+    """Return the lines that wait in a pipe."""
+    os.set_blocking(descriptor, False)
+    content = b""
+    while True:
+        try:
+            part = os.read(descriptor, 65536)
+        except BlockingIOError:
+            break
+        content += part
+    return [json.loads(line) for line in content.splitlines()]
+
+
+def test_line_carries_part_message_and_fields():
+    reader, writer = os.pipe()
+    with BoundedHandler("INFO", writer).applicationbound():
+        EventLogger("jobs").info("job accepted", job="a1", queue="q")
+    (line,) = read_lines(reader)
+    assert (line["part"], line["message"]) == ("jobs", "job accepted")
+    assert (line["job"], line["queue"]) == ("a1", "q")
+
+
+def test_lines_above_the_rate_are_counted_not_written():
+    reader, writer = os.pipe()
+    handler = BoundedHandler("INFO", writer)
+    with handler.applicationbound():
+        log = EventLogger("jobs")
+        for _ in range(LINES_PER_KIND + 50):
+            log.info("job accepted")
+        handler.second = -1
+        log.info("job accepted")
+    lines = read_lines(reader)
+    assert len(lines) == LINES_PER_KIND + 1
+    assert lines[-1]["dropped_before"] == 50
+
+
+def test_stuck_reader_blocks_nothing_and_is_told_what_was_dropped():
+    reader, writer = os.pipe()
+    handler = BoundedHandler("INFO", writer)
+    with handler.applicationbound():
+        log = EventLogger("jobs")
+        for number in range(20):
+            log.info(f"kind {number}", text="x" * 100_000)
+        assert len(handler.backlog) < 1024 * 1024
+        assert sum(handler.dropped.values()) > 5
+        os.close(reader)
+        logbook.Logger("jobs").info("reader is gone")
+    assert not handler.backlog
+
+
+load_tests = make_load_tests(globals())
