--- a/gypsumring/cell/messages.py
+++ b/gypsumring/cell/messages.py
@@ -47,10 +47,11 @@
 
 
 class Pong(msgspec.Struct, tag=True, array_like=True):
-    """Tell whether the sender owns the cell, and under which fence number."""
+    """Tell whether the sender owns the cell, under which fence, or who does."""
 
     owns: bool
     fence: int
+    owner_address: str = ""
 
 
 class SubmitJob(msgspec.Struct, tag=True, array_like=True):
--- a/gypsumring/node/membership.py
+++ b/gypsumring/node/membership.py
@@ -9,17 +9,41 @@
 from gypsumring.ports.store import Assignment, Store, StoreRefused, StoreUnavailable
 from gypsumring.utils.logs import EventLogger
 
-__all__ = ["Membership"]
+__all__ = ["Member", "Membership"]
 
 log = EventLogger("membership")
 
-JOIN_PERIOD_S = 0.25
+JOIN_PERIOD_S = 0.15
+# While all nodes start, the group deals anew with each that joins. A new process begins
+# to own a cell only once a join has found the same generation again.
+STARTING_S = 2.0
 CALL_S = 0.6
 LEAVE_S = 0.5
 # A node that loses the cell more often than this within one generation stays out.
 OWNERS_PER_GENERATION = 1_000
 
 
+class Member:
+    """Name a process in the group: node, address for channels, incarnation."""
+
+    __slots__ = ("address", "incarnation", "node")
+
+    def __init__(self, node: str, address: str, incarnation: str):
+        self.node = node
+        self.address = address
+        self.incarnation = incarnation
+
+    @classmethod
+    def parse(cls, text: str) -> "Member":
+        """Return the member that a name in the group stands for."""
+        node, _, rest = text.partition("@")
+        address, _, incarnation = rest.partition("/")
+        return cls(node, address, incarnation)
+
+    def __str__(self) -> str:
+        return f"{self.node}@{self.address}/{self.incarnation}"
+
+
 class Membership:
     """Join the group again and again, and run the cell while it is ours.
 
@@ -39,6 +63,7 @@
         "owner",
         "owner_count",
         "owner_scope",
+        "started_at",
         "stopping",
         "store",
         "topic",
@@ -71,6 +96,7 @@
         # When the last join was sent that confirmed the cell as ours.
         self.confirmed_at = float("-inf")
         self.stopping = False
+        self.started_at = anyio.current_time()
 
     def is_fresh(self) -> bool:
         """Tell whether no other node can hold the cell yet."""
@@ -105,6 +131,7 @@
 
     async def apply(self, assignment: Assignment, sent: float) -> None:
         """Start or stop the cell as the group says."""
+        settled = assignment.generation == self.generation
         self.generation = assignment.generation
         holds = self.cell in assignment.partitions
         if self.owner is not None and self.owner.stopped.is_set():
@@ -113,7 +140,8 @@
             await self.stop_owner("dealt to another node")
             return
         self.confirmed_at = sent
-        if self.owner is None:
+        starting = anyio.current_time() - self.started_at < STARTING_S
+        if self.owner is None and (settled or not starting):
             self.owner = self.make_owner(self.next_fence(assignment.generation))
             self.group.start_soon(self.run_owner, self.owner)
 
--- a/gypsumring/node/node.py
+++ b/gypsumring/node/node.py
@@ -25,7 +25,7 @@
 from gypsumring.metrics import Metrics
 from gypsumring.node.desired import DesiredStateWatch
 from gypsumring.node.link import OwnerLink
-from gypsumring.node.membership import Membership
+from gypsumring.node.membership import Member, Membership
 from gypsumring.platform import (
     DESIRED_STATE_KEY,
     DESIRED_STATE_TOPIC,
@@ -90,10 +90,10 @@
         self.desired = DesiredStateWatch(
             store, DESIRED_STATE_TOPIC, DESIRED_STATE_KEY, decode_desired_state
         )
-        member = f"{settings.node}@{settings.peer_address}/{uuid.uuid4().hex[:8]}"
+        member = Member(settings.node, settings.peer_address, uuid.uuid4().hex[:8])
         ttl_s = max(MEMBERSHIP_S, settings.store.shortest_membership_ms / 1000)
         self.membership = Membership(
-            store, GROUP, CELL_TOPIC, CELL, member, ttl_s, self.make_owner
+            store, GROUP, CELL_TOPIC, CELL, str(member), ttl_s, self.make_owner
         )
         self.link = OwnerLink(
             store, GROUP, CELL, settings.node, self.is_owner, self.handle
@@ -191,7 +191,9 @@
     def pong(self) -> Pong:
         """Tell whether this node owns the cell."""
         owner = self.membership.active_owner()
-        return Pong(owner is not None, owner.fence if owner else 0)
+        if owner is not None:
+            return Pong(True, owner.fence, self.settings.peer_address)
+        return Pong(False, 0, self.link.owner_address)
 
     async def execute(self, message: Command) -> JobAnswer:
         """Run a command if this node owns the cell."""
--- a/gypsumring/transport/__init__.py
+++ b/gypsumring/transport/__init__.py
@@ -4,6 +4,7 @@
 from gypsumring.transport.exceptions import (
     ChannelClosed,
     ConnectFailed,
+    ConnectRefused,
     NoResponse,
     TransportError,
 )
@@ -13,6 +14,7 @@
     "Channel",
     "ChannelClosed",
     "ConnectFailed",
+    "ConnectRefused",
     "HttpClient",
     "HttpResponse",
     "NoResponse",
--- a/gypsumring/transport/channel.py
+++ b/gypsumring/transport/channel.py
@@ -12,7 +12,11 @@
 import anyio.abc
 import msgspec
 
-from gypsumring.transport.exceptions import ChannelClosed, ConnectFailed
+from gypsumring.transport.exceptions import (
+    ChannelClosed,
+    ConnectFailed,
+    ConnectRefused,
+)
 from gypsumring.transport.http_client import set_socket_timeouts
 from gypsumring.utils.logs import EventLogger
 
@@ -99,6 +103,8 @@
         try:
             with anyio.fail_after(CONNECT_S):
                 stream = await anyio.connect_tcp(host, int(port))
+        except ConnectionRefusedError as error:
+            raise ConnectRefused(f"{address}: {error!r}") from error
         except (OSError, TimeoutError) as error:
             raise ConnectFailed(f"{address}: {error!r}") from error
         set_socket_timeouts(stream)
--- a/gypsumring/transport/exceptions.py
+++ b/gypsumring/transport/exceptions.py
@@ -2,7 +2,13 @@
 
 from gypsumring.exceptions import GypsumringError
 
-__all__ = ["ChannelClosed", "ConnectFailed", "NoResponse", "TransportError"]
+__all__ = [
+    "ChannelClosed",
+    "ConnectFailed",
+    "ConnectRefused",
+    "NoResponse",
+    "TransportError",
+]
 
 
 class TransportError(GypsumringError):
@@ -13,6 +19,10 @@
     """Raised when no connection could be opened; nothing was sent."""
 
 
+class ConnectRefused(ConnectFailed):
+    """Raised when nobody listens at the address."""
+
+
 class NoResponse(TransportError):
     """Raised when a request was sent and no response arrived; it may have run."""
 
