Keep executors after a takeover until their lease is known to be over; count failures by attempt

Change: the first answer after a takeover sets the longest lease; failures are kept as the set of failed attempts. Measured: the new tests fail without the change.

--- a/gypsumring/cell/attending.py
+++ b/gypsumring/cell/attending.py
@@ -219,17 +219,20 @@
     ) -> None:
         """Apply the running and ended attempts that an executor lists."""
         first = executor.first_contact_at is None
+        longest_ms = int(self.state.timing.longest_lease_s * 1000)
         reborn = bool(lists.born_ms) and lists.born_ms != executor.born_ms
         if reborn and not first:
             log.warning("executor has started again", executor=executor.executor_id)
             self.state.metrics.count("cell.executors.reborn")
-            longest_ms = int(self.state.timing.longest_lease_s * 1000)
             executor.start_life(lists.born_ms, lists.clock_ms + longest_ms)
             self.rest_after_rebirth(executor)
         executor.born_ms = lists.born_ms or executor.born_ms
         was_lost = executor.was_lost
         executor.was_lost = False
         executor.note_clock(lists.clock_ms, self.state.clock())
+        if first and executor.executor_id in self.state.unsettled:
+            # The owner before may have asked for the longest lease just now.
+            executor.lease_until_ms = lists.clock_ms + longest_ms
         inherits = first and executor.executor_id in self.state.unsettled
         if reborn or was_lost:
             self.shut_out(executor)
--- a/gypsumring/cell/tests/test_recovery.py
+++ b/gypsumring/cell/tests/test_recovery.py
@@ -72,6 +72,18 @@
         assert all(count == 1 for count in cluster.world.starts.values())
 
 
+async def test_takeover_keeps_executors_that_are_not_listed_yet():
+    # The lists of executors arrive before the directory: their lease is not over.
+    async with running_cluster(steady_behaviour(6.0), nodes=3) as cluster:
+        assert await cluster.submit(make_job("a" * 16, BATCH)) is Outcome.OK
+        await anyio.sleep(0.5)
+        for node in cluster.nodes.values():
+            node.store.entries_delay_s = 0.5
+        cluster.owner_node().kill()
+        assert await cluster.wait_final("a" * 16) is JobPhase.COMPLETED
+        assert all(count == 1 for count in cluster.world.starts.values())
+
+
 async def test_accepted_jobs_survive_the_loss_of_all_nodes():
     async with running_cluster(nodes=3) as cluster:
         for number in range(8):
--- a/gypsumring/pipelines/records.py
+++ b/gypsumring/pipelines/records.py
@@ -20,14 +20,14 @@
 class StepProgress(msgspec.Struct, omit_defaults=True, rename=STEP_NAMES):
     """Hold the durable part of the state of a step of one occurrence.
 
-    ``done`` has one byte a task; ``failures`` maps an index to the number of failed
-    attempts; for a gang, index 0 stands for all members.
+    ``done`` has one byte a task; ``failures`` maps an index to the attempts that have
+    failed; for a gang, index 0 stands for all members.
     """
 
     number: int
     done: bytes
     occurrence: int = 0
-    failures: dict[int, int] = {}
+    failures: dict[int, set[int]] = {}
     checkpoints: dict[int, str] = {}
 
 
--- a/gypsumring/pipelines/state.py
+++ b/gypsumring/pipelines/state.py
@@ -88,7 +88,6 @@
         "before",
         "checkpoints",
         "done_count",
-        "failed_attempt",
         "failures",
         "held_back_until",
         "job",
@@ -120,9 +119,8 @@
         self.opened_at: float | None = None
         self.states = bytearray(spec.task_count)
         self.attempts = [0] * spec.task_count
-        self.failures: dict[int, int] = {}
-        # The newest attempt of a gang that was counted as failed.
-        self.failed_attempt = 0
+        # Attempts that failed, by task index; index 0 stands for all of a gang.
+        self.failures: dict[int, set[int]] = {}
         self.checkpoints: dict[int, str] = {}
         # Executors on which a task failed or stood still, by task index.
         self.avoided: dict[int, set[str]] = {}
@@ -306,6 +304,6 @@
             for index, done in enumerate(saved.done[: step.spec.task_count]):
                 if done:
                     step.mark_done(index)
-            step.failures = dict(saved.failures)
+            step.failures = {key: set(each) for key, each in saved.failures.items()}
             step.checkpoints = dict(saved.checkpoints)
         self.close_done()
--- a/gypsumring/pipelines/table.py
+++ b/gypsumring/pipelines/table.py
@@ -145,15 +145,14 @@
         """Count a failed attempt; fail the job when a task has used them all."""
         step = run.step
         step.avoided.setdefault(run.index, set()).add(run.executor_id)
-        if step.spec.gang:
-            if run.attempt <= step.failed_attempt:
-                return TaskOutcome(False, [])
-            step.failed_attempt = run.attempt
-        key = 0 if step.spec.gang else run.index
-        step.failures[key] = step.failures.get(key, 0) + 1
+        failed = step.failures.setdefault(0 if step.spec.gang else run.index, set())
+        # Each member of a gang may list the failure, and each owner may see it again.
+        if run.attempt in failed:
+            return TaskOutcome(False, [])
+        failed.add(run.attempt)
         if step.job.phase.is_final or step.spec.long_running:
             return TaskOutcome(True, [])
-        if step.failures[key] < max_attempts:
+        if len(failed) < max_attempts:
             return TaskOutcome(True, [])
         step.job.phase = JobPhase.FAILED
         stop = [other for other in step.job.active_runs() if other is not run]
--- a/gypsumring/pipelines/tests/test_table.py
+++ b/gypsumring/pipelines/tests/test_table.py
@@ -53,12 +53,22 @@
     runs = [table.place(step, index, 1, "i-0", 0.0) for index in range(3)]
     for run in runs:
         table.end(run, "failed", "", 2)
-    assert step.failures == {0: 1} and job.phase is JobPhase.RUNNING
+    assert step.failures == {0: {1}} and job.phase is JobPhase.RUNNING
     run = table.place(step, 0, 2, "i-0", 0.0)
     table.end(run, "failed", "", 2)
     assert job.phase is JobPhase.FAILED
 
 
+def test_failures_of_a_gang_count_in_any_order():
+    # A new owner may hear of the second failed run before the first one.
+    table = JobTable()
+    job = table.add(make_spec(StepSpec(task_count=2, gang=True)), 0.0)
+    step = job.steps[0]
+    for attempt in (2, 1):
+        table.end(table.place(step, 0, attempt, "i-0", 0.0), "failed", "", 2)
+    assert job.phase is JobPhase.FAILED
+
+
 def test_stops_and_lapses_are_no_failures():
     table = JobTable()
     job = table.add(make_spec(TASK), 0.0)
@@ -94,7 +104,11 @@
     restored = Job(job.spec, 0.0)
     restored.restore(decode_progress(encode(job.progress())))
     assert restored.steps[0].pending == {1}
-    assert restored.steps[0].failures == {1: 1}
+    assert restored.steps[0].failures == {1: {1}}
+    # The new owner sees the same end listed again; it still counts once.
+    run = table.place(restored.steps[0], 1, 1, "i-0", 0.0)
+    table.end(run, "failed", "", 2)
+    assert restored.phase is not JobPhase.FAILED
     assert restored.steps[0].checkpoint_of(1) == "c1"
     assert not restored.steps[1].is_ready
 
--- a/soak/cells.py
+++ b/soak/cells.py
@@ -14,6 +14,7 @@
 from gypsumring.pipelines import JobPhase, StepSpec
 from gypsumring.utils.testing import run_on_mock_clock
 from stand_ins.platform.cluster import MemoryCluster, make_job
+from stand_ins.platform.memory import ENTRIES_TOPIC
 from stand_ins.platform.world import World, random_behaviour
 
 __all__ = ["CellSoak", "run_cell_soak"]
@@ -137,7 +138,7 @@
             if group.members:
                 group.deal(shift=source.randint(0, 2))
         elif fault == "forget_history":
-            cluster.store.forget_history("executors")
+            cluster.store.forget_history(ENTRIES_TOPIC)
         elif fault == "hang_tasks":
             for run in self.draw_executor().runs.values():
                 run.ends_at = float("inf")
--- a/stand_ins/platform/cluster.py
+++ b/stand_ins/platform/cluster.py
@@ -23,14 +23,18 @@
 from gypsumring.ports.tasks import TaskExecutor
 from stand_ins.platform.executor import ExecutorModel
 from stand_ins.platform.faults import Faults
-from stand_ins.platform.memory import MemoryExecutor, MemoryPolicy, MemoryStore
+from stand_ins.platform.memory import (
+    ENTRIES_TOPIC,
+    MemoryExecutor,
+    MemoryPolicy,
+    MemoryStore,
+)
 from stand_ins.platform.policy import PolicyModel
 from stand_ins.platform.store import StoreModel
 from stand_ins.platform.world import World
 
 __all__ = ["MemoryCluster", "MemoryNode", "make_job"]
 
-EXECUTORS_TOPIC = "executors"
 CELL_TOPIC = "cells"
 GROUP = "cells"
 QUEUE = "batch"
@@ -80,7 +84,7 @@
             CellTiming(10.0, 0.9, 120.0, 5.0, 3.0),
             lambda: self.cluster.desired,
             self.connect,
-            EXECUTORS_TOPIC,
+            ENTRIES_TOPIC,
             lambda executor_id, value: decode_entry(value),
             lambda: [self.name],
             self.ask_peer,
@@ -198,11 +202,11 @@
             memory_mb=model.memory_mb,
         )
         value = msgspec.msgpack.encode(entry)
-        self.store.append(EXECUTORS_TOPIC, 0, [(model.executor_id, value)], None)
+        self.store.append(ENTRIES_TOPIC, 0, [(model.executor_id, value)], None)
 
     def unregister(self, model: ExecutorModel) -> None:
         """Remove the entry of an executor."""
-        self.store.append(EXECUTORS_TOPIC, 0, [(model.executor_id, b"")], None)
+        self.store.append(ENTRIES_TOPIC, 0, [(model.executor_id, b"")], None)
 
     def owner_node(self) -> MemoryNode | None:
         """Return the node whose owner has the highest fence number."""
--- a/stand_ins/platform/memory.py
+++ b/stand_ins/platform/memory.py
@@ -27,9 +27,10 @@
 from stand_ins.platform.policy import PolicyModel
 from stand_ins.platform.store import StoreModel
 
-__all__ = ["MemoryExecutor", "MemoryPolicy", "MemoryStore"]
+__all__ = ["ENTRIES_TOPIC", "MemoryExecutor", "MemoryPolicy", "MemoryStore"]
 
 NETWORK_S = 0.001
+ENTRIES_TOPIC = "executors"
 APPEND_S = 0.004
 
 
@@ -45,11 +46,12 @@
 class MemoryStore:
     """Offer a store model to one node through the port ``Store``."""
 
-    __slots__ = ("faults", "group", "model")
+    __slots__ = ("entries_delay_s", "faults", "group", "model")
 
     def __init__(self, model: StoreModel, faults: Faults, group: anyio.abc.TaskGroup):
         self.model = model
         self.faults = faults
+        self.entries_delay_s = 0.0
         # Late calls go on in this group after the caller has given up.
         self.group = group
 
@@ -96,6 +98,8 @@
     ) -> tuple[list[KeyedRecord], int]:
         """Return the newest record of each key and the end offset before the read."""
         await self.pass_faults(deadline)
+        if topic == ENTRIES_TOPIC:
+            await anyio.sleep(self.entries_delay_s)
         return self.model.newest(topic, partition)
 
     async def read(
