--- a/benchmarks/topics.py
+++ b/benchmarks/topics.py
@@ -19,6 +19,7 @@
 TOPICS = {
     "requests": Topic("benchmarks.requests", True),
     "recovery": Topic("benchmarks.recovery", True),
+    "takeover": Topic("benchmarks.takeover", True),
     "outage": Topic("benchmarks.outage", True),
     "placement": Topic("benchmarks.placement", False),
     "capacity": Topic("benchmarks.capacity", False),
