Pace filling tasks by the load of serving tasks beside them

Cause: filling tasks were placed, and nothing held them back from tasks that serve. Change: the owner halves the pace of the filling tasks of an executor while a serving task is above 85% of its target, and raises it in steps below 60%.

--- a/gypsumring/cell/attending.py
+++ b/gypsumring/cell/attending.py
@@ -292,11 +292,13 @@
                 run.progress_at = now
             elif now - run.progress_at > stall_limit_s(run):
                 self.stop_stalled(executor, run)
+            run.load = listed.load
             run.step.save_checkpoint(run.index, listed.checkpoint)
 
     def stop_stalled(self, executor: ExecutorState, run: Run) -> None:
         """Stop an attempt that stands still, and let its executor rest."""
-        if run.state is not RunState.RUNNING or run.step.spec.long_running:
+        spec = run.step.spec
+        if run.state is not RunState.RUNNING or spec.long_running or run.pace < 100:
             return
         log.warning(
             "attempt stands still",
--- a/gypsumring/cell/owner.py
+++ b/gypsumring/cell/owner.py
@@ -11,6 +11,7 @@
 from gypsumring.cell.exceptions import Deposed
 from gypsumring.cell.journal import Journal
 from gypsumring.cell.orders import Orders
+from gypsumring.cell.pacing import Pacer
 from gypsumring.cell.scheduling import AskPeer, CellScheduler
 from gypsumring.cell.state import (
     EXECUTOR_KEY,
@@ -114,6 +115,7 @@
                 group.start_soon(self.directory.run)
                 group.start_soon(self.scheduler.run)
                 group.start_soon(self.collect_ended)
+                group.start_soon(Pacer(self.state).run)
         except* Deposed as errors:
             log.warning(
                 "cell lost",
--- a/gypsumring/pipelines/state.py
+++ b/gypsumring/pipelines/state.py
@@ -37,6 +37,8 @@
         "attempt",
         "executor_id",
         "index",
+        "load",
+        "pace",
         "percent",
         "progress_at",
         "rack",
@@ -61,6 +63,10 @@
         self.unanswered = 0
         self.percent = 0.0
         self.rack = ""
+        # Tail latency in milliseconds of a serving task, else the cpu in use.
+        self.load = 0.0
+        # The share at which a filling task may work, in percent.
+        self.pace = 100
         self.progress_at = now
 
     def log_fields(self) -> dict[str, object]:
--- a/gypsumring/platform/executors.py
+++ b/gypsumring/platform/executors.py
@@ -59,6 +59,15 @@
     fencing_token: int
 
 
+class PaceBody(msgspec.Struct, rename="camel"):
+    """Body of a change of pace."""
+
+    task: str
+    attempt: int
+    percent: int
+    fencing_token: int
+
+
 class HoldBody(msgspec.Struct, rename="camel", omit_defaults=True):
     """Body of a hold; ends up to ``last_seen`` are forgotten."""
 
@@ -139,6 +148,17 @@
             raise_refusal(response)
         raise ExecutorSilent(f"stop: status {response.status}")
 
+    async def pace(
+        self, task: str, attempt: int, percent: int, fence: int, deadline: float
+    ) -> None:
+        """Let a filling task work at a share of its speed, 0 to 100 percent."""
+        body = msgspec.json.encode(PaceBody(task, attempt, percent, fence))
+        response = await self.call("/-/pace", body, deadline)
+        if response.status == 409:
+            raise_refusal(response)
+        if response.status != 200:
+            raise ExecutorSilent(f"pace: status {response.status}")
+
     async def hold(
         self,
         fence: int,
--- a/gypsumring/ports/tasks.py
+++ b/gypsumring/ports/tasks.py
@@ -134,6 +134,11 @@
     async def stop(self, task: str, attempt: int, fence: int, deadline: float) -> None:
         """Stop an attempt, and shut out a start of it that arrives later."""
 
+    async def pace(
+        self, task: str, attempt: int, percent: int, fence: int, deadline: float
+    ) -> None:
+        """Let a filling task work at a share of its speed, 0 to 100 percent."""
+
     async def hold(
         self,
         fence: int,
--- a/stand_ins/platform/memory.py
+++ b/stand_ins/platform/memory.py
@@ -189,6 +189,12 @@
         """Stop an attempt, and shut out a start of it that arrives later."""
         await self.order(lambda: self.model.stop(task, attempt, fence), deadline)
 
+    async def pace(
+        self, task: str, attempt: int, percent: int, fence: int, deadline: float
+    ) -> None:
+        """Let a filling task work at a share of its speed, 0 to 100 percent."""
+        await self.order(lambda: self.model.pace(task, percent, fence), deadline)
+
     async def hold(
         self,
         fence: int,
