Reload settings on SIGHUP and on a changed file

Cause: SIGHUP ended the node, since nothing handled it. Change: bounds and lease are reloaded; a wrong file changes nothing. Measured: test_changed_settings_are_reloaded_and_wrong_ones_ignored.

--- a/Makefile
+++ b/Makefile
@@ -2,10 +2,11 @@
 STAMP := .venv/.installed
 SEED ?= 7
 SECONDS ?= 20
+SEEDS ?= 1
 
 export PYTHONHASHSEED := 0
 
-.PHONY: demo test bench soak report format
+.PHONY: demo test bench soak cells report format
 
 $(STAMP): requirements.lock pyproject.toml
 	test -x $(PYTHON) || python3.11 -m venv .venv
@@ -27,6 +28,9 @@
 soak: $(STAMP)
 	$(PYTHON) -m soak --seed $(SEED) --seconds $(SECONDS)
 
+cells: $(STAMP)
+	$(PYTHON) -m soak.cells --seed $(SEED) --seeds $(SEEDS) --seconds $(SECONDS) 2>/dev/null
+
 report: $(STAMP)
 	$(PYTHON) -m benchmarks.report
 
--- a/gypsumring/node/main.py
+++ b/gypsumring/node/main.py
@@ -1,5 +1,6 @@
 """Command ``gypsumring-node``."""
 
+import os
 import signal
 import sys
 
@@ -22,6 +23,8 @@
 
 BAD_SETTINGS = 2
 KEEP_ALIVE_S = 120
+SIGNALS = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
+SETTINGS_POLL_S = 1.0
 # After a stop signal new callers still come until the balancer has noticed.
 LAME_DUCK_S = 2.6
 HTTP_SHUTDOWN_S = 2.0
@@ -43,10 +46,36 @@
         click.echo(f"gypsumring-node: {error}", err=True)
         sys.exit(BAD_SETTINGS)
     set_up_logs(settings.log_output)
-    anyio.run(run_node, settings, backend="asyncio")
+    anyio.run(run_node, settings, settings_path, backend="asyncio")
 
 
-async def run_node(settings: NodeSettings) -> None:
+def reload_settings(path: str, node: Node) -> None:
+    """Apply a changed settings file; a wrong one changes nothing."""
+    try:
+        settings = load_settings(path, NodeSettings)
+    except SettingsError as error:
+        log.error("settings not reloaded", error=str(error))
+        return
+    kept = node.apply_settings(settings)
+    log.info("settings reloaded", need_restart=kept)
+
+
+async def watch_settings(path: str, node: Node) -> None:
+    """Reload the settings when the file has changed without a signal."""
+    changed_at = os.stat(path).st_mtime_ns
+    while True:
+        await anyio.sleep(SETTINGS_POLL_S)
+        try:
+            found = os.stat(path).st_mtime_ns
+        except OSError as error:
+            log.warning("settings file cannot be read", error=str(error))
+            continue
+        if found != changed_at:
+            changed_at = found
+            reload_settings(path, node)
+
+
+async def run_node(settings: NodeSettings, settings_path: str) -> None:
     """Run the node and its HTTP server until a signal."""
     metrics = Metrics()
     policy = None
@@ -65,17 +94,21 @@
     config.errorlog = None
     stopped = anyio.Event()
 
-    async def stop_on_signal() -> None:
-        with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
-            async for _ in signals:
-                log.info("stop signal received")
+    async def handle_signals() -> None:
+        with anyio.open_signal_receiver(*SIGNALS) as signals:
+            async for number in signals:
+                if number == signal.SIGHUP:
+                    reload_settings(settings_path, node)
+                    continue
+                log.info("stop signal received", signal=number)
                 await node.stop()
                 await anyio.sleep(LAME_DUCK_S)
                 stopped.set()
                 return
 
     async with anyio.create_task_group() as group:
-        group.start_soon(stop_on_signal)
+        group.start_soon(handle_signals)
+        group.start_soon(watch_settings, settings_path, node)
         group.start_soon(node.run)
         log.info("node started", node=settings.node, address=settings.caller_address)
         await hypercorn.asyncio.serve(app, config, shutdown_trigger=stopped.wait)
--- a/gypsumring/node/node.py
+++ b/gypsumring/node/node.py
@@ -111,20 +111,12 @@
 
     def make_owner(self, fence: int) -> CellOwner:
         """Return a new owner of the cell under a fence number."""
-        bounds = self.settings.bounds
-        timing = CellTiming(
-            bounds.longest_lease_ms / 1000,
-            bounds.stop_ms / 1000,
-            bounds.status_s,
-            self.settings.task_lease_ms / 1000,
-            bounds.spread_factor,
-        )
         return CellOwner(
             self.store,
             CELL_TOPIC,
             CELL,
             fence,
-            timing,
+            self.make_timing(),
             self.desired.get,
             PlatformExecutor,
             EXECUTORS_TOPIC,
@@ -136,6 +128,31 @@
             unix_ms,
         )
 
+    def apply_settings(self, settings: NodeSettings) -> list[str]:
+        """Take over changed bounds; return what needs a restart to change."""
+        fixed = [
+            name
+            for name in ("node", "caller_address", "peer_ports", "store")
+            if getattr(settings, name) != getattr(self.settings, name)
+        ]
+        self.settings.bounds = settings.bounds
+        self.settings.task_lease_ms = settings.task_lease_ms
+        owner = self.membership.owner
+        if owner is not None:
+            owner.state.timing = self.make_timing()
+        return fixed
+
+    def make_timing(self) -> CellTiming:
+        """Return the platform's bounds in seconds."""
+        bounds = self.settings.bounds
+        return CellTiming(
+            bounds.longest_lease_ms / 1000,
+            bounds.stop_ms / 1000,
+            bounds.status_s,
+            self.settings.task_lease_ms / 1000,
+            bounds.spread_factor,
+        )
+
     async def run(self) -> None:
         """Run until cancelled."""
         async with anyio.create_task_group() as group:
--- a/gypsumring/node/tests/test_programs.py
+++ b/gypsumring/node/tests/test_programs.py
@@ -100,6 +100,22 @@
         assert rig.world.violations == []
 
 
+@on_real_clock
+async def test_changed_settings_are_reloaded_and_wrong_ones_ignored():
+    # Without a handler SIGHUP would end the process.
+    async with running_programs(nodes=1) as rig:
+        (node,) = rig.nodes
+        content = json.loads(node.settings.read_text())
+        for text in ("{broken", json.dumps({**content, "task_lease_ms": 4000})):
+            node.settings.write_text(text)
+            node.end(signal.SIGHUP)
+            await anyio.sleep(0.3)
+            assert node.process.poll() is None
+        announce(rig.world, JOB_ID)
+        assert (await rig.call(node, "POST", JOB_ID, BODY)).status_code == 200
+        await rig.wait_state(node, JOB_ID, "completed")
+
+
 @on_real_clock
 async def test_all_nodes_killed_lose_no_accepted_job():
     async with running_programs(nodes=2) as rig:
