--- a/soak/cells.py
+++ b/soak/cells.py
@@ -22,9 +22,14 @@
 NODES = 3
 EXECUTORS = 5
 MAX_ATTEMPTS = 3
-# Time without faults at the end, in which all accepted jobs have to end.
-SETTLE_S = 60.0
+# Time without faults at the end, in which all accepted jobs have to end. Single tasks
+# may take more than half a minute, and a step may need several attempts of them.
+SETTLE_S = 240.0
+CANCEL_SHARE = 0.2
 CANCEL_S = 4.0
+# Cancelled tasks are gone after this time also while faults go on: a silent executor
+# ends them with its lease.
+WATCH_S = 12.0
 FAULTS = (
     "kill_node",
     "kill_all_nodes",
@@ -90,7 +95,7 @@
             self.cluster.world.refused.add(job_id)
         elif outcome is Outcome.OK:
             self.accepted.append(job_id)
-        if self.random_source.random() < 0.1:
+        if self.random_source.random() < CANCEL_SHARE:
             await anyio.sleep(self.random_source.uniform(0, 2))
             await self.cluster.cancel(job_id)
 
@@ -180,6 +185,20 @@
         model.start_life()
         self.cluster.register(model)
 
+    async def watch_cancelled(self, seconds: float) -> None:
+        """Check that tasks of cancelled jobs are gone after a while."""
+        end = anyio.current_time() + seconds + WATCH_S
+        while anyio.current_time() < end:
+            await anyio.sleep(1.0)
+            now = anyio.current_time()
+            cancelled = self.cluster.world.cancelled
+            for model in self.cluster.executors.values():
+                model.advance()
+                for run in model.runs.values():
+                    since = cancelled.get(run.task.partition(".")[0], now)
+                    if now - since > WATCH_S:
+                        self.cluster.world.violate("UNASKED", f"{run.task} runs on")
+
     async def settle(self) -> None:
         """Check that all accepted jobs end once the faults are over."""
         deadline = anyio.current_time() + SETTLE_S
@@ -238,6 +257,7 @@
         async with anyio.create_task_group() as load:
             load.start_soon(soak.send_load, seconds)
             load.start_soon(soak.inject, seconds)
+            load.start_soon(soak.watch_cancelled, seconds)
         await soak.settle()
         group.cancel_scope.cancel()
     return {
--- /dev/null
+++ b/soak/tests/test_cell_faults.py
@@ -0,0 +1,91 @@
+"""Planted faults show that each check of the cell soak can fail."""
+
+from collections.abc import Callable
+from unittest import mock
+
+from gypsumring.cell.commands import Commands
+from gypsumring.cell.journal import Journal
+from gypsumring.cell.messages import JobAnswer, Outcome
+from gypsumring.cell.orders import Orders
+from gypsumring.fleet import ExecutorState
+from gypsumring.pipelines.state import Step
+from gypsumring.utils.testing import make_load_tests, run_on_mock_clock
+from soak.cells import run_cell_soak
+
+SEEDS = range(1, 9)
+SECONDS = 20.0
+
+
+def assert_found(rule: str, plant: Callable[[], mock._patch]) -> None:
+    """Run seeds with a planted fault until the rule's check has found it."""
+    for seed in SEEDS:
+        with plant():
+            result = run_on_mock_clock(run_cell_soak, seed, SECONDS, seed=seed)
+        if any(text.startswith(rule) for text in result["violations"]):
+            return
+    raise AssertionError(f"no seed has found the fault of {rule}")
+
+
+def test_sound_code_is_quiet():
+    for seed in list(SEEDS)[:3]:
+        result = run_on_mock_clock(run_cell_soak, seed, SECONDS, seed=seed)
+        assert result["invariant_violations"] == 0, result["violations"]
+
+
+def test_tasks_of_silent_executors_that_start_elsewhere_at_once_are_found():
+    assert_found(
+        "TWICE",
+        lambda: mock.patch.object(
+            ExecutorState, "lease_is_over", lambda self, now, longest: True
+        ),
+    )
+
+
+def test_rooms_that_are_filled_without_counting_are_found():
+    assert_found(
+        "LIMIT",
+        lambda: mock.patch.object(
+            ExecutorState, "fit_count", lambda self, spec: spec.task_count
+        ),
+    )
+
+
+def test_jobs_confirmed_before_they_are_durable_are_found():
+    sound_put = Journal.put
+
+    def put(self, key, value, on_durable=None):
+        if key.startswith("j/") and on_durable is not None:
+            on_durable()
+            return
+        sound_put(self, key, value, on_durable)
+
+    assert_found("LOST", lambda: mock.patch.object(Journal, "put", put))
+
+
+def test_jobs_refused_after_they_were_queued_are_found():
+    sound_submit = Commands.submit
+
+    async def submit(self, spec, limit):
+        await sound_submit(self, spec, limit)
+        return JobAnswer(Outcome.REFUSED)
+
+    assert_found("REFUSED", lambda: mock.patch.object(Commands, "submit", submit))
+
+
+def test_cancelled_jobs_that_run_on_are_found():
+    assert_found(
+        "UNASKED",
+        lambda: mock.patch.object(Orders, "stop_all", lambda self, runs: None),
+    )
+
+
+def test_steps_that_do_not_wait_for_others_are_found():
+    assert_found(
+        "ORDER",
+        lambda: mock.patch.object(
+            Step, "is_ready", property(lambda self: bool(self.pending))
+        ),
+    )
+
+
+load_tests = make_load_tests(globals())
