--- a/gypsumring/node/app.py
+++ b/gypsumring/node/app.py
@@ -2,6 +2,7 @@
 
 import math
 import re
+import traceback
 from typing import Any
 
 import anyio
@@ -32,6 +33,8 @@
 log = EventLogger("callers")
 
 READY_PATH = "/-/ready"
+# Innermost calls that a log line about an error shows.
+TRACEBACK_LINES = 4
 METRICS_PATH = "/-/metrics"
 JOB_ID = re.compile(r"^[0-9a-f]{16}$")
 # Part of the caller's time that is kept for the way back.
@@ -71,18 +74,35 @@
         if scope["path"] == READY_PATH:
             await respond(send, Answer(200 if self.node.is_ready() else 503))
             return
-        if scope["path"] == METRICS_PATH and self.is_internal(scope):
+        if scope["path"] == # Innermost calls that a log line about an error shows.
+TRACEBACK_LINES = 4
+METRICS_PATH and self.is_internal(scope):
             text = self.node.metrics.render_text().encode()
             await respond(send, Answer(200, text))
             return
         self.in_flight += 1
         try:
-            answer = await self.serve(scope, receive)
+            answer = await self.serve_safely(scope, receive)
             if answer is not None:
                 await respond(send, answer)
         finally:
             self.in_flight -= 1
 
+    async def serve_safely(self, scope: dict[str, Any], receive: Any) -> Answer | None:
+        """Return the response to a caller; an error of ours leaves the outcome open."""
+        try:
+            return await self.serve(scope, receive)
+        except Exception as error:
+            self.node.metrics.count("node.requests.broken")
+            log.error(
+                "request failed",
+                method=scope["method"],
+                path=scope["path"],
+                error=repr(error),
+                where=traceback.format_exc(limit=-TRACEBACK_LINES),
+            )
+            return refuse(504, "outcome unknown")
+
     def is_internal(self, scope: dict[str, Any]) -> bool:
         """Tell whether a request came to another address than the callers'."""
         server = scope.get("server")
--- a/soak/cells.py
+++ b/soak/cells.py
@@ -146,7 +146,8 @@
             cluster.store.forget_history(ENTRIES_TOPIC)
         elif fault == "hang_tasks":
             for run in self.draw_executor().runs.values():
-                run.ends_at = float("inf")
+                if run.how != "stopped":
+                    run.ends_at = float("inf")
         else:
             await self.disturb_store(fault, lasts, name)
 
--- a/stand_ins/platform/executor.py
+++ b/stand_ins/platform/executor.py
@@ -60,6 +60,7 @@
         "started_at",
         "stop_s",
         "tickets",
+        "void_until",
         "world",
     )
 
@@ -100,6 +101,7 @@
         self.fence = 0
         self.lease_until_ms = 0
         self.end_number = 0
+        self.void_until = 0
         self.runs: dict[tuple[str, int], TaskRun] = {}
         self.ended: list[ListedEnd] = []
         # The highest attempt of each task that was stopped or has ended.
@@ -258,8 +260,11 @@
         """Extend the lease and forget ends that were seen."""
         self.advance()
         self.check_fence(fence)
+        if self.clock_ms > self.lease_until_ms:
+            # Ends that nobody had confirmed when the lease ended do not count.
+            self.void_until = self.end_number
         for end in self.ended:
-            if end.number <= last_seen:
+            if self.void_until < end.number <= last_seen:
                 self.world.note_seen(self, end.task, end.how)
         self.ended = [end for end in self.ended if end.number > last_seen]
         self.extend_lease(lease_until_ms)
