--- a/gypsumring/node/app.py
+++ b/gypsumring/node/app.py
@@ -74,9 +74,7 @@
         if scope["path"] == READY_PATH:
             await respond(send, Answer(200 if self.node.is_ready() else 503))
             return
-        if scope["path"] == # Innermost calls that a log line about an error shows.
-TRACEBACK_LINES = 4
-METRICS_PATH and self.is_internal(scope):
+        if scope["path"] == METRICS_PATH and self.is_internal(scope):
             text = self.node.metrics.render_text().encode()
             await respond(send, Answer(200, text))
             return
