Take back starts under way when an executor has started again; one clock for its health

(2) Quarantine was set on the monotonic clock and read on the one that counts suspended time, so it could be void after a freeze. Change: such starts are stopped; health uses the suspend-aware clock.

--- a/gypsumring/cell/attending.py
+++ b/gypsumring/cell/attending.py
@@ -111,7 +111,7 @@
             try:
                 await self.look(executor)
             except ExecutorSilent:
-                executor.unanswered_hold_at = anyio.current_time()
+                executor.unanswered_hold_at = self.state.clock()
                 self.state.metrics.count("cell.holds.unanswered")
                 executor.is_silent = True
                 self.check_lease(executor)
@@ -251,11 +251,17 @@
     def rest_after_rebirth(self, executor: ExecutorState) -> None:
         """Give a new incarnation no work while an old hold may still reach it.
 
-        Such a hold would let it forget ends that nobody has seen.
+        Such a hold would let it forget ends that nobody has seen. Starts under way are
+        taken back.
         """
         until = executor.unanswered_hold_at + LATE_ORDER_S
+        if until <= self.state.clock():
+            return
         health = executor.health
         health.quarantined_until = max(health.quarantined_until, until)
+        for run in list(executor.runs.values()):
+            if run.answered_at is None:
+                self.orders.stop(run)
 
     def shut_out(self, executor: ExecutorState) -> None:
         """Shut out starts without an answer that may still be carried out."""
@@ -307,7 +313,7 @@
             still_s=round(anyio.current_time() - run.progress_at, 3),
         )
         self.state.metrics.count("cell.attempts.stalled")
-        executor.health.quarantine(anyio.current_time())
+        executor.health.quarantine(self.state.clock())
         run.step.avoided.setdefault(run.index, set()).add(run.executor_id)
         self.orders.stop(run)
 
@@ -360,7 +366,7 @@
             expected = run.step.spec.estimated_ms / 1000
             executor.health.note_done(now - run.started_at, expected)
         elif how == "failed":
-            executor.health.note_failed(now)
+            executor.health.note_failed(self.state.clock())
 
     def release_absent(
         self,
--- a/gypsumring/cell/orders.py
+++ b/gypsumring/cell/orders.py
@@ -125,7 +125,7 @@
         if reason == "ticket":
             run.step.tickets.pop(run.executor_id, None)
         elif reason in ("unhealthy", "room"):
-            now = anyio.current_time()
+            now = self.state.clock()
             executor.health.quarantined_until = max(
                 executor.health.quarantined_until, now + UNHEALTHY_S
             )
