--- a/gypsumring/node/main.py
+++ b/gypsumring/node/main.py
@@ -26,8 +26,11 @@
 SIGNALS = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
 SETTINGS_POLL_S = 1.0
 # After a stop signal new callers still come until the balancer has noticed.
-LAME_DUCK_S = 2.6
-HTTP_SHUTDOWN_S = 2.0
+LAME_DUCK_S = 2.4
+# The process ends this long before the platform would kill it.
+SHUTDOWN_MARGIN_S = 0.4
+# Callers are answered this long before their connections are closed.
+ANSWER_MARGIN_S = 0.2
 
 
 @click.command()
@@ -87,7 +90,9 @@
     config.bind = [settings.caller_address, settings.readiness_address]
     if settings.metrics_address:
         config.bind.append(settings.metrics_address)
-    config.graceful_timeout = HTTP_SHUTDOWN_S
+    shutdown_s = max(1.0, settings.bounds.shutdown_s - SHUTDOWN_MARGIN_S)
+    lame_duck_s = min(LAME_DUCK_S, shutdown_s / 2)
+    config.graceful_timeout = shutdown_s - lame_duck_s
     config.keep_alive_timeout = KEEP_ALIVE_S
     config.include_server_header = False
     config.accesslog = None
@@ -101,8 +106,9 @@
                     reload_settings(settings_path, node)
                     continue
                 log.info("stop signal received", signal=number)
-                await node.stop()
-                await anyio.sleep(LAME_DUCK_S)
+                stop_at = anyio.current_time() + lame_duck_s
+                await node.stop(stop_at + config.graceful_timeout - ANSWER_MARGIN_S)
+                await anyio.sleep_until(stop_at)
                 stopped.set()
                 return
 
--- a/gypsumring/node/node.py
+++ b/gypsumring/node/node.py
@@ -62,6 +62,7 @@
     """Join the group of nodes and pass commands to the owner of the cell."""
 
     __slots__ = (
+        "answer_by",
         "desired",
         "link",
         "membership",
@@ -85,6 +86,8 @@
         self.policy = policy
         self.metrics = metrics
         self.stopping = False
+        # All callers are answered by this time, which a stop brings near.
+        self.answer_by = float("inf")
         # Channels that other nodes have opened to this one, by node name.
         self.peers: dict[str, Channel] = {}
         self.desired = DesiredStateWatch(
@@ -179,9 +182,10 @@
                     self.metrics.set_gauge(name, value)
             await anyio.sleep(MEASURE_S)
 
-    async def stop(self) -> None:
-        """Take no new callers and hand the cell over."""
+    async def stop(self, answer_by: float) -> None:
+        """Take no new callers, hand the cell over, and answer all by a time."""
         self.stopping = True
+        self.answer_by = answer_by
         await self.membership.leave()
 
     def forget_peer(self, channel: Channel) -> None:
@@ -238,7 +242,7 @@
         All commands are idempotent, so one without an answer is sent again.
         """
         sent = False
-        while anyio.current_time() < deadline:
+        while anyio.current_time() < (deadline := min(deadline, self.answer_by)):
             answer = None
             if self.is_owner():
                 sent = True
--- a/gypsumring/node/tests/rig.py
+++ b/gypsumring/node/tests/rig.py
@@ -91,9 +91,16 @@
 class ProgramRig:
     """Stand-ins and node programs of one test."""
 
-    __slots__ = ("client", "nodes", "store", "world")
-
-    def __init__(self, world: World, store: StoreModel, client: httpx.AsyncClient):
+    __slots__ = ("client", "nodes", "store", "store_app", "world")
+
+    def __init__(
+        self,
+        world: World,
+        store: StoreModel,
+        store_app: StoreApp,
+        client: httpx.AsyncClient,
+    ):
+        self.store_app = store_app
         self.world = world
         self.store = store
         self.client = client
@@ -115,14 +122,20 @@
         return response.status_code == 200
 
     async def call(
-        self, node: NodeProcess, method: str, path: str, body: bytes = b""
+        self,
+        node: NodeProcess,
+        method: str,
+        path: str,
+        body: bytes = b"",
+        limit_ms: int = 5_000,
     ) -> httpx.Response:
         """Send a caller's request to a node."""
         return await self.client.request(
             method,
             f"http://{node.caller}/batch/{path}",
             content=body,
-            headers={"Host": "jobs.example", "Deadline-Ms": "5000"},
+            timeout=30.0,
+            headers={"Host": "jobs.example", "Deadline-Ms": str(limit_ms)},
         )
 
     async def wait_state(self, node: NodeProcess, job_id: str, state: str) -> None:
@@ -165,7 +178,7 @@
                 register(store, model, addresses[model.executor_id])
             config = json.dumps({"version": 1, "routes": [ROUTE]}).encode()
             store.append("keyed.op", 0, [("config", config)], None)
-            rig = ProgramRig(world, store, client)
+            rig = ProgramRig(world, store, apps["store"], client)
             try:
                 for number in range(nodes):
                     node = NodeProcess(f"n{number}", addresses, Path(folder))
--- a/gypsumring/node/tests/test_programs.py
+++ b/gypsumring/node/tests/test_programs.py
@@ -116,6 +116,30 @@
         await rig.wait_state(node, JOB_ID, "completed")
 
 
+@on_real_clock
+async def test_stopping_node_answers_callers_that_wait_for_an_owner():
+    # The store is away and no node owns the cell: a stop must not cut the caller off.
+    async with running_programs(nodes=2) as rig:
+        owner, other = rig.nodes
+        rig.store_app.status = 503
+        for node in (owner, other):
+            node.end(signal.SIGSTOP)
+        owner.end(signal.SIGKILL)
+        other.end(signal.SIGCONT)
+        await anyio.sleep(0.5)
+        answers = []
+
+        async def ask() -> None:
+            response = await rig.call(other, "GET", JOB_ID, limit_ms=20_000)
+            answers.append(response.status_code)
+
+        async with anyio.create_task_group() as group:
+            group.start_soon(ask)
+            await anyio.sleep(0.5)
+            other.end(signal.SIGTERM)
+        assert answers == [503]
+
+
 @on_real_clock
 async def test_all_nodes_killed_lose_no_accepted_job():
     async with running_programs(nodes=2) as rig:
