--- a/gypsumring/cell/orders.py
+++ b/gypsumring/cell/orders.py
@@ -150,56 +150,38 @@
     async def stop_run(self, run: Run) -> None:
         """Send a stop until it is answered; the lists tell when the room is free."""
         while self.executor_of(run) is not None:
-            client = self.state.clients[run.executor_id]
-            deadline = anyio.current_time() + ORDER_TIMEOUT_S
-            try:
-                await client.stop(run.task, run.attempt, self.state.fence, deadline)
-            except FenceRefused as error:
-                raise Deposed(f"executor {run.executor_id} has a new owner") from error
-            except (ExecutorSilent, ExecutorGone, StartRefused):
-                self.state.metrics.count("cell.stops.unanswered")
-                await anyio.sleep(RETRY_PAUSE_S)
-                continue
-            run.answered_at = anyio.current_time()
-            self.state.metrics.count("cell.stops")
-            return
+            if await self.send_stop(run.executor_id, run.task, run.attempt):
+                run.answered_at = anyio.current_time()
+                self.state.metrics.count("cell.stops")
+                return
 
     async def shut_out(self, executor: ExecutorState, task: str, attempt: int) -> None:
         """Stop an attempt that may still be started, until that is answered."""
         key = (task, attempt)
         while key in executor.shutting_out:
-            client = self.state.clients.get(executor.executor_id)
-            if client is None:
-                return
-            deadline = anyio.current_time() + ORDER_TIMEOUT_S
-            try:
-                await client.stop(task, attempt, self.state.fence, deadline)
-            except FenceRefused as error:
-                raise Deposed(
-                    f"executor {executor.executor_id} has a new owner"
-                ) from error
-            except (ExecutorSilent, ExecutorGone, StartRefused):
-                await anyio.sleep(RETRY_PAUSE_S)
-                continue
-            executor.shutting_out.discard(key)
-            self.state.wake()
+            if await self.send_stop(executor.executor_id, task, attempt):
+                executor.shutting_out.discard(key)
+                self.state.wake()
 
     async def stop_listed(
         self, executor: ExecutorState, task: str, attempt: int
     ) -> None:
         """Stop an attempt that is not accounted for, until that is answered."""
-        key = (task, attempt)
-        while key in executor.unknown_runs:
-            client = self.state.clients.get(executor.executor_id)
-            if client is None:
+        while (task, attempt) in executor.unknown_runs:
+            if await self.send_stop(executor.executor_id, task, attempt):
                 return
-            deadline = anyio.current_time() + ORDER_TIMEOUT_S
-            try:
+
+    async def send_stop(self, executor_id: str, task: str, attempt: int) -> bool:
+        """Send one stop; tell whether it was answered, else wait a little."""
+        client = self.state.clients.get(executor_id)
+        deadline = anyio.current_time() + ORDER_TIMEOUT_S
+        try:
+            if client is not None:
                 await client.stop(task, attempt, self.state.fence, deadline)
-                return
-            except FenceRefused as error:
-                raise Deposed(
-                    f"executor {executor.executor_id} has a new owner"
-                ) from error
-            except (ExecutorSilent, ExecutorGone, StartRefused):
-                await anyio.sleep(RETRY_PAUSE_S)
+                return True
+        except FenceRefused as error:
+            raise Deposed(f"executor {executor_id} has a new owner") from error
+        except (ExecutorSilent, ExecutorGone, StartRefused):
+            self.state.metrics.count("cell.stops.unanswered")
+        await anyio.sleep(RETRY_PAUSE_S)
+        return False
