--- a/gypsumring/cell/discovery.py
+++ b/gypsumring/cell/discovery.py
@@ -14,7 +14,7 @@
     StoreRefused,
     StoreUnavailable,
 )
-from gypsumring.utils.logs import EventLogger
+from gypsumring.utils.logs import DependencyLogger, EventLogger
 
 __all__ = ["ExecutorDirectory"]
 
@@ -60,20 +60,16 @@
 
     async def run(self) -> None:
         """Follow the entries until cancelled."""
-        failed = False
+        dependency = DependencyLogger(log, "entries of executors")
         while True:
             try:
                 await self.step()
             except (StoreUnavailable, StoreRefused) as error:
-                if not failed:
-                    log.warning("entries of executors cannot be read", error=str(error))
-                failed = True
+                dependency.note_failure(error)
             else:
-                if failed:
-                    log.info("entries of executors are read again")
+                if dependency.note_success():
                     self.away_until = anyio.current_time() + RETURN_S
                     self.offset = None
-                failed = False
             await anyio.sleep(POLL_S)
 
     async def step(self) -> None:
--- a/gypsumring/jobs/manager.py
+++ b/gypsumring/jobs/manager.py
@@ -488,14 +488,10 @@
             raise self.refuse(RefusalReason.KEY_CONFLICT)
         return job.status()
 
-    def log_answers(self) -> bool:
-        """Tell whether the log has answered within one lease."""
-        limit_s = self.timing.lease_ms / 1000
-        return anyio.current_time() - self.stream.fresh_at <= limit_s
-
     async def wait_for_log(self, deadline: float) -> None:
         """Wait until the log answers, so that nothing is sent in an outage."""
-        while not self.log_answers():
+        limit_s = self.timing.lease_ms / 1000
+        while anyio.current_time() - self.stream.fresh_at > limit_s:
             if anyio.current_time() >= deadline:
                 raise self.refuse(RefusalReason.LOG_UNAVAILABLE)
             await anyio.sleep(0.1)
@@ -563,9 +559,7 @@
             self.apply_report(message.shard, report, message.shard_epoch)
         final = [report for report in message.reports if report.state in FINAL_STATES]
         # Waiting for the append saves the rack owner one more report of each task.
-        # While the log is away it would only delay the next reports.
-        wait_s = self.timing.call_ms / 2000 if self.log_answers() else 0.0
-        with anyio.move_on_after(wait_s):
+        with anyio.move_on_after(self.timing.call_ms / 2000):
             while not all(self.is_settled(report) for report in final):
                 await self.results_appended.wait()
         return Acknowledged(
--- a/gypsumring/node/desired.py
+++ b/gypsumring/node/desired.py
@@ -8,7 +8,7 @@
 from gypsumring.pipelines import DesiredState
 from gypsumring.ports.exceptions import OffsetExpired
 from gypsumring.ports.store import Store, StoreRefused, StoreUnavailable
-from gypsumring.utils.logs import EventLogger
+from gypsumring.utils.logs import DependencyLogger, EventLogger
 
 __all__ = ["DesiredStateWatch"]
 
@@ -45,19 +45,15 @@
 
     async def run(self) -> None:
         """Follow the topic until cancelled."""
-        failed = False
+        dependency = DependencyLogger(log, "desired state")
         while True:
             try:
                 await self.step()
             except (StoreUnavailable, StoreRefused) as error:
-                if not failed:
-                    log.warning("desired state cannot be read", error=str(error))
-                failed = True
+                dependency.note_failure(error)
                 await anyio.sleep(RETRY_S)
             else:
-                if failed:
-                    log.info("desired state is read again")
-                failed = False
+                dependency.note_success()
 
     async def step(self) -> None:
         """Read the newest version, or wait for the next one."""
--- a/gypsumring/utils/logs.py
+++ b/gypsumring/utils/logs.py
@@ -11,7 +11,7 @@
 
 from gypsumring.settings import LogOutputSettings
 
-__all__ = ["BoundedHandler", "EventLogger", "set_up_logs"]
+__all__ = ["BoundedHandler", "DependencyLogger", "EventLogger", "set_up_logs"]
 
 TEXT_FORMAT = (
     "{record.time:%Y-%m-%dT%H:%M:%S.%f} {record.level_name} "
@@ -68,6 +68,30 @@
         self.logger.error(message, extra=fields)
 
 
+class DependencyLogger:
+    """Log once when a dependency is lost, and once when it is regained."""
+
+    __slots__ = ("is_lost", "log", "what")
+
+    def __init__(self, log: EventLogger, what: str):
+        self.log = log
+        self.what = what
+        self.is_lost = False
+
+    def note_failure(self, error: Exception) -> None:
+        """Note that a call has failed."""
+        if not self.is_lost:
+            self.log.warning("dependency lost", what=self.what, error=str(error))
+        self.is_lost = True
+
+    def note_success(self) -> bool:
+        """Note that a call has succeeded; tell whether the dependency was lost."""
+        was_lost, self.is_lost = self.is_lost, False
+        if was_lost:
+            self.log.info("dependency regained", what=self.what)
+        return was_lost
+
+
 class BoundedHandler(logbook.Handler):
     """Write lines of JSON to a file descriptor without ever waiting for its reader.
 
--- a/gypsumring/utils/tests/test_logs.py
+++ b/gypsumring/utils/tests/test_logs.py
@@ -5,7 +5,12 @@
 
 import logbook
 
-from gypsumring.utils.logs import LINES_PER_KIND, BoundedHandler, EventLogger
+from gypsumring.utils.logs import (
+    LINES_PER_KIND,
+    BoundedHandler,
+    DependencyLogger,
+    EventLogger,
+)
 from gypsumring.utils.testing import make_load_tests
 
 
@@ -59,4 +64,16 @@
     assert not handler.backlog
 
 
+def test_dependency_is_logged_when_lost_and_when_regained():
+    reader, writer = os.pipe()
+    with BoundedHandler("INFO", writer).applicationbound():
+        dependency = DependencyLogger(EventLogger("desired"), "desired state")
+        for _ in range(3):
+            dependency.note_failure(ValueError("away"))
+        assert dependency.note_success() and not dependency.note_success()
+    lost, regained = read_lines(reader)
+    assert (lost["message"], lost["error"]) == ("dependency lost", "away")
+    assert regained["what"] == "desired state"
+
+
 load_tests = make_load_tests(globals())
