--- a/gypsumring/node/tests/test_programs.py
+++ b/gypsumring/platform/tests/test_programs.py
@@ -6,8 +6,8 @@
 
 import anyio
 
-from gypsumring.node.tests.rig import running_programs
 from gypsumring.pipelines import PipelineSpec, StepSpec
+from gypsumring.platform.tests.rig import running_programs
 from gypsumring.utils.testing import make_load_tests
 
 JOB_ID = "00112233445566aa"
