--- a/gypsumring/dispatch/tests/test_placing.py
+++ b/gypsumring/dispatch/tests/test_placing.py
@@ -2,6 +2,8 @@
 
 from collections import Counter
 
+import msgspec
+
 from gypsumring.dispatch import place_step
 from gypsumring.dispatch.placing import eligible_executors
 from gypsumring.dispatch.tests.fleets import make_executor, make_fleet, make_step
@@ -64,10 +66,11 @@
 
 
 def test_silent_draining_and_resting_executors_take_no_work():
-    fleet = make_fleet(4)
+    fleet = make_fleet(5)
     fleet[0].last_contact_at = -10.0
     fleet[1].health.quarantine(0.0)
     fleet[2].shutting_out.add(("t", 1))
+    fleet[4].entry = msgspec.structs.replace(fleet[4].entry, draining=True)
     step = make_step()
     names = [each.executor_id for each in eligible_executors(step, "svc", fleet, 0.5)]
     assert names == ["i-3"]
