Send calls to the store through a peer while it turns a node away

Ruled out: a shorter membership (the platform's minimum is 1 s) and handing the cell over (a takeover reads all records again).

Change: a client that notes a failing path sends idempotent calls through a channel to another node whose own path has just answered, and probes the direct path every 0.5 s.

--- a/gypsumring/cell/messages.py
+++ b/gypsumring/cell/messages.py
@@ -5,6 +5,7 @@
 import msgspec
 
 from gypsumring.pipelines.model import JobPhase, PipelineSpec
+from gypsumring.transport import HttpCall
 
 __all__ = [
     "AskPolicy",
@@ -18,6 +19,8 @@
     "PolicyAnswer",
     "Pong",
     "QueryJob",
+    "RelayAnswer",
+    "RelayCall",
     "SubmitJob",
     "decoder",
 ]
@@ -104,6 +107,24 @@
     rows: list[tuple[str, str]] = []
 
 
+class RelayCall(msgspec.Struct, tag=True, array_like=True):
+    """Ask the peer to send a request to the store, which turns the sender away."""
+
+    call: HttpCall
+    timeout_s: float
+
+
+class RelayAnswer(msgspec.Struct, tag=True, array_like=True):
+    """Return the store's response; status 0 stands for none.
+
+    ``sent`` tells whether the request may have been executed.
+    """
+
+    sent: bool
+    status: int = 0
+    body: bytes = b""
+
+
 Message = (
     Hello
     | Ping
@@ -115,6 +136,8 @@
     | JobAnswer
     | AskPolicy
     | PolicyAnswer
+    | RelayCall
+    | RelayAnswer
 )
 
 decoder = msgspec.msgpack.Decoder(Message)
--- a/gypsumring/node/main.py
+++ b/gypsumring/node/main.py
@@ -15,6 +15,7 @@
 from gypsumring.platform import PlatformPolicyService, PlatformStore
 from gypsumring.settings import SettingsError, load_settings
 from gypsumring.settings.node import NodeSettings
+from gypsumring.transport import HttpClient, RelayedClient
 from gypsumring.utils.logs import EventLogger, set_up_logs
 
 __all__ = ["main"]
@@ -84,7 +85,8 @@
     policy = None
     if settings.policy_address:
         policy = PlatformPolicyService(settings.policy_address)
-    node = Node(settings, PlatformStore(settings.store.address), policy, metrics)
+    store_path = RelayedClient(HttpClient(settings.store.address), "path to the store")
+    node = Node(settings, PlatformStore(store_path), policy, metrics, store_path)
     app = NodeApp(node)
     config = hypercorn.config.Config()
     config.bind = [settings.caller_address, settings.readiness_address]
--- a/gypsumring/node/node.py
+++ b/gypsumring/node/node.py
@@ -18,6 +18,7 @@
     PolicyAnswer,
     Pong,
     QueryJob,
+    RelayCall,
     SubmitJob,
     decoder,
 )
@@ -26,6 +27,7 @@
 from gypsumring.node.desired import DesiredStateWatch
 from gypsumring.node.link import OwnerLink
 from gypsumring.node.membership import Member, Membership
+from gypsumring.node.relay import StoreRelay
 from gypsumring.platform import (
     DESIRED_STATE_KEY,
     DESIRED_STATE_TOPIC,
@@ -37,7 +39,12 @@
 from gypsumring.ports.store import Store
 from gypsumring.ports.tasks import PolicyBusy, PolicyService, PolicyUnavailable
 from gypsumring.settings.node import NodeSettings
-from gypsumring.transport import Channel, ChannelClosed, serve_channels
+from gypsumring.transport import (
+    Channel,
+    ChannelClosed,
+    RelayedClient,
+    serve_channels,
+)
 from gypsumring.utils.clock import suspend_aware_time, unix_ms
 from gypsumring.utils.logs import EventLogger
 
@@ -69,6 +76,7 @@
         "metrics",
         "peers",
         "policy",
+        "relay",
         "settings",
         "stopping",
         "store",
@@ -80,6 +88,7 @@
         store: Store,
         policy: PolicyService | None,
         metrics: Metrics,
+        store_path: RelayedClient,
     ):
         self.settings = settings
         self.store = store
@@ -101,6 +110,7 @@
         self.link = OwnerLink(
             store, GROUP, CELL, settings.node, self.is_owner, self.handle
         )
+        self.relay = StoreRelay(store_path, self.list_channels, metrics)
 
     def is_owner(self) -> bool:
         """Tell whether this node owns the cell and answers commands."""
@@ -204,6 +214,8 @@
                 return self.pong()
             case AskPolicy():
                 return await self.answer_policy(message)
+            case RelayCall():
+                return await self.relay.serve(message)
             case SubmitJob() | QueryJob() | CancelJob() | CountWaiting():
                 return await self.execute(message)
         log.warning("unexpected message", kind=type(message).__name__)
@@ -263,6 +275,11 @@
         self.metrics.count("node.refused.no_owner")
         return JobAnswer(Outcome.REFUSED, retry_after_s=NO_OWNER_RETRY_AFTER_S)
 
+    def list_channels(self) -> list[Channel]:
+        """Return the channels to other nodes, the owner's first."""
+        channels = [] if self.link.channel is None else [self.link.channel]
+        return [*channels, *self.peers.values()]
+
     def list_peers(self) -> list[str]:
         """Return the nodes that can call the policy service."""
         return [self.settings.node, *self.peers]
--- a/gypsumring/platform/store.py
+++ b/gypsumring/platform/store.py
@@ -22,9 +22,10 @@
 )
 from gypsumring.transport import (
     ConnectFailed,
-    HttpClient,
+    HttpCall,
     HttpResponse,
     NoResponse,
+    RelayedClient,
 )
 
 __all__ = [
@@ -130,11 +131,10 @@
 class PlatformStore:
     """Speak to the store; implements the port ``Store``."""
 
-    __slots__ = ("client", "calls")
+    __slots__ = ("client",)
 
-    def __init__(self, address: str):
-        self.client = HttpClient(address)
-        self.calls = 0
+    def __init__(self, client: RelayedClient):
+        self.client = client
 
     async def call(
         self,
@@ -144,14 +144,13 @@
         query: dict[str, str | int] | None = None,
         body: bytes = b"",
         content_type: str = "application/json",
+        waits: bool = False,
     ) -> HttpResponse:
         """Send one call; raise StoreUnavailable or StoreRefused."""
-        self.calls += 1
         target = f"{path}?{urlencode(query)}" if query else path
+        call = HttpCall(method, target, body, content_type)
         try:
-            response = await self.client.request(
-                method, target, deadline, body, content_type=content_type
-            )
+            response = await self.client.request(call, deadline, waits)
         except ConnectFailed as error:
             raise StoreRefused(str(error)) from error
         except NoResponse as error:
@@ -228,7 +227,9 @@
         }
         if wait_s > 0:
             query["waitMs"] = int(wait_s * 1000)
-        response = await self.call("GET", "/-/log-read", deadline, query)
+        response = await self.call(
+            "GET", "/-/log-read", deadline, query, waits=wait_s > 0
+        )
         if response.status == 410:
             reply = decode_reply(response, OffsetReply)
             raise OffsetExpired(topic, reply.first_offset)
--- a/gypsumring/platform/tests/rig.py
+++ b/gypsumring/platform/tests/rig.py
@@ -47,9 +47,10 @@
 class NodeProcess:
     """One running node program."""
 
-    __slots__ = ("caller", "process", "ready", "settings")
+    __slots__ = ("caller", "name", "process", "ready", "settings")
 
     def __init__(self, name: str, addresses: dict[str, str], folder: Path):
+        self.name = name
         self.caller = f"127.0.0.1:{free_port()}"
         self.ready = f"127.0.0.1:{free_port()}"
         self.settings = folder / f"{name}.json"
@@ -61,7 +62,7 @@
             "readiness_address": self.ready,
             "peer_host": "127.0.0.1",
             "peer_ports": [free_port()],
-            "store": {"address": addresses["store"]},
+            "store": {"address": addresses[f"store-{name}"]},
             "policy_address": addresses["policy"],
             "bounds": {"longest_lease_ms": 10_000},
         }
@@ -91,21 +92,26 @@
 class ProgramRig:
     """Stand-ins and node programs of one test."""
 
-    __slots__ = ("client", "nodes", "store", "store_app", "world")
+    __slots__ = ("client", "nodes", "store", "store_apps", "world")
 
     def __init__(
         self,
         world: World,
         store: StoreModel,
-        store_app: StoreApp,
+        store_apps: dict[str, StoreApp],
         client: httpx.AsyncClient,
     ):
-        self.store_app = store_app
+        self.store_apps = store_apps
         self.world = world
         self.store = store
         self.client = client
         self.nodes: list[NodeProcess] = []
 
+    def turn_away(self, *nodes: NodeProcess) -> None:
+        """Let the store refuse all calls of some nodes."""
+        for node in nodes:
+            self.store_apps[node.name].status = 503
+
     async def wait_ready(self) -> None:
         """Wait until all nodes answer that they are ready."""
         with anyio.fail_after(START_LIMIT_S):
@@ -170,7 +176,9 @@
     store = StoreModel()
     models = [ExecutorModel(world, f"i-{number}") for number in range(3)]
     apps = {model.executor_id: ExecutorApp(model) for model in models}
-    apps["store"] = StoreApp(store)
+    names = [f"n{number}" for number in range(nodes)]
+    store_apps = {name: StoreApp(store) for name in names}
+    apps |= {f"store-{name}": app for name, app in store_apps.items()}
     apps["policy"] = PolicyApp(PolicyModel(models, 0.7, 2.0))
     with tempfile.TemporaryDirectory() as folder:
         async with serve_apps(apps) as addresses, httpx.AsyncClient() as client:
@@ -178,11 +186,10 @@
                 register(store, model, addresses[model.executor_id])
             config = json.dumps({"version": 1, "routes": [ROUTE]}).encode()
             store.append("keyed.op", 0, [("config", config)], None)
-            rig = ProgramRig(world, store, apps["store"], client)
+            rig = ProgramRig(world, store, store_apps, client)
             try:
-                for number in range(nodes):
-                    node = NodeProcess(f"n{number}", addresses, Path(folder))
-                    rig.nodes.append(node)
+                for name in names:
+                    rig.nodes.append(NodeProcess(name, addresses, Path(folder)))
                 await rig.wait_ready()
                 yield rig
             finally:
--- a/gypsumring/platform/tests/test_programs.py
+++ b/gypsumring/platform/tests/test_programs.py
@@ -121,7 +121,7 @@
     # The store is away and no node owns the cell: a stop must not cut the caller off.
     async with running_programs(nodes=2) as rig:
         owner, other = rig.nodes
-        rig.store_app.status = 503
+        rig.turn_away(owner, other)
         for node in (owner, other):
             node.end(signal.SIGSTOP)
         owner.end(signal.SIGKILL)
@@ -140,6 +140,26 @@
         assert answers == [503]
 
 
+@on_real_clock
+async def test_node_that_the_store_turns_away_keeps_serving_through_a_peer():
+    # Without relayed calls, jobs are refused until another node has taken over.
+    for number in range(2):
+        async with running_programs(nodes=2) as rig:
+            # Both nodes have found the owner once they show a job.
+            announce(rig.world, JOB_ID)
+            assert (await rig.call(rig.nodes[0], "POST", JOB_ID, BODY)).is_success
+            await rig.wait_state(rig.nodes[1], JOB_ID, "completed")
+            rig.turn_away(rig.nodes[number])
+            await anyio.sleep(1.5)
+            for other in range(2):
+                job_id = f"{number}{other:015x}"
+                announce(rig.world, job_id)
+                response = await rig.call(rig.nodes[other], "POST", job_id, BODY)
+                assert response.status_code == 200
+                await rig.wait_state(rig.nodes[other], job_id, "completed")
+            assert rig.world.violations == []
+
+
 @on_real_clock
 async def test_all_nodes_killed_lose_no_accepted_job():
     async with running_programs(nodes=2) as rig:
--- a/gypsumring/transport/__init__.py
+++ b/gypsumring/transport/__init__.py
@@ -9,15 +9,18 @@
     TransportError,
 )
 from gypsumring.transport.http_client import HttpClient, HttpResponse
+from gypsumring.transport.relayed import HttpCall, RelayedClient
 
 __all__ = [
     "Channel",
     "ChannelClosed",
     "ConnectFailed",
     "ConnectRefused",
+    "HttpCall",
     "HttpClient",
     "HttpResponse",
     "NoResponse",
+    "RelayedClient",
     "TransportError",
     "serve_channels",
 ]
--- /dev/null
+++ b/gypsumring/transport/tests/test_relayed.py
@@ -0,0 +1,117 @@
+"""Requests to a server whose direct path fails."""
+
+import anyio
+
+from gypsumring.transport import (
+    ConnectFailed,
+    HttpCall,
+    HttpResponse,
+    NoResponse,
+    RelayedClient,
+)
+from gypsumring.utils.testing import make_load_tests
+
+CALL = HttpCall("POST", "/append", b"record", "application/octet-stream")
+TIME_LIMIT_S = 0.3
+
+
+class ScriptedClient:
+    """Answer with a status, or fail as told."""
+
+    __slots__ = ("calls", "failure")
+
+    def __init__(self):
+        self.calls = 0
+        # ``silent``, ``unreachable`` or a status.
+        self.failure: str | int = 200
+
+    async def request(self, method, path, deadline, body, content_type):
+        """Answer one request."""
+        self.calls += 1
+        match self.failure:
+            case "silent":
+                await anyio.sleep_until(deadline)
+                raise NoResponse("no response in time")
+            case "unreachable":
+                raise ConnectFailed("refused")
+        return HttpResponse(self.failure, b"direct", {}, False)
+
+
+def make_client(peer_status: int = 200):
+    """Return a client on a scripted path, the path, and the calls of its peer."""
+    path = ScriptedClient()
+    client = RelayedClient(path, "server")
+    relayed = []
+
+    async def relay(call, deadline):
+        relayed.append(call)
+        if not peer_status:
+            raise ConnectFailed("no peer")
+        return HttpResponse(peer_status, b"relayed", {}, False)
+
+    client.relay = relay
+    return client, path, relayed
+
+
+async def send(client, waits=False):
+    """Send one call within the time limit."""
+    return await client.request(CALL, anyio.current_time() + TIME_LIMIT_S, waits)
+
+
+async def test_working_path_is_used_alone():
+    client, _, relayed = make_client()
+    assert (await send(client)).body == b"direct"
+    assert client.is_healthy()
+    assert relayed == []
+
+
+async def test_refused_calls_go_through_the_peer_at_once():
+    client, path, relayed = make_client()
+    for failure in ("unreachable", 503, 429):
+        path.failure = failure
+        began = anyio.current_time()
+        assert (await send(client)).body == b"relayed"
+        assert anyio.current_time() == began
+    assert relayed == [CALL] * 3
+    assert not client.is_healthy()
+
+
+async def test_silent_path_delays_only_the_first_call():
+    client, path, _ = make_client()
+    path.failure = "silent"
+    try:
+        await send(client)
+        raise AssertionError("the first call has no time left for the peer")
+    except NoResponse:
+        pass
+    began = anyio.current_time()
+    assert (await send(client)).body == b"relayed"
+    assert anyio.current_time() == began
+
+
+async def test_failing_path_is_probed_and_used_again():
+    client, path, _ = make_client()
+    path.failure = 503
+    await send(client)
+    path.failure = 200
+    assert (await send(client)).body == b"relayed"
+    await anyio.sleep(0.6)
+    assert (await send(client, waits=True)).body == b"relayed"
+    assert (await send(client)).body == b"direct"
+    assert client.is_healthy()
+
+
+async def test_without_a_peer_the_failure_of_the_path_is_told():
+    # A writer that is told "no answer" at once would repeat the call without a pause.
+    client, path, _ = make_client(peer_status=0)
+    path.failure = 503
+    assert (await send(client)).status == 503
+    path.failure = "unreachable"
+    try:
+        await send(client)
+        raise AssertionError("the failure was hidden")
+    except ConnectFailed:
+        pass
+
+
+load_tests = make_load_tests(globals())
