Repeat an append without an answer after 60 ms

Cause: with three in ten answers lost, each lost append held all acceptances and ends back for 150 ms and more; nothing else was slow in those seconds.

Change: the shortest time limit of an append is 60 ms in place of 150 ms.

--- a/gypsumring/cell/journal.py
+++ b/gypsumring/cell/journal.py
@@ -22,7 +22,7 @@
 MAX_BATCH_BYTES = 512 * 1024
 # An append that takes this many times the usual time is sent again.
 TIMEOUT_FACTOR = 5.0
-MIN_TIMEOUT_S = 0.15
+MIN_TIMEOUT_S = 0.06
 MAX_TIMEOUT_S = 2.0
 REFUSED_PAUSE_S = 0.05
 MAX_REFUSED_PAUSE_S = 0.4
