Send copies of an append while the store does not answer

Cause: one lost answer held all later records for a whole time limit, and time limits doubled; a row of five lost answers stopped acceptance for 1.9 s. Ruled out: a shorter time limit alone (a store that answers in 200 ms would never be heard).

Change: copies with the same sequence number go out after four usual answer times, then ever more slowly; the first answer ends the append. A call that is overdue marks the path as failing, so that the next copy goes through a peer. A takeover opens its epoch with a record: after an empty append it was not known which number comes next, and a late copy with the wrong one could have swallowed a later append.

--- a/gypsumring/cell/journal.py
+++ b/gypsumring/cell/journal.py
@@ -20,11 +20,14 @@
 log = EventLogger("journal")
 
 MAX_BATCH_BYTES = 512 * 1024
-# An append that takes this many times the usual time is sent again.
-TIMEOUT_FACTOR = 5.0
-MIN_TIMEOUT_S = 0.06
-MAX_TIMEOUT_S = 2.0
-REFUSED_PAUSE_S = 0.05
+# A copy of an append is sent after this many times the usual time without an answer.
+INTERVAL_FACTOR = 4.0
+INTERVAL_GROWTH = 1.25
+MIN_INTERVAL_S = 0.03
+MAX_INTERVAL_S = 0.5
+# So many copies wait for an answer at once, each for this time.
+MAX_COPIES = 10
+COPY_LIMIT_S = 2.0
 MAX_REFUSED_PAUSE_S = 0.4
 
 
@@ -39,11 +42,25 @@
         self.on_durable = on_durable
 
 
+class Attempt:
+    """Track the copies of one append until one is answered."""
+
+    __slots__ = ("answered_at", "copies", "error", "news", "took_s", "was_refused")
+
+    def __init__(self):
+        self.answered_at: float | None = None
+        self.took_s = 0.0
+        self.copies = 0
+        self.error: Deposed | None = None
+        self.was_refused = False
+        self.news = anyio.Event()
+
+
 class Journal:
     """Append records in order, many in one call.
 
-    One append is in flight at a time. It is repeated with the same sequence number
-    until the store answers, so that no record is written twice or lost.
+    One append is in flight at a time, in as many copies with the same sequence number
+    as it takes to get an answer, so that no record is written twice or lost.
     """
 
     __slots__ = (
@@ -74,7 +91,7 @@
         self.queue: list[Entry] = []
         self.in_flight: list[Entry] = []
         self.wake = anyio.Event()
-        self.usual_s = MIN_TIMEOUT_S / TIMEOUT_FACTOR
+        self.usual_s = MIN_INTERVAL_S / INTERVAL_FACTOR
         self.appended = 0
         self.answered_at = anyio.current_time()
         self.failing_since: float | None = None
@@ -107,9 +124,12 @@
             return 0.0
         return anyio.current_time() - self.failing_since
 
-    async def open(self) -> None:
-        """Fence earlier producers; raise Deposed if a later one is there."""
-        await self.append([])
+    async def open(self, key: str, value: bytes) -> None:
+        """Fence earlier producers with a record; raise Deposed if a later one is there.
+
+        An append without records would leave open which sequence number comes next.
+        """
+        await self.append([(key, value)])
 
     async def run(self) -> None:
         """Write queued records until cancelled; raise Deposed."""
@@ -138,36 +158,59 @@
         return batch
 
     async def append(self, records: list[tuple[str, bytes]]) -> None:
-        """Append until the store has answered; raise Deposed when fenced."""
-        pause = REFUSED_PAUSE_S
-        timeout = min(MAX_TIMEOUT_S, max(MIN_TIMEOUT_S, self.usual_s * TIMEOUT_FACTOR))
-        first_sent = anyio.current_time()
-        while True:
+        """Append until the store has answered; raise Deposed when fenced.
+
+        Copies of the append are sent while no answer arrives; they carry the same
+        sequence number, so that the store carries out one of them.
+        """
+        attempt = Attempt()
+        began = anyio.current_time()
+        interval = max(MIN_INTERVAL_S, self.usual_s * INTERVAL_FACTOR)
+        async with anyio.create_task_group() as group:
+            while attempt.answered_at is None:
+                if anyio.current_time() > began:
+                    self.failing_since = self.failing_since or began
+                attempt.news = anyio.Event()
+                if attempt.copies < MAX_COPIES:
+                    group.start_soon(self.send_copy, attempt, records)
+                with anyio.move_on_after(interval):
+                    await attempt.news.wait()
+                if attempt.was_refused:
+                    attempt.was_refused = False
+                    await anyio.sleep(min(interval, MAX_REFUSED_PAUSE_S))
+                interval = min(interval * INTERVAL_GROWTH, MAX_INTERVAL_S)
+            group.cancel_scope.cancel()
+        if attempt.error is not None:
+            raise attempt.error
+        self.usual_s += 0.2 * (attempt.took_s - self.usual_s)
+        self.answered_at = attempt.answered_at
+        self.failing_since = None
+        self.sequence += 1
+
+    async def send_copy(
+        self, attempt: "Attempt", records: list[tuple[str, bytes]]
+    ) -> None:
+        """Send one copy of an append and note how that ended."""
+        attempt.copies += 1
+        sent = anyio.current_time()
+        try:
             producer = Producer(self.producer, self.epoch, self.sequence)
-            sent = anyio.current_time()
-            try:
-                await self.store.append(
-                    self.topic, self.partition, records, producer, sent + timeout
-                )
-            except AppendFenced as error:
-                raise Deposed(str(error)) from error
-            except SequenceMismatch as error:
-                if self.sequence > 1:
-                    raise Deposed(f"sequence lost: {error}") from error
-                self.sequence = error.expected
-                continue
-            except StoreRefused:
-                self.failing_since = self.failing_since or first_sent
-                await anyio.sleep(pause)
-                pause = min(pause * 2, MAX_REFUSED_PAUSE_S)
-                continue
-            except StoreUnavailable:
-                self.failing_since = self.failing_since or first_sent
-                timeout = min(timeout * 2, MAX_TIMEOUT_S)
-                continue
-            now = anyio.current_time()
-            self.usual_s += 0.2 * (now - sent - self.usual_s)
-            self.answered_at = now
-            self.failing_since = None
-            self.sequence += 1
+            await self.store.append(
+                self.topic, self.partition, records, producer, sent + COPY_LIMIT_S
+            )
+        except AppendFenced as error:
+            attempt.error = Deposed(str(error))
+        except SequenceMismatch as error:
+            attempt.error = Deposed(f"sequence lost: {error}")
+        except StoreRefused:
+            attempt.was_refused = True
+            attempt.news.set()
+            return
+        except StoreUnavailable as error:
+            log.debug("append not answered", error=str(error))
             return
+        finally:
+            attempt.copies -= 1
+        attempt.answered_at = anyio.current_time()
+        attempt.took_s = attempt.answered_at - sent
+        attempt.news.set()
--- a/gypsumring/cell/owner.py
+++ b/gypsumring/cell/owner.py
@@ -16,6 +16,7 @@
 from gypsumring.cell.state import (
     EXECUTOR_KEY,
     JOB_KEY,
+    OWNER_KEY,
     PROGRESS_KEY,
     TERM_KEY,
     CellState,
@@ -152,7 +153,7 @@
     async def load(self) -> None:
         """Fence the owner before and read what it has written."""
         started = anyio.current_time()
-        await self.state.journal.open()
+        await self.state.journal.open(OWNER_KEY, msgspec.json.encode(self.fence))
         records = await self.read_records()
         by_key = {record.key: record.value for record in records if record.value}
         term = self.read_term(by_key.get(TERM_KEY))
--- a/gypsumring/cell/state.py
+++ b/gypsumring/cell/state.py
@@ -21,6 +21,8 @@
 PROGRESS_KEY = "p/"
 EXECUTOR_KEY = "e/"
 TERM_KEY = "term"
+# The fence number of the newest owner.
+OWNER_KEY = "owner"
 
 
 class CellTiming:
--- /dev/null
+++ b/gypsumring/cell/tests/test_journal.py
@@ -0,0 +1,115 @@
+"""Appends of a journal whose store loses, delays or refuses answers."""
+
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+
+import anyio
+
+from gypsumring.cell.exceptions import Deposed
+from gypsumring.cell.journal import Journal
+from gypsumring.ports.store import (
+    AppendFenced,
+    SequenceMismatch,
+    StoreRefused,
+    StoreUnavailable,
+)
+from gypsumring.utils.testing import make_load_tests
+
+ANSWER_S = 0.004
+
+
+class ScriptedStore:
+    """Append records; ``script`` tells how the next calls end."""
+
+    __slots__ = ("records", "script", "sequences", "took_s")
+
+    def __init__(self):
+        self.records: list[tuple[str, bytes]] = []
+        self.sequences: dict[tuple[int, int], int] = {}
+        # ``answered``, ``lost`` or ``refused`` for each of the next calls.
+        self.script: list[str] = []
+        self.took_s = ANSWER_S
+
+    async def append(self, topic, partition, records, producer, deadline):
+        """Append once for each sequence number."""
+        outcome = self.script.pop(0) if self.script else "answered"
+        if outcome == "refused":
+            raise StoreRefused("busy")
+        key = (producer.epoch, producer.sequence)
+        newest = max(self.sequences, default=key)
+        if producer.epoch < newest[0]:
+            raise AppendFenced("fenced")
+        if key not in self.sequences:
+            if key[0] == newest[0] and self.sequences and key[1] != newest[1] + 1:
+                raise SequenceMismatch(newest[1] + 1)
+            self.records.extend(records)
+            self.sequences[key] = len(self.records)
+        if outcome == "lost":
+            await anyio.sleep_until(deadline)
+            raise StoreUnavailable("no answer")
+        await anyio.sleep(self.took_s)
+        return self.sequences[key]
+
+
+@asynccontextmanager
+async def running_journal() -> AsyncIterator[tuple[Journal, ScriptedStore]]:
+    """Run an open journal on a scripted store."""
+    store = ScriptedStore()
+    journal = Journal(store, "cells", 0, "cell-0", 7)
+    await journal.open("owner", b"7")
+    async with anyio.create_task_group() as group:
+        group.start_soon(journal.run)
+        yield journal, store
+        group.cancel_scope.cancel()
+
+
+async def write(journal: Journal, key: str) -> float:
+    """Write a record and return the time until it was durable, in seconds."""
+    began = anyio.current_time()
+    done = anyio.Event()
+    journal.put(key, b"value", done.set)
+    await done.wait()
+    return anyio.current_time() - began
+
+
+async def test_lost_answers_in_a_row_delay_an_append_only_a_little():
+    # With one copy at a time and doubled time limits, four lost answers took 0.9 s.
+    async with running_journal() as (journal, store):
+        store.script = ["lost"] * 4
+        assert await write(journal, "a") < 0.6
+        assert store.records == [("owner", b"7"), ("a", b"value")]
+        assert await write(journal, "b") < 0.01
+        assert journal.unanswered_s() == 0
+
+
+async def test_slow_store_gets_few_copies():
+    async with running_journal() as (journal, store):
+        store.took_s = 0.25
+        for number in range(20):
+            await write(journal, f"{number}")
+        assert len(store.records) == 21
+        assert journal.usual_s > 0.2
+
+
+async def test_refused_appends_are_repeated_until_they_are_taken():
+    async with running_journal() as (journal, store):
+        store.script = ["refused"] * 5
+        await write(journal, "a")
+        assert store.records == [("owner", b"7"), ("a", b"value")]
+
+
+async def test_journal_with_a_later_owner_is_deposed():
+    store = ScriptedStore()
+    earlier = Journal(store, "cells", 0, "cell-0", 7)
+    later = Journal(store, "cells", 0, "cell-0", 8)
+    await earlier.open("owner", b"7")
+    await later.open("owner", b"8")
+    try:
+        await earlier.append([("a", b"value")])
+        raise AssertionError("two owners write")
+    except Deposed:
+        pass
+    assert store.records == [("owner", b"7"), ("owner", b"8")]
+
+
+load_tests = make_load_tests(globals())
--- a/gypsumring/platform/store.py
+++ b/gypsumring/platform/store.py
@@ -148,9 +148,9 @@
     ) -> HttpResponse:
         """Send one call; raise StoreUnavailable or StoreRefused."""
         target = f"{path}?{urlencode(query)}" if query else path
-        call = HttpCall(method, target, body, content_type)
+        call = HttpCall(method, target, body, content_type, waits)
         try:
-            response = await self.client.request(call, deadline, waits)
+            response = await self.client.request(call, deadline)
         except ConnectFailed as error:
             raise StoreRefused(str(error)) from error
         except NoResponse as error:
--- a/gypsumring/transport/relayed.py
+++ b/gypsumring/transport/relayed.py
@@ -20,15 +20,18 @@
 PROBE_LIMIT_S = 0.1
 # The direct path serves others only if it has answered within this time.
 HEALTHY_S = 0.6
+# A call without an answer after this time makes the path a failing one.
+OVERDUE_S = 0.05
 
 
 class HttpCall(msgspec.Struct, array_like=True):
-    """Carry one request to the node that sends it on."""
+    """Describe one request; the server may hold back the response if it ``waits``."""
 
     method: str
     path: str
-    body: bytes
-    content_type: str
+    body: bytes = b""
+    content_type: str = "application/json"
+    waits: bool = False
 
 
 Relay = Callable[[HttpCall, float], Awaitable[HttpResponse]]
@@ -45,42 +48,59 @@
         "answered_at",
         "client",
         "dependency",
-        "is_failing",
+        "has_failed",
         "probe_at",
         "relay",
+        "sent_at",
+        "was_failing",
     )
 
     def __init__(self, client: HttpClient, what: str):
         self.client = client
         self.relay: Relay | None = None
-        self.is_failing = False
+        # The newest direct call got no answer.
+        self.has_failed = False
+        self.was_failing = False
         self.answered_at = float("-inf")
+        # When the direct calls were sent that the server should answer at once.
+        self.sent_at: list[float] = []
         self.probe_at = 0.0
         self.dependency = DependencyLogger(log, what)
 
+    def is_failing(self) -> bool:
+        """Tell whether the direct path does not answer."""
+        oldest = min(self.sent_at, default=float("inf"))
+        return self.has_failed or oldest < anyio.current_time() - OVERDUE_S
+
     def is_healthy(self) -> bool:
         """Tell whether the direct path has answered a short while ago."""
-        now = anyio.current_time()
-        return not self.is_failing and now - self.answered_at < HEALTHY_S
+        recent = anyio.current_time() - self.answered_at < HEALTHY_S
+        return recent and not self.is_failing()
 
-    async def request(
-        self, call: HttpCall, deadline: float, waits: bool = False
-    ) -> HttpResponse:
+    def check_path(self) -> bool:
+        """Tell whether the path is failing, and plan a probe when it begins to."""
+        failing = self.is_failing()
+        if failing and not self.was_failing:
+            self.probe_at = anyio.current_time() + PROBE_PERIOD_S
+        self.was_failing = failing
+        return failing
+
+    async def request(self, call: HttpCall, deadline: float) -> HttpResponse:
         """Return the response that arrives before ``deadline`` (``current_time``).
 
-        Calls that the server may hold back (``waits``) do not probe a failing path.
         Raise ConnectFailed if nothing was sent and NoResponse if the request may have
         been executed.
         """
-        now = anyio.current_time()
         limit = deadline
-        if self.is_failing and (waits or now < self.probe_at):
-            response = await self.send_relayed(call, deadline)
-            if response is not None:
-                return response
-        elif self.is_failing:
-            self.probe_at = now + PROBE_PERIOD_S
-            limit = min(deadline, now + PROBE_LIMIT_S)
+        if self.check_path():
+            now = anyio.current_time()
+            if call.waits or now < self.probe_at:
+                response = await self.send_relayed(call, deadline)
+                if response is not None:
+                    return response
+            else:
+                self.probe_at = now + PROBE_PERIOD_S
+                limit = min(deadline, now + PROBE_LIMIT_S)
         return await self.send_either(call, limit, deadline)
 
     async def send_either(
@@ -114,6 +134,9 @@
 
     async def send_direct(self, call: HttpCall, deadline: float) -> HttpResponse:
         """Send a call to the server, and note whether the path works."""
+        sent_at = anyio.current_time()
+        if not call.waits:
+            self.sent_at.append(sent_at)
         try:
             response = await self.client.request(
                 call.method,
@@ -125,19 +148,20 @@
         except (ConnectFailed, NoResponse) as error:
             self.note_failure(error)
             raise
+        finally:
+            if not call.waits:
+                self.sent_at.remove(sent_at)
         if response.status in TURNED_AWAY:
             self.note_failure(ConnectFailed(f"status {response.status}"))
         else:
             self.answered_at = anyio.current_time()
-            self.is_failing = False
+            self.has_failed = False
             self.dependency.note_success()
         return response
 
     def note_failure(self, error: Exception) -> None:
         """Note a call without an answer."""
-        if not self.is_failing:
-            self.probe_at = anyio.current_time() + PROBE_PERIOD_S
-        self.is_failing = True
+        self.has_failed = True
         self.dependency.note_failure(error)
 
     async def aclose(self) -> None:
--- a/gypsumring/transport/tests/test_relayed.py
+++ b/gypsumring/transport/tests/test_relayed.py
@@ -12,6 +12,7 @@
 from gypsumring.utils.testing import make_load_tests
 
 CALL = HttpCall("POST", "/append", b"record", "application/octet-stream")
+WAITING_CALL = HttpCall("GET", "/read", waits=True)
 TIME_LIMIT_S = 0.3
 
 
@@ -55,7 +56,8 @@
 
 async def send(client, waits=False):
     """Send one call within the time limit."""
-    return await client.request(CALL, anyio.current_time() + TIME_LIMIT_S, waits)
+    call = WAITING_CALL if waits else CALL
+    return await client.request(call, anyio.current_time() + TIME_LIMIT_S)
 
 
 async def test_working_path_is_used_alone():
@@ -89,6 +91,42 @@
     assert anyio.current_time() == began
 
 
+async def test_second_call_does_not_wait_for_the_first_one_on_a_silent_path():
+    # A writer sends a copy of a call long before it gives the first one up.
+    client, path, _ = make_client()
+    path.failure = "silent"
+
+    async def first() -> None:
+        try:
+            await send(client)
+        except NoResponse:
+            pass
+
+    async with anyio.create_task_group() as group:
+        group.start_soon(first)
+        await anyio.sleep(0.06)
+        began = anyio.current_time()
+        assert (await send(client)).body == b"relayed"
+        assert anyio.current_time() == began
+
+
+async def test_held_back_responses_are_no_sign_of_a_failing_path():
+    client, path, _ = make_client()
+    path.failure = "silent"
+
+    async def poll() -> None:
+        try:
+            await send(client, waits=True)
+        except NoResponse:
+            pass
+
+    async with anyio.create_task_group() as group:
+        group.start_soon(poll)
+        await anyio.sleep(0.1)
+        assert not client.is_failing()
+        group.cancel_scope.cancel()
+
+
 async def test_failing_path_is_probed_and_used_again():
     client, path, _ = make_client()
     path.failure = 503
