Take silent owners out of the group, and announce new ones

Cause: a frozen or powerless owner kept the cell for its membership of 1 s, and other nodes noticed the change only when a ping had timed out (0.8 s). Ruled out: a shorter membership (the platform's minimum).

Change: pings every 0.15 s with a limit of 0.2 s; a node that cannot reach the owner on a new channel asks the other nodes, and takes the owner out of the group if most of them answer and none is linked to it. A node that reaches nobody does nothing. A new owner announces itself to the nodes, whose addresses the owner hands on. While a process starts, it joins every 50 ms.

Tests for the lookup through nodes and the release of dead owners were missing.

--- a/gypsumring/cell/messages.py
+++ b/gypsumring/cell/messages.py
@@ -8,6 +8,7 @@
 from gypsumring.transport import HttpCall
 
 __all__ = [
+    "Announce",
     "AskPolicy",
     "CancelJob",
     "CountWaiting",
@@ -40,21 +41,40 @@
 
 
 class Hello(msgspec.Struct, tag=True, array_like=True):
-    """Name the node that opened the channel."""
+    """Name the node that opened the channel, and where it listens."""
 
     node: str
+    address: str
 
 
 class Ping(msgspec.Struct, tag=True, array_like=True):
-    """Ask whether the peer owns the cell."""
+    """Ask whether the peer owns the cell.
+
+    ``nodes_version`` is the version of the owner's list of nodes that the sender has.
+    """
+
+    nodes_version: int = 0
 
 
 class Pong(msgspec.Struct, tag=True, array_like=True):
-    """Tell whether the sender owns the cell, under which fence, or who does."""
+    """Tell whether the sender owns the cell, under which fence, or who does.
+
+    ``nodes`` holds the addresses of the owner's peers by name, if the version of the
+    asking node is another one.
+    """
 
     owns: bool
     fence: int
     owner_address: str = ""
+    nodes_version: int = 0
+    nodes: dict[str, str] | None = None
+
+
+class Announce(msgspec.Struct, tag=True, array_like=True):
+    """Tell a node who owns the cell now."""
+
+    owner_address: str
+    fence: int
 
 
 class SubmitJob(msgspec.Struct, tag=True, array_like=True):
@@ -126,7 +146,8 @@
 
 
 Message = (
-    Hello
+    Announce
+    | Hello
     | Ping
     | Pong
     | SubmitJob
--- a/gypsumring/node/link.py
+++ b/gypsumring/node/link.py
@@ -6,7 +6,7 @@
 import anyio
 import anyio.abc
 
-from gypsumring.cell.messages import Hello, Ping, Pong, decoder
+from gypsumring.cell.messages import Announce, Hello, Ping, Pong, decoder
 from gypsumring.node.membership import Member
 from gypsumring.ports.store import Store, StoreRefused, StoreUnavailable
 from gypsumring.transport import (
@@ -21,26 +21,35 @@
 
 log = EventLogger("link")
 
-PING_PERIOD_S = 0.4
-PING_TIMEOUT_S = 0.8
-HELLO_S = 1.0
+PING_PERIOD_S = 0.15
+PING_TIMEOUT_S = 0.2
+CONNECT_S = 0.2
+HELLO_S = 0.25
 LOOKUP_S = 0.5
-LOOKUP_PAUSE_S = 0.12
+LOOKUP_PAUSE_S = 0.06
+
+Handler = Callable[[Channel, Any], Awaitable[Any]]
+Connect = Callable[[str, Any, Handler, float], Awaitable[Channel]]
 
 
 class OwnerLink:
     """Keep a channel to the owner of the cell open and checked."""
 
     __slots__ = (
+        "announced",
         "cell",
         "changed",
         "channel",
+        "connect",
+        "fence",
         "group_name",
         "handler",
-        "is_owner",
+        "hint",
         "known",
         "linked_at",
-        "node",
+        "member",
+        "nodes_version",
+        "own_fence",
         "owner_address",
         "owner_member",
         "store",
@@ -51,24 +60,33 @@
         store: Store,
         group_name: str,
         cell: int,
-        node: str,
-        is_owner: Callable[[], bool],
-        handler: Callable[[Channel, Any], Awaitable[Any]],
+        member: Member,
+        own_fence: Callable[[], int | None],
+        handler: Handler,
+        connect: Connect = Channel.connect,
     ):
         self.store = store
         self.group_name = group_name
         self.cell = cell
-        self.node = node
-        self.is_owner = is_owner
+        self.member = member
+        # The fence number of this node while it owns the cell.
+        self.own_fence = own_fence
         self.handler = handler
+        self.connect = connect
         self.channel: Channel | None = None
         self.changed = anyio.Event()
         self.linked_at = anyio.current_time()
-        # Addresses of nodes that have been seen in the group, by node name.
+        # Addresses of other nodes by name, from the owner and from the store.
         self.known: dict[str, str] = {}
+        self.nodes_version = 0
         # Address of the owner that this node is linked to, and its name in the group.
         self.owner_address = ""
         self.owner_member = ""
+        # The highest fence number of an owner, and the address that it announced.
+        self.fence = 0
+        self.hint = ""
+        # This node has told the others that it owns the cell.
+        self.announced = False
 
     def notify(self) -> None:
         """Wake those that wait for an owner."""
@@ -78,25 +96,43 @@
     async def run(self) -> None:
         """Follow the owner until cancelled."""
         while True:
-            if self.is_owner():
-                self.linked_at = anyio.current_time()
-                self.notify()
-                await anyio.sleep(PING_PERIOD_S)
+            fence = self.own_fence()
+            if fence is not None:
+                await self.stay_owner(fence)
                 continue
+            self.announced = False
             try:
-                address = await self.look_up()
-                if address is not None:
-                    await self.follow(address)
+                address = await self.find_owner()
+                if address is not None and not await self.follow(address):
+                    await self.release_silent(address)
             except ConnectRefused:
-                await self.release_dead(address)
+                # A port without a listener shows that the process has ended.
+                await self.release(address)
             except ConnectFailed as error:
                 log.debug("owner not reached", error=str(error))
+                await self.release_silent(address)
             await anyio.sleep(LOOKUP_PAUSE_S)
 
+    async def stay_owner(self, fence: int) -> None:
+        """Let the others know that this node owns the cell, and wait a little."""
+        self.linked_at = anyio.current_time()
+        self.fence = max(self.fence, fence)
+        self.notify()
+        if not self.announced:
+            # Nodes that wait for a silent owner find out a while later by themselves.
+            self.announced = True
+            await self.call_nodes(Announce(self.member.address, fence))
+        await anyio.sleep(PING_PERIOD_S)
+
+    async def find_owner(self) -> str | None:
+        """Return the announced address of the owner, or look it up."""
+        hint, self.hint = self.hint, ""
+        return hint or await self.look_up()
+
     async def look_up(self) -> str | None:
         """Return the address of the owner, or None if it is this node or nobody.
 
-        A node that the store turns away asks the nodes that it has seen before.
+        A node that the store turns away asks the nodes that it knows.
         """
         try:
             owners = await self.store.owners(
@@ -105,57 +141,91 @@
         except (StoreUnavailable, StoreRefused) as error:
             log.debug("owner not found in the store", error=str(error))
             return await self.ask_nodes()
-        members = {cell: Member.parse(name) for cell, name in owners.items()}
-        for member in members.values():
-            self.known[member.node] = member.address
-        owner = members.get(self.cell)
-        if owner is None:
+        name = owners.get(self.cell)
+        if name is None:
+            return None
+        owner = Member.parse(name)
+        if owner.node == self.member.node:
             return None
-        self.owner_member = owners[self.cell]
-        return None if owner.node == self.node else owner.address
+        self.known[owner.node] = owner.address
+        self.owner_member = name
+        return owner.address
 
     async def ask_nodes(self) -> str | None:
         """Return the address of the owner as other nodes know it."""
+        answers = await self.call_nodes(Ping())
+        best = max(answers, key=lambda pong: (pong.owns, pong.fence), default=None)
+        if best is None or not best.owner_address:
+            return None
+        return best.owner_address
+
+    async def call_nodes(self, message: Any, without: str = "") -> list[Pong]:
+        """Send a message to the known nodes and return what they answer in time."""
         answers: list[Pong] = []
 
-        async def ask(address: str) -> None:
-            answers.append(await self.ask_node(address))
+        async def call(address: str) -> None:
+            answer = await self.call_node(address, message)
+            if isinstance(answer, Pong):
+                answers.append(answer)
 
         async with anyio.create_task_group() as group:
             for name, address in self.known.items():
-                if name != self.node:
-                    group.start_soon(ask, address)
-        best = max(answers, key=lambda pong: (pong.owns, pong.fence), default=None)
-        if best is None or not best.owner_address:
-            return None
-        return best.owner_address
+                if name != self.member.node and address != without:
+                    group.start_soon(call, address)
+        return answers
 
-    async def ask_node(self, address: str) -> Pong:
-        """Ask one node who owns the cell."""
-        nobody = Pong(False, -1)
+    async def call_node(self, address: str, message: Any) -> Any:
+        """Send a message over a channel of its own; return None without an answer."""
+        deadline = anyio.current_time() + CONNECT_S
+        answer: Any = None
         try:
-            channel = await Channel.connect(address, decoder, self.handler)
-        except ConnectFailed:
-            return nobody
-        answer: Any = nobody
+            channel = await self.connect(address, decoder, self.handler, deadline)
+        except ConnectFailed as error:
+            log.debug("node not reached", address=address, error=str(error))
+            return None
         async with anyio.create_task_group() as group:
             group.start_soon(channel.run)
             try:
                 answer = await channel.call(
-                    Ping(), anyio.current_time() + PING_TIMEOUT_S
+                    message, anyio.current_time() + PING_TIMEOUT_S
                 )
             except ChannelClosed as error:
                 log.debug("node not asked", address=address, error=str(error))
             with anyio.CancelScope(shield=True):
                 await channel.aclose()
             group.cancel_scope.cancel()
-        return answer if isinstance(answer, Pong) else nobody
+        return answer
+
+    async def note_owner(self, message: Announce) -> None:
+        """Turn to the owner that has announced itself, unless a later one is known."""
+        if message.fence <= self.fence:
+            return
+        self.fence = message.fence
+        self.hint = message.owner_address
+        if self.channel is not None and self.owner_address != self.hint:
+            await self.channel.aclose()
+
+    async def release_silent(self, address: str) -> None:
+        """Take an owner that no node reaches out of the group.
 
-    async def release_dead(self, address: str) -> None:
+        One node alone may be cut off itself: most nodes have to answer, and none of
+        them may be linked to the owner.
+        """
+        others = [
+            name
+            for name, known in self.known.items()
+            if name != self.member.node and known != address
+        ]
+        answers = await self.call_nodes(Ping(), without=address)
+        if any(pong.owns or pong.owner_address == address for pong in answers):
+            return
+        if answers and (len(answers) + 1) * 2 > len(others) + 1:
+            await self.release(address)
+
+    async def release(self, address: str) -> None:
         """Take a dead owner out of the group, so that the cell is dealt at once.
 
-        A port without a listener shows that its process has ended. If it has not, the
-        next owner's fence keeps the cell sound.
+        If it lives, the next owner's fence keeps the cell sound.
         """
         member, self.owner_member = self.owner_member, ""
         if not member or Member.parse(member).address != address:
@@ -168,13 +238,20 @@
         except (StoreUnavailable, StoreRefused) as error:
             log.debug("dead owner stays in the group", error=str(error))
 
-    async def follow(self, address: str) -> None:
-        """Use a channel to the owner as long as it answers and owns the cell."""
-        channel = await Channel.connect(address, decoder, self.handler)
+    async def follow(self, address: str) -> bool:
+        """Use a channel to the owner as long as it answers and owns the cell.
+
+        Return whether it has answered at all.
+        """
+        has_answered = False
+        deadline = anyio.current_time() + CONNECT_S
+        channel = await self.connect(address, decoder, self.handler, deadline)
         async with anyio.create_task_group() as group:
             group.start_soon(channel.run)
+            hello = Hello(self.member.node, self.member.address)
             try:
-                await channel.call(Hello(self.node), anyio.current_time() + HELLO_S)
+                await channel.call(hello, anyio.current_time() + HELLO_S)
+                has_answered = True
                 while await self.check(channel, address):
                     await anyio.sleep(PING_PERIOD_S)
             except ChannelClosed as error:
@@ -187,18 +264,29 @@
                 with anyio.CancelScope(shield=True):
                     await channel.aclose()
                 group.cancel_scope.cancel()
+        return has_answered
 
     async def check(self, channel: Channel, address: str) -> bool:
         """Tell whether the peer still owns the cell."""
-        if self.is_owner():
+        if self.own_fence() is not None:
             return False
-        pong = await channel.call(Ping(), anyio.current_time() + PING_TIMEOUT_S)
+        pong = await channel.call(
+            Ping(self.nodes_version), anyio.current_time() + PING_TIMEOUT_S
+        )
         if not isinstance(pong, Pong) or not pong.owns:
             return False
         self.linked_at = anyio.current_time()
+        self.fence = max(self.fence, pong.fence)
+        if pong.nodes is not None:
+            self.known = {**pong.nodes, **self.find_owner_entry(address)}
+            self.nodes_version = pong.nodes_version
         if self.channel is not channel:
             self.channel = channel
             self.owner_address = address
             log.info("linked to the owner", fence=pong.fence)
             self.notify()
         return True
+
+    def find_owner_entry(self, address: str) -> dict[str, str]:
+        """Return the known entry of the owner, which is not in its own list."""
+        return {name: each for name, each in self.known.items() if each == address}
--- a/gypsumring/node/membership.py
+++ b/gypsumring/node/membership.py
@@ -13,10 +13,11 @@
 
 log = EventLogger("membership")
 
-JOIN_PERIOD_S = 0.15
+JOIN_PERIOD_S = 0.1
 # While all nodes start, the group deals anew with each that joins. A new process begins
 # to own a cell only once a join has found the same generation again.
 STARTING_S = 2.0
+STARTING_PERIOD_S = 0.05
 CALL_S = 0.6
 LEAVE_S = 0.5
 # A node that loses the cell more often than this within one generation stays out.
@@ -102,6 +103,10 @@
         """Tell whether no other node can hold the cell yet."""
         return anyio.current_time() - self.confirmed_at < self.ttl_s
 
+    def is_starting(self) -> bool:
+        """Tell whether this process has just been started."""
+        return anyio.current_time() - self.started_at < STARTING_S
+
     def active_owner(self) -> CellOwner | None:
         """Return the owner that answers commands, if it runs here."""
         owner = self.owner
@@ -127,7 +132,8 @@
                 else:
                     if not self.stopping:
                         await self.apply(assignment, sent)
-                await anyio.sleep(JOIN_PERIOD_S)
+                waits = self.is_starting() and self.owner is None
+                await anyio.sleep(STARTING_PERIOD_S if waits else JOIN_PERIOD_S)
 
     async def apply(self, assignment: Assignment, sent: float) -> None:
         """Start or stop the cell as the group says."""
@@ -140,8 +146,7 @@
             await self.stop_owner("dealt to another node")
             return
         self.confirmed_at = sent
-        starting = anyio.current_time() - self.started_at < STARTING_S
-        if self.owner is None and (settled or not starting):
+        if self.owner is None and (settled or not self.is_starting()):
             self.owner = self.make_owner(self.next_fence(assignment.generation))
             self.group.start_soon(self.run_owner, self.owner)
 
--- a/gypsumring/node/node.py
+++ b/gypsumring/node/node.py
@@ -8,6 +8,7 @@
 
 from gypsumring.cell import CellOwner
 from gypsumring.cell.messages import (
+    Announce,
     AskPolicy,
     CancelJob,
     CountWaiting,
@@ -69,11 +70,13 @@
     """Join the group of nodes and pass commands to the owner of the cell."""
 
     __slots__ = (
+        "addresses",
         "answer_by",
         "desired",
         "link",
         "membership",
         "metrics",
+        "nodes_version",
         "peers",
         "policy",
         "relay",
@@ -97,8 +100,11 @@
         self.stopping = False
         # All callers are answered by this time, which a stop brings near.
         self.answer_by = float("inf")
-        # Channels that other nodes have opened to this one, by node name.
+        # Channels that other nodes have opened to this one, and where those nodes
+        # listen, by node name.
         self.peers: dict[str, Channel] = {}
+        self.addresses: dict[str, str] = {}
+        self.nodes_version = unix_ms()
         self.desired = DesiredStateWatch(
             store, DESIRED_STATE_TOPIC, DESIRED_STATE_KEY, decode_desired_state
         )
@@ -107,15 +113,18 @@
         self.membership = Membership(
             store, GROUP, CELL_TOPIC, CELL, str(member), ttl_s, self.make_owner
         )
-        self.link = OwnerLink(
-            store, GROUP, CELL, settings.node, self.is_owner, self.handle
-        )
+        self.link = OwnerLink(store, GROUP, CELL, member, self.own_fence, self.handle)
         self.relay = StoreRelay(store_path, self.list_channels, metrics)
 
     def is_owner(self) -> bool:
         """Tell whether this node owns the cell and answers commands."""
         return self.membership.active_owner() is not None
 
+    def own_fence(self) -> int | None:
+        """Return the fence number of this node, or None if it does not own the cell."""
+        owner = self.membership.active_owner()
+        return None if owner is None else owner.fence
+
     def is_ready(self) -> bool:
         """Tell whether new callers should come here."""
         if self.stopping or self.desired.current is None:
@@ -202,16 +211,23 @@
         """Drop the channel of a peer that has ended."""
         if self.peers.get(channel.peer) is channel:
             del self.peers[channel.peer]
+            del self.addresses[channel.peer]
+            self.nodes_version += 1
 
     async def handle(self, channel: Channel, message: Any) -> Any:
         """Answer a message of a peer."""
         match message:
-            case Hello(node=node):
+            case Hello(node=node, address=address):
                 channel.peer = node
                 self.peers[node] = channel
-                return self.pong()
-            case Ping():
-                return self.pong()
+                self.addresses[node] = address
+                self.nodes_version += 1
+                return self.pong(self.nodes_version)
+            case Ping(nodes_version=version):
+                return self.pong(version)
+            case Announce():
+                await self.link.note_owner(message)
+                return self.pong(self.nodes_version)
             case AskPolicy():
                 return await self.answer_policy(message)
             case RelayCall():
@@ -221,12 +237,18 @@
         log.warning("unexpected message", kind=type(message).__name__)
         return None
 
-    def pong(self) -> Pong:
-        """Tell whether this node owns the cell."""
+    def pong(self, known_version: int) -> Pong:
+        """Tell whether this node owns the cell, and what has changed in its list."""
         owner = self.membership.active_owner()
-        if owner is not None:
-            return Pong(True, owner.fence, self.settings.peer_address)
-        return Pong(False, 0, self.link.owner_address)
+        if owner is None:
+            return Pong(False, self.link.fence, self.link.owner_address)
+        return Pong(
+            True,
+            owner.fence,
+            self.settings.peer_address,
+            self.nodes_version,
+            None if known_version == self.nodes_version else self.addresses,
+        )
 
     async def execute(self, message: Command) -> JobAnswer:
         """Run a command if this node owns the cell."""
--- /dev/null
+++ b/gypsumring/node/tests/test_link.py
@@ -0,0 +1,195 @@
+"""The channel to the owner while owners die, freeze and change."""
+
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+
+import anyio
+
+from gypsumring.cell.messages import Announce, Hello, Ping, Pong
+from gypsumring.node.link import OwnerLink
+from gypsumring.node.membership import Member
+from gypsumring.ports.store import StoreRefused
+from gypsumring.transport import ChannelClosed, ConnectFailed, ConnectRefused
+from gypsumring.utils.testing import make_load_tests
+
+OWNER = Member("n1", "a1", "first")
+SELF = Member("n0", "a0", "first")
+
+
+class ScriptedPeer:
+    """Another node: how it can be reached, and what it says."""
+
+    __slots__ = ("announced", "pong", "state")
+
+    def __init__(self, pong: Pong):
+        self.pong = pong
+        # ``up``, ``frozen`` (takes connections), ``dark`` or ``ended``.
+        self.state = "up"
+        self.announced: list[Announce] = []
+
+
+class ScriptedChannel:
+    """A channel to a scripted peer."""
+
+    __slots__ = ("closed", "peer")
+
+    def __init__(self, peer: ScriptedPeer):
+        self.peer = peer
+        self.closed = anyio.Event()
+
+    async def run(self) -> None:
+        """Wait for the end of the channel."""
+        await self.closed.wait()
+
+    async def call(self, message, deadline):
+        """Answer as the peer does."""
+        if self.closed.is_set() or self.peer.state == "ended":
+            raise ChannelClosed("closed")
+        if self.peer.state != "up":
+            await anyio.sleep_until(deadline)
+            raise ChannelClosed("no reply in time")
+        match message:
+            case Announce():
+                self.peer.announced.append(message)
+            case Hello() | Ping():
+                pass
+        return self.peer.pong
+
+    async def aclose(self) -> None:
+        """Close the channel."""
+        self.closed.set()
+
+
+class ScriptedStore:
+    """Tell who owns the cell, and note who is taken out of the group."""
+
+    __slots__ = ("left", "owner", "refuses")
+
+    def __init__(self):
+        self.owner: Member | None = OWNER
+        self.left: list[str] = []
+        self.refuses = False
+
+    async def owners(self, group, deadline):
+        """Return the owner of the cell."""
+        if self.refuses:
+            raise StoreRefused("turned away")
+        return {0: str(self.owner)} if self.owner else {}
+
+    async def leave(self, group, member, deadline):
+        """Note a member that is taken out."""
+        self.left.append(member)
+        self.owner = None
+
+
+class LinkRig:
+    """One link, the store and the other nodes."""
+
+    __slots__ = ("fence", "link", "peers", "store")
+
+    def __init__(self):
+        self.store = ScriptedStore()
+        self.fence: int | None = None
+        nodes = {"n2": "a2", "n3": "a3"}
+        self.peers = {
+            "a1": ScriptedPeer(Pong(True, 7, "a1", 1, nodes)),
+            "a2": ScriptedPeer(Pong(False, 7, "a1")),
+            "a3": ScriptedPeer(Pong(False, 7, "a1")),
+        }
+        self.link = OwnerLink(
+            self.store, "cells", 0, SELF, lambda: self.fence, None, self.connect
+        )
+
+    async def connect(self, address, decoder, handler, deadline):
+        """Open a channel to a peer."""
+        peer = self.peers[address]
+        if peer.state == "ended":
+            raise ConnectRefused(address)
+        if peer.state == "dark":
+            await anyio.sleep_until(deadline)
+            raise ConnectFailed(address)
+        return ScriptedChannel(peer)
+
+    def unlink_others(self) -> None:
+        """Let the other nodes have lost the owner as well."""
+        for address in ("a2", "a3"):
+            self.peers[address].pong = Pong(False, 7, "")
+
+
+@asynccontextmanager
+async def running_link() -> AsyncIterator[LinkRig]:
+    """Run a link that has found the owner."""
+    rig = LinkRig()
+    async with anyio.create_task_group() as group:
+        group.start_soon(rig.link.run)
+        await anyio.sleep(0.5)
+        assert rig.link.owner_address == "a1"
+        yield rig
+        group.cancel_scope.cancel()
+
+
+async def test_ended_owner_is_released_at_once():
+    # Until its membership lapses, the group would deal the cell to nobody else.
+    async with running_link() as rig:
+        rig.peers["a1"].state = "ended"
+        await anyio.sleep(0.4)
+        assert rig.store.left == [str(OWNER)]
+        assert rig.link.channel is None
+
+
+async def test_silent_owner_is_released_before_its_membership_lapses():
+    for state in ("frozen", "dark"):
+        async with running_link() as rig:
+            rig.peers["a1"].state = state
+            rig.unlink_others()
+            await anyio.sleep(0.9)
+            assert rig.store.left == [str(OWNER)], state
+
+
+async def test_owner_that_another_node_still_reaches_is_not_released():
+    # The fault lies between this node and the owner.
+    async with running_link() as rig:
+        rig.peers["a1"].state = "dark"
+        await anyio.sleep(3.0)
+        assert rig.store.left == []
+
+
+async def test_node_that_reaches_nobody_releases_nobody():
+    async with running_link() as rig:
+        for peer in rig.peers.values():
+            peer.state = "dark"
+        await anyio.sleep(3.0)
+        assert rig.store.left == []
+
+
+async def test_announced_owner_is_followed_without_a_look_up():
+    # A ping to a frozen owner would have to time out first.
+    async with running_link() as rig:
+        rig.peers["a1"].state = "frozen"
+        rig.peers["a2"].pong = Pong(True, 9, "a2", 1, {})
+        await rig.link.note_owner(Announce("a2", 9))
+        await anyio.sleep(0.3)
+        assert rig.link.owner_address == "a2"
+        await rig.link.note_owner(Announce("a1", 8))
+        assert rig.link.owner_address == "a2"
+
+
+async def test_new_owner_announces_itself_to_all_known_nodes():
+    async with running_link() as rig:
+        rig.fence = 9
+        await anyio.sleep(0.5)
+        for peer in rig.peers.values():
+            assert [each.fence for each in peer.announced] == [9]
+
+
+async def test_owner_is_found_through_other_nodes_while_the_store_refuses():
+    async with running_link() as rig:
+        rig.store.refuses = True
+        rig.peers["a1"].state = "dark"
+        rig.peers["a2"].pong = Pong(True, 9, "a2", 1, {})
+        rig.peers["a3"].pong = Pong(False, 9, "a2")
+        await anyio.sleep(1.5)
+        assert rig.link.owner_address == "a2"
+
+
+load_tests = make_load_tests(globals())
--- a/gypsumring/transport/channel.py
+++ b/gypsumring/transport/channel.py
@@ -27,7 +27,6 @@
 LENGTH = struct.Struct(">I")
 MAX_FRAME_BYTES = 4 * 1024 * 1024
 READ_BYTES = 65536
-CONNECT_S = 0.5
 STREAM_ERRORS = (
     anyio.EndOfStream,
     anyio.BrokenResourceError,
@@ -97,11 +96,12 @@
         address: str,
         decoder: msgspec.msgpack.Decoder,
         handler: "Callable[[Channel, Any], Awaitable[Any]]",
+        deadline: float,
     ) -> "Channel":
         """Open a channel to ``host:port``; raise ConnectFailed."""
         host, _, port = address.rpartition(":")
         try:
-            with anyio.fail_after(CONNECT_S):
+            with anyio.fail_after(max(0.0, deadline - anyio.current_time())):
                 stream = await anyio.connect_tcp(host, int(port))
         except ConnectionRefusedError as error:
             raise ConnectRefused(f"{address}: {error!r}") from error
