--- a/gypsumring/node/node.py
+++ b/gypsumring/node/node.py
@@ -55,7 +55,6 @@
 
 GROUP = "cells"
 CELL_TOPIC = "keyed.cells"
-CELL = 0
 MEMBERSHIP_S = 1.0
 RETRY_PAUSE_S = 0.03
 MEASURE_S = 1.0
@@ -72,6 +71,7 @@
     __slots__ = (
         "addresses",
         "answer_by",
+        "cell",
         "desired",
         "link",
         "membership",
@@ -94,6 +94,9 @@
         store_path: RelayedClient,
     ):
         self.settings = settings
+        # A node that joins takes partitions from those that hold several, the lowest
+        # ones first; the last partition stays where it is.
+        self.cell = settings.store.partitions - 1
         self.store = store
         self.policy = policy
         self.metrics = metrics
@@ -111,9 +114,11 @@
         member = Member(settings.node, settings.peer_address, uuid.uuid4().hex[:8])
         ttl_s = max(MEMBERSHIP_S, settings.store.shortest_membership_ms / 1000)
         self.membership = Membership(
-            store, GROUP, CELL_TOPIC, CELL, str(member), ttl_s, self.make_owner
+            store, GROUP, CELL_TOPIC, self.cell, str(member), ttl_s, self.make_owner
+        )
+        self.link = OwnerLink(
+            store, GROUP, self.cell, member, self.own_fence, self.handle
         )
-        self.link = OwnerLink(store, GROUP, CELL, member, self.own_fence, self.handle)
         self.relay = StoreRelay(store_path, self.list_channels, metrics)
 
     def is_owner(self) -> bool:
@@ -136,7 +141,7 @@
         return CellOwner(
             self.store,
             CELL_TOPIC,
-            CELL,
+            self.cell,
             fence,
             self.make_timing(),
             self.desired.get,
--- a/gypsumring/settings/node.py
+++ b/gypsumring/settings/node.py
@@ -15,6 +15,8 @@
     """Locate the platform's store; the shortest membership it grants is in ms."""
 
     address: Port
+    # Partitions of each topic.
+    partitions: Annotated[int, msgspec.Meta(ge=1)] = 1
     shortest_membership_ms: Annotated[int, msgspec.Meta(ge=1)] = 1_000
 
 
