Gather records that nobody waits for

Change: progress that is not final waits up to 50 ms for other records, and a newer progress of a job replaces a queued one. Executors keep ends until they are durable.

--- a/gypsumring/cell/attending.py
+++ b/gypsumring/cell/attending.py
@@ -31,7 +31,8 @@
 RETRY_PAUSE_S = 0.1
 # Pause between looks while ends wait for the store.
 UNDURABLE_PAUSE_S = 0.15
-DURABLE_WAIT_S = 0.05
+DURABLE_WAIT_S = 0.1
+DURABLE_POLL_S = 0.008
 
 
 class Attendant:
@@ -165,7 +166,7 @@
             if anyio.current_time() >= deadline:
                 await anyio.sleep(UNDURABLE_PAUSE_S)
                 return
-            await anyio.sleep(0.004)
+            await anyio.sleep(DURABLE_POLL_S)
 
     def check_lease(self, executor: ExecutorState) -> None:
         """Release the tasks of a silent executor once its lease is surely over."""
--- a/gypsumring/cell/journal.py
+++ b/gypsumring/cell/journal.py
@@ -20,6 +20,8 @@
 log = EventLogger("journal")
 
 MAX_BATCH_BYTES = 512 * 1024
+# Records that nobody waits for are appended together within this time.
+GATHER_S = 0.05
 # A copy of an append is sent after this many times the usual time without an answer.
 INTERVAL_FACTOR = 4.0
 INTERVAL_GROWTH = 1.25
@@ -34,12 +36,18 @@
 class Entry:
     """Hold one record that waits to become durable."""
 
-    __slots__ = ("key", "on_durable", "value")
+    __slots__ = ("callbacks", "key", "value")
 
     def __init__(self, key: str, value: bytes, on_durable: Callable[[], None] | None):
         self.key = key
         self.value = value
-        self.on_durable = on_durable
+        self.callbacks: list[Callable[[], None]] = []
+        self.call_when_durable(on_durable)
+
+    def call_when_durable(self, on_durable: Callable[[], None] | None) -> None:
+        """Add a callback."""
+        if on_durable is not None:
+            self.callbacks.append(on_durable)
 
 
 class Attempt:
@@ -66,6 +74,7 @@
     __slots__ = (
         "appended",
         "answered_at",
+        "due_at",
         "epoch",
         "failing_since",
         "in_flight",
@@ -88,7 +97,10 @@
         self.producer = producer
         self.epoch = epoch
         self.sequence = 0
-        self.queue: list[Entry] = []
+        # Records to append, by key.
+        self.queue: dict[str, Entry] = {}
+        # When the next append begins at the latest.
+        self.due_at = float("inf")
         self.in_flight: list[Entry] = []
         self.wake = anyio.Event()
         self.usual_s = MIN_INTERVAL_S / INTERVAL_FACTOR
@@ -97,10 +109,25 @@
         self.failing_since: float | None = None
 
     def put(
-        self, key: str, value: bytes, on_durable: Callable[[], None] | None = None
+        self,
+        key: str,
+        value: bytes,
+        on_durable: Callable[[], None] | None = None,
+        urgent: bool = True,
     ) -> None:
-        """Queue a record; ``on_durable`` is called once it is in the store."""
-        self.queue.append(Entry(key, value, on_durable))
+        """Queue a record; ``on_durable`` is called once it is in the store.
+
+        A newer record of a key takes the place of one that is still queued. Records
+        that nobody waits for are gathered for a while unless they are ``urgent``.
+        """
+        now = anyio.current_time()
+        self.due_at = min(self.due_at, now if urgent else now + GATHER_S)
+        queued = self.queue.get(key)
+        if queued is None:
+            self.queue[key] = Entry(key, value, on_durable)
+        else:
+            queued.value = value
+            queued.call_when_durable(on_durable)
         self.wake.set()
 
     def after_all(self, on_durable: Callable[[], None]) -> None:
@@ -108,15 +135,8 @@
         if not self.queue and not self.in_flight:
             on_durable()
             return
-        last = self.queue[-1] if self.queue else self.in_flight[-1]
-        earlier = last.on_durable
-
-        def run_both() -> None:
-            if earlier is not None:
-                earlier()
-            on_durable()
-
-        last.on_durable = run_both
+        entries = list(self.queue.values()) or self.in_flight
+        entries[-1].call_when_durable(on_durable)
 
     def unanswered_s(self) -> float:
         """Return for how long the store has not answered the append in flight."""
@@ -137,24 +157,35 @@
             await self.wake.wait()
             self.wake = anyio.Event()
             while self.queue:
+                await self.gather()
                 self.in_flight = self.take_batch()
                 await self.append([(each.key, each.value) for each in self.in_flight])
                 self.appended += len(self.in_flight)
                 done, self.in_flight = self.in_flight, []
                 for entry in done:
-                    if entry.on_durable is not None:
-                        entry.on_durable()
+                    for on_durable in entry.callbacks:
+                        on_durable()
+
+    async def gather(self) -> None:
+        """Wait for more records unless one is urgent."""
+        while (now := anyio.current_time()) < self.due_at:
+            with anyio.move_on_after(self.due_at - now):
+                await self.wake.wait()
+            self.wake = anyio.Event()
 
     def take_batch(self) -> list[Entry]:
         """Remove the records of the next append from the queue."""
         size = 0
-        count = 0
-        for entry in self.queue:
+        batch: list[Entry] = []
+        for entry in self.queue.values():
             size += len(entry.value) + len(entry.key) + 5
-            if count and size > MAX_BATCH_BYTES:
+            if batch and size > MAX_BATCH_BYTES:
                 break
-            count += 1
-        batch, self.queue = self.queue[:count], self.queue[count:]
+            batch.append(entry)
+        for entry in batch:
+            del self.queue[entry.key]
+        if not self.queue:
+            self.due_at = float("inf")
         return batch
 
     async def append(self, records: list[tuple[str, bytes]]) -> None:
--- a/gypsumring/cell/state.py
+++ b/gypsumring/cell/state.py
@@ -143,5 +143,8 @@
                 on_durable()
 
         self.journal.put(
-            PROGRESS_KEY + job.spec.job_id, encode(job.progress()), publish
+            PROGRESS_KEY + job.spec.job_id,
+            encode(job.progress()),
+            publish,
+            urgent=phase.is_final,
         )
--- a/gypsumring/cell/tests/test_journal.py
+++ b/gypsumring/cell/tests/test_journal.py
@@ -98,6 +98,23 @@
         assert store.records == [("owner", b"7"), ("a", b"value")]
 
 
+async def test_records_that_nobody_waits_for_share_an_append():
+    async with running_journal() as (journal, store):
+        durable = []
+        for number in range(5):
+            value = str(number).encode()
+            journal.put("a", value, lambda: durable.append("a"), urgent=False)
+            journal.put(f"b{number}", value, urgent=False)
+            await anyio.sleep(0.005)
+        await anyio.sleep(0.1)
+        # One append after the one that opened the epoch, the newest record of each key.
+        assert len(store.sequences) == 2
+        assert store.records[1] == ("a", b"4")
+        assert durable == ["a"] * 5
+        journal.put("c", b"", urgent=False)
+        assert await write(journal, "d") < 0.01
+
+
 async def test_journal_with_a_later_owner_is_deposed():
     store = ScriptedStore()
     earlier = Journal(store, "cells", 0, "cell-0", 7)
