Keep executors for large tasks that wait

Change: a step that has waited 0.4 s for room of a fifth of an executor or more gets one or two executors (a gang as many as it needs, all steps a third of the fleet) that take no work of the same or a lower priority; urgent work takes them last. Tickets there are renewed before they end. Idea: reservation of nodes for large jobs, as in backfilling schedulers.

--- a/gypsumring/cell/scheduling.py
+++ b/gypsumring/cell/scheduling.py
@@ -6,7 +6,14 @@
 
 from gypsumring.cell.orders import Orders
 from gypsumring.cell.state import CellState
-from gypsumring.dispatch import AdviserPool, Placement, order_steps, place_step
+from gypsumring.dispatch import (
+    AdviserPool,
+    Placement,
+    Reservation,
+    order_steps,
+    place_step,
+    reserve_executors,
+)
 from gypsumring.dispatch.placing import eligible_executors
 from gypsumring.fleet import ExecutorState
 from gypsumring.pipelines import PolicyTiming, Queue, RunState, Step
@@ -40,7 +47,14 @@
 class CellScheduler:
     """Place the ready steps of a cell."""
 
-    __slots__ = ("advisers", "ask_peer", "list_peers", "orders", "state")
+    __slots__ = (
+        "advisers",
+        "ask_peer",
+        "list_peers",
+        "orders",
+        "reserved",
+        "state",
+    )
 
     def __init__(
         self,
@@ -54,6 +68,8 @@
         self.list_peers = list_peers
         self.ask_peer = ask_peer
         self.advisers = AdviserPool()
+        # Executors that are kept for large tasks.
+        self.reserved: dict[str, Reservation] = {}
 
     async def run(self) -> None:
         """Place steps whenever something has changed."""
@@ -82,7 +98,9 @@
             for job in self.state.table.active.values()
             if not (job.inherited and self.state.unsettled)
         ]
-        for step, queue in order_steps(jobs, self.state.find_queue, now):
+        steps = order_steps(jobs, self.state.find_queue, now)
+        self.reserved = reserve_executors(steps, fleet, self.state.clock())
+        for step, queue in steps:
             if step.spec.gang and step.runs:
                 self.stop_partial(step)
             else:
@@ -116,7 +134,11 @@
     ) -> None:
         """Start the tasks of a step that fit, and ask for advice where that helps."""
         clock = self.state.clock()
-        eligible = eligible_executors(step, queue.service, fleet, clock)
+        eligible = [
+            executor
+            for executor in eligible_executors(step, queue.service, fleet, clock)
+            if self.admits(executor, step, queue.priority)
+        ]
         if not eligible:
             return
         if queue.policy is None:
@@ -134,33 +156,52 @@
         if placements:
             self.start_all(step, placements, now)
         if waiting and not step.asking and step.held_back_until <= now:
-            asked = self.choose_asked(step, eligible, holding)
+            asked = self.choose_asked(step, queue.policy, eligible, now)
             if asked:
                 self.ask(step, queue.policy, asked, now)
 
     def place(self, step: Step, candidates: list[ExecutorState]) -> list[Placement]:
         """Return places for the pending tasks of a step."""
         factor = self.state.timing.spread_factor
-        return place_step(step, candidates, factor, anyio.current_time())
+        shunned = self.reserved.keys() - step.reserved
+        return place_step(step, candidates, factor, anyio.current_time(), shunned)
+
+    def admits(self, executor: ExecutorState, step: Step, priority: int) -> bool:
+        """Tell whether an executor is not kept for another step."""
+        reservation = self.reserved.get(executor.executor_id)
+        return reservation is None or reservation.admits(step, priority)
 
     def choose_asked(
         self,
         step: Step,
+        timing: PolicyTiming,
         eligible: list[ExecutorState],
-        holding: list[ExecutorState],
+        now: float,
     ) -> list[ExecutorState]:
         """Return the executors to ask about.
 
         New ones are asked about until the allowed ones have room for the step; allowed
-        ones whose ticket has ended are asked about again once they have room.
+        ones whose ticket has ended are asked about again once they have room. Tickets
+        of executors that are kept for the step are renewed before they end.
         """
         new = [each for each in eligible if each.executor_id not in step.asked]
         allowed = [each for each in eligible if each.executor_id in step.allowed]
         placements = self.place(step, allowed) if allowed else []
         asked = new if len(placements) < len(step.pending) else []
-        if placements:
-            expired = [each for each in allowed if each not in holding]
-            asked = asked + [each for each in expired if each.fit_count(step.spec)]
+        with_room = {
+            executor.executor_id
+            for executor in allowed
+            if placements and executor.fit_count(step.spec)
+        }
+        call_s = timing.call_s(1 + len(step.reserved)) + TICKET_MARGIN_S
+        for executor in allowed:
+            executor_id = executor.executor_id
+            ticket = step.tickets.get(executor_id)
+            left_s = ticket.expires_at - now if ticket else 0.0
+            if executor_id in step.reserved and left_s < call_s:
+                asked.append(executor)
+            elif executor_id in with_room and left_s < TICKET_MARGIN_S:
+                asked.append(executor)
         return asked[:MAX_ASKED]
 
     def start_all(self, step: Step, placements: list[Placement], now: float) -> None:
--- a/gypsumring/dispatch/placing.py
+++ b/gypsumring/dispatch/placing.py
@@ -1,5 +1,7 @@
 """Choose executors for the tasks of a step."""
 
+from collections.abc import Collection
+
 from gypsumring.fleet import ExecutorState
 from gypsumring.pipelines.state import Step
 
@@ -39,40 +41,44 @@
     return max(0, room)
 
 
-def sort_key(step: Step, executor: ExecutorState) -> tuple:
+def sort_key(step: Step, executor: ExecutorState, shunned: Collection[str]) -> tuple:
     """Return the preference of an executor for a step; the smallest goes first."""
     near = step.spec.data_rack
-    free = executor.entry.cpu_millis - executor.used_cpu
     return (
+        executor.executor_id in shunned,
         executor.health.is_suspect(),
         bool(near) and near not in executor.entry.labels,
         round(executor.health.slowdown * 4),
-        free,
+        executor.free_cpu(),
         executor.executor_id,
     )
 
 
 def place_step(
-    step: Step, candidates: list[ExecutorState], spread_factor: float, now: float
+    step: Step,
+    candidates: list[ExecutorState],
+    spread_factor: float,
+    now: float,
+    shunned: Collection[str] = (),
 ) -> list[Placement]:
     """Return places for the pending tasks of a step; a gang gets all or none.
 
-    Work away from its data, or spread over racks where it wants one, takes
-    ``spread_factor`` times as long. So it waits for a better place for as long as the
-    worse one would cost.
+    Executors that are ``shunned`` are used last. Work away from its data, or spread
+    over racks where it wants one, takes ``spread_factor`` times as long. So it waits
+    for a better place for as long as the worse one would cost.
     """
     spec = step.spec
     patient = waits_for_place(step, spread_factor, now)
     if spec.data_rack:
         near = [each for each in candidates if each.rack == spec.data_rack]
-        placements = fill(step, near)
+        placements = fill(step, near, shunned)
         if placements or (patient and near):
             return placements
     if spec.same_rack:
-        placements = fill_one_rack(step, candidates)
+        placements = fill_one_rack(step, candidates, shunned)
         if placements or patient:
             return placements
-    return fill(step, candidates)
+    return fill(step, candidates, shunned)
 
 
 def waits_for_place(step: Step, spread_factor: float, now: float) -> bool:
@@ -83,7 +89,9 @@
     return now - step.waiting_since < extra_s
 
 
-def fill_one_rack(step: Step, candidates: list[ExecutorState]) -> list[Placement]:
+def fill_one_rack(
+    step: Step, candidates: list[ExecutorState], shunned: Collection[str]
+) -> list[Placement]:
     """Return places on the rack that takes most tasks; a step keeps to its rack."""
     racks: dict[str, list[ExecutorState]] = {}
     for executor in candidates:
@@ -91,13 +99,15 @@
     used = {run.rack for run in step.active_runs()}
     if used:
         racks = {rack: racks[rack] for rack in used if rack in racks}
-    options = [fill(step, executors) for _, executors in sorted(racks.items())]
+    options = [fill(step, executors, shunned) for _, executors in sorted(racks.items())]
     return max(options, key=len, default=[])
 
 
-def fill(step: Step, candidates: list[ExecutorState]) -> list[Placement]:
+def fill(
+    step: Step, candidates: list[ExecutorState], shunned: Collection[str]
+) -> list[Placement]:
     """Return places on the candidates in order of preference."""
-    ordered = sorted(candidates, key=lambda executor: sort_key(step, executor))
+    ordered = sorted(candidates, key=lambda each: sort_key(step, each, shunned))
     room = {executor.executor_id: room_for(step, executor) for executor in ordered}
     if step.spec.gang and sum(room.values()) < len(step.pending):
         return []
--- /dev/null
+++ b/gypsumring/dispatch/tests/test_reserving.py
@@ -0,0 +1,116 @@
+"""Executors kept for large tasks under a stream of small ones."""
+
+from gypsumring.dispatch import place_step, reserve_executors
+from gypsumring.dispatch.tests.fleets import make_fleet, make_step
+from gypsumring.pipelines import Queue
+from gypsumring.utils.testing import make_load_tests
+
+BULK = Queue(name="bulk", host="", path_prefix="", service="svc", priority=1)
+FILLER = Queue(name="filler", host="", path_prefix="", service="svc", priority=2)
+URGENT = Queue(name="urgent", host="", path_prefix="", service="svc", priority=0)
+ROUND_S = 0.1
+RUN_ROUNDS = 20
+
+
+def make_waiting(fleet, **fields):
+    """Return a step of large tasks that is allowed everywhere and has waited."""
+    step = make_step(cpu_millis=5000, **fields)
+    step.allowed = {executor.executor_id for executor in fleet}
+    step.waiting_since = 0.0
+    return step
+
+
+def play(rounds: int, with_reservations: bool) -> int | None:
+    """Play a stream of small tasks that takes all room as soon as it is free.
+
+    Return the round in which a large task has found room, if it has.
+    """
+    fleet = make_fleet(4)
+    large = make_waiting(fleet, job_id="b" * 16, task_count=1)
+    running = []
+    number = 0
+    for now in range(rounds):
+        for ends_at, executor in list(running):
+            if ends_at <= now:
+                running.remove((ends_at, executor))
+                executor.used_cpu -= 1000
+        for executor in fleet:
+            executor.note_clock(1000 + now * 100, now * ROUND_S)
+        reserved = {}
+        if with_reservations:
+            steps = [(large, BULK)]
+            reserved = reserve_executors(steps, fleet, 1.0 + now * ROUND_S)
+        if now > RUN_ROUNDS and place_step(large, fleet, 3.0, now):
+            return now
+        number += 1
+        small = make_step(job_id=f"{number:016x}", task_count=2)
+        open_ones = [
+            executor
+            for executor in fleet
+            if executor.executor_id not in reserved
+            or reserved[executor.executor_id].admits(small, FILLER.priority)
+        ]
+        for each in place_step(small, open_ones, 3.0, now):
+            each.executor.used_cpu += 1000
+            running.append((now + RUN_ROUNDS, each.executor))
+    return None
+
+
+def test_large_task_waits_forever_behind_a_stream_of_small_ones():
+    assert play(200, with_reservations=False) is None
+
+
+def test_reserved_executor_gathers_room_for_a_large_task():
+    assert play(200, with_reservations=True) is not None
+
+
+def test_urgent_work_may_use_reserved_executors_but_takes_them_last():
+    fleet = make_fleet(4)
+    large = make_waiting(fleet, job_id="b" * 16, task_count=1)
+    reserved = reserve_executors([(large, BULK)], fleet, 1.0)
+    (kept,) = reserved
+    urgent = make_step(task_count=32)
+    assert reserved[kept].admits(urgent, URGENT.priority)
+    assert not reserved[kept].admits(urgent, FILLER.priority)
+    placements = place_step(urgent, fleet, 3.0, 0.0, reserved)
+    assert [each.executor.executor_id for each in placements[-8:]] == [kept] * 8
+
+
+def test_gang_keeps_as_many_executors_as_its_members_need():
+    fleet = make_fleet(8)
+    gang = make_waiting(fleet, task_count=2, gang=True)
+    assert len(reserve_executors([(gang, BULK)], fleet, 1.0)) == 2
+
+
+def test_reservations_stay_and_end_with_the_wait():
+    fleet = make_fleet(4)
+    large = make_waiting(fleet, task_count=1)
+    first = set(reserve_executors([(large, BULK)], fleet, 1.0))
+    other = next(each for each in fleet if each.executor_id not in first)
+    for executor in fleet:
+        executor.used_cpu = 4000 if executor is other else 6000
+    assert set(reserve_executors([(large, BULK)], fleet, 1.1)) == first
+    large.pending.clear()
+    assert reserve_executors([(large, BULK)], fleet, 1.2) == {}
+
+
+def test_small_and_patient_steps_reserve_nothing():
+    fleet = make_fleet(4)
+    small = make_waiting(fleet, task_count=1)
+    small.spec = make_step(task_count=1, cpu_millis=500).spec
+    assert reserve_executors([(small, BULK)], fleet, 1.0) == {}
+    fresh = make_waiting(fleet, task_count=1)
+    fresh.waiting_since = 0.9
+    assert reserve_executors([(fresh, BULK)], fleet, 1.0) == {}
+
+
+def test_most_executors_stay_open_to_all():
+    fleet = make_fleet(10)
+    steps = [
+        (make_waiting(fleet, job_id=f"{number:016x}", task_count=9), BULK)
+        for number in range(6)
+    ]
+    assert len(reserve_executors(steps, fleet, 1.0)) == 3
+
+
+load_tests = make_load_tests(globals())
--- a/gypsumring/fleet/executor.py
+++ b/gypsumring/fleet/executor.py
@@ -185,6 +185,10 @@
             and not self.health.is_quarantined(now)
         )
 
+    def free_cpu(self) -> int:
+        """Return the processors that no task takes, in thousandths of a core."""
+        return self.entry.cpu_millis - self.used_cpu
+
     def fit_count(self, spec: StepSpec) -> int:
         """Return how many more tasks of a step the free room holds."""
         room = spec.task_count
--- a/gypsumring/pipelines/state.py
+++ b/gypsumring/pipelines/state.py
@@ -101,6 +101,7 @@
         "occurrence",
         "opened_at",
         "pending",
+        "reserved",
         "runs",
         "spec",
         "states",
@@ -141,6 +142,8 @@
         self.asking = False
         # Since when the step has waited for a good place.
         self.waiting_since: float | None = None
+        # Executors that take no work of other steps until this one has its room.
+        self.reserved: set[str] = set()
 
     @property
     def name(self) -> str:
