Hold back after a takeover only what may run on a silent executor

Ruled out: room (a third of the cores was free) and the policy service (calls took their usual time).

Change: a task that was found running, and all that depends on it, is free at once; only tasks of which no list tells wait, and for the lease that owners ask for (5 s, durable in the store) and 1 s, in place of 10 s. For that bound an owner that stood still for longer than its membership extends no lease until the group has confirmed the cell.

--- a/gypsumring/cell/attending.py
+++ b/gypsumring/cell/attending.py
@@ -116,7 +116,7 @@
     def has_left(self, executor: ExecutorState) -> bool:
         """Tell whether an executor that is no longer listed can be forgotten."""
         now = self.state.clock()
-        if executor.lease_is_over(now, self.state.timing.longest_lease_s):
+        if executor.lease_is_over(now, self.state.inherited_lease_s):
             return True
         answers = now - executor.last_contact_at < HOLD_WAIT_S * 2
         return (
@@ -143,7 +143,7 @@
         usual_s = HOLD_WAIT_S if executor.runs else IDLE_HOLD_WAIT_S
         wait_s = 0.0 if quick else usual_s
         lease_until = None
-        if not first and not executor.is_silent:
+        if not first and not executor.is_silent and self.state.may_extend():
             lease_ms = int(self.state.timing.lease_s * 1000)
             lease_until = executor.extend_lease(lease_ms, self.state.clock())
         requested_at = anyio.current_time()
@@ -171,5 +171,5 @@
     def check_lease(self, executor: ExecutorState) -> None:
         """Release the tasks of a silent executor once its lease is surely over."""
         now = self.state.clock()
-        if executor.lease_is_over(now, self.state.timing.longest_lease_s):
+        if executor.lease_is_over(now, self.state.inherited_lease_s):
             self.lists.lose_all(executor, "lease is over")
--- a/gypsumring/cell/lists.py
+++ b/gypsumring/cell/lists.py
@@ -54,7 +54,7 @@
         """Note that nothing unknown runs on an executor any more."""
         if executor.executor_id in self.state.unsettled:
             self.state.unsettled.discard(executor.executor_id)
-            self.state.wake()
+            self.state.settle_jobs()
 
     def break_gang(self, run: Run) -> None:
         """Stop the other members of a gang that has lost one."""
@@ -78,8 +78,9 @@
         executor.was_lost = False
         executor.note_clock(lists.clock_ms, self.state.clock())
         if first and executor.executor_id in self.state.unsettled:
-            # The owner before may have asked for the longest lease just now.
-            executor.lease_until_ms = lists.clock_ms + longest_ms
+            # The owner before may have extended the lease just now.
+            inherited_ms = int(self.state.inherited_lease_s * 1000)
+            executor.lease_until_ms = lists.clock_ms + inherited_ms
         inherits = first and executor.executor_id in self.state.unsettled
         if reborn or was_lost:
             self.shut_out(executor)
@@ -125,7 +126,7 @@
             key = (listed.task, listed.attempt)
             run = executor.runs.get(key)
             if run is None and inherits:
-                run = self.adopt(executor, listed.task, listed.attempt)
+                run = self.adopt(executor, listed.task, listed.attempt, True)
             if run is None:
                 if key not in executor.unknown_runs:
                     log.warning(
@@ -164,10 +165,12 @@
         run.step.avoided.setdefault(run.index, set()).add(run.executor_id)
         self.orders.stop(run)
 
-    def adopt(self, executor: ExecutorState, task: str, attempt: int) -> Run | None:
+    def adopt(
+        self, executor: ExecutorState, task: str, attempt: int, running: bool
+    ) -> Run | None:
         """Take over an attempt of an earlier owner."""
         run = self.state.table.adopt(
-            task, attempt, executor.executor_id, anyio.current_time()
+            task, attempt, executor.executor_id, anyio.current_time(), running
         )
         if run is None:
             return None
@@ -189,7 +192,7 @@
             executor.seen_end = end.number
             run = executor.runs.get((end.task, end.attempt))
             if run is None and inherits:
-                run = self.adopt(executor, end.task, end.attempt)
+                run = self.adopt(executor, end.task, end.attempt, False)
             if run is None:
                 continue
             executor.remove_run(run)
--- a/gypsumring/cell/orders.py
+++ b/gypsumring/cell/orders.py
@@ -77,7 +77,7 @@
             if step.spec.gang and self.is_late(run):
                 self.stop_gang(run)
                 return
-            if executor.is_silent:
+            if executor.is_silent or not self.state.may_extend():
                 await anyio.sleep(RETRY_PAUSE_S)
                 continue
             client = self.state.clients[run.executor_id]
--- a/gypsumring/cell/owner.py
+++ b/gypsumring/cell/owner.py
@@ -16,6 +16,7 @@
 from gypsumring.cell.state import (
     EXECUTOR_KEY,
     JOB_KEY,
+    LEASE_KEY,
     OWNER_KEY,
     PROGRESS_KEY,
     TERM_KEY,
@@ -42,6 +43,8 @@
 
 # Attempt numbers of one term lie below those of the next.
 ATTEMPTS_PER_TERM = 1_000
+# An owner that has lost the cell learns it within this time, and extends no lease then.
+LATE_EXTENSION_S = 1.0
 READ_S = 5.0
 RETRY_S = 0.1
 # Records of ended jobs are kept a little longer than callers may ask for them.
@@ -85,6 +88,7 @@
         metrics: Metrics,
         clock: Clock,
         wall_clock: WallClock,
+        may_extend: Callable[[], bool] = lambda: True,
     ):
         self.store = store
         self.topic = topic
@@ -92,7 +96,14 @@
         self.fence = fence
         journal = Journal(store, topic, partition, f"cell-{partition}", fence)
         self.state = CellState(
-            fence, journal, desired_state, timing, metrics, clock, wall_clock
+            fence,
+            journal,
+            desired_state,
+            timing,
+            metrics,
+            clock,
+            wall_clock,
+            may_extend,
         )
         self.orders = Orders(self.state)
         self.attendant = Attendant(self.state, self.orders, connect)
@@ -159,11 +170,13 @@
         term = self.read_term(by_key.get(TERM_KEY))
         self.state.table = JobTable(self.state.wall_clock, term * ATTEMPTS_PER_TERM + 1)
         self.state.journal.put(TERM_KEY, msgspec.json.encode(term + 1))
+        self.restore_lease(by_key.get(LEASE_KEY))
         for key, value in by_key.items():
             if key.startswith(JOB_KEY):
                 self.restore_job(key[len(JOB_KEY) :], value, by_key)
             elif key.startswith(EXECUTOR_KEY):
                 self.restore_executor(key, value)
+        self.state.settle_jobs()
         log.info(
             "cell read",
             cell=self.partition,
@@ -186,6 +199,17 @@
                 log.warning("cell not read", cell=self.partition, error=str(error))
                 await anyio.sleep(RETRY_S)
 
+    def restore_lease(self, value: bytes | None) -> None:
+        """Note the longest lease that owners before may have asked for."""
+        timing = self.state.timing
+        own_ms = int(timing.lease_s * 1000)
+        longest_ms = int(timing.longest_lease_s * 1000)
+        known_ms = longest_ms if value is None else msgspec.json.decode(value, type=int)
+        inherited_ms = min(max(known_ms, own_ms), longest_ms)
+        self.state.inherited_lease_s = inherited_ms / 1000 + LATE_EXTENSION_S
+        if value is None or known_ms < own_ms:
+            self.state.journal.put(LEASE_KEY, msgspec.json.encode(own_ms))
+
     def read_term(self, value: bytes | None) -> int:
         """Return the number of owners so far."""
         if value is None:
--- a/gypsumring/cell/scheduling.py
+++ b/gypsumring/cell/scheduling.py
@@ -93,11 +93,7 @@
         for executor in fleet:
             if executor.entry.draining:
                 self.evacuate(executor, now)
-        jobs = [
-            job
-            for job in self.state.table.active.values()
-            if not (job.inherited and self.state.unsettled)
-        ]
+        jobs = list(self.state.table.active.values())
         steps = order_steps(jobs, self.state.find_queue, now)
         self.reserved = reserve_executors(steps, fleet, self.state.clock())
         for step, queue in steps:
--- a/gypsumring/cell/state.py
+++ b/gypsumring/cell/state.py
@@ -23,6 +23,8 @@
 TERM_KEY = "term"
 # The fence number of the newest owner.
 OWNER_KEY = "owner"
+# The longest lease that owners have asked for, in milliseconds.
+LEASE_KEY = "lease"
 
 
 class CellTiming:
@@ -62,8 +64,10 @@
         "fence",
         "fleet",
         "group",
+        "inherited_lease_s",
         "journal",
         "last_queues",
+        "may_extend",
         "metrics",
         "table",
         "timing",
@@ -80,6 +84,7 @@
         metrics: Metrics,
         clock: Clock,
         wall_clock: WallClock,
+        may_extend: Callable[[], bool],
     ):
         self.fence = fence
         self.journal = journal
@@ -88,6 +93,11 @@
         self.metrics = metrics
         self.clock = clock
         self.wall_clock = wall_clock
+        # Whether leases may be extended: not after a pause of this process, since the
+        # next owner counts on the end of the leases that were granted before.
+        self.may_extend = may_extend
+        # Within this time after the takeover the leases of the owner before end.
+        self.inherited_lease_s = timing.longest_lease_s
         self.table = JobTable(wall_clock)
         self.fleet: dict[str, ExecutorState] = {}
         self.clients: dict[str, TaskExecutor] = {}
@@ -104,6 +114,13 @@
         """Let the scheduler look at the ready steps."""
         self.changed.set()
 
+    def settle_jobs(self) -> None:
+        """Let tasks of earlier owners be placed once all executors were heard."""
+        if not self.unsettled:
+            for job in self.table.active.values():
+                job.settle()
+        self.wake()
+
     def find_queue(self, job: Job) -> Queue:
         """Return the queue of a job, as it was last if it has been dropped."""
         desired = self.desired_state()
--- a/gypsumring/cell/tests/test_recovery.py
+++ b/gypsumring/cell/tests/test_recovery.py
@@ -98,6 +98,37 @@
             assert await cluster.wait_final(f"{number:016x}") is JobPhase.COMPLETED
 
 
+async def test_silent_executor_does_not_hold_up_what_surely_runs_nowhere():
+    # Dependent steps of adopted tasks waited for the lease of an idle executor.
+    async with running_cluster(steady_behaviour(3.0), nodes=3) as cluster:
+        assert await cluster.submit(make_job("a" * 16, BATCH, NEXT)) is Outcome.OK
+        await anyio.sleep(0.3)
+        fleet = cluster.owner_node().owner().state.fleet
+        idle = next(name for name, each in fleet.items() if not each.runs)
+        cluster.executors[idle].crash()
+        killed = anyio.current_time()
+        cluster.owner_node().kill()
+        assert await cluster.wait_final("a" * 16) is JobPhase.COMPLETED
+        assert anyio.current_time() - killed < 8.0
+
+
+async def test_tasks_that_may_run_on_a_silent_executor_wait_for_its_lease():
+    async with running_cluster(
+        steady_behaviour(2.0), nodes=3, cpu_millis=2000
+    ) as cluster:
+        assert await cluster.submit(make_job("a" * 16, BATCH)) is Outcome.OK
+        await anyio.sleep(1.0)
+        cluster.executors["i-0"].crash()
+        killed = anyio.current_time()
+        cluster.owner_node().kill()
+        count = len(cluster.world.starts)
+        while len(cluster.world.starts) == count:
+            await anyio.sleep(0.01)
+        # Owners ask for leases of 5 s, though executors would grant 10 s.
+        assert 5.0 < anyio.current_time() - killed < 8.0
+        assert await cluster.wait_final("a" * 16) is JobPhase.COMPLETED
+
+
 async def test_silent_executor_loses_its_tasks_only_after_the_lease():
     async with running_cluster(steady_behaviour(4.0)) as cluster:
         assert await cluster.submit(make_job("a" * 16, BATCH)) is Outcome.OK
--- a/gypsumring/fleet/executor.py
+++ b/gypsumring/fleet/executor.py
@@ -136,14 +136,14 @@
         self.lease_until_ms = max(self.lease_until_ms, until)
         return until
 
-    def lease_is_over(self, now: float, longest_lease_s: float) -> bool:
+    def lease_is_over(self, now: float, inherited_lease_s: float) -> bool:
         """Tell whether everything on the executor has surely ended.
 
         An executor that never answered this owner may hold a lease of the owner
-        before, which ends within the longest lease that executors grant.
+        before, which ends within ``inherited_lease_s`` after the takeover.
         """
         if self.first_contact_at is None:
-            limit = longest_lease_s * (1 + 2 * CLOCK_DRIFT) + LEASE_MARGIN_MS / 1000
+            limit = inherited_lease_s * (1 + 2 * CLOCK_DRIFT) + LEASE_MARGIN_MS / 1000
             return now >= self.watched_since + limit
         return self.clock_at_least_ms(now) > self.lease_until_ms + LEASE_MARGIN_MS
 
--- a/gypsumring/node/membership.py
+++ b/gypsumring/node/membership.py
@@ -7,6 +7,7 @@
 
 from gypsumring.cell import CellOwner
 from gypsumring.ports.store import Assignment, Store, StoreRefused, StoreUnavailable
+from gypsumring.utils.clock import Clock
 from gypsumring.utils.logs import EventLogger
 
 __all__ = ["Member", "Membership"]
@@ -54,6 +55,7 @@
 
     __slots__ = (
         "cell",
+        "clock",
         "confirmed_at",
         "fence_generation",
         "generation",
@@ -64,9 +66,11 @@
         "owner",
         "owner_count",
         "owner_scope",
+        "paused",
         "started_at",
         "stopping",
         "store",
+        "ticked_at",
         "topic",
         "ttl_s",
     )
@@ -80,6 +84,7 @@
         member: str,
         ttl_s: float,
         make_owner: Callable[[int], CellOwner],
+        clock: Clock = anyio.current_time,
     ):
         self.store = store
         self.group_name = group_name
@@ -97,6 +102,11 @@
         # When the last join was sent that confirmed the cell as ours.
         self.confirmed_at = float("-inf")
         self.stopping = False
+        # Counts suspended time.
+        self.clock = clock
+        self.ticked_at = clock()
+        # The process has stood still for so long that another node may own the cell.
+        self.paused = False
         self.started_at = anyio.current_time()
 
     def is_fresh(self) -> bool:
@@ -117,6 +127,7 @@
         async with anyio.create_task_group() as group:
             self.group = group
             while not self.stopping:
+                self.tick()
                 sent = anyio.current_time()
                 try:
                     assignment = await self.store.join(
@@ -130,11 +141,27 @@
                 except (StoreUnavailable, StoreRefused) as error:
                     log.debug("join failed", error=str(error))
                 else:
+                    self.tick()
                     if not self.stopping:
                         await self.apply(assignment, sent)
                 waits = self.is_starting() and self.owner is None
                 await anyio.sleep(STARTING_PERIOD_S if waits else JOIN_PERIOD_S)
 
+    def tick(self) -> None:
+        """Notice that the process has stood still."""
+        now = self.clock()
+        if now - self.ticked_at > self.ttl_s:
+            self.paused = True
+        self.ticked_at = now
+
+    def may_extend(self) -> bool:
+        """Tell whether leases may be extended.
+
+        After a pause the group has to confirm the cell first. An owner that does not
+        reach the store goes on, since nobody else can take over while it is away.
+        """
+        return not self.paused and self.clock() - self.ticked_at <= self.ttl_s
+
     async def apply(self, assignment: Assignment, sent: float) -> None:
         """Start or stop the cell as the group says."""
         settled = assignment.generation == self.generation
@@ -146,6 +173,7 @@
             await self.stop_owner("dealt to another node")
             return
         self.confirmed_at = sent
+        self.paused = False
         if self.owner is None and (settled or not self.is_starting()):
             self.owner = self.make_owner(self.next_fence(assignment.generation))
             self.group.start_soon(self.run_owner, self.owner)
--- a/gypsumring/node/node.py
+++ b/gypsumring/node/node.py
@@ -114,7 +114,14 @@
         member = Member(settings.node, settings.peer_address, uuid.uuid4().hex[:8])
         ttl_s = max(MEMBERSHIP_S, settings.store.shortest_membership_ms / 1000)
         self.membership = Membership(
-            store, GROUP, CELL_TOPIC, self.cell, str(member), ttl_s, self.make_owner
+            store,
+            GROUP,
+            CELL_TOPIC,
+            self.cell,
+            str(member),
+            ttl_s,
+            self.make_owner,
+            suspend_aware_time,
         )
         self.link = OwnerLink(
             store, GROUP, self.cell, member, self.own_fence, self.handle
@@ -153,6 +160,7 @@
             self.metrics,
             suspend_aware_time,
             unix_ms,
+            lambda: self.membership.may_extend(),
         )
 
     def apply_settings(self, settings: NodeSettings) -> list[str]:
--- /dev/null
+++ b/gypsumring/node/tests/test_membership.py
@@ -0,0 +1,107 @@
+"""Membership of a process that stands still."""
+
+import anyio
+
+from gypsumring.node.membership import Membership
+from gypsumring.ports.store import Assignment, StoreUnavailable
+from gypsumring.utils.testing import make_load_tests
+
+TTL_S = 1.0
+
+
+class ScriptedOwner:
+    """An owner that runs until it is stopped."""
+
+    __slots__ = ("loaded", "stopped")
+
+    def __init__(self):
+        self.loaded = True
+        self.stopped = anyio.Event()
+
+    async def run(self) -> None:
+        """Run until cancelled."""
+        try:
+            await anyio.sleep_forever()
+        finally:
+            self.stopped.set()
+
+
+class ScriptedStore:
+    """Deal the cell to everybody who asks, unless it is away."""
+
+    __slots__ = ("is_away", "partitions")
+
+    def __init__(self):
+        self.is_away = False
+        self.partitions = frozenset({0})
+
+    async def join(self, group, member, topic, ttl_s, generation, deadline):
+        """Answer one join."""
+        await anyio.sleep(0.01)
+        if self.is_away:
+            raise StoreUnavailable("away")
+        return Assignment(1, self.partitions)
+
+
+class PausableClock:
+    """Count the time in which the process stands still as well."""
+
+    __slots__ = ("paused_s",)
+
+    def __init__(self):
+        self.paused_s = 0.0
+
+    def __call__(self) -> float:
+        return anyio.current_time() + self.paused_s
+
+
+async def run_checks(check) -> None:
+    """Run a membership that has got the cell, and a check beside it."""
+    store, clock = ScriptedStore(), PausableClock()
+    membership = Membership(
+        store, "g", "cells", 0, "n0", TTL_S, lambda fence: ScriptedOwner(), clock
+    )
+    async with anyio.create_task_group() as group:
+        group.start_soon(membership.run)
+        await anyio.sleep(0.5)
+        assert membership.may_extend()
+        await check(membership, store, clock)
+        group.cancel_scope.cancel()
+
+
+async def test_no_lease_is_extended_after_a_pause_until_the_cell_is_confirmed():
+    # Another node may own the cell, and count on the end of the leases.
+    async def check(membership, store, clock):
+        store.is_away = True
+        clock.paused_s += 4.0
+        assert not membership.may_extend()
+        await anyio.sleep(2.0)
+        assert not membership.may_extend()
+        store.is_away = False
+        await anyio.sleep(0.2)
+        assert membership.may_extend()
+
+    await run_checks(check)
+
+
+async def test_leases_are_extended_while_the_store_is_away():
+    async def check(membership, store, clock):
+        store.is_away = True
+        for _ in range(50):
+            await anyio.sleep(0.1)
+            assert membership.may_extend()
+
+    await run_checks(check)
+
+
+async def test_owner_that_loses_the_cell_is_stopped():
+    async def check(membership, store, clock):
+        assert membership.active_owner() is not None
+        store.partitions = frozenset()
+        await anyio.sleep(0.3)
+        assert membership.active_owner() is None
+
+    await run_checks(check)
+
+
+load_tests = make_load_tests(globals())
--- a/gypsumring/pipelines/state.py
+++ b/gypsumring/pipelines/state.py
@@ -47,6 +47,7 @@
         "step",
         "task",
         "unanswered",
+        "was_running",
     )
 
     def __init__(
@@ -61,6 +62,8 @@
         self.started_at = now
         self.answered_at: float | None = None
         self.unanswered = 0
+        # It ran under this owner, so that no earlier owner knows of its end.
+        self.was_running = True
         self.percent = 0.0
         self.rack = ""
         # Tail latency in milliseconds of a serving task, else the cpu in use.
@@ -106,7 +109,9 @@
         "spec",
         "states",
         "tickets",
+        "uncertain",
         "waiting_since",
+        "withheld",
     )
 
     def __init__(
@@ -132,6 +137,10 @@
         # Executors on which a task failed or stood still, by task index.
         self.avoided: dict[int, set[str]] = {}
         self.pending = set(range(spec.task_count))
+        # Tasks of an earlier owner that may run on an executor not yet heard, and those
+        # of them that wait to be placed.
+        self.uncertain: set[int] = set()
+        self.withheld: set[int] = set()
         self.done_count = 0
         self.runs: dict[int, list[Run]] = {}
         self.held_back_until = 0.0
@@ -174,16 +183,38 @@
             return False
         self.states[index] = TaskState.DONE
         self.pending.discard(index)
+        self.withheld.discard(index)
+        self.uncertain.discard(index)
         self.checkpoints.pop(index, None)
         self.done_count += 1
         return True
 
     def mark_pending(self, index: int) -> None:
         """Let a task be placed again."""
-        if self.states[index] != TaskState.DONE:
-            self.states[index] = TaskState.PENDING
+        if self.states[index] == TaskState.DONE:
+            return
+        self.states[index] = TaskState.PENDING
+        if index in self.uncertain or (self.spec.gang and self.uncertain):
+            self.withheld.add(index)
+        else:
             self.pending.add(index)
 
+    def withhold(self) -> None:
+        """Place no task that is not done, since an earlier owner may have."""
+        self.uncertain |= self.pending
+        self.withheld |= self.pending
+        self.pending.clear()
+
+    def note_running(self, index: int) -> None:
+        """Note that the only attempt of a task has been found."""
+        self.uncertain.discard(index)
+
+    def settle(self) -> None:
+        """Let the withheld tasks be placed: they run nowhere."""
+        self.uncertain.clear()
+        self.pending |= self.withheld
+        self.withheld.clear()
+
     def checkpoint_of(self, index: int) -> str:
         """Return the checkpoint from which a task resumes; a gang has one for all."""
         if self.spec.gang:
@@ -235,10 +266,24 @@
         for number, spec in enumerate(self.spec.steps):
             before = [steps[earlier] for earlier in spec.after]
             steps.append(Step(self, self.opened, number, spec, before))
+            if self.inherited:
+                steps[-1].withhold()
         self.opened += 1
         self.steps.extend(steps)
         return steps
 
+    def settle(self) -> None:
+        """Note that all tasks of earlier owners have been found or have ended."""
+        self.inherited = False
+        for step in self.steps:
+            step.settle()
+
+    def settle_after(self, step: Step) -> None:
+        """Note that no earlier owner can have started what depends on a step."""
+        for later in self.steps:
+            if step in later.before:
+                later.settle()
+
     def open_due(self, now_ms: int, now: float) -> bool:
         """Begin the occurrences that are due by Unix time; tell if there are any."""
         opened = self.opened
--- a/gypsumring/pipelines/table.py
+++ b/gypsumring/pipelines/table.py
@@ -78,6 +78,7 @@
         step.attempts[index] = max(step.attempts[index], attempt)
         step.runs.setdefault(index, []).append(run)
         step.pending.discard(index)
+        step.withheld.discard(index)
         if step.states[index] != TaskState.DONE:
             step.states[index] = TaskState.PLACED
         step.job.started = True
@@ -87,14 +88,18 @@
         return run
 
     def adopt(
-        self, task: str, attempt: int, executor_id: str, now: float
+        self, task: str, attempt: int, executor_id: str, now: float, running: bool
     ) -> Run | None:
-        """Record an attempt of an earlier owner that an executor lists as running."""
+        """Record an attempt of an earlier owner that an executor lists."""
         found = self.find_step(task, now)
         if found is None:
             return None
-        run = self.place(found[0], found[1], attempt, executor_id, now)
+        step, index = found
+        run = self.place(step, index, attempt, executor_id, now)
         run.state = RunState.RUNNING
+        run.was_running = running
+        if running:
+            step.note_running(index)
         run.answered_at = now
         return run
 
@@ -136,6 +141,8 @@
         changed = any([step.mark_done(index) for index in indices])
         # Members of a gang end by themselves; other copies of a task are stopped.
         stop = [] if step.spec.gang else list(step.runs.get(run.index, ()))
+        if run.was_running:
+            step.job.settle_after(step)
         step.job.close_done()
         if step.job.is_done:
             step.job.phase = JobPhase.COMPLETED
--- a/stand_ins/platform/cluster.py
+++ b/stand_ins/platform/cluster.py
@@ -91,6 +91,7 @@
             self.cluster.metrics,
             anyio.current_time,
             lambda: int(anyio.current_time() * 1000),
+            lambda: self.membership.may_extend(),
         )
 
     def connect(self, executor_id: str, address: str) -> TaskExecutor:
