Acknowledge no ends on the first hold after a silence

Change: a hold after an unanswered one acknowledges nothing; the executor lists its ends and its birth first.

--- a/gypsumring/cell/attending.py
+++ b/gypsumring/cell/attending.py
@@ -148,10 +148,12 @@
             lease_until = executor.extend_lease(lease_ms, self.state.clock())
         requested_at = anyio.current_time()
         client = self.state.clients[executor.executor_id]
+        # After a silence another incarnation may answer, whose ends count anew.
+        last_seen = 0 if executor.is_silent else executor.durable_end
         limit = FIRST_HOLD_S if first else wait_s + HOLD_MARGIN_S
         lists = await client.hold(
             self.state.fence,
-            executor.durable_end,
+            last_seen,
             lease_until,
             wait_s,
             requested_at + limit,
