--- a/gypsumring/jobs/explaining.py
+++ b/gypsumring/jobs/explaining.py
@@ -29,7 +29,7 @@
         lines.append(("unrecovered jobs", str(len(manager.unrecovered))))
         missing = [
             shard
-            for shard in manager.needed_racks()
+            for shard in manager.recovery.needed_racks()
             if shard not in manager.synced_epochs
         ]
         lines.append(("racks not heard", ", ".join(missing) or "none"))
--- a/gypsumring/jobs/gangs.py
+++ b/gypsumring/jobs/gangs.py
@@ -51,7 +51,8 @@
             job.wait_reason = "the racks have no room for all tasks together"
             return 0
         attempts = [
-            self.manager.create_attempt(job, index, "") for index in job.waiting
+            self.manager.attempts.create_attempt(job, index, "")
+            for index in job.waiting
         ]
         job.waiting.clear()
         self.manager.pending.discard(job)
@@ -88,18 +89,19 @@
                 shares.append((rack, share))
         is_ready = not remaining and job.cancelled_by is None
         if is_ready and job.spec.task_runs_at_most_once:
-            is_ready = await self.manager.intend(job, attempts, deadline)
+            is_ready = await self.manager.dispatcher.intend(job, attempts, deadline)
         if not is_ready or job.cancelled_by is not None:
             for attempt in attempts:
-                self.manager.remove_attempt(attempt)
+                self.manager.attempts.remove_attempt(attempt)
             job.wait_reason = "the racks did not reserve room for all tasks together"
             self.delay_gang(job, job.tries)
             for rack in asked:
                 self.manager.spawn(self.release_reservation, rack, reservation_id)
             return
+        send_starts = self.manager.dispatcher.send_starts
         async with anyio.create_task_group() as sends:
             for rack, share in shares:
-                sends.start_soon(self.manager.send_starts, rack, share, reservation_id)
+                sends.start_soon(send_starts, rack, share, reservation_id)
 
     async def reserve(
         self,
@@ -116,12 +118,12 @@
             rack.epoch,
             reservation_id,
             tuple(attempt.to_start() for attempt in attempts),
-            self.manager.left_ms(deadline),
+            self.manager.dispatcher.left_ms(deadline),
         )
         try:
-            reply = await self.manager.call_rack(rack.shard, message)
+            reply = await self.manager.dispatcher.call_rack(rack.shard, message)
         except (PeerTimeout, PeerUnreachable, PeerRejected) as error:
-            self.manager.note_failed_call(rack, error)
+            self.manager.dispatcher.note_failed_call(rack, error)
             return 0
         if not isinstance(reply, ReserveReply):
             return 0
@@ -139,7 +141,7 @@
             reservation_id,
         )
         with suppress(PeerTimeout, PeerUnreachable, PeerRejected):
-            await self.manager.call_rack(rack.shard, message)
+            await self.manager.dispatcher.call_rack(rack.shard, message)
 
     def delay_gang(self, job: Job, tries: int) -> None:
         """Queue a gang again after a random delay, so that two do not collide again."""
--- a/gypsumring/jobs/replicas.py
+++ b/gypsumring/jobs/replicas.py
@@ -109,7 +109,7 @@
             job.queued_at = anyio.current_time()
             if not job.is_recovered:
                 self.manager.unrecovered[key] = job
-                self.manager.count_possible_usage()
+                self.manager.recovery.count_possible_usage()
         # The queue entry depends on the priority, which may change.
         self.manager.pending.discard(job)
         job.spec = spec
--- a/gypsumring/jobs/stops.py
+++ b/gypsumring/jobs/stops.py
@@ -58,7 +58,7 @@
             tuple(entries),
         )
         try:
-            reply = await self.manager.call_rack(rack.shard, message)
+            reply = await self.manager.dispatcher.call_rack(rack.shard, message)
         except (PeerTimeout, PeerUnreachable, PeerRejected):
             self.manager.metrics.retry("jobs", RetryReason.PEER_TIMEOUT)
             reply = None
@@ -72,7 +72,9 @@
             if attempt is None and reply is not None:
                 waiting.pop(entry, None)
             elif entry in settled and attempt is not None:
-                self.manager.end_attempt(attempt, TaskReportState.STOPPED, "stopped")
+                self.manager.attempts.end_attempt(
+                    attempt, TaskReportState.STOPPED, "stopped"
+                )
             elif entry in waiting:
                 waiting[entry] = repeat_at
 
--- a/gypsumring/scheduler/services.py
+++ b/gypsumring/scheduler/services.py
@@ -135,7 +135,7 @@
         async with anyio.create_task_group() as group:
             group.start_soon(self.stream.run)
             # The epoch record of the jobs fences the keys of earlier owners as well.
-            await self.jobs.recover()
+            await self.jobs.recovery.recover()
             while self.key_reader.waits_for_snapshot:
                 await anyio.sleep(SNAPSHOT_CHECK_S / 10)
             await self.keys.recover()
--- a/soak/tests/test_planted_faults.py
+++ b/soak/tests/test_planted_faults.py
@@ -8,7 +8,7 @@
 from gypsumring.documents import DocumentStore
 from gypsumring.gateway import GatewayNode
 from gypsumring.gateway import app as gateway_app
-from gypsumring.jobs import JobManager
+from gypsumring.jobs.attempts import AttemptBook
 from gypsumring.messages.peer import KeyDecision, KeyVerdict, TaskReportState
 from gypsumring.metrics import RefusalReason
 from gypsumring.placement import PlacementEngine
@@ -65,14 +65,14 @@
 
 def test_task_that_runs_twice_is_reported():
     """Guard against a check of invariant 2 that cannot fail."""
-    original = JobManager.apply_report
+    original = AttemptBook.apply_report
 
     def lose_running(self, shard, report, *args):
         if report.state is TaskReportState.RUNNING:
             report = msgspec.structs.replace(report, state=TaskReportState.LOST)
         return original(self, shard, report, *args)
 
-    patch = mock.patch.object(JobManager, "apply_report", lose_running)
+    patch = mock.patch.object(AttemptBook, "apply_report", lose_running)
     assert " ran on " in run_broken(patch, steps=150)
 
 
