Split the rack manager and the placement engine

Change: calls to workers (calling.py), placing of attempts (admitting.py) and the room of workers (rooms.py) are modules of their own; names and order of the methods stay.

--- a/gypsumring/placement/__init__.py
+++ b/gypsumring/placement/__init__.py
@@ -1,12 +1,6 @@
 """Placement of tasks on workers, and the manager of one rack's tasks."""
 
-from gypsumring.placement.engine import (
-    Demand,
-    HeldTask,
-    PlacementEngine,
-    Preemption,
-    WorkerRoom,
-)
+from gypsumring.placement.engine import PlacementEngine
 from gypsumring.placement.exceptions import NoFit
 from gypsumring.placement.policies import (
     BestFitScan,
@@ -20,6 +14,7 @@
     choose_policy,
 )
 from gypsumring.placement.rack import RackManager
+from gypsumring.placement.rooms import Demand, HeldTask, Preemption, WorkerRoom
 from gypsumring.placement.usage import UsageLearner
 
 __all__ = [
--- a/gypsumring/placement/attempts.py
+++ b/gypsumring/placement/attempts.py
@@ -7,7 +7,7 @@
 
 from gypsumring.messages.peer import TaskReport, TaskReportState
 from gypsumring.messages.work import Priority, Resources
-from gypsumring.placement.engine import Demand, Key
+from gypsumring.placement.rooms import Demand, Key
 from gypsumring.ports import (
     Inventory,
     TaskActionKind,
--- a/gypsumring/placement/rack.py
+++ b/gypsumring/placement/rack.py
@@ -28,6 +28,7 @@
 )
 from gypsumring.messages.work import Priority, Resources
 from gypsumring.metrics import RefusalReason, RetryReason
+from gypsumring.placement.admitting import TaskPlacer
 from gypsumring.placement.attempts import (
     Attempt,
     AttemptState,
@@ -35,22 +36,20 @@
     index_records,
     make_adopted,
 )
-from gypsumring.placement.engine import Demand, Key, PlacementEngine, Preemption
-from gypsumring.placement.exceptions import NoFit, NoLongerOwner
+from gypsumring.placement.calling import WorkerCaller
+from gypsumring.placement.engine import PlacementEngine
 from gypsumring.placement.explaining import explain
+from gypsumring.placement.limits import ACT_POLL_S, PART
 from gypsumring.placement.reports import ReportSender
+from gypsumring.placement.rooms import Demand, Key, Preemption
 from gypsumring.placement.usage import larger_of
 from gypsumring.ports import (
     Inventory,
     PeerRejected,
-    StartOutcome,
-    TaskAction,
     TaskActionKind,
     VmEntry,
     VmRole,
     VmState,
-    WorkerTimeout,
-    WorkerUnreachable,
 )
 from gypsumring.shards import ShardContext
 
@@ -58,33 +57,19 @@
 
 log = logbook.Logger("placement")
 
-PART = "placement"
+
 # A message may be delivered again by the transport while its caller waits, so
 # refusals and forgotten attempts are remembered for longer than any call takes.
 MEMORY_S = 60.0
-MAX_STARTS = 200
-USAGE_POLL_S = 4.0
-SILENT_RETRY_S = 0.5
-RENEW_RETRY_S = 0.5
 # Finished tasks hold their room until an inventory shows their end; 19 tasks make an
 # inventory of about 3 kB, so a look every 2 s costs a worker 1.5 kB/s.
 LOOK_S = 2.0
-LOOK_AFTER_ACTION_S = 0.25
 # How long a start waits for a new owner to have called its workers.
 RECOVERY_WAIT_S = 2.0
 ACCEPTED_AT_ONCE = 50
-ACT_POLL_S = 0.05
 # A task that fails within this time counts against its worker or its service. Crash
 # loops end within a few seconds, and a failure shows at the next look (2 s) at last.
 SOON_S = 10.0
-# Preemption escalates every 1.5 s, so a checkpoint that hangs is a stop after 3 s
-# and urgent work still starts within its 9.6 s.
-ESCALATE_S = 1.5
-ESCALATION = {
-    TaskActionKind.CHECKPOINT: TaskActionKind.THROTTLE,
-    TaskActionKind.THROTTLE: TaskActionKind.STOP,
-    TaskActionKind.STOP: TaskActionKind.STOP,
-}
 
 
 class RackManager:
@@ -111,6 +96,8 @@
         self.barred: dict[Key, float] = {}
         self.ledger_epochs: dict[str, int] = {}
         self.reports = ReportSender(context, self.forget_reported)
+        self.caller = WorkerCaller(self)
+        self.placer = TaskPlacer(self)
         self.waiting: dict[Key, Preemption] = {}
         self.reasons: Counter[str] = Counter()
         self.draining = False
@@ -158,7 +145,7 @@
             leaving = vms[name].state == VmState.LEAVING
             self.engine.set_closed(name, "leaving", leaving)
             if leaving:
-                self.move_unsent(link)
+                self.caller.move_unsent(link)
         for name, link in self.links.items():
             if name not in vms:
                 if link.listed:
@@ -194,7 +181,7 @@
         self.engine.set_closed(vm.name, "silent", True)
         # Its tasks may use more than they declared, so measure before adding any.
         self.engine.set_closed(vm.name, "unmeasured", True)
-        self.tasks.start_soon(self.serve_worker, link)
+        self.tasks.start_soon(self.caller.serve_worker, link)
 
     def replace_vm(self, link: WorkerLink, vm: VmEntry) -> None:
         """Take over a changed entry of a worker."""
@@ -237,268 +224,6 @@
         if not survived:
             self.metrics.count("placement.tasks_failed_soon")
 
-    async def serve_worker(self, link: WorkerLink) -> None:
-        """Make the calls to one worker, one at a time."""
-        while True:
-            self.declare_lost(link)
-            if self.is_gone(link):
-                self.remove_link(link)
-                return
-            if not self.context.may_act():
-                await anyio.sleep(ACT_POLL_S)
-                continue
-            try:
-                due = await self.call_worker(link)
-            except NoLongerOwner:
-                continue
-            except (WorkerUnreachable, WorkerTimeout) as error:
-                self.mark_silent(link, error)
-                if link.client is None:
-                    await anyio.sleep(SILENT_RETRY_S)
-                continue
-            if due is not None:
-                link.wake = anyio.Event()
-                if self.has_work(link):
-                    continue
-                with anyio.move_on_at(due):
-                    await link.wake.wait()
-
-    def is_gone(self, link: WorkerLink) -> bool:
-        """Tell whether a worker left the VM list and surely runs nothing."""
-        over = anyio.current_time() >= link.lease_end and not link.reachable
-        return not link.listed and over and not self.list_on_worker(link)
-
-    def has_work(self, link: WorkerLink) -> bool:
-        """Tell whether starts or actions wait for a worker that can take them."""
-        return link.reachable and bool(link.queue or link.actions)
-
-    async def call_worker(self, link: WorkerLink) -> float | None:
-        """Make the next call that is due, or return when one is due."""
-        now = anyio.current_time()
-        if link.client is None:
-            link.client = self.context.upstreams.worker(link.vm)
-        self.escalate(link, now)
-        if not link.reachable:
-            if now < link.look_at:
-                return link.look_at
-            await self.look(link)
-        elif link.renew_at <= now < link.renewed_until:
-            await self.renew(link)
-        elif link.queue:
-            await self.send_starts(link)
-        elif link.actions:
-            await self.send_actions(link)
-        elif now >= link.look_at:
-            await self.look(link)
-        elif now >= link.usage_at:
-            await self.poll_usage(link)
-        else:
-            steps = [time for _, time in link.preempting.values()]
-            renew_at = link.renew_at if now < link.renewed_until else math.inf
-            return min(renew_at, link.look_at, link.usage_at, *steps)
-        return None
-
-    def check_may_act(self) -> float:
-        """Return until when to act; raise NoLongerOwner right before a send."""
-        limit = self.context.may_act_until()
-        if anyio.current_time() >= limit:
-            self.metrics.count("placement.stopped_before_send")
-            raise NoLongerOwner
-        return limit
-
-    async def renew(self, link: WorkerLink) -> None:
-        """Renew all leases of a worker and take in its inventory.
-
-        Only a worker that answered its last call is renewed, and the renewal has no
-        effect after ``limit``, so lost answers never put off the end of its leases.
-        """
-        now = anyio.current_time()
-        limit = min(self.check_may_act(), now + self.call_s)
-        renew_before = link.convert_limit(limit)
-        link.lease_end = max(link.lease_end, limit + self.lease_s + self.margin_s)
-        inventory = await link.client.renew(
-            self.timing.task_lease_ms, now + self.call_s, renew_before
-        )
-        link.renew_at = now + self.timing.task_renew_ms / 1000
-        if inventory.worker_time >= renew_before:
-            self.metrics.count("placement.renewals_too_late")
-            link.renew_at = anyio.current_time() + RENEW_RETRY_S
-        self.absorb(link, inventory, now)
-
-    async def look(self, link: WorkerLink) -> None:
-        """Take in a worker's inventory without renewing.
-
-        This is the first call to a worker: it tells the worker's clock, which bounds
-        all that is sent later.
-        """
-        self.check_may_act()
-        sent = anyio.current_time()
-        inventory = await link.client.inventory(sent + self.call_s)
-        if not link.reachable:
-            link.renew_at = sent
-        self.absorb(link, inventory, sent)
-
-    async def send_starts(self, link: WorkerLink) -> None:
-        """Send all starts that wait for a worker in one call."""
-        now = anyio.current_time()
-        for attempt in list(link.queue.values()):
-            if attempt.deadline <= now:
-                self.refuse(attempt, RefusalReason.DEADLINE_UNREACHABLE)
-            elif self.draining:
-                self.refuse(attempt, RefusalReason.DRAINING)
-        batch = list(link.queue.values())[:MAX_STARTS]
-        if not batch:
-            return
-        window = self.timing.start_window_ms / 1000
-        limit = min(self.check_may_act(), anyio.current_time() + window)
-        start_before = link.convert_limit(limit)
-        starts = []
-        for attempt in batch:
-            del link.queue[attempt.key]
-            attempt.state = AttemptState.SENT
-            attempt.start_limit = limit
-            starts.append(attempt.make_start(start_before, self.timing.task_lease_ms))
-        earlier_end = link.lease_end
-        link.lease_end = max(earlier_end, limit + self.lease_s + self.margin_s)
-        self.metrics.count("placement.start_calls")
-        link.is_starting = True
-        try:
-            reply = await link.client.start(starts, anyio.current_time() + self.call_s)
-        except WorkerUnreachable:
-            for attempt in batch:
-                attempt.state = AttemptState.QUEUED
-                link.queue[attempt.key] = attempt
-            raise
-        except WorkerTimeout:
-            for attempt in batch:
-                if attempt.state == AttemptState.SENT:
-                    attempt.state = AttemptState.UNCERTAIN
-                    self.metrics.retry(PART, RetryReason.TASK_UNCERTAIN)
-            raise
-        finally:
-            link.is_starting = False
-            self.starts_answered.set()
-        link.note_clock(reply.worker_time, anyio.current_time())
-        outcomes = {(r.task_id, r.attempt): r for r in reply.results}
-        for attempt in batch:
-            result = outcomes.get(attempt.key)
-            if result is None:
-                attempt.state = AttemptState.UNCERTAIN
-                link.look_at = min(link.look_at, attempt.start_limit)
-                continue
-            self.absorb_start(link, attempt, result.outcome, result.reason)
-
-    def absorb_start(
-        self, link: WorkerLink, attempt: Attempt, outcome: StartOutcome, reason: str
-    ) -> None:
-        """Take in a worker's answer to one start."""
-        now = anyio.current_time()
-        match outcome:
-            case StartOutcome.STARTED:
-                self.engine.record_start(link.name, attempt.demand.service, True, now)
-                attempt.started_at = now
-                self.settle_running(attempt)
-                if attempt.stop_requested:
-                    link.actions[attempt.key] = TaskActionKind.STOP
-            case StartOutcome.FAILED:
-                self.engine.record_start(link.name, attempt.demand.service, False, now)
-                self.metrics.count("placement.starts_failed")
-                self.finish(attempt, TaskReportState.FAILED, reason)
-            case StartOutcome.TOO_LATE:
-                self.metrics.count("placement.starts_too_late")
-                self.requeue(link, attempt)
-
-    def requeue(self, link: WorkerLink, attempt: Attempt) -> None:
-        """Start an attempt that surely did not run once more, or refuse it."""
-        late = attempt.deadline <= anyio.current_time()
-        if late or attempt.stop_requested or self.draining or attempt.told_uncertain:
-            self.refuse(attempt, RefusalReason.DEADLINE_UNREACHABLE)
-            return
-        attempt.state = AttemptState.QUEUED
-        link.queue[attempt.key] = attempt
-        self.metrics.retry(PART, RetryReason.TASK_UNCERTAIN)
-
-    async def send_actions(self, link: WorkerLink) -> None:
-        """Send the actions that wait for a worker."""
-        self.check_may_act()
-        actions = dict(link.actions)
-        sent = anyio.current_time()
-        inventory = await link.client.act(
-            [TaskAction(kind, *key) for key, kind in actions.items()],
-            sent + self.call_s,
-        )
-        for key, kind in actions.items():
-            if link.actions.get(key) == kind:
-                del link.actions[key]
-        self.absorb(link, inventory, sent)
-        if any(kind != TaskActionKind.FORGET for kind in actions.values()):
-            link.look_at = anyio.current_time() + LOOK_AFTER_ACTION_S
-
-    async def poll_usage(self, link: WorkerLink) -> None:
-        """Read measured use, and relieve workers that are over capacity."""
-        self.check_may_act()
-        report = await link.client.usage(anyio.current_time() + self.call_s)
-        link.usage_at = anyio.current_time() + USAGE_POLL_S
-        link.tried = True
-        self.engine.set_closed(link.name, "unmeasured", False)
-        self.engine.observe_usage(
-            ((usage.task_id, usage.attempt), usage.used) for usage in report.tasks
-        )
-        for relief in self.engine.choose_relief():
-            self.preempt(relief, "worker over capacity by measured use")
-
-    def mark_silent(self, link: WorkerLink, error: Exception) -> None:
-        """Give no more work to a worker that did not answer; move its queue."""
-        if link.reachable:
-            log.warning("worker {} is silent: {}", link.name, error)
-        self.metrics.count("placement.worker_calls_failed")
-        link.reachable = False
-        link.tried = True
-        link.look_at = anyio.current_time() + SILENT_RETRY_S
-        self.engine.set_closed(link.name, "silent", True)
-        self.move_unsent(link)
-
-    def move_unsent(self, link: WorkerLink) -> None:
-        """Place the attempts that wait for a worker on other workers."""
-        for attempt in list(link.queue.values()):
-            del link.queue[attempt.key]
-            self.engine.release(attempt.key)
-            self.place(attempt)
-        for key, relief in list(self.waiting.items()):
-            if relief.worker == link.name:
-                self.end_claim(key)
-                self.place(self.attempts[key])
-
-    def declare_lost(self, link: WorkerLink) -> None:
-        """Declare the tasks of a silent worker lost once their leases have ended.
-
-        Ownership under one epoch is continuous, so while this process may act no
-        other owner can have renewed the leases.
-        """
-        now = anyio.current_time()
-        if link.reachable or link.lost_reported or now < link.lease_end:
-            return
-        if not self.context.may_act():
-            return
-        link.lost_reported = True
-        for attempt in self.list_on_worker(link):
-            if attempt.state != AttemptState.QUEUED:
-                self.metrics.retry(PART, RetryReason.TASK_LOST)
-                self.finish(attempt, TaskReportState.LOST, "worker silent, lease ended")
-
-    def remove_link(self, link: WorkerLink) -> None:
-        """Drop a worker that left the VM list and holds no lease."""
-        self.engine.remove_worker(link.name)
-        del self.links[link.name]
-
-    def list_on_worker(self, link: WorkerLink) -> list[Attempt]:
-        """Return the live attempts on a worker."""
-        return [
-            attempt
-            for attempt in self.attempts.values()
-            if attempt.worker == link.name and attempt.is_live
-        ]
-
     # --- inventories ----------------------------------------------------------------
 
     def absorb(self, link: WorkerLink, inventory: Inventory, sent: float) -> None:
@@ -532,18 +257,18 @@
                 self.settle_running(attempt)
                 if attempt.stop_requested:
                     link.actions[key] = TaskActionKind.STOP
-        for attempt in self.list_on_worker(link):
+        for attempt in self.caller.list_on_worker(link):
             if attempt.key in records or attempt.is_unsent:
                 continue
             if attempt.state == AttemptState.RUNNING:
                 self.finish(attempt, TaskReportState.LOST, "worker does not have it")
             elif sent > attempt.start_limit:
                 # The worker refuses the start from now on, and it does not run.
-                self.requeue(link, attempt)
+                self.caller.requeue(link, attempt)
             else:
                 again = attempt.start_limit + self.margin_s / 2
                 link.look_at = min(link.look_at, again)
-        self.start_waiting(link)
+        self.placer.start_waiting(link)
 
     def adopt(self, link: WorkerLink, attempt: Attempt) -> None:
         """Account for a running attempt that this process did not know."""
@@ -621,12 +346,12 @@
             link.queue.pop(attempt.key, None)
             link.preempting.pop(attempt.key, None)
             link.actions.pop(attempt.key, None)
-        self.end_claim(attempt.key)
+        self.placer.end_claim(attempt.key)
         if self.live.get(attempt.key[0]) == attempt.key:
             del self.live[attempt.key[0]]
         attempt.settled.set()
         if link is not None:
-            self.start_waiting(link)
+            self.placer.start_waiting(link)
 
     def forget_reported(self, key: Key) -> None:
         """Drop an ended attempt once its report is durable."""
@@ -646,99 +371,6 @@
 
     # --- placing --------------------------------------------------------------------
 
-    def place(self, attempt: Attempt, reservation_id: str = "") -> None:
-        """Place an attempt and queue its start; refuse it if there is no room."""
-        # Placed work is named by its worker only from here on.
-        attempt.worker = ""
-        now = anyio.current_time()
-        worker = None
-        if reservation_id:
-            worker = self.engine.consume(reservation_id, attempt.demand, now)
-        if worker is None:
-            try:
-                worker = self.engine.place(attempt.demand, now)
-            except NoFit as error:
-                if not self.claim_by_preemption(attempt):
-                    self.refuse(attempt, RefusalReason.NO_CAPACITY, str(error))
-                return
-        self.queue_start(attempt, worker)
-
-    def queue_start(self, attempt: Attempt, worker: str) -> None:
-        """Queue the start of an attempt whose room is committed."""
-        link = self.links[worker]
-        attempt.worker = worker
-        attempt.state = AttemptState.QUEUED
-        link.queue[attempt.key] = attempt
-        link.notify()
-
-    def claim_by_preemption(self, attempt: Attempt) -> bool:
-        """Preempt lower classes for an attempt; return whether any make room."""
-        if attempt.demand.priority == Priority.BATCH:
-            return False
-        if attempt.deadline <= anyio.current_time():
-            return False
-        preemption = self.engine.choose_victims(attempt.demand)
-        if preemption is None:
-            return False
-        # Closed to others, so that nobody else takes the room that is made.
-        self.engine.set_closed(preemption.worker, make_claim(attempt.key), True)
-        attempt.state = AttemptState.WAITING
-        attempt.worker = preemption.worker
-        self.waiting[attempt.key] = preemption
-        self.preempt(preemption, f"preempted by {attempt.key[0]}")
-        return True
-
-    def preempt(self, preemption: Preemption, reason: str) -> None:
-        """Begin to remove tasks from a worker."""
-        link = self.links[preemption.worker]
-        now = anyio.current_time()
-        for key in preemption.victims:
-            attempt = self.attempts.get(key)
-            if attempt is None or attempt.preempted:
-                continue
-            if attempt.is_unsent:
-                self.refuse(attempt, RefusalReason.NO_CAPACITY, reason)
-                continue
-            attempt.preempted = True
-            attempt.reason = reason
-            link.preempting[key] = (TaskActionKind.CHECKPOINT, now + ESCALATE_S)
-            link.actions[key] = TaskActionKind.CHECKPOINT
-            self.metrics.count("placement.preempted")
-        link.notify()
-
-    def escalate(self, link: WorkerLink, now: float) -> None:
-        """Use a harder action on preempted tasks that are still there."""
-        for key, (kind, time) in list(link.preempting.items()):
-            if time > now:
-                continue
-            harder = ESCALATION[kind]
-            link.preempting[key] = (harder, now + ESCALATE_S)
-            link.actions[key] = harder
-
-    def start_waiting(self, link: WorkerLink) -> None:
-        """Start the attempts whose room on this worker has become free."""
-        room = self.engine.workers.get(link.name)
-        if room is None:
-            return
-        for key, preemption in list(self.waiting.items()):
-            attempt = self.attempts.get(key)
-            if preemption.worker != link.name or attempt is None:
-                continue
-            size = self.engine.predict_size(attempt.demand)
-            if room.closed != {make_claim(key)}:
-                self.end_claim(key)
-                self.place(attempt)
-            elif room.holds(size):
-                self.end_claim(key)
-                self.engine.commit(attempt.demand, room, size)
-                self.queue_start(attempt, link.name)
-
-    def end_claim(self, key: Key) -> None:
-        """Open a worker again that was claimed for one attempt."""
-        preemption = self.waiting.pop(key, None)
-        if preemption is not None and preemption.worker in self.links:
-            self.engine.set_closed(preemption.worker, make_claim(key), False)
-
     # --- messages -------------------------------------------------------------------
 
     async def handle(self, sender: str, message: PeerMessage) -> PeerReply:
@@ -867,7 +499,7 @@
         self.attempts[attempt.key] = attempt
         self.live[attempt.key[0]] = attempt.key
         started = anyio.current_time()
-        self.place(attempt, reservation)
+        self.placer.place(attempt, reservation)
         self.metrics.record_seconds(
             "placement.decision", anyio.current_time() - started
         )
@@ -1037,11 +669,6 @@
         return explain(self, subject, name)
 
 
-def make_claim(key: Key) -> str:
-    """Return the reason for which a worker is closed to others than one attempt."""
-    return f"claim {key}"
-
-
 def make_demand(task: TaskToStart) -> Demand:
     """Return the placement demand of a task to start."""
     return Demand(
--- a/soak/tests/test_planted_faults.py
+++ b/soak/tests/test_planted_faults.py
@@ -12,8 +12,8 @@
 from gypsumring.messages.peer import KeyDecision, KeyVerdict, TaskReportState
 from gypsumring.metrics import RefusalReason
 from gypsumring.placement import PlacementEngine
-from gypsumring.placement.engine import WorkerRoom
 from gypsumring.placement.exceptions import NoFit
+from gypsumring.placement.rooms import WorkerRoom
 from gypsumring.requests import Answered, KeyClient, Refused, Unknown
 from gypsumring.requests.granting import ExecutorSlots
 from gypsumring.utils.testing import make_load_tests
