--- /dev/null
+++ b/experiments/load.py
@@ -0,0 +1,125 @@
+"""Load model: three kinds of jobs that want unlike things from the same executors."""
+
+import random
+
+import msgspec
+
+from gypsumring.pipelines import PolicyTiming, Queue, StepSpec
+
+__all__ = ["KINDS", "Kind", "draw_steps", "draw_work_s", "make_queues"]
+
+# Estimates are off by up to this factor.
+ESTIMATE_ERROR = 0.5
+SIZE_SIGMA = 0.6
+LONGEST = 4.0
+
+
+class Kind(msgspec.Struct, frozen=True, kw_only=True):
+    """Describe one kind of job; sizes are means, the rate is in jobs a second."""
+
+    name: str
+    priority: int
+    rate: float
+    tasks: float
+    cpu_millis: int
+    work_s: float
+    steps: int
+    gang_share: float
+    stretch: float
+    latency_target_s: float
+    # What one job in time is worth.
+    worth: float
+    policy: PolicyTiming
+
+
+# A few large batch jobs, a stream of runs of small tasks, and many short checks.
+KINDS = (
+    Kind(
+        name="batch",
+        priority=1,
+        rate=0.25,
+        tasks=7,
+        cpu_millis=9_000,
+        work_s=5.0,
+        steps=1,
+        gang_share=0.6,
+        stretch=2.2,
+        latency_target_s=1.0,
+        worth=15.0,
+        policy=PolicyTiming(0.5, 0.008, 2.0),
+    ),
+    Kind(
+        name="runs",
+        priority=2,
+        rate=0.75,
+        tasks=10,
+        cpu_millis=2_000,
+        work_s=3.4,
+        steps=2,
+        gang_share=0.0,
+        stretch=4.0,
+        latency_target_s=3.0,
+        worth=3.0,
+        policy=PolicyTiming(0.08, 0.001, 2.0),
+    ),
+    Kind(
+        name="checks",
+        priority=0,
+        rate=8.0,
+        tasks=2,
+        cpu_millis=2_800,
+        work_s=0.64,
+        steps=1,
+        gang_share=0.2,
+        stretch=1.5,
+        latency_target_s=0.25,
+        worth=0.4,
+        policy=PolicyTiming(0.008, 0.0001, 2.0),
+    ),
+)
+
+
+def make_queues(max_attempts: int) -> tuple[Queue, ...]:
+    """Return one queue for each kind."""
+    return tuple(
+        Queue(
+            name=kind.name,
+            host="h",
+            path_prefix=f"/{kind.name}/",
+            service="svc",
+            priority=kind.priority,
+            max_attempts=max_attempts,
+            stretch=kind.stretch,
+            latency_target_s=kind.latency_target_s,
+            policy=kind.policy,
+        )
+        for kind in KINDS
+    )
+
+
+def draw_size(mean: float, source: random.Random) -> float:
+    """Return a size around a mean, with a tail to large ones."""
+    value = mean * source.lognormvariate(-(SIZE_SIGMA**2) / 2, SIZE_SIGMA)
+    return min(value, mean * LONGEST)
+
+
+def draw_steps(kind: Kind, source: random.Random) -> list[StepSpec]:
+    """Return the steps of a new job."""
+    gang = source.random() < kind.gang_share
+    return [
+        StepSpec(
+            task_count=max(1, round(draw_size(kind.tasks, source))),
+            cpu_millis=kind.cpu_millis,
+            memory_mb=256,
+            estimated_ms=round(kind.work_s * 1000),
+            after=(number - 1,) if number else (),
+            gang=gang,
+        )
+        for number in range(kind.steps)
+    ]
+
+
+def draw_work_s(kind: Kind, source: random.Random) -> float:
+    """Return how long a task works, in seconds."""
+    error = source.uniform(1 - ESTIMATE_ERROR, 1 + ESTIMATE_ERROR)
+    return kind.work_s * error
--- /dev/null
+++ b/experiments/plotting.py
@@ -0,0 +1,30 @@
+"""Plot a sweep."""
+
+from pathlib import Path
+
+import matplotlib
+
+matplotlib.use("Agg")
+
+from matplotlib import pyplot  # noqa: E402
+
+from experiments.sweep import Row  # noqa: E402
+
+__all__ = ["write_plot"]
+
+
+def write_plot(rows: list[Row], title: str, path: Path) -> None:
+    """Draw worth and p99 of each kind over the values of the parameter."""
+    figure, (worth, slowest) = pyplot.subplots(1, 2, figsize=(10, 4))
+    for kind in dict.fromkeys(row.kind for row in rows):
+        of_kind = [row for row in rows if row.kind == kind]
+        values = [row.value for row in of_kind]
+        worth.plot(values, [row.worth for row in of_kind], "o-", label=kind)
+        if kind != "all":
+            slowest.plot(values, [row.p99_s for row in of_kind], "o-", label=kind)
+    worth.set(title=title, xlabel="value", ylabel="share of worth")
+    slowest.set(title="p99 of completed jobs", xlabel="value", ylabel="seconds")
+    worth.legend()
+    figure.tight_layout()
+    figure.savefig(path)
+    pyplot.close(figure)
--- /dev/null
+++ b/experiments/sweep.py
@@ -0,0 +1,79 @@
+"""Sweep one constant of the product over some values."""
+
+import csv
+import importlib
+import statistics
+from pathlib import Path
+from types import ModuleType
+
+from experiments.load import KINDS
+from experiments.trial import KindResult, run_trial
+
+__all__ = ["Row", "find_constant", "sweep", "write_csv"]
+
+FIELDS = ("value", "kind", "jobs", "in_time", "worth", "p50_s", "p99_s")
+
+
+class Row:
+    """Hold the mean results of one kind, or of all, at one value."""
+
+    __slots__ = FIELDS
+
+    def __init__(self, value: float, kind: str, results: list[KindResult]):
+        self.value = value
+        self.kind = kind
+        self.jobs = sum(each.sent for each in results)
+        served = sum(each.in_time for each in results)
+        self.in_time = served / self.jobs if self.jobs else 1.0
+        owed = sum(each.sent * each.kind.worth for each in results)
+        earned = sum(each.earned * each.kind.worth for each in results)
+        self.worth = earned / owed if owed else 1.0
+        self.p50_s = statistics.mean(each.percentile_s(0.5) for each in results)
+        self.p99_s = statistics.mean(each.percentile_s(0.99) for each in results)
+
+
+def find_constant(path: str) -> tuple[ModuleType, str]:
+    """Return the module and name of ``package.module:NAME``; raise ValueError."""
+    module_name, _, name = path.partition(":")
+    try:
+        module = importlib.import_module(module_name)
+    except ModuleNotFoundError as error:
+        raise ValueError(f"parameter: no module {module_name!r}") from error
+    if not isinstance(getattr(module, name, None), int | float):
+        raise ValueError(f"parameter: {module_name} has no number {name!r}")
+    return module, name
+
+
+def sweep(
+    path: str,
+    values: list[float],
+    seeds: range,
+    seconds: float,
+    load: float,
+    faults: bool,
+) -> list[Row]:
+    """Run all seeds at each value of a constant and return a row for each kind."""
+    module, name = find_constant(path)
+    usual = getattr(module, name)
+    rows = []
+    try:
+        for value in values:
+            setattr(module, name, type(usual)(value))
+            trials = [run_trial(seed, seconds, load, faults) for seed in seeds]
+            everything = [each for trial in trials for each in trial.values()]
+            rows.append(Row(value, "all", everything))
+            for kind in KINDS:
+                results = [trial[kind.name] for trial in trials]
+                rows.append(Row(value, kind.name, results))
+    finally:
+        setattr(module, name, usual)
+    return rows
+
+
+def write_csv(rows: list[Row], path: Path) -> None:
+    """Write the rows."""
+    with path.open("w", newline="") as file:
+        writer = csv.writer(file)
+        writer.writerow(FIELDS)
+        for row in rows:
+            writer.writerow([getattr(row, field) for field in FIELDS])
