--- a/gypsumring/node/app.py
+++ b/gypsumring/node/app.py
@@ -61,11 +61,10 @@
 class NodeApp:
     """Serve callers; one call of hypercorn is one request."""
 
-    __slots__ = ("in_flight", "node")
+    __slots__ = ("node",)
 
     def __init__(self, node: Node):
         self.node = node
-        self.in_flight = 0
 
     async def __call__(self, scope: dict[str, Any], receive: Any, send: Any) -> None:
         """Handle one request."""
@@ -78,13 +77,9 @@
             text = self.node.metrics.render_text().encode()
             await respond(send, Answer(200, text))
             return
-        self.in_flight += 1
-        try:
-            answer = await self.serve_safely(scope, receive)
-            if answer is not None:
-                await respond(send, answer)
-        finally:
-            self.in_flight -= 1
+        answer = await self.serve_safely(scope, receive)
+        if answer is not None:
+            await respond(send, answer)
 
     async def serve_safely(self, scope: dict[str, Any], receive: Any) -> Answer | None:
         """Return the response to a caller; an error of ours leaves the outcome open."""
--- a/gypsumring/platform/store.py
+++ b/gypsumring/platform/store.py
@@ -10,7 +10,6 @@
 from gypsumring.platform.exceptions import WireError
 from gypsumring.ports.exceptions import OffsetExpired
 from gypsumring.ports.store import (
-    AppendConflict,
     AppendFenced,
     Assignment,
     KeyedRecord,
@@ -188,8 +187,6 @@
             if reply.reason == "fenced":
                 raise AppendFenced(f"epoch {producer.epoch} is fenced")
             raise SequenceMismatch(reply.seq_no)
-        if response.status == 412:
-            raise AppendConflict(f"partition ends at {reply.end_offset}")
         if response.status != 200:
             raise StoreUnavailable(f"append: status {response.status}")
         return reply.end_offset
--- a/gypsumring/ports/store.py
+++ b/gypsumring/ports/store.py
@@ -5,7 +5,6 @@
 from gypsumring.exceptions import PortError
 
 __all__ = [
-    "AppendConflict",
     "AppendFenced",
     "Assignment",
     "KeyedRecord",
@@ -30,10 +29,6 @@
     """Raised when a producer with a higher epoch has appended."""
 
 
-class AppendConflict(PortError):
-    """Raised when the partition does not end at the expected offset."""
-
-
 class SequenceMismatch(PortError):
     """Raised when the sequence number does not follow the last one."""
 
--- a/soak/tests/test_cell_faults.py
+++ b/soak/tests/test_cell_faults.py
@@ -53,11 +53,11 @@
 def test_jobs_confirmed_before_they_are_durable_are_found():
     sound_put = Journal.put
 
-    def put(self, key, value, on_durable=None):
+    def put(self, key, value, on_durable=None, urgent=True):
         if key.startswith("j/") and on_durable is not None:
             on_durable()
             return
-        sound_put(self, key, value, on_durable)
+        sound_put(self, key, value, on_durable, urgent)
 
     assert_found("LOST", lambda: mock.patch.object(Journal, "put", put))
 
--- a/stand_ins/platform/cluster.py
+++ b/stand_ins/platform/cluster.py
@@ -205,10 +205,6 @@
         value = msgspec.msgpack.encode(entry)
         self.store.append(ENTRIES_TOPIC, 0, [(model.executor_id, value)], None)
 
-    def unregister(self, model: ExecutorModel) -> None:
-        """Remove the entry of an executor."""
-        self.store.append(ENTRIES_TOPIC, 0, [(model.executor_id, b"")], None)
-
     def owner_node(self) -> MemoryNode | None:
         """Return the node whose owner has the highest fence number."""
         rows = [
