Ask another peer first after one that did not help

Cause (found in reading): calls through peers always went to the same peer first; a frozen one would hold each copy of an append until its time limit. Change: a call that is under way or has failed moves the next one on to another peer. `node/tests/test_relay.py` shows it.

--- a/gypsumring/node/relay.py
+++ b/gypsumring/node/relay.py
@@ -29,7 +29,7 @@
     of their producer. So a call that ran without an answer may be sent again.
     """
 
-    __slots__ = ("list_channels", "metrics", "path")
+    __slots__ = ("first", "list_channels", "metrics", "path")
 
     def __init__(
         self,
@@ -40,12 +40,16 @@
         self.path = path
         self.list_channels = list_channels
         self.metrics = metrics
+        # The peer that is asked first: the one that answered last.
+        self.first = 0
         path.relay = self.send
 
     async def send(self, call: HttpCall, deadline: float) -> HttpResponse:
         """Send a call through a peer; raise ConnectFailed or NoResponse."""
-        for channel in self.list_channels()[:MAX_PEERS]:
+        for channel in self.choose_channels():
             request = RelayCall(call, deadline - anyio.current_time())
+            # A copy of the call that is sent meanwhile goes to another peer first.
+            self.first += 1
             try:
                 answer = await channel.call(request, deadline)
             except ChannelClosed as error:
@@ -54,6 +58,7 @@
             if not isinstance(answer, RelayAnswer):
                 continue
             if answer.status:
+                self.first -= 1
                 self.metrics.count("store.relays.sent")
                 return HttpResponse(answer.status, answer.body, {}, False)
             if answer.sent:
@@ -62,6 +67,14 @@
         self.metrics.count("store.relays.refused")
         raise ConnectFailed("no peer reaches the store")
 
+    def choose_channels(self) -> list[Channel]:
+        """Return the channels to try, in turn."""
+        channels = self.list_channels()
+        if not channels:
+            return []
+        start = self.first % len(channels)
+        return (channels[start:] + channels[:start])[:MAX_PEERS]
+
     async def serve(self, request: RelayCall) -> RelayAnswer:
         """Send a peer's call, if the direct path works."""
         if not self.path.is_healthy():
