Measure the patience of large tasks on the clock on which they began to wait

Cause (found in reading): the wait was taken on the clock that counts suspended time, its begin on the other one, so that after a suspension each large task reserved executors at once. Change: both times are passed. The new test fails with one clock.

--- a/gypsumring/cell/scheduling.py
+++ b/gypsumring/cell/scheduling.py
@@ -95,7 +95,7 @@
                 self.evacuate(executor, now)
         jobs = list(self.state.table.active.values())
         steps = order_steps(jobs, self.state.find_queue, now)
-        self.reserved = reserve_executors(steps, fleet, self.state.clock())
+        self.reserved = reserve_executors(steps, fleet, now, self.state.clock())
         for step, queue in steps:
             if step.spec.gang and step.runs:
                 self.stop_partial(step)
--- a/gypsumring/dispatch/reserving.py
+++ b/gypsumring/dispatch/reserving.py
@@ -63,11 +63,16 @@
 
 
 def reserve_executors(
-    steps: list[tuple[Step, Queue]], fleet: list[ExecutorState], now: float
+    steps: list[tuple[Step, Queue]],
+    fleet: list[ExecutorState],
+    now: float,
+    clock: float,
 ) -> dict[str, Reservation]:
     """Return the reservations, by executor; steps come in their order of service.
 
-    A step keeps the executors that it has, and takes those with most free room besides.
+    ``clock`` is the time on the clock of the executors' states, which counts suspended
+    time. A step keeps the executors that it has, and takes those with most free room
+    besides.
     """
     reserved: dict[str, Reservation] = {}
     limit = int(len(fleet) * MAX_RESERVED_SHARE)
@@ -80,7 +85,7 @@
             for executor in fleet
             if executor.executor_id in step.allowed
             and executor.executor_id not in reserved
-            and executor.takes_work(queue.service, now)
+            and executor.takes_work(queue.service, clock)
         ]
         candidates.sort(
             key=lambda each: (
--- a/gypsumring/dispatch/tests/test_reserving.py
+++ b/gypsumring/dispatch/tests/test_reserving.py
@@ -39,7 +39,8 @@
         reserved = {}
         if with_reservations:
             steps = [(large, BULK)]
-            reserved = reserve_executors(steps, fleet, 1.0 + now * ROUND_S)
+            time = 1.0 + now * ROUND_S
+            reserved = reserve_executors(steps, fleet, time, time)
         if now > RUN_ROUNDS and place_step(large, fleet, 3.0, now):
             return now
         number += 1
@@ -67,7 +68,7 @@
 def test_urgent_work_may_use_reserved_executors_but_takes_them_last():
     fleet = make_fleet(4)
     large = make_waiting(fleet, job_id="b" * 16, task_count=1)
-    reserved = reserve_executors([(large, BULK)], fleet, 1.0)
+    reserved = reserve_executors([(large, BULK)], fleet, 1.0, 1.0)
     (kept,) = reserved
     urgent = make_step(task_count=32)
     assert reserved[kept].admits(urgent, URGENT.priority)
@@ -79,29 +80,39 @@
 def test_gang_keeps_as_many_executors_as_its_members_need():
     fleet = make_fleet(8)
     gang = make_waiting(fleet, task_count=2, gang=True)
-    assert len(reserve_executors([(gang, BULK)], fleet, 1.0)) == 2
+    assert len(reserve_executors([(gang, BULK)], fleet, 1.0, 1.0)) == 2
 
 
 def test_reservations_stay_and_end_with_the_wait():
     fleet = make_fleet(4)
     large = make_waiting(fleet, task_count=1)
-    first = set(reserve_executors([(large, BULK)], fleet, 1.0))
+    first = set(reserve_executors([(large, BULK)], fleet, 1.0, 1.0))
     other = next(each for each in fleet if each.executor_id not in first)
     for executor in fleet:
         executor.used_cpu = 4000 if executor is other else 6000
-    assert set(reserve_executors([(large, BULK)], fleet, 1.1)) == first
+    assert set(reserve_executors([(large, BULK)], fleet, 1.1, 1.1)) == first
     large.pending.clear()
-    assert reserve_executors([(large, BULK)], fleet, 1.2) == {}
+    assert reserve_executors([(large, BULK)], fleet, 1.2, 1.2) == {}
 
 
 def test_small_and_patient_steps_reserve_nothing():
     fleet = make_fleet(4)
     small = make_waiting(fleet, task_count=1)
     small.spec = make_step(task_count=1, cpu_millis=500).spec
-    assert reserve_executors([(small, BULK)], fleet, 1.0) == {}
+    assert reserve_executors([(small, BULK)], fleet, 1.0, 1.0) == {}
     fresh = make_waiting(fleet, task_count=1)
     fresh.waiting_since = 0.9
-    assert reserve_executors([(fresh, BULK)], fleet, 1.0) == {}
+    assert reserve_executors([(fresh, BULK)], fleet, 1.0, 1.0) == {}
+
+
+def test_patience_does_not_depend_on_suspended_time():
+    # The executors' clock ran on while the machine was suspended.
+    suspended_s = 500.0
+    fleet = make_fleet(4, now=suspended_s)
+    large = make_waiting(fleet, task_count=1)
+    large.waiting_since = 0.9
+    assert reserve_executors([(large, BULK)], fleet, 1.0, suspended_s + 1.0) == {}
+    assert reserve_executors([(large, BULK)], fleet, 1.4, suspended_s + 1.4) != {}
 
 
 def test_most_executors_stay_open_to_all():
@@ -110,7 +121,7 @@
         (make_waiting(fleet, job_id=f"{number:016x}", task_count=9), BULK)
         for number in range(6)
     ]
-    assert len(reserve_executors(steps, fleet, 1.0)) == 3
+    assert len(reserve_executors(steps, fleet, 1.0, 1.0)) == 3
 
 
 load_tests = make_load_tests(globals())
