Let no gang wait for room that can never come

The job waited for good on an idle fleet. The check now waits for those that can fit.

Change: a step goes back to avoided executors if the others could not hold it even when empty; a gang that cannot fit reserves nothing.

--- a/gypsumring/dispatch/placing.py
+++ b/gypsumring/dispatch/placing.py
@@ -5,7 +5,7 @@
 from gypsumring.fleet import ExecutorState
 from gypsumring.pipelines.state import Step
 
-__all__ = ["Placement", "eligible_executors", "place_step"]
+__all__ = ["Placement", "eligible_executors", "place_step", "places_on"]
 
 
 class Placement:
@@ -41,6 +41,21 @@
     return max(0, room)
 
 
+def places_on(step: Step, executor: ExecutorState) -> int:
+    """Return how many tasks of a step an empty executor holds."""
+    spec = step.spec
+    places = spec.task_count
+    if spec.cpu_millis and not spec.fills:
+        places = min(places, executor.entry.cpu_millis // spec.cpu_millis)
+    if spec.memory_mb:
+        places = min(places, executor.entry.memory_mb // spec.memory_mb)
+    if spec.accelerators:
+        places = min(places, executor.entry.accelerators // spec.accelerators)
+    if spec.max_per_executor:
+        places = min(places, spec.max_per_executor)
+    return places
+
+
 def sort_key(step: Step, executor: ExecutorState, shunned: Collection[str]) -> tuple:
     """Return the preference of an executor for a step; the smallest goes first."""
     near = step.spec.data_rack
@@ -106,17 +121,34 @@
 def fill(
     step: Step, candidates: list[ExecutorState], shunned: Collection[str]
 ) -> list[Placement]:
-    """Return places on the candidates in order of preference."""
+    """Return places on the candidates in order of preference.
+
+    A task avoids executors on which it failed, unless the others could not hold the
+    step even if they were empty.
+    """
     ordered = sorted(candidates, key=lambda each: sort_key(step, each, shunned))
     room = {executor.executor_id: room_for(step, executor) for executor in ordered}
     if step.spec.gang and sum(room.values()) < len(step.pending):
         return []
+    placements = assign(step, ordered, dict(room), step.avoided)
+    if len(placements) == len(step.pending) or not step.avoided:
+        return placements
+    whole = {executor.executor_id: places_on(step, executor) for executor in ordered}
+    if len(assign(step, ordered, whole, step.avoided)) == len(step.pending):
+        return placements
+    return assign(step, ordered, room, {})
+
+
+def assign(
+    step: Step,
+    ordered: list[ExecutorState],
+    room: dict[str, int],
+    avoided_by: dict[int, set[str]],
+) -> list[Placement]:
+    """Give each pending task the first executor with room; a gang gets all or none."""
     placements = []
-    known = set(room)
     for index in sorted(step.pending):
-        avoided = step.avoided.get(index, set())
-        if known <= avoided:
-            avoided = set()
+        avoided = avoided_by.get(index, set())
         for executor in ordered:
             if room[executor.executor_id] > 0 and executor.executor_id not in avoided:
                 room[executor.executor_id] -= 1
--- a/gypsumring/dispatch/reserving.py
+++ b/gypsumring/dispatch/reserving.py
@@ -5,6 +5,7 @@
 of other steps of the same or a lower priority, until enough room has gathered.
 """
 
+from gypsumring.dispatch.placing import places_on
 from gypsumring.fleet import ExecutorState
 from gypsumring.pipelines.model import Queue
 from gypsumring.pipelines.state import Step
@@ -50,18 +51,6 @@
     return cpu >= largest * LARGE_SHARE
 
 
-def places_on(step: Step, executor: ExecutorState) -> int:
-    """Return how many tasks of a step an empty executor holds."""
-    places = step.spec.task_count
-    if step.spec.cpu_millis:
-        places = min(places, executor.entry.cpu_millis // step.spec.cpu_millis)
-    if step.spec.memory_mb:
-        places = min(places, executor.entry.memory_mb // step.spec.memory_mb)
-    if step.spec.max_per_executor:
-        places = min(places, step.spec.max_per_executor)
-    return places
-
-
 def reserve_executors(
     steps: list[tuple[Step, Queue]],
     fleet: list[ExecutorState],
@@ -95,6 +84,10 @@
             )
         )
         step.reserved = set()
+        possible = sum(places_on(step, executor) for executor in candidates)
+        if step.spec.gang and possible < len(step.pending):
+            # No wait makes room for it; others must not wait for it either.
+            continue
         places = 0
         for executor in candidates:
             enough = places >= len(step.pending)
@@ -102,10 +95,9 @@
                 break
             if not step.spec.gang and len(step.reserved) >= MAX_FOR_TASKS:
                 break
-            count = places_on(step, executor)
-            if not count:
+            if not places_on(step, executor):
                 continue
-            places += count
+            places += places_on(step, executor)
             step.reserved.add(executor.executor_id)
             reserved[executor.executor_id] = Reservation(step, queue.priority)
     return reserved
--- a/gypsumring/dispatch/tests/test_placing.py
+++ b/gypsumring/dispatch/tests/test_placing.py
@@ -37,6 +37,27 @@
     assert sum(place(step, make_fleet(1)).values()) == 3
 
 
+def test_gang_goes_back_to_an_executor_that_it_cannot_do_without():
+    # Three members that avoid one of two executors left the gang waiting for good.
+    fleet = make_fleet(2)
+    gang = make_step(task_count=4, cpu_millis=3000, gang=True)
+    gang.avoided = {index: {"i-0"} for index in range(3)}
+    assert place(gang, fleet) == {"i-0": 2, "i-1": 2}
+    # With a third executor it waits until that one has room.
+    fleet = make_fleet(3)
+    fleet[2].used_cpu = 8000
+    assert place(gang, fleet) == {}
+    fleet[2].used_cpu = 0
+    assert sum(place(gang, fleet).values()) == 4
+
+
+def test_task_goes_back_to_the_only_executor_that_can_hold_it():
+    fleet = [make_executor("i-0", 8_000), make_executor("i-1", 1_000)]
+    step = make_step(task_count=1, cpu_millis=3000)
+    step.avoided = {0: {"i-0"}}
+    assert place(step, fleet) == {"i-0": 1}
+
+
 def test_retry_avoids_the_executor_on_which_the_task_failed():
     step = make_step(task_count=1)
     fleet = make_fleet(2)
--- a/gypsumring/dispatch/tests/test_reserving.py
+++ b/gypsumring/dispatch/tests/test_reserving.py
@@ -83,6 +83,14 @@
     assert len(reserve_executors([(gang, BULK)], fleet, 1.0, 1.0)) == 2
 
 
+def test_gang_that_can_never_fit_reserves_nothing():
+    # It kept an executor for good, from which all others were shut out.
+    fleet = make_fleet(8)
+    gang = make_waiting(fleet, task_count=2, gang=True)
+    gang.allowed = {"i-0"}
+    assert reserve_executors([(gang, BULK)], fleet, 1.0, 1.0) == {}
+
+
 def test_reservations_stay_and_end_with_the_wait():
     fleet = make_fleet(4)
     large = make_waiting(fleet, task_count=1)
--- a/soak/cells.py
+++ b/soak/cells.py
@@ -204,7 +204,9 @@
         """Check that all accepted jobs end once the faults are over."""
         deadline = anyio.current_time() + SETTLE_S
         for job_id in self.accepted:
-            left = max(1.0, deadline - anyio.current_time())
+            # Jobs that ended are forgotten while one is waited for that never can.
+            usual = deadline - anyio.current_time()
+            left = max(1.0, usual if self.can_fit(job_id) else 0.0)
             phase = await self.cluster.wait_final(job_id, left)
             world = self.cluster.world
             if phase is None:
