Let only calls sent after the newest answer count against the path to the store

Change: is_failing and note_failure pass over calls older than the newest answer. The new test fails without it.

--- a/gypsumring/transport/relayed.py
+++ b/gypsumring/transport/relayed.py
@@ -69,8 +69,11 @@
 
     def is_failing(self) -> bool:
         """Tell whether the direct path does not answer."""
-        oldest = min(self.sent_at, default=float("inf"))
-        return self.has_failed or oldest < anyio.current_time() - OVERDUE_S
+        if self.has_failed:
+            return True
+        # A call from before the newest answer tells nothing about the path now.
+        newer = [sent_at for sent_at in self.sent_at if sent_at > self.answered_at]
+        return min(newer, default=float("inf")) < anyio.current_time() - OVERDUE_S
 
     def is_healthy(self) -> bool:
         """Tell whether the direct path has answered a short while ago."""
@@ -146,7 +149,8 @@
                 content_type=call.content_type,
             )
         except (ConnectFailed, NoResponse) as error:
-            self.note_failure(error)
+            if sent_at >= self.answered_at:
+                self.note_failure(error)
             raise
         finally:
             if not call.waits:
--- a/gypsumring/transport/tests/test_relayed.py
+++ b/gypsumring/transport/tests/test_relayed.py
@@ -139,6 +139,32 @@
     assert client.is_healthy()
 
 
+async def test_calls_from_before_an_answer_say_nothing_about_the_path():
+    # After an outage of the whole store, calls sent during it ran into their deadline
+    # one by one, and each of them made the path a failing one for another half second.
+    client, path, relayed = make_client(peer_status=0)
+    path.failure = "silent"
+
+    async def send_in_vain() -> None:
+        try:
+            await send(client)
+        except NoResponse:
+            pass
+
+    async with anyio.create_task_group() as group:
+        group.start_soon(send_in_vain)
+        await anyio.sleep(0.2)
+        path.failure = 200
+        assert (await send(client)).body == b"direct"
+        assert client.is_healthy()
+        await anyio.sleep(0.05)
+        assert not client.is_failing()
+        # The early call reaches its deadline.
+        await anyio.sleep(0.1)
+        assert not client.is_failing()
+        assert (await send(client)).body == b"direct"
+
+
 async def test_without_a_peer_the_failure_of_the_path_is_told():
     # A writer that is told "no answer" at once would repeat the call without a pause.
     client, path, _ = make_client(peer_status=0)
