Look only at steps that may have found room; ask about executors all over the fleet

Cause: each change made the scheduler sort the whole fleet for each ready step (1.6 ms a step at 270 executors, 0.23 ms at 24), and each step asked the policy service about the first 40 executors of the fleet, so that all work went there while the others stood idle. Change: dispatch/backlog.py keeps the ready steps by the executors that are allowed for them and looks at those on which room was freed; JobTable notes which steps were touched; a pass that took long is followed by a longer pause. dispatch/asking.py chooses executors with room, spread over the fleet, as many as the step needs by the share that its queue's policy allows, in calls side by side through idle nodes. cell/advice.py holds what was the asking half of cell/scheduling.py. The wait for durable ends is an event in place of a poll.

--- /dev/null
+++ b/gypsumring/cell/advice.py
@@ -0,0 +1,160 @@
+"""Ask the policy service for advice on waiting steps, through all nodes."""
+
+import random
+from collections.abc import Awaitable, Callable
+
+import anyio
+
+from gypsumring.cell.state import CellState
+from gypsumring.dispatch import (
+    AdviserPool,
+    AllowedShares,
+    Placement,
+    choose_call_size,
+    choose_new,
+    split_calls,
+)
+from gypsumring.dispatch.placing import places_on
+from gypsumring.fleet import ExecutorState
+from gypsumring.pipelines import PolicyTiming, Queue, Step
+from gypsumring.ports.tasks import PolicyBusy, PolicyUnavailable, Ticket
+from gypsumring.utils.logs import EventLogger
+
+__all__ = ["AdviceDesk", "AskPeer", "TICKET_MARGIN_S"]
+
+log = EventLogger("scheduler")
+
+# A ticket that ends within this time is not used for a start any more.
+TICKET_MARGIN_S = 0.03
+# A call for advice may take this many times its usual time, and a little more.
+ADVICE_FACTOR = 3.0
+ADVICE_MARGIN_S = 0.3
+# A step whose call failed is asked for again after this time.
+ADVICE_RETRY_S = 0.1
+
+AskPeer = Callable[[str, str, list[str], float], Awaitable[list[tuple[str, str]]]]
+Place = Callable[[Step, list[ExecutorState]], list[Placement]]
+
+
+class AdviceDesk:
+    """Decide about which executors each step asks, and keep the tickets."""
+
+    __slots__ = (
+        "advisers",
+        "ask_peer",
+        "list_peers",
+        "place",
+        "shares",
+        "source",
+        "state",
+    )
+
+    def __init__(
+        self,
+        state: CellState,
+        place: Place,
+        list_peers: Callable[[], list[str]],
+        ask_peer: AskPeer,
+    ):
+        self.state = state
+        self.place = place
+        self.list_peers = list_peers
+        self.ask_peer = ask_peer
+        self.advisers = AdviserPool()
+        self.shares = AllowedShares()
+        self.source = random.Random(state.fence)
+
+    def ask_about(
+        self,
+        step: Step,
+        queue: Queue,
+        allowed: list[ExecutorState],
+        find_eligible: Callable[[], list[ExecutorState]],
+        now: float,
+    ) -> None:
+        """Ask the policy service about executors that may help a waiting step.
+
+        New ones are asked about until the ``allowed`` ones have room for the step;
+        allowed ones whose ticket has ended are asked about again once they have room.
+        """
+        timing = queue.policy
+        self.advisers.set_names(self.list_peers())
+        size = choose_call_size(timing)
+        idle = self.advisers.count_idle(timing, size, now)
+        if step.asked and not idle:
+            return
+        placements = self.place(step, allowed) if allowed else []
+        asked = self.choose_renewed(step, timing, allowed, bool(placements), now)
+        if len(placements) < len(step.pending):
+            places = sum(places_on(step, executor) for executor in allowed)
+            share = self.shares.get(queue.name)
+            asked += choose_new(step, find_eligible(), places, share, size, self.source)
+        if not asked:
+            return
+        calls = split_calls(asked, size, idle)
+        step.asking = len(calls)
+        for executor_ids in calls:
+            self.state.group.start_soon(
+                self.ask_policy, step, queue.name, timing, executor_ids
+            )
+
+    def choose_renewed(
+        self,
+        step: Step,
+        timing: PolicyTiming,
+        allowed: list[ExecutorState],
+        fits: bool,
+        now: float,
+    ) -> list[ExecutorState]:
+        """Return allowed executors with room whose tickets have ended, if it fits.
+
+        Tickets of executors that are kept for the step are renewed before they end.
+        """
+        call_s = timing.call_s(1 + len(step.reserved)) + TICKET_MARGIN_S
+        renewed = []
+        for executor in allowed:
+            executor_id = executor.executor_id
+            left_s = step.ticket_left_s(executor_id, now)
+            if executor_id in step.reserved and left_s < call_s:
+                renewed.append(executor)
+            elif fits and left_s < TICKET_MARGIN_S and executor.fit_count(step.spec):
+                renewed.append(executor)
+        return renewed
+
+    async def ask_policy(
+        self, step: Step, queue: str, timing: PolicyTiming, executor_ids: list[str]
+    ) -> None:
+        """Ask the policy service through one of the nodes and keep the tickets."""
+        now = anyio.current_time()
+        adviser = self.advisers.choose(timing, len(executor_ids), now)
+        usual = adviser.busy_until - now
+        deadline = now + usual * ADVICE_FACTOR + ADVICE_MARGIN_S
+        try:
+            rows = await self.ask_peer(adviser.name, step.name, executor_ids, deadline)
+        except (PolicyUnavailable, PolicyBusy) as error:
+            self.state.metrics.count("cell.advice.failed")
+            log.info(
+                "advice failed", step=step.name, node=adviser.name, error=str(error)
+            )
+            step.held_back_until = anyio.current_time() + ADVICE_RETRY_S
+            return
+        finally:
+            self.advisers.finish(adviser, anyio.current_time())
+            step.asking -= 1
+            self.state.table.touched[step] = None
+            self.state.wake()
+        self.state.metrics.count("cell.advice")
+        log.info(
+            "advice received",
+            step=step.name,
+            node=adviser.name,
+            asked=len(executor_ids),
+            allowed=len(rows),
+            took_ms=round((anyio.current_time() - now) * 1000),
+        )
+        expires_at = anyio.current_time() + timing.valid_s
+        step.asked.update(executor_ids)
+        self.shares.note(queue, len(executor_ids), len(rows))
+        for executor_id, value in rows:
+            step.allowed.add(executor_id)
+            step.tickets[executor_id] = Ticket(executor_id, value, expires_at)
--- a/gypsumring/cell/attending.py
+++ b/gypsumring/cell/attending.py
@@ -32,7 +32,6 @@
 # Pause between looks while ends wait for the store.
 UNDURABLE_PAUSE_S = 0.15
 DURABLE_WAIT_S = 0.1
-DURABLE_POLL_S = 0.008
 
 
 class Attendant:
@@ -163,12 +162,13 @@
 
     async def wait_durable(self, executor: ExecutorState) -> None:
         """Wait a little until the ends seen are durable."""
-        deadline = anyio.current_time() + DURABLE_WAIT_S
-        while executor.durable_end < executor.seen_end:
-            if anyio.current_time() >= deadline:
-                await anyio.sleep(UNDURABLE_PAUSE_S)
-                return
-            await anyio.sleep(DURABLE_POLL_S)
+        with anyio.move_on_after(DURABLE_WAIT_S):
+            while executor.durable_end < executor.seen_end:
+                executor.durable_news = anyio.Event()
+                await executor.durable_news.wait()
+        executor.durable_news = None
+        if executor.durable_end < executor.seen_end:
+            await anyio.sleep(UNDURABLE_PAUSE_S)
 
     def check_lease(self, executor: ExecutorState) -> None:
         """Release the tasks of a silent executor once its lease is surely over."""
--- a/gypsumring/cell/lists.py
+++ b/gypsumring/cell/lists.py
@@ -195,7 +195,7 @@
                 run = self.adopt(executor, end.task, end.attempt, False)
             if run is None:
                 continue
-            executor.remove_run(run)
+            self.state.free_room(executor, run)
             self.judge(executor, run, end.how)
             job = run.step.job
             was_final = job.phase.is_final
@@ -240,7 +240,7 @@
 
         def forget() -> None:
             if executor.born_ms == life:
-                executor.durable_end = max(executor.durable_end, number)
+                executor.note_durable(number)
 
         if not changed:
             if executor.durable_end < number:
--- a/gypsumring/cell/orders.py
+++ b/gypsumring/cell/orders.py
@@ -63,7 +63,7 @@
         """Free the room of an attempt that surely does not run."""
         executor = self.state.fleet.get(run.executor_id)
         if executor is not None:
-            executor.remove_run(run)
+            self.state.free_room(executor, run)
         self.state.table.release(run)
         self.state.wake()
 
--- a/gypsumring/cell/owner.py
+++ b/gypsumring/cell/owner.py
@@ -231,6 +231,7 @@
         )
         if progress is not None:
             job.restore(progress)
+            self.state.table.touch(job)
         if job.phase.is_final:
             job.ended_at = anyio.current_time()
             self.state.table.finish(job)
--- a/gypsumring/cell/scheduling.py
+++ b/gypsumring/cell/scheduling.py
@@ -1,23 +1,23 @@
 """Place ready steps on executors, under the advice of the policy service."""
 
-from collections.abc import Awaitable, Callable
+from collections.abc import Callable
 
 import anyio
 
+from gypsumring.cell.advice import TICKET_MARGIN_S, AdviceDesk, AskPeer
 from gypsumring.cell.orders import Orders
 from gypsumring.cell.state import CellState
 from gypsumring.dispatch import (
-    AdviserPool,
+    Backlog,
     Placement,
     Reservation,
     order_steps,
     place_step,
     reserve_executors,
 )
-from gypsumring.dispatch.placing import eligible_executors
+from gypsumring.dispatch.placing import has_label
 from gypsumring.fleet import ExecutorState
-from gypsumring.pipelines import PolicyTiming, Queue, RunState, Step
-from gypsumring.ports.tasks import PolicyBusy, PolicyUnavailable, Ticket
+from gypsumring.pipelines import Queue, RunState, Step
 from gypsumring.utils.logs import EventLogger
 
 __all__ = ["CellScheduler"]
@@ -28,29 +28,21 @@
 LOOK_S = 0.1
 # Changes that arrive within this time are looked at together.
 GATHER_S = 0.003
+# After a pass the scheduler waits at least this many times as long as it took.
+GATHER_FACTOR = 4.0
 # Tasks with checkpoints are stopped this long before their executor leaves, besides the
 # time that a stop takes.
 EVACUATE_S = 0.5
-# A ticket that ends within this time is not used for a start any more.
-TICKET_MARGIN_S = 0.03
-# The policy service is asked about at most this many executors at once.
-MAX_ASKED = 40
-# A call for advice may take this many times its usual time, and a little more.
-ADVICE_FACTOR = 3.0
-ADVICE_MARGIN_S = 0.3
-# A step whose call failed is asked for again after this time.
-ADVICE_RETRY_S = 0.1
-
-AskPeer = Callable[[str, str, list[str], float], Awaitable[list[tuple[str, str]]]]
 
 
 class CellScheduler:
     """Place the ready steps of a cell."""
 
     __slots__ = (
-        "advisers",
-        "ask_peer",
-        "list_peers",
+        "backlog",
+        "desk",
+        "looked_at",
+        "open_executors",
         "orders",
         "reserved",
         "state",
@@ -65,42 +57,89 @@
     ):
         self.state = state
         self.orders = orders
-        self.list_peers = list_peers
-        self.ask_peer = ask_peer
-        self.advisers = AdviserPool()
+        self.desk = AdviceDesk(state, self.place, list_peers, ask_peer)
+        self.backlog = Backlog()
         # Executors that are kept for large tasks.
         self.reserved: dict[str, Reservation] = {}
+        # When the whole fleet was looked at last.
+        self.looked_at = float("-inf")
+        # Executors that take work now, by service; looked up once in a pass.
+        self.open_executors: dict[str, list[ExecutorState]] = {}
 
     async def run(self) -> None:
         """Place steps whenever something has changed."""
+        gather_s = GATHER_S
         while True:
             with anyio.move_on_after(LOOK_S):
                 await self.state.changed.wait()
-            await anyio.sleep(GATHER_S)
+            await anyio.sleep(gather_s)
             self.state.changed = anyio.Event()
+            began = anyio.current_time()
             self.schedule()
+            # A long queue makes passes long; most of the time is left to other tasks.
+            gather_s = max(GATHER_S, GATHER_FACTOR * (anyio.current_time() - began))
 
     def schedule(self) -> None:
         """Offer the free room to the ready steps in order."""
         now = anyio.current_time()
+        self.open_executors = {}
         self.state.table.open_due(now)
-        fleet = [
-            executor
-            for executor in self.state.fleet.values()
-            if executor.executor_id in self.state.enrolled
-        ]
-        self.advisers.set_names(self.list_peers())
+        self.backlog.refresh(self.state.table.take_touched(), now)
+        if now - self.looked_at >= LOOK_S:
+            self.looked_at = now
+            self.look_at_fleet(now)
+        due = self.backlog.take_due(self.state.take_freed(), now)
+        for step, queue in order_steps(due, self.state.find_queue, now):
+            if not step.is_ready:
+                self.backlog.drop(step)
+                continue
+            if step.spec.gang and step.runs:
+                self.stop_partial(step)
+            else:
+                self.offer(step, queue, now)
+            if step.is_ready:
+                self.backlog.plan_again(step, now)
+            else:
+                self.backlog.drop(step)
+
+    def look_at_fleet(self, now: float) -> None:
+        """Empty executors that leave, and keep others for large tasks."""
+        fleet = self.list_enrolled()
         for executor in fleet:
             if executor.entry.draining:
                 self.evacuate(executor, now)
-        jobs = list(self.state.table.active.values())
-        steps = order_steps(jobs, self.state.find_queue, now)
+        steps = order_steps(self.backlog.waiting, self.state.find_queue, now)
         self.reserved = reserve_executors(steps, fleet, now, self.state.clock())
-        for step, queue in steps:
-            if step.spec.gang and step.runs:
-                self.stop_partial(step)
-            else:
-                self.offer(step, queue, fleet, now)
+
+    def list_enrolled(self) -> list[ExecutorState]:
+        """Return the executors of which a later owner would know."""
+        enrolled = self.state.enrolled
+        return [
+            executor
+            for executor_id, executor in self.state.fleet.items()
+            if executor_id in enrolled
+        ]
+
+    def find_open(self, service: str) -> list[ExecutorState]:
+        """Return the executors of a service that take work now."""
+        found = self.open_executors.get(service)
+        if found is None:
+            clock = self.state.clock()
+            found = [
+                executor
+                for executor in self.list_enrolled()
+                if executor.takes_work(service, clock)
+            ]
+            self.open_executors[service] = found
+        return found
+
+    def find_eligible(self, step: Step, queue: Queue) -> list[ExecutorState]:
+        """Return the executors that take a step now, apart from policy and room."""
+        return [
+            executor
+            for executor in self.find_open(queue.service)
+            if has_label(step, executor) and self.admits(executor, step, queue.priority)
+        ]
 
     def evacuate(self, executor: ExecutorState, now: float) -> None:
         """Stop tasks on a leaving executor that lose nothing by it.
@@ -125,36 +164,39 @@
         """Stop the members of a gang of which some do not run."""
         self.orders.stop_all(step.active_runs())
 
-    def offer(
-        self, step: Step, queue: Queue, fleet: list[ExecutorState], now: float
-    ) -> None:
+    def offer(self, step: Step, queue: Queue, now: float) -> None:
         """Start the tasks of a step that fit, and ask for advice where that helps."""
-        clock = self.state.clock()
-        eligible = [
-            executor
-            for executor in eligible_executors(step, queue.service, fleet, clock)
-            if self.admits(executor, step, queue.priority)
-        ]
-        if not eligible:
-            return
         if queue.policy is None:
-            self.start_all(step, self.place(step, eligible), now)
+            self.start_all(step, self.place(step, self.find_eligible(step, queue)), now)
             return
-        limit = now + TICKET_MARGIN_S
+        allowed = self.find_allowed(step, queue)
         holding = [
             executor
-            for executor in eligible
-            if executor.executor_id in step.tickets
-            and step.tickets[executor.executor_id].expires_at > limit
+            for executor in allowed
+            if step.ticket_left_s(executor.executor_id, now) > TICKET_MARGIN_S
         ]
-        placements = self.place(step, holding) if holding else []
-        waiting = len(step.pending) - len(placements)
-        if placements:
-            self.start_all(step, placements, now)
-        if waiting and not step.asking and step.held_back_until <= now:
-            asked = self.choose_asked(step, queue.policy, eligible, now)
-            if asked:
-                self.ask(step, queue.policy, asked, now)
+        if holding:
+            self.start_all(step, self.place(step, holding), now)
+        if step.pending and not step.asking and step.held_back_until <= now:
+            self.desk.ask_about(
+                step, queue, allowed, lambda: self.find_eligible(step, queue), now
+            )
+
+    def find_allowed(self, step: Step, queue: Queue) -> list[ExecutorState]:
+        """Return the executors that the policy allows and that take the step now."""
+        clock = self.state.clock()
+        allowed = []
+        for executor_id in sorted(step.allowed):
+            executor = self.state.fleet.get(executor_id)
+            if (
+                executor is not None
+                and executor_id in self.state.enrolled
+                and has_label(step, executor)
+                and executor.takes_work(queue.service, clock)
+                and self.admits(executor, step, queue.priority)
+            ):
+                allowed.append(executor)
+        return allowed
 
     def place(self, step: Step, candidates: list[ExecutorState]) -> list[Placement]:
         """Return places for the pending tasks of a step."""
@@ -167,39 +209,6 @@
         reservation = self.reserved.get(executor.executor_id)
         return reservation is None or reservation.admits(step, priority)
 
-    def choose_asked(
-        self,
-        step: Step,
-        timing: PolicyTiming,
-        eligible: list[ExecutorState],
-        now: float,
-    ) -> list[ExecutorState]:
-        """Return the executors to ask about.
-
-        New ones are asked about until the allowed ones have room for the step; allowed
-        ones whose ticket has ended are asked about again once they have room. Tickets
-        of executors that are kept for the step are renewed before they end.
-        """
-        new = [each for each in eligible if each.executor_id not in step.asked]
-        allowed = [each for each in eligible if each.executor_id in step.allowed]
-        placements = self.place(step, allowed) if allowed else []
-        asked = new if len(placements) < len(step.pending) else []
-        with_room = {
-            executor.executor_id
-            for executor in allowed
-            if placements and executor.fit_count(step.spec)
-        }
-        call_s = timing.call_s(1 + len(step.reserved)) + TICKET_MARGIN_S
-        for executor in allowed:
-            executor_id = executor.executor_id
-            ticket = step.tickets.get(executor_id)
-            left_s = ticket.expires_at - now if ticket else 0.0
-            if executor_id in step.reserved and left_s < call_s:
-                asked.append(executor)
-            elif executor_id in with_room and left_s < TICKET_MARGIN_S:
-                asked.append(executor)
-        return asked[:MAX_ASKED]
-
     def start_all(self, step: Step, placements: list[Placement], now: float) -> None:
         """Start the placed tasks."""
         if not placements:
@@ -213,47 +222,3 @@
             each.executor.add_run(run)
             ticket = step.tickets.get(each.executor.executor_id)
             self.orders.start(run, ticket.value if ticket else "")
-
-    def ask(
-        self, step: Step, timing: PolicyTiming, asked: list[ExecutorState], now: float
-    ) -> None:
-        """Ask for advice in a task of its own."""
-        step.asking = True
-        ids = [executor.executor_id for executor in asked]
-        self.state.group.start_soon(self.ask_policy, step, timing, ids)
-
-    async def ask_policy(
-        self, step: Step, timing: PolicyTiming, executor_ids: list[str]
-    ) -> None:
-        """Ask the policy service through one of the nodes and keep the tickets."""
-        now = anyio.current_time()
-        adviser = self.advisers.choose(timing, len(executor_ids), now)
-        usual = adviser.busy_until - now
-        deadline = now + usual * ADVICE_FACTOR + ADVICE_MARGIN_S
-        try:
-            rows = await self.ask_peer(adviser.name, step.name, executor_ids, deadline)
-        except (PolicyUnavailable, PolicyBusy) as error:
-            self.state.metrics.count("cell.advice.failed")
-            log.info(
-                "advice failed", step=step.name, node=adviser.name, error=str(error)
-            )
-            step.held_back_until = anyio.current_time() + ADVICE_RETRY_S
-            return
-        finally:
-            self.advisers.finish(adviser, anyio.current_time())
-            step.asking = False
-            self.state.wake()
-        self.state.metrics.count("cell.advice")
-        log.info(
-            "advice received",
-            step=step.name,
-            node=adviser.name,
-            asked=len(executor_ids),
-            allowed=len(rows),
-            took_ms=round((anyio.current_time() - now) * 1000),
-        )
-        expires_at = anyio.current_time() + timing.valid_s
-        step.asked.update(executor_ids)
-        for executor_id, value in rows:
-            step.allowed.add(executor_id)
-            step.tickets[executor_id] = Ticket(executor_id, value, expires_at)
--- a/gypsumring/cell/state.py
+++ b/gypsumring/cell/state.py
@@ -8,7 +8,7 @@
 from gypsumring.cell.journal import Journal
 from gypsumring.fleet import ExecutorState
 from gypsumring.metrics import Metrics
-from gypsumring.pipelines import DesiredState, Job, JobTable, Queue, encode
+from gypsumring.pipelines import DesiredState, Job, JobTable, Queue, Run, encode
 from gypsumring.ports.tasks import TaskExecutor
 from gypsumring.utils.clock import Clock, WallClock
 from gypsumring.utils.logs import EventLogger
@@ -63,9 +63,11 @@
         "enrolled",
         "fence",
         "fleet",
+        "freed",
         "group",
         "inherited_lease_s",
         "journal",
+        "known_state",
         "last_queues",
         "may_extend",
         "metrics",
@@ -101,39 +103,58 @@
         self.table = JobTable(wall_clock)
         self.fleet: dict[str, ExecutorState] = {}
         self.clients: dict[str, TaskExecutor] = {}
+        # Executors on which room was freed since the scheduler has looked.
+        self.freed: set[str] = set()
         # Executors whose entry is durable, so that a later owner looks for their tasks.
         self.enrolled: set[str] = set()
         # Executors that may run tasks of an earlier owner and have not been heard.
         self.unsettled: set[str] = set()
         self.changed = anyio.Event()
         self.group: anyio.abc.TaskGroup | None = None
-        # Queues that were dropped while jobs of theirs were left.
+        # Queues as they were last, also those that have been dropped since, and the
+        # desired state from which they were taken.
         self.last_queues: dict[str, Queue] = {}
+        self.known_state: DesiredState | None = None
 
     def wake(self) -> None:
         """Let the scheduler look at the ready steps."""
         self.changed.set()
 
+    def free_room(self, executor: ExecutorState, run: Run) -> None:
+        """Take the room of an attempt back; the scheduler looks who waits for it."""
+        if executor.remove_run(run):
+            self.freed.add(executor.executor_id)
+
+    def take_freed(self) -> list[str]:
+        """Return the ids of executors with new room, and forget them."""
+        freed, self.freed = self.freed, set()
+        return sorted(freed)
+
     def settle_jobs(self) -> None:
         """Let tasks of earlier owners be placed once all executors were heard."""
         if not self.unsettled:
             for job in self.table.active.values():
-                job.settle()
+                if job.inherited:
+                    job.settle()
+                    self.table.touch(job)
         self.wake()
 
     def find_queue(self, job: Job) -> Queue:
         """Return the queue of a job, as it was last if it has been dropped."""
         desired = self.desired_state()
-        queue = desired.find_queue(job.spec.queue) if desired else None
-        if queue is not None:
-            self.last_queues[queue.name] = queue
-            return queue
-        known = self.last_queues.get(job.spec.queue)
-        if known is not None:
-            return known
-        return Queue(
-            name=job.spec.queue, host="", path_prefix="", service=job.spec.service
-        )
+        if desired is not None and desired is not self.known_state:
+            self.known_state = desired
+            used = {known.spec.queue for known in self.table.jobs.values()}
+            kept = {
+                name: self.last_queues[name] for name in used & set(self.last_queues)
+            }
+            self.last_queues = kept | {queue.name: queue for queue in desired.queues}
+        queue = self.last_queues.get(job.spec.queue)
+        if queue is None:
+            queue = Queue(
+                name=job.spec.queue, host="", path_prefix="", service=job.spec.service
+            )
+        return queue
 
     def write_progress(
         self, job: Job, on_durable: Callable[[], None] | None = None
--- /dev/null
+++ b/gypsumring/cell/tests/test_scheduling.py
@@ -0,0 +1,41 @@
+"""Steps that wait are looked at until they have found their place."""
+
+import anyio
+
+from gypsumring.cell.messages import Outcome
+from gypsumring.cell.tests.test_recovery import running_cluster
+from gypsumring.pipelines import JobPhase, StepSpec
+from gypsumring.utils.testing import make_load_tests
+from stand_ins.platform.cluster import make_job
+from stand_ins.platform.world import steady_behaviour
+
+SMALL = StepSpec(task_count=2, cpu_millis=2000, estimated_ms=500)
+
+
+async def test_step_whose_tickets_were_refused_asks_again():
+    # The step forgot the executors with a refused ticket, and waited for good.
+    async with running_cluster(steady_behaviour(0.5), policy_share=0.5) as cluster:
+        cluster.policy.valid_s = -1.0
+        assert await cluster.submit(make_job("a" * 16, SMALL)) is Outcome.OK
+        await anyio.sleep(1.0)
+        assert cluster.policy.calls >= 2
+        assert not cluster.world.starts
+        cluster.policy.valid_s = 2.0
+        assert await cluster.wait_final("a" * 16, 10.0) is JobPhase.COMPLETED
+
+
+async def test_freed_room_goes_to_a_waiting_step_at_once():
+    # Waiting for the next look at the whole queue would cost each task 50 ms.
+    async with running_cluster(
+        steady_behaviour(0.5), executors=1, cpu_millis=2000
+    ) as cluster:
+        for number in range(8):
+            job = make_job(f"{number:016x}", StepSpec(task_count=1, cpu_millis=2000))
+            assert await cluster.submit(job) is Outcome.OK
+        began = anyio.current_time()
+        for number in range(8):
+            assert await cluster.wait_final(f"{number:016x}") is JobPhase.COMPLETED
+        assert anyio.current_time() - began < 8 * 0.5 + 1.0
+
+
+load_tests = make_load_tests(globals())
--- a/gypsumring/dispatch/__init__.py
+++ b/gypsumring/dispatch/__init__.py
@@ -1,15 +1,27 @@
 """Decide which ready steps start next, where, and which executors to ask about."""
 
 from gypsumring.dispatch.advisers import AdviserPool
+from gypsumring.dispatch.asking import (
+    AllowedShares,
+    choose_call_size,
+    choose_new,
+    split_calls,
+)
+from gypsumring.dispatch.backlog import Backlog
 from gypsumring.dispatch.ordering import order_steps
 from gypsumring.dispatch.placing import Placement, place_step
 from gypsumring.dispatch.reserving import Reservation, reserve_executors
 
 __all__ = [
     "AdviserPool",
+    "AllowedShares",
+    "Backlog",
     "Placement",
     "Reservation",
+    "choose_call_size",
+    "choose_new",
     "order_steps",
     "place_step",
     "reserve_executors",
+    "split_calls",
 ]
--- a/gypsumring/dispatch/advisers.py
+++ b/gypsumring/dispatch/advisers.py
@@ -41,28 +41,34 @@
             if name not in self.advisers:
                 self.advisers[name] = Adviser(name)
 
-    def choose(self, timing: PolicyTiming, executors: int, now: float) -> Adviser:
-        """Return the node whose queue is free first, and book the call there."""
-        call_s = timing.call_s(executors)
+    def list_open(self, timing: PolicyTiming, executors: int) -> list[Adviser]:
+        """Return the nodes that a call about so many executors may use."""
         names = sorted(self.advisers)
         reserved = int(len(names) * SHORT_SHARE)
-        if call_s > LONG_CALL_S and reserved:
+        if timing.call_s(executors) > LONG_CALL_S and reserved:
             names = names[reserved:]
+        return [self.advisers[name] for name in names]
+
+    def count_idle(self, timing: PolicyTiming, executors: int, now: float) -> int:
+        """Return how many nodes could begin such a call now."""
+        open_ones = self.list_open(timing, executors)
+        return sum(each.busy_until <= now for each in open_ones)
+
+    def choose(self, timing: PolicyTiming, executors: int, now: float) -> Adviser:
+        """Return the node whose queue is free first, and book the call there."""
         adviser = min(
-            (self.advisers[name] for name in names),
+            self.list_open(timing, executors),
             key=lambda each: (max(each.busy_until, now), each.calls, each.name),
         )
         adviser.calls += 1
+        call_s = timing.call_s(executors)
         adviser.busy_until = max(adviser.busy_until, now) + call_s
         return adviser
 
     def wait_s(self, timing: PolicyTiming, now: float) -> float:
         """Return how long a call of this kind waits before it begins, in seconds."""
-        names = sorted(self.advisers)
-        reserved = int(len(names) * SHORT_SHARE)
-        if timing.call_s(1) > LONG_CALL_S and reserved:
-            names = names[reserved:]
-        return min(max(0.0, self.advisers[name].busy_until - now) for name in names)
+        open_ones = self.list_open(timing, 1)
+        return min(max(0.0, each.busy_until - now) for each in open_ones)
 
     def finish(self, adviser: Adviser, now: float) -> None:
         """Note the end of a call."""
--- a/gypsumring/dispatch/ordering.py
+++ b/gypsumring/dispatch/ordering.py
@@ -1,11 +1,11 @@
 """Order in which ready steps are offered free room."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 
 from gypsumring.pipelines.model import Queue, StepSpec
 from gypsumring.pipelines.state import Job, Step
 
-__all__ = ["job_target_s", "order_steps"]
+__all__ = ["job_target_s", "order_steps", "step_due"]
 
 
 def longest_chain_s(steps: tuple[StepSpec, ...]) -> float:
@@ -22,24 +22,25 @@
     return queue.stretch * longest_chain_s(job.spec.steps) + queue.latency_target_s
 
 
+def step_due(step: Step, queue: Queue) -> float:
+    """Return the time by which the job of a step should be completed."""
+    job = step.job
+    since = job.accepted_at if step.opened_at is None else step.opened_at
+    return since + job_target_s(job, queue)
+
+
 def order_steps(
-    jobs: list[Job], find_queue: Callable[[Job], Queue], now: float
+    steps: Iterable[Step], find_queue: Callable[[Job], Queue], now: float
 ) -> list[tuple[Step, Queue]]:
-    """Return the ready steps, the one to serve first in front.
+    """Return steps with their queues, the one to serve first in front.
 
     Within a priority the step whose job is due first goes first; jobs that have missed
     their target come after those that can still meet it.
     """
     rows = []
-    for job in jobs:
-        ready = job.ready_steps()
-        if not ready:
-            continue
-        queue = find_queue(job)
-        target_s = job_target_s(job, queue)
-        for step in ready:
-            since = job.accepted_at if step.opened_at is None else step.opened_at
-            due = since + target_s
-            rows.append((queue.priority, due < now, due, step.name, step, queue))
+    for step in steps:
+        queue = find_queue(step.job)
+        due = step_due(step, queue)
+        rows.append((queue.priority, due < now, due, step.name, step, queue))
     rows.sort(key=lambda row: row[:4])
     return [(row[4], row[5]) for row in rows]
--- a/gypsumring/dispatch/placing.py
+++ b/gypsumring/dispatch/placing.py
@@ -5,7 +5,7 @@
 from gypsumring.fleet import ExecutorState
 from gypsumring.pipelines.state import Step
 
-__all__ = ["Placement", "eligible_executors", "place_step", "places_on"]
+__all__ = ["Placement", "has_label", "place_step", "places_on"]
 
 
 class Placement:
@@ -18,17 +18,10 @@
         self.executor = executor
 
 
-def eligible_executors(
-    step: Step, service: str, fleet: list[ExecutorState], now: float
-) -> list[ExecutorState]:
-    """Return the executors on which the step may start, apart from policy and room."""
+def has_label(step: Step, executor: ExecutorState) -> bool:
+    """Tell whether an executor has the label that a step requires."""
     label = step.spec.required_label
-    return [
-        executor
-        for executor in fleet
-        if executor.takes_work(service, now)
-        and (not label or label in executor.entry.labels)
-    ]
+    return not label or label in executor.entry.labels
 
 
 def room_for(step: Step, executor: ExecutorState) -> int:
@@ -126,13 +119,16 @@
     A task avoids executors on which it failed, unless the others could not hold the
     step even if they were empty.
     """
-    ordered = sorted(candidates, key=lambda each: sort_key(step, each, shunned))
-    room = {executor.executor_id: room_for(step, executor) for executor in ordered}
-    if step.spec.gang and sum(room.values()) < len(step.pending):
+    room = {executor.executor_id: room_for(step, executor) for executor in candidates}
+    places = sum(room.values())
+    if not places or (step.spec.gang and places < len(step.pending)):
         return []
+    with_room = [each for each in candidates if room[each.executor_id]]
+    ordered = sorted(with_room, key=lambda each: sort_key(step, each, shunned))
     placements = assign(step, ordered, dict(room), step.avoided)
     if len(placements) == len(step.pending) or not step.avoided:
         return placements
+    ordered = sorted(candidates, key=lambda each: sort_key(step, each, shunned))
     whole = {executor.executor_id: places_on(step, executor) for executor in ordered}
     if len(assign(step, ordered, whole, step.avoided)) == len(step.pending):
         return placements
@@ -147,8 +143,12 @@
 ) -> list[Placement]:
     """Give each pending task the first executor with room; a gang gets all or none."""
     placements = []
+    nobody: set[str] = set()
+    ordered = list(ordered)
     for index in sorted(step.pending):
-        avoided = avoided_by.get(index, set())
+        while ordered and room[ordered[0].executor_id] <= 0:
+            del ordered[0]
+        avoided = avoided_by.get(index, nobody)
         for executor in ordered:
             if room[executor.executor_id] > 0 and executor.executor_id not in avoided:
                 room[executor.executor_id] -= 1
--- a/gypsumring/dispatch/reserving.py
+++ b/gypsumring/dispatch/reserving.py
@@ -36,19 +36,21 @@
         return step is self.step or priority < self.priority
 
 
-def needs_reservation(step: Step, fleet: list[ExecutorState], now: float) -> bool:
-    """Tell whether a step has waited in vain for room that small tasks take."""
+def needs_reservation(step: Step, largest_cpu: int, now: float) -> bool:
+    """Tell whether a step has waited in vain for room that small tasks take.
+
+    ``largest_cpu`` is the size of the largest executor, in thousandths of a core.
+    """
     if not step.pending or not step.allowed or step.waiting_since is None:
         return False
     if now - step.waiting_since < PATIENCE_S:
         return False
     if step.spec.gang and step.runs:
         return False
-    largest = max((each.entry.cpu_millis for each in fleet), default=0)
     cpu = step.spec.cpu_millis
     if step.spec.gang:
         cpu *= len(step.pending)
-    return cpu >= largest * LARGE_SHARE
+    return cpu >= largest_cpu * LARGE_SHARE
 
 
 def reserve_executors(
@@ -65,8 +67,9 @@
     """
     reserved: dict[str, Reservation] = {}
     limit = int(len(fleet) * MAX_RESERVED_SHARE)
+    largest_cpu = max((each.entry.cpu_millis for each in fleet), default=0)
     for step, queue in steps:
-        if not needs_reservation(step, fleet, now):
+        if not needs_reservation(step, largest_cpu, now):
             step.reserved = set()
             continue
         candidates = [
--- /dev/null
+++ b/gypsumring/dispatch/tests/test_asking.py
@@ -0,0 +1,119 @@
+"""Advice on a large fleet: steps that come together ask about executors of their own.
+
+Asking about the first forty of 270 executors sent all work there, while most of the
+fleet stood idle and callers waited.
+"""
+
+import random
+from collections import Counter
+
+from gypsumring.dispatch import (
+    AdviserPool,
+    AllowedShares,
+    choose_call_size,
+    choose_new,
+    split_calls,
+)
+from gypsumring.dispatch.tests.fleets import make_fleet, make_step
+from gypsumring.pipelines import PolicyTiming
+from gypsumring.utils.testing import make_load_tests
+
+LONG = PolicyTiming(0.5, 0.007, 2.0)
+SHORT = PolicyTiming(0.02, 0.0003, 2.0)
+SHARE = 0.3
+
+
+def ask(step, fleet, places_allowed=0, timing=LONG, seed=1):
+    """Return the ids of the executors that a step asks about."""
+    chosen = choose_new(
+        step,
+        fleet,
+        places_allowed,
+        SHARE,
+        choose_call_size(timing),
+        random.Random(seed),
+    )
+    return [executor.executor_id for executor in chosen]
+
+
+def test_steps_that_come_together_spread_over_the_fleet():
+    fleet = make_fleet(270, cpu_millis=32_000)
+    source = random.Random(7)
+    asked = Counter()
+    for number in range(60):
+        step = make_step(f"{number:016x}", task_count=3, cpu_millis=8_000)
+        for executor in choose_new(step, fleet, 0, SHARE, 35, source):
+            asked[executor.executor_id] += 1
+    assert len(asked) > 260
+    assert max(asked.values()) < 3 * sum(asked.values()) / len(fleet)
+
+
+def test_wide_step_asks_about_as_many_as_it_needs():
+    fleet = make_fleet(270, cpu_millis=32_000)
+    gang = make_step(task_count=90, cpu_millis=9_000, gang=True)
+    # 30 executors hold it; three in ten are allowed.
+    assert 100 < len(ask(gang, fleet)) < 200
+
+
+def test_executors_with_room_come_first():
+    fleet = make_fleet(100, cpu_millis=8_000)
+    for executor in fleet[:60]:
+        executor.used_cpu = 8_000
+    step = make_step(task_count=2, cpu_millis=4_000)
+    free = {executor.executor_id for executor in fleet[60:]}
+    chosen = ask(step, fleet)
+    assert set(chosen[: len(free)]) <= free
+    gang = make_step(task_count=8, cpu_millis=4_000, gang=True)
+    fleet[70].used_cpu = 4_000
+    assert "i-70" not in ask(gang, fleet)[:39]
+
+
+def test_enough_places_are_not_asked_about_again_until_room_opens():
+    fleet = make_fleet(50, cpu_millis=8_000)
+    for executor in fleet[:49]:
+        executor.used_cpu = 8_000
+    step = make_step(task_count=4, cpu_millis=4_000)
+    assert ask(step, fleet, places_allowed=20) == ["i-49"]
+    step.asked = {executor.executor_id for executor in fleet}
+    assert ask(step, fleet, places_allowed=0) == []
+
+
+def test_small_fleet_is_asked_about_in_one_call():
+    fleet = make_fleet(24)
+    chosen = choose_new(make_step(), fleet, 0, SHARE, 35, random.Random(1))
+    calls = split_calls(chosen, choose_call_size(LONG), nodes=9)
+    assert [len(call) for call in calls] == [24]
+
+
+def test_calls_are_no_longer_than_their_base_time_suggests():
+    size = choose_call_size(LONG)
+    assert LONG.call_s(size) <= 1.5 * LONG.base_s
+    fleet = make_fleet(120)
+    calls = split_calls(fleet, size, nodes=9)
+    assert sum(len(call) for call in calls) == 120
+    assert len(split_calls(fleet, size, nodes=2)) == 2
+    assert choose_call_size(PolicyTiming(0.02, 0.0, 2.0)) == 100
+
+
+def test_share_follows_the_answers_of_each_queue():
+    shares = AllowedShares()
+    for _ in range(60):
+        shares.note("generous", 20, 18)
+        shares.note("strict", 20, 0)
+    assert shares.get("generous") > 0.85
+    # A queue that allows nothing must not ask about the whole fleet for each task.
+    assert 0 < shares.get("strict") <= 0.05
+    assert shares.get("new") == 0.4
+
+
+def test_idle_nodes_are_counted_without_those_kept_for_short_calls():
+    pool = AdviserPool()
+    pool.set_names([f"n{number}" for number in range(9)])
+    assert pool.count_idle(LONG, 30, 0.0) == 6
+    assert pool.count_idle(SHORT, 30, 0.0) == 9
+    for _ in range(6):
+        pool.choose(LONG, 30, 0.0)
+    assert pool.count_idle(LONG, 30, 0.1) == 0
+
+
+load_tests = make_load_tests(globals())
--- a/gypsumring/dispatch/tests/test_ordering.py
+++ b/gypsumring/dispatch/tests/test_ordering.py
@@ -20,8 +20,8 @@
         )
         for step, priority in rows
     }
-    jobs = [step.job for step, _ in rows]
-    ordered = order_steps(jobs, lambda job: queues[job.spec.job_id], now)
+    steps = [step for row in rows for step in row[0].job.ready_steps()]
+    ordered = order_steps(steps, lambda job: queues[job.spec.job_id], now)
     return [step.job.spec.job_id[0] for step, _ in ordered]
 
 
--- a/gypsumring/dispatch/tests/test_placing.py
+++ b/gypsumring/dispatch/tests/test_placing.py
@@ -5,7 +5,7 @@
 import msgspec
 
 from gypsumring.dispatch import place_step
-from gypsumring.dispatch.placing import eligible_executors
+from gypsumring.dispatch.placing import has_label
 from gypsumring.dispatch.tests.fleets import make_executor, make_fleet, make_step
 from gypsumring.utils.testing import make_load_tests
 
@@ -92,10 +92,9 @@
     fleet[1].health.quarantine(0.0)
     fleet[2].shutting_out.add(("t", 1))
     fleet[4].entry = msgspec.structs.replace(fleet[4].entry, draining=True)
-    step = make_step()
-    names = [each.executor_id for each in eligible_executors(step, "svc", fleet, 0.5)]
+    names = [each.executor_id for each in fleet if each.takes_work("svc", 0.5)]
     assert names == ["i-3"]
-    assert eligible_executors(make_step(required_label="x"), "svc", fleet, 0.5) == []
+    assert not any(has_label(make_step(required_label="x"), each) for each in fleet)
 
 
 load_tests = make_load_tests(globals())
--- a/gypsumring/fleet/executor.py
+++ b/gypsumring/fleet/executor.py
@@ -1,5 +1,6 @@
 """State of one executor: its entry, its clock and lease, and what it runs."""
 
+import anyio
 import msgspec
 
 from gypsumring.fleet.health import ExecutorHealth
@@ -58,6 +59,7 @@
         "seen_end",
         "shutting_out",
         "durable_end",
+        "durable_news",
         "unanswered_hold_at",
         "unconfirmed",
         "unknown_runs",
@@ -87,6 +89,8 @@
         self.shutting_out: set[tuple[str, int]] = set()
         # Its attempts were given up since the newest answer.
         self.was_lost = False
+        # Set when ends of this executor have become durable.
+        self.durable_news: anyio.Event | None = None
         # When the newest hold without an answer was sent.
         self.unanswered_hold_at = float("-inf")
         self.unknown_runs: set[tuple[str, int]] = set()
@@ -120,6 +124,12 @@
             self.clock_ms = clock_ms
             self.clock_read_at = now
 
+    def note_durable(self, number: int) -> None:
+        """Note that what follows from the ends up to a number is in the store."""
+        self.durable_end = max(self.durable_end, number)
+        if self.durable_news is not None:
+            self.durable_news.set()
+
     def clock_at_least_ms(self, now: float) -> int:
         """Return a time that the executor's clock has surely reached."""
         elapsed = max(0.0, now - self.clock_read_at)
--- a/gypsumring/pipelines/state.py
+++ b/gypsumring/pipelines/state.py
@@ -148,7 +148,8 @@
         self.asked: set[str] = set()
         self.allowed: set[str] = set()
         self.tickets: dict[str, Ticket] = {}
-        self.asking = False
+        # Calls to the policy service that are under way.
+        self.asking = 0
         # Since when the step has waited for a good place.
         self.waiting_since: float | None = None
         # Executors that take no work of other steps until this one has its room.
@@ -215,6 +216,11 @@
         self.pending |= self.withheld
         self.withheld.clear()
 
+    def ticket_left_s(self, executor_id: str, now: float) -> float:
+        """Return how long the step may still be started on an executor, in seconds."""
+        ticket = self.tickets.get(executor_id)
+        return 0.0 if ticket is None else ticket.expires_at - now
+
     def checkpoint_of(self, index: int) -> str:
         """Return the checkpoint from which a task resumes; a gang has one for all."""
         if self.spec.gang:
--- a/gypsumring/pipelines/table.py
+++ b/gypsumring/pipelines/table.py
@@ -23,7 +23,14 @@
     ``first_attempt`` is above each attempt number that an earlier owner may have used.
     """
 
-    __slots__ = ("active", "first_attempt", "jobs", "scheduled", "wall_clock")
+    __slots__ = (
+        "active",
+        "first_attempt",
+        "jobs",
+        "scheduled",
+        "touched",
+        "wall_clock",
+    )
 
     def __init__(self, wall_clock: WallClock = unix_ms, first_attempt: int = 1):
         self.wall_clock = wall_clock
@@ -32,6 +39,18 @@
         # Jobs with occurrences to come or under way.
         self.scheduled: dict[str, Job] = {}
         self.first_attempt = first_attempt
+        # Steps that may have become ready, or are no longer, since the last look.
+        self.touched: dict[Step, None] = {}
+
+    def touch(self, job: Job) -> None:
+        """Note that the readiness of a job's steps may have changed."""
+        for step in job.steps:
+            self.touched[step] = None
+
+    def take_touched(self) -> list[Step]:
+        """Return the steps that were touched, and forget them."""
+        touched, self.touched = self.touched, {}
+        return list(touched)
 
     def add(self, spec: PipelineSpec, now: float, inherited: bool = False) -> Job:
         """Add an accepted job."""
@@ -40,6 +59,7 @@
         self.active[spec.job_id] = job
         if spec.repeats:
             self.scheduled[spec.job_id] = job
+        self.touch(job)
         return job
 
     def find_step(self, task: str, now: float) -> tuple[Step, int] | None:
@@ -48,7 +68,8 @@
         job = self.jobs.get(parsed[0]) if parsed else None
         if job is None:
             return None
-        job.open_due(self.wall_clock(), now)
+        if job.open_due(self.wall_clock(), now):
+            self.touch(job)
         step = job.find_step(parsed[1], parsed[2])
         if step is None or parsed[3] >= step.spec.task_count:
             return None
@@ -58,12 +79,14 @@
         """Begin the occurrences of scheduled jobs that are due by the time of day."""
         now_ms = self.wall_clock()
         for job in self.scheduled.values():
-            job.open_due(now_ms, now)
+            if job.open_due(now_ms, now):
+                self.touch(job)
 
     def finish(self, job: Job) -> None:
         """Take a job that has ended out of the active ones."""
         self.active.pop(job.spec.job_id, None)
         self.scheduled.pop(job.spec.job_id, None)
+        self.touch(job)
 
     def next_attempt(self, step: Step, indices: list[int]) -> int:
         """Return an attempt number above all earlier ones of these tasks."""
@@ -79,6 +102,7 @@
         step.runs.setdefault(index, []).append(run)
         step.pending.discard(index)
         step.withheld.discard(index)
+        self.touched[step] = None
         if step.states[index] != TaskState.DONE:
             step.states[index] = TaskState.PLACED
         step.job.started = True
@@ -112,6 +136,7 @@
                 del run.step.runs[run.index]
         if run.index not in run.step.runs and not run.step.job.phase.is_final:
             run.step.mark_pending(run.index)
+            self.touched[run.step] = None
 
     def end(
         self, run: Run, how: str, checkpoint: str, max_attempts: int
@@ -143,6 +168,8 @@
         stop = [] if step.spec.gang else list(step.runs.get(run.index, ()))
         if run.was_running:
             step.job.settle_after(step)
+        if step.is_done:
+            self.touch(step.job)
         step.job.close_done()
         if step.job.is_done:
             step.job.phase = JobPhase.COMPLETED
