Let weak machines stand for the cell only while no stronger one is there

Cause: the group deals the cell by chance. Change: each node knows the size of its machine from its settings and keeps it in the store (keyed.nodes); one of less than 0.7 of the largest stays out of the group until it has reached no owner for 1.6 s, and hands the cell over once a strong node has been linked for a second. A stopping node withdraws first.

--- a/gypsumring/cell/messages.py
+++ b/gypsumring/cell/messages.py
@@ -41,10 +41,15 @@
 
 
 class Hello(msgspec.Struct, tag=True, array_like=True):
-    """Name the node that opened the channel, and where it listens."""
+    """Name the node that opened the channel, and where it listens.
+
+    ``size`` is the size of its machine in thousandths of a core of usual speed, or 0
+    if it does not stand for the ownership of the cell.
+    """
 
     node: str
     address: str
+    size: int = 0
 
 
 class Ping(msgspec.Struct, tag=True, array_like=True):
--- a/gypsumring/node/link.py
+++ b/gypsumring/node/link.py
@@ -52,6 +52,7 @@
         "own_fence",
         "owner_address",
         "owner_member",
+        "size",
         "store",
     )
 
@@ -64,6 +65,7 @@
         own_fence: Callable[[], int | None],
         handler: Handler,
         connect: Connect = Channel.connect,
+        size: int = 0,
     ):
         self.store = store
         self.group_name = group_name
@@ -73,6 +75,8 @@
         self.own_fence = own_fence
         self.handler = handler
         self.connect = connect
+        # Size of this machine, or 0 once the node stops.
+        self.size = size
         self.channel: Channel | None = None
         self.changed = anyio.Event()
         self.linked_at = anyio.current_time()
@@ -113,6 +117,17 @@
                 await self.release_silent(address)
             await anyio.sleep(LOOKUP_PAUSE_S)
 
+    async def withdraw(self) -> None:
+        """Tell the owner that this node does not stand for the cell any more."""
+        self.size = 0
+        if self.channel is None:
+            return
+        hello = Hello(self.member.node, self.member.address)
+        try:
+            await self.channel.call(hello, anyio.current_time() + HELLO_S)
+        except ChannelClosed as error:
+            log.debug("owner not told", error=str(error))
+
     async def stay_owner(self, fence: int) -> None:
         """Let the others know that this node owns the cell, and wait a little."""
         self.linked_at = anyio.current_time()
@@ -248,7 +263,7 @@
         channel = await self.connect(address, decoder, self.handler, deadline)
         async with anyio.create_task_group() as group:
             group.start_soon(channel.run)
-            hello = Hello(self.member.node, self.member.address)
+            hello = Hello(self.member.node, self.member.address, self.size)
             try:
                 await channel.call(hello, anyio.current_time() + HELLO_S)
                 has_answered = True
--- a/gypsumring/node/membership.py
+++ b/gypsumring/node/membership.py
@@ -50,7 +50,8 @@
     """Join the group again and again, and run the cell while it is ours.
 
     ``make_owner`` returns a new owner under a fence number, the generation in which
-    the cell was dealt to this node.
+    the cell was dealt to this node. ``stands`` tells whether a node that owns the cell,
+    or does not, should be in the group.
     """
 
     __slots__ = (
@@ -59,6 +60,7 @@
         "confirmed_at",
         "fence_generation",
         "generation",
+        "is_member",
         "group_name",
         "group",
         "make_owner",
@@ -67,6 +69,7 @@
         "owner_count",
         "owner_scope",
         "paused",
+        "stands",
         "started_at",
         "stopping",
         "store",
@@ -85,6 +88,7 @@
         ttl_s: float,
         make_owner: Callable[[int], CellOwner],
         clock: Clock = anyio.current_time,
+        stands: Callable[[bool], bool] = lambda owns: True,
     ):
         self.store = store
         self.group_name = group_name
@@ -93,6 +97,9 @@
         self.member = member
         self.ttl_s = ttl_s
         self.make_owner = make_owner
+        self.stands = stands
+        # Joined, and not left since.
+        self.is_member = False
         self.generation = 0
         self.fence_generation = -1
         self.owner_count = 0
@@ -128,7 +135,12 @@
             self.group = group
             while not self.stopping:
                 self.tick()
+                if not self.stands(self.owner is not None):
+                    await self.step_back()
+                    await anyio.sleep(JOIN_PERIOD_S)
+                    continue
                 sent = anyio.current_time()
+                self.is_member = True
                 try:
                     assignment = await self.store.join(
                         self.group_name,
@@ -206,13 +218,26 @@
             await owner.stopped.wait()
         self.owner = None
 
+    async def step_back(self) -> None:
+        """Leave the group until this node stands again."""
+        if self.is_member:
+            await self.stop_owner("a larger machine stands")
+            await self.leave_group()
+
     async def leave(self) -> None:
         """Stop the cell and leave the group, so that another node takes over."""
         self.stopping = True
         await self.stop_owner("node stops")
+        if self.is_member:
+            await self.leave_group()
+
+    async def leave_group(self) -> None:
+        """Leave the group; the membership lapses if that fails."""
         try:
             await self.store.leave(
                 self.group_name, self.member, anyio.current_time() + LEAVE_S
             )
         except (StoreUnavailable, StoreRefused) as error:
             log.warning("leave failed", error=str(error))
+        else:
+            self.is_member = False
--- a/gypsumring/node/node.py
+++ b/gypsumring/node/node.py
@@ -25,6 +25,7 @@
 )
 from gypsumring.cell.state import CellTiming
 from gypsumring.metrics import Metrics
+from gypsumring.node.candidacy import Candidacy
 from gypsumring.node.desired import DesiredStateWatch
 from gypsumring.node.link import OwnerLink
 from gypsumring.node.membership import Member, Membership
@@ -55,6 +56,7 @@
 
 GROUP = "cells"
 CELL_TOPIC = "keyed.cells"
+NODES_TOPIC = "keyed.nodes"
 MEMBERSHIP_S = 1.0
 RETRY_PAUSE_S = 0.03
 MEASURE_S = 1.0
@@ -71,6 +73,7 @@
     __slots__ = (
         "addresses",
         "answer_by",
+        "candidacy",
         "cell",
         "desired",
         "link",
@@ -81,6 +84,7 @@
         "policy",
         "relay",
         "settings",
+        "sizes",
         "stopping",
         "store",
     )
@@ -107,11 +111,15 @@
         # listen, by node name.
         self.peers: dict[str, Channel] = {}
         self.addresses: dict[str, str] = {}
+        # Sizes of their machines.
+        self.sizes: dict[str, int] = {}
         self.nodes_version = unix_ms()
         self.desired = DesiredStateWatch(
             store, DESIRED_STATE_TOPIC, DESIRED_STATE_KEY, decode_desired_state
         )
         member = Member(settings.node, settings.peer_address, uuid.uuid4().hex[:8])
+        size = settings.processor.size
+        self.candidacy = Candidacy(store, NODES_TOPIC, size)
         ttl_s = max(MEMBERSHIP_S, settings.store.shortest_membership_ms / 1000)
         self.membership = Membership(
             store,
@@ -122,9 +130,10 @@
             ttl_s,
             self.make_owner,
             suspend_aware_time,
+            self.stands,
         )
         self.link = OwnerLink(
-            store, GROUP, self.cell, member, self.own_fence, self.handle
+            store, GROUP, self.cell, member, self.own_fence, self.handle, size=size
         )
         self.relay = StoreRelay(store_path, self.list_channels, metrics)
 
@@ -137,6 +146,12 @@
         owner = self.membership.active_owner()
         return None if owner is None else owner.fence
 
+    def stands(self, owns: bool) -> bool:
+        """Tell whether this node should be in the group."""
+        if owns:
+            self.candidacy.note_linked(list(self.sizes.values()))
+        return self.candidacy.stands(owns, anyio.current_time() - self.link.linked_at)
+
     def is_ready(self) -> bool:
         """Tell whether new callers should come here."""
         if self.stopping or self.desired.current is None:
@@ -192,6 +207,7 @@
         """Run until cancelled."""
         async with anyio.create_task_group() as group:
             group.start_soon(self.desired.run)
+            group.start_soon(self.candidacy.learn)
             group.start_soon(self.membership.run)
             group.start_soon(self.link.run)
             group.start_soon(self.measure)
@@ -218,6 +234,7 @@
         """Take no new callers, hand the cell over, and answer all by a time."""
         self.stopping = True
         self.answer_by = answer_by
+        await self.link.withdraw()
         await self.membership.leave()
 
     def forget_peer(self, channel: Channel) -> None:
@@ -225,13 +242,15 @@
         if self.peers.get(channel.peer) is channel:
             del self.peers[channel.peer]
             del self.addresses[channel.peer]
+            del self.sizes[channel.peer]
             self.nodes_version += 1
 
     async def handle(self, channel: Channel, message: Any) -> Any:
         """Answer a message of a peer."""
         match message:
-            case Hello(node=node, address=address):
+            case Hello(node=node, address=address, size=size):
                 channel.peer = node
+                self.sizes[node] = size
                 self.peers[node] = channel
                 self.addresses[node] = address
                 self.nodes_version += 1
--- /dev/null
+++ b/gypsumring/node/tests/test_candidacy.py
@@ -0,0 +1,143 @@
+"""Weak machines own the cell only while no stronger one is there.
+
+On a site with machines of half a core and of two, the cell fell to a small one after a
+power loss; it needed seconds to look at all executors, was taken for dead by its peers,
+and callers were refused until the end of the day.
+"""
+
+import random
+
+import anyio
+
+from gypsumring.node.candidacy import Candidacy
+from gypsumring.node.membership import Membership
+from gypsumring.node.tests.test_membership import ScriptedOwner, ScriptedStore
+from gypsumring.ports.store import StoreUnavailable
+from gypsumring.utils.testing import make_load_tests
+from stand_ins.platform.faults import Faults
+from stand_ins.platform.memory import MemoryStore
+from stand_ins.platform.store import StoreModel
+
+TOPIC = "keyed.nodes"
+SMALL, USUAL, LARGE = 516, 1074, 2151
+
+
+async def learn(sizes: list[int], model: StoreModel | None = None) -> list[Candidacy]:
+    """Return the candidacies of nodes that start at the same time."""
+    model = model or StoreModel()
+    async with anyio.create_task_group() as group:
+        store = MemoryStore(model, Faults(random.Random(0)), group)
+        nodes = [Candidacy(store, TOPIC, size) for size in sizes]
+        for node in nodes:
+            group.start_soon(node.learn)
+    return nodes
+
+
+async def test_only_the_largest_machines_stand():
+    nodes = await learn([SMALL, LARGE, USUAL, LARGE])
+    assert [node.stands(False, 0.2) for node in nodes] == [False, True, False, True]
+
+
+async def test_machines_of_one_size_all_stand():
+    nodes = await learn([USUAL, USUAL, 1000])
+    assert all(node.stands(False, 0.0) for node in nodes)
+
+
+async def test_nobody_joins_before_the_sizes_are_known():
+    candidacy = Candidacy(ScriptedStore(), TOPIC, SMALL)
+    assert not candidacy.stands(False, 10.0)
+
+
+async def test_sizes_survive_a_restart_of_all_nodes():
+    model = StoreModel()
+    await learn([LARGE, SMALL], model)
+    model.append(TOPIC, 0, [("not a size", b"x")], None)
+    began = anyio.current_time()
+    (node,) = await learn([SMALL], model)
+    assert not node.stands(False, 0.0)
+    # Only the first start of all waits for the others.
+    assert anyio.current_time() - began < 0.1
+
+
+async def test_small_machine_stands_once_no_larger_one_has_taken_over():
+    nodes = await learn([SMALL, LARGE])
+    assert not nodes[0].stands(False, 1.0)
+    assert nodes[0].stands(False, 2.0)
+
+
+async def test_small_owner_hands_over_to_a_larger_machine_that_stays():
+    small, _ = await learn([SMALL, LARGE])
+    assert small.stands(True, 0.0)
+    small.note_linked([SMALL, LARGE])
+    await anyio.sleep(0.9)
+    assert small.stands(True, 0.0)
+    # A machine that stops withdraws with the size 0.
+    small.note_linked([SMALL, 0])
+    await anyio.sleep(0.5)
+    assert small.stands(True, 0.0)
+    small.note_linked([SMALL, LARGE])
+    await anyio.sleep(1.1)
+    small.note_linked([SMALL, LARGE])
+    assert not small.stands(True, 0.0)
+
+
+async def test_store_that_is_away_delays_the_candidacy_only():
+    model = StoreModel()
+
+    class FlakyStore(MemoryStore):
+        """Fail the first calls."""
+
+        __slots__ = ("calls",)
+
+        async def newest(self, topic, partition, deadline):
+            self.calls += 1
+            if self.calls < 4:
+                raise StoreUnavailable("away")
+            return await super().newest(topic, partition, deadline)
+
+    async with anyio.create_task_group() as group:
+        store = FlakyStore(model, Faults(random.Random(0)), group)
+        store.calls = 0
+        candidacy = Candidacy(store, TOPIC, LARGE)
+        await candidacy.learn()
+    assert candidacy.stands(False, 0.0)
+
+
+async def test_node_that_does_not_stand_gives_the_cell_up_and_leaves():
+    left = []
+
+    class LeavingStore(ScriptedStore):
+        """Note who leaves."""
+
+        __slots__ = ()
+
+        async def leave(self, group, member, deadline):
+            left.append(member)
+
+    stands = True
+    membership = Membership(
+        LeavingStore(),
+        "g",
+        "cells",
+        0,
+        "n0",
+        1.0,
+        lambda fence: ScriptedOwner(),
+        stands=lambda owns: stands,
+    )
+    async with anyio.create_task_group() as group:
+        group.start_soon(membership.run)
+        await anyio.sleep(0.5)
+        owner = membership.owner
+        stands = False
+        await anyio.sleep(0.5)
+        assert owner.stopped.is_set()
+        assert membership.owner is None
+        assert left == ["n0"]
+        stands = True
+        await anyio.sleep(0.5)
+        assert membership.owner is not None
+        group.cancel_scope.cancel()
+
+
+load_tests = make_load_tests(globals())
--- a/gypsumring/platform/store.py
+++ b/gypsumring/platform/store.py
@@ -163,17 +163,15 @@
         topic: str,
         partition: int,
         records: list[tuple[str, bytes]],
-        producer: Producer,
+        producer: Producer | None,
         deadline: float,
     ) -> int:
         """Append keyed records and return the end offset."""
-        query = {
-            "topic": topic,
-            "part": partition,
-            "producer": producer.name,
-            "epoch": producer.epoch,
-            "seqNo": producer.sequence,
-        }
+        query: dict[str, str | int] = {"topic": topic, "part": partition}
+        if producer is not None:
+            query["producer"] = producer.name
+            query["epoch"] = producer.epoch
+            query["seqNo"] = producer.sequence
         response = await self.call(
             "POST",
             "/-/log-append",
@@ -185,7 +183,7 @@
         reply = decode_reply(response, AppendReply)
         if response.status == 409:
             if reply.reason == "fenced":
-                raise AppendFenced(f"epoch {producer.epoch} is fenced")
+                raise AppendFenced("a later producer has written")
             raise SequenceMismatch(reply.seq_no)
         if response.status != 200:
             raise StoreUnavailable(f"append: status {response.status}")
--- a/gypsumring/ports/store.py
+++ b/gypsumring/ports/store.py
@@ -90,13 +90,13 @@
         topic: str,
         partition: int,
         records: list[tuple[str, bytes]],
-        producer: Producer,
+        producer: Producer | None,
         deadline: float,
     ) -> int:
         """Append keyed records and return the end offset.
 
         No records set the epoch of the producer. Raise AppendFenced or
-        SequenceMismatch.
+        SequenceMismatch. Without a producer a repeated call may append again.
         """
 
     async def newest(
--- a/gypsumring/settings/node.py
+++ b/gypsumring/settings/node.py
@@ -6,8 +6,9 @@
 
 from gypsumring.settings.model import LogOutputSettings, Port
 
-__all__ = ["BoundSettings", "NodeSettings", "StoreSettings"]
+__all__ = ["BoundSettings", "NodeSettings", "ProcessorSettings", "StoreSettings"]
 
+PositiveNumber = Annotated[float, msgspec.Meta(gt=0)]
 PositiveSeconds = Annotated[float, msgspec.Meta(gt=0)]
 
 
@@ -31,6 +32,21 @@
     spread_factor: PositiveSeconds = 1
 
 
+class ProcessorSettings(msgspec.Struct, forbid_unknown_fields=True, frozen=True):
+    """State the share of a core that a node has, and the speed of that core.
+
+    Speed 1 is usual.
+    """
+
+    share: PositiveNumber = 1.0
+    speed: PositiveNumber = 1.0
+
+    @property
+    def size(self) -> int:
+        """Return the size of the machine in thousandths of a usual core."""
+        return max(1, round(self.share * self.speed * 1000))
+
+
 class NodeSettings(msgspec.Struct, forbid_unknown_fields=True, kw_only=True):
     """Configure one node; ``peer_address`` is where other nodes reach it."""
 
@@ -46,6 +62,7 @@
     store: StoreSettings
     policy_address: str = ""
     bounds: BoundSettings
+    processor: ProcessorSettings = ProcessorSettings()
     task_lease_ms: Annotated[int, msgspec.Meta(ge=500)] = 5_000
     log_output: LogOutputSettings = LogOutputSettings(json=True)
 
--- a/stand_ins/platform/memory.py
+++ b/stand_ins/platform/memory.py
@@ -83,12 +83,14 @@
         topic: str,
         partition: int,
         records: list[tuple[str, bytes]],
-        producer: Producer,
+        producer: Producer | None,
         deadline: float,
     ) -> int:
         """Append keyed records and return the end offset."""
         await anyio.sleep(APPEND_S)
-        frozen = Producer(producer.name, producer.epoch, producer.sequence)
+        frozen = None
+        if producer is not None:
+            frozen = Producer(producer.name, producer.epoch, producer.sequence)
         return await self.write(
             lambda: self.model.append(topic, partition, records, frozen), deadline
         )
