Keep the rank of waiting steps, and look at the fleet for advice every 0.1 s only

Change: a step is looked at after freed room only if a task of it still fits there; executors for advice are listed once in 0.1 s; a step with nobody to ask about waits 0.25 s.

--- a/benchmarks/topics.py
+++ b/benchmarks/topics.py
@@ -22,6 +22,7 @@
     "takeover": Topic("benchmarks.takeover", True),
     "outage": Topic("benchmarks.outage", True),
     "placement": Topic("benchmarks.placement", False),
+    "decisions": Topic("benchmarks.decisions", False),
     "capacity": Topic("benchmarks.capacity", False),
     "processes": Topic("benchmarks.processes", False),
 }
--- a/gypsumring/cell/advice.py
+++ b/gypsumring/cell/advice.py
@@ -14,7 +14,7 @@
     choose_new,
     split_calls,
 )
-from gypsumring.dispatch.placing import places_on
+from gypsumring.dispatch.placing import has_room, places_on
 from gypsumring.fleet import ExecutorState
 from gypsumring.pipelines import PolicyTiming, Queue, Step
 from gypsumring.ports.tasks import PolicyBusy, PolicyUnavailable, Ticket
@@ -31,6 +31,8 @@
 ADVICE_MARGIN_S = 0.3
 # A step whose call failed is asked for again after this time.
 ADVICE_RETRY_S = 0.1
+# Without an executor worth asking about the fleet is searched again after this time.
+NOTHING_TO_ASK_S = 0.25
 
 AskPeer = Callable[[str, str, list[str], float], Awaitable[list[tuple[str, str]]]]
 Place = Callable[[Step, list[ExecutorState]], list[Placement]]
@@ -69,7 +71,7 @@
         step: Step,
         queue: Queue,
         allowed: list[ExecutorState],
-        find_eligible: Callable[[], list[ExecutorState]],
+        find_unasked: Callable[[], list[ExecutorState]],
         now: float,
     ) -> None:
         """Ask the policy service about executors that may help a waiting step.
@@ -83,13 +85,16 @@
         idle = self.advisers.count_idle(timing, size, now)
         if step.asked and not idle:
             return
-        placements = self.place(step, allowed) if allowed else []
+        fits = has_room(step, allowed)
+        placements = self.place(step, allowed) if fits else []
         asked = self.choose_renewed(step, timing, allowed, bool(placements), now)
         if len(placements) < len(step.pending):
             places = sum(places_on(step, executor) for executor in allowed)
             share = self.shares.get(queue.name)
-            asked += choose_new(step, find_eligible(), places, share, size, self.source)
+            asked += choose_new(step, find_unasked(), places, share, size, self.source)
         if not asked:
+            if not step.reserved:
+                step.held_back_until = now + NOTHING_TO_ASK_S
             return
         calls = split_calls(asked, size, idle)
         step.asking = len(calls)
--- a/gypsumring/cell/scheduling.py
+++ b/gypsumring/cell/scheduling.py
@@ -11,11 +11,10 @@
     Backlog,
     Placement,
     Reservation,
-    order_steps,
     place_step,
     reserve_executors,
 )
-from gypsumring.dispatch.placing import has_label
+from gypsumring.dispatch.placing import has_label, has_room
 from gypsumring.fleet import ExecutorState
 from gypsumring.pipelines import Queue, RunState, Step
 from gypsumring.utils.logs import EventLogger
@@ -58,12 +57,12 @@
         self.state = state
         self.orders = orders
         self.desk = AdviceDesk(state, self.place, list_peers, ask_peer)
-        self.backlog = Backlog()
+        self.backlog = Backlog(state.find_queue)
         # Executors that are kept for large tasks.
         self.reserved: dict[str, Reservation] = {}
         # When the whole fleet was looked at last.
         self.looked_at = float("-inf")
-        # Executors that take work now, by service; looked up once in a pass.
+        # Executors that took work at the newest look at the fleet, by service.
         self.open_executors: dict[str, list[ExecutorState]] = {}
 
     async def run(self) -> None:
@@ -82,33 +81,41 @@
     def schedule(self) -> None:
         """Offer the free room to the ready steps in order."""
         now = anyio.current_time()
-        self.open_executors = {}
         self.state.table.open_due(now)
         self.backlog.refresh(self.state.table.take_touched(), now)
         if now - self.looked_at >= LOOK_S:
             self.looked_at = now
             self.look_at_fleet(now)
-        due = self.backlog.take_due(self.state.take_freed(), now)
-        for step, queue in order_steps(due, self.state.find_queue, now):
-            if not step.is_ready:
-                self.backlog.drop(step)
-                continue
-            if step.spec.gang and step.runs:
-                self.stop_partial(step)
-            else:
+        due = set(self.backlog.take_due(now))
+        freed = self.state.take_freed()
+        interested = self.backlog.find_interested(freed)
+        for step, queue in self.backlog.order(due.union(interested), now):
+            if step in due:
+                self.look_at(step, queue, now)
+            elif has_room(step, freed) and not (step.spec.gang and step.runs):
+                # No step before this one has taken the new room.
                 self.offer(step, queue, now)
-            if step.is_ready:
-                self.backlog.plan_again(step, now)
-            else:
-                self.backlog.drop(step)
+
+    def look_at(self, step: Step, queue: Queue, now: float) -> None:
+        """Place or ask about what waits of a step, and plan the next look at it."""
+        if step.is_ready and step.spec.gang and step.runs:
+            self.stop_partial(step)
+        elif step.is_ready:
+            allowed = self.offer(step, queue, now)
+            self.ask_about(step, queue, allowed, now)
+        if step.is_ready:
+            self.backlog.plan_again(step, now)
+        else:
+            self.backlog.drop(step)
 
     def look_at_fleet(self, now: float) -> None:
         """Empty executors that leave, and keep others for large tasks."""
+        self.open_executors = {}
         fleet = self.list_enrolled()
         for executor in fleet:
             if executor.entry.draining:
                 self.evacuate(executor, now)
-        steps = order_steps(self.backlog.waiting, self.state.find_queue, now)
+        steps = self.backlog.order(self.backlog.waiting, now)
         self.reserved = reserve_executors(steps, fleet, now, self.state.clock())
 
     def list_enrolled(self) -> list[ExecutorState]:
@@ -121,7 +128,7 @@
         ]
 
     def find_open(self, service: str) -> list[ExecutorState]:
-        """Return the executors of a service that take work now."""
+        """Return the executors of a service that took work a moment ago."""
         found = self.open_executors.get(service)
         if found is None:
             clock = self.state.clock()
@@ -135,10 +142,23 @@
 
     def find_eligible(self, step: Step, queue: Queue) -> list[ExecutorState]:
         """Return the executors that take a step now, apart from policy and room."""
+        clock = self.state.clock()
         return [
             executor
             for executor in self.find_open(queue.service)
-            if has_label(step, executor) and self.admits(executor, step, queue.priority)
+            if has_label(step, executor)
+            and executor.takes_work(queue.service, clock)
+            and self.admits(executor, step, queue.priority)
+        ]
+
+    def find_unasked(self, step: Step, queue: Queue) -> list[ExecutorState]:
+        """Return the executors about which a step may still ask for advice."""
+        return [
+            executor
+            for executor in self.find_open(queue.service)
+            if executor.executor_id not in step.asked
+            and has_label(step, executor)
+            and self.admits(executor, step, queue.priority)
         ]
 
     def evacuate(self, executor: ExecutorState, now: float) -> None:
@@ -164,22 +184,30 @@
         """Stop the members of a gang of which some do not run."""
         self.orders.stop_all(step.active_runs())
 
-    def offer(self, step: Step, queue: Queue, now: float) -> None:
-        """Start the tasks of a step that fit, and ask for advice where that helps."""
+    def offer(self, step: Step, queue: Queue, now: float) -> list[ExecutorState]:
+        """Start the tasks of a step that fit; return the executors that it may use."""
         if queue.policy is None:
-            self.start_all(step, self.place(step, self.find_eligible(step, queue)), now)
-            return
+            eligible = self.find_eligible(step, queue)
+            self.start_all(step, self.place(step, eligible), now)
+            return eligible
         allowed = self.find_allowed(step, queue)
         holding = [
             executor
             for executor in allowed
             if step.ticket_left_s(executor.executor_id, now) > TICKET_MARGIN_S
         ]
-        if holding:
+        if has_room(step, holding):
             self.start_all(step, self.place(step, holding), now)
-        if step.pending and not step.asking and step.held_back_until <= now:
+        return allowed
+
+    def ask_about(
+        self, step: Step, queue: Queue, allowed: list[ExecutorState], now: float
+    ) -> None:
+        """Ask for advice on a step that still waits, where that may help."""
+        waits = step.pending and not step.asking and step.held_back_until <= now
+        if waits and queue.policy is not None:
             self.desk.ask_about(
-                step, queue, allowed, lambda: self.find_eligible(step, queue), now
+                step, queue, allowed, lambda: self.find_unasked(step, queue), now
             )
 
     def find_allowed(self, step: Step, queue: Queue) -> list[ExecutorState]:
--- a/gypsumring/cell/state.py
+++ b/gypsumring/cell/state.py
@@ -125,10 +125,10 @@
         if executor.remove_run(run):
             self.freed.add(executor.executor_id)
 
-    def take_freed(self) -> list[str]:
-        """Return the ids of executors with new room, and forget them."""
+    def take_freed(self) -> list[ExecutorState]:
+        """Return the executors with new room, and forget that it is new."""
         freed, self.freed = self.freed, set()
-        return sorted(freed)
+        return [self.fleet[name] for name in sorted(freed) if name in self.fleet]
 
     def settle_jobs(self) -> None:
         """Let tasks of earlier owners be placed once all executors were heard."""
--- a/gypsumring/dispatch/__init__.py
+++ b/gypsumring/dispatch/__init__.py
@@ -8,7 +8,6 @@
     split_calls,
 )
 from gypsumring.dispatch.backlog import Backlog
-from gypsumring.dispatch.ordering import order_steps
 from gypsumring.dispatch.placing import Placement, place_step
 from gypsumring.dispatch.reserving import Reservation, reserve_executors
 
@@ -20,7 +19,6 @@
     "Reservation",
     "choose_call_size",
     "choose_new",
-    "order_steps",
     "place_step",
     "reserve_executors",
     "split_calls",
--- a/gypsumring/dispatch/asking.py
+++ b/gypsumring/dispatch/asking.py
@@ -51,13 +51,13 @@
 
 def choose_new(
     step: Step,
-    eligible: Iterable[ExecutorState],
+    unasked: Iterable[ExecutorState],
     places_allowed: int,
     share: float,
     call_size: int,
     source: random.Random,
 ) -> list[ExecutorState]:
-    """Return executors to ask about that the step has not asked about before.
+    """Return which of the executors not asked about before the step asks about now.
 
     ``places_allowed`` are the places on the executors that are allowed already, room or
     not. Executors with room for the step come first: a gang takes those with most of
@@ -66,13 +66,12 @@
     missing = len(step.pending) - places_allowed / SURPLUS
     spec = step.spec
     rows = []
-    for executor in eligible:
-        if executor.executor_id not in step.asked:
-            room = executor.fit_count(spec)
-            if room or missing > 0:
-                most = -room if spec.gang else not room
-                suspect = executor.health.is_suspect()
-                rows.append((suspect, most, source.random(), room, executor))
+    for executor in unasked:
+        room = executor.fit_count(spec)
+        if room or missing > 0:
+            most = -room if spec.gang else not room
+            suspect = executor.health.is_suspect()
+            rows.append((suspect, most, source.random(), room, executor))
     rows.sort(key=lambda row: row[:3])
     wanted = SURPLUS * len(step.pending) / share
     chosen: list[ExecutorState] = []
--- a/gypsumring/dispatch/backlog.py
+++ b/gypsumring/dispatch/backlog.py
@@ -7,9 +7,12 @@
 
 import heapq
 import itertools
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 
-from gypsumring.pipelines.state import Step
+from gypsumring.dispatch.ordering import step_due
+from gypsumring.fleet import ExecutorState
+from gypsumring.pipelines.model import Queue
+from gypsumring.pipelines.state import Job, Step
 
 __all__ = ["Backlog"]
 
@@ -17,17 +20,37 @@
 LOOK_S = 0.1
 # So many steps are looked at again within that time; more of them take longer.
 LOOKS_AT_ONCE = 50
-MAX_LOOK_S = 1.0
+MAX_LOOK_S = 2.0
+
+
+class Waiting:
+    """Hold when a step is looked at next, and its place in the order of service."""
+
+    __slots__ = ("at", "due", "queue", "step")
+
+    def __init__(self, step: Step, queue: Queue, at: float):
+        self.step = step
+        self.queue = queue
+        self.due = step_due(step, queue)
+        self.at = at
+
+    def rank(self, now: float) -> tuple[int, bool, float, str]:
+        """Return the place in the order of service; the smallest goes first.
+
+        Within a priority the step whose job is due first goes first; jobs that have
+        missed their target come after those that can still meet it.
+        """
+        return (self.queue.priority, self.due < now, self.due, self.step.name)
 
 
 class Backlog:
     """Hold the steps with tasks to place, by the executors on which they may run."""
 
-    __slots__ = ("interested", "numbers", "queue", "waiting")
+    __slots__ = ("find_queue", "interested", "numbers", "queue", "waiting")
 
-    def __init__(self):
-        # Steps that wait, and when each is looked at next.
-        self.waiting: dict[Step, float] = {}
+    def __init__(self, find_queue: Callable[[Job], Queue]):
+        self.find_queue = find_queue
+        self.waiting: dict[Step, Waiting] = {}
         # Looks planned, the next one first; entries that moved are passed over.
         self.queue: list[tuple[float, int, Step]] = []
         self.numbers = itertools.count()
@@ -55,8 +78,13 @@
                     del self.interested[executor_id]
 
     def plan(self, step: Step, at: float) -> None:
-        """Plan the next look at a step."""
-        self.waiting[step] = at
+        """Plan the next look at a step, whose queue may have changed."""
+        queue = self.find_queue(step.job)
+        waiting = self.waiting.get(step)
+        if waiting is None or waiting.queue is not queue:
+            self.waiting[step] = Waiting(step, queue, at)
+        else:
+            waiting.at = at
         heapq.heappush(self.queue, (at, next(self.numbers), step))
 
     def plan_again(self, step: Step, now: float) -> None:
@@ -70,16 +98,27 @@
             for executor_id in step.allowed:
                 self.interested.setdefault(executor_id, {})[step] = None
 
-    def take_due(self, freed: Iterable[str], now: float) -> list[Step]:
-        """Return the steps to look at; ``freed`` names executors with new room.
+    def order(self, steps: Iterable[Step], now: float) -> list[tuple[Step, Queue]]:
+        """Return waiting steps with their queues, the one to serve first in front."""
+        rows = [self.waiting[step] for step in steps if step in self.waiting]
+        rows.sort(key=lambda row: row.rank(now))
+        return [(row.step, row.queue) for row in rows]
 
-        Each of them has to be planned again, unless it does not wait any more.
-        """
+    def take_due(self, now: float) -> list[Step]:
+        """Return the steps whose look is due; each of them has to be planned again."""
         due: dict[Step, None] = {}
         while self.queue and self.queue[0][0] <= now:
             at, _, step = heapq.heappop(self.queue)
-            if self.waiting.get(step) == at:
+            waiting = self.waiting.get(step)
+            if waiting is not None and waiting.at == at:
                 due[step] = None
-        for executor_id in freed:
-            due.update(self.interested.get(executor_id, {}))
         return list(due)
+
+    def find_interested(self, freed: Iterable[ExecutorState]) -> list[Step]:
+        """Return the steps that may use new room on executors."""
+        found: dict[Step, None] = {}
+        for executor in freed:
+            for step in self.interested.get(executor.executor_id, ()):
+                if executor.fit_count(step.spec):
+                    found[step] = None
+        return list(found)
--- a/gypsumring/dispatch/placing.py
+++ b/gypsumring/dispatch/placing.py
@@ -1,11 +1,11 @@
 """Choose executors for the tasks of a step."""
 
-from collections.abc import Collection
+from collections.abc import Collection, Iterable
 
 from gypsumring.fleet import ExecutorState
 from gypsumring.pipelines.state import Step
 
-__all__ = ["Placement", "has_label", "place_step", "places_on"]
+__all__ = ["Placement", "has_label", "has_room", "place_step", "places_on"]
 
 
 class Placement:
@@ -24,6 +24,14 @@
     return not label or label in executor.entry.labels
 
 
+def has_room(step: Step, executors: Iterable[ExecutorState]) -> bool:
+    """Tell whether a task of the step fits on one of its allowed executors."""
+    return any(
+        executor.executor_id in step.allowed and executor.fit_count(step.spec)
+        for executor in executors
+    )
+
+
 def room_for(step: Step, executor: ExecutorState) -> int:
     """Return how many more tasks of the step the executor may take."""
     room = executor.fit_count(step.spec)
--- a/gypsumring/dispatch/reserving.py
+++ b/gypsumring/dispatch/reserving.py
@@ -69,7 +69,7 @@
     limit = int(len(fleet) * MAX_RESERVED_SHARE)
     largest_cpu = max((each.entry.cpu_millis for each in fleet), default=0)
     for step, queue in steps:
-        if not needs_reservation(step, largest_cpu, now):
+        if len(reserved) >= limit or not needs_reservation(step, largest_cpu, now):
             step.reserved = set()
             continue
         candidates = [
--- a/gypsumring/dispatch/tests/test_asking.py
+++ b/gypsumring/dispatch/tests/test_asking.py
@@ -74,8 +74,8 @@
         executor.used_cpu = 8_000
     step = make_step(task_count=4, cpu_millis=4_000)
     assert ask(step, fleet, places_allowed=20) == ["i-49"]
-    step.asked = {executor.executor_id for executor in fleet}
-    assert ask(step, fleet, places_allowed=0) == []
+    fleet[49].used_cpu = 8_000
+    assert ask(step, fleet, places_allowed=20) == []
 
 
 def test_small_fleet_is_asked_about_in_one_call():
--- a/gypsumring/dispatch/tests/test_backlog.py
+++ b/gypsumring/dispatch/tests/test_backlog.py
@@ -1,50 +1,55 @@
 """Long queues of waiting steps: only those are looked at that may have found room."""
 
 from gypsumring.dispatch import Backlog
-from gypsumring.dispatch.tests.fleets import make_step
-from gypsumring.pipelines import JobPhase
+from gypsumring.dispatch.tests.fleets import make_executor, make_step
+from gypsumring.pipelines import JobPhase, Queue
 from gypsumring.utils.testing import make_load_tests
 
+QUEUE = Queue(name="q", host="", path_prefix="", service="svc")
+
 
 def make_backlog(count: int, now: float = 0.0) -> tuple[Backlog, list]:
     """Return a backlog with steps that have been looked at once, in vain.
 
     Step number N may run on the executor N modulo 10.
     """
-    backlog = Backlog()
+    backlog = Backlog(lambda job: QUEUE)
     steps = [make_step(f"{number:016x}") for number in range(count)]
     for number, step in enumerate(steps):
         step.allowed = {f"i-{number % 10}"}
     backlog.refresh(steps, now)
-    for step in backlog.take_due([], now):
+    for step in backlog.take_due(now):
         backlog.plan_again(step, now)
     return backlog, steps
 
 
 def test_new_step_is_looked_at_at_once():
-    backlog = Backlog()
+    backlog = Backlog(lambda job: QUEUE)
     step = make_step()
     backlog.refresh([step], 5.0)
-    assert backlog.take_due([], 5.0) == [step]
+    assert backlog.take_due(5.0) == [step]
 
 
 def test_freed_room_wakes_only_the_steps_that_may_use_it():
     # A burst: looks at all waiting steps after each end took more than a core.
     backlog, steps = make_backlog(500)
-    assert backlog.take_due([], 0.01) == []
-    assert backlog.take_due(["i-3"], 0.01) == steps[3::10]
+    assert backlog.take_due(0.01) == []
+    freed = make_executor("i-3")
+    assert backlog.find_interested([freed]) == steps[3::10]
+    freed.used_cpu = 7_500
+    assert backlog.find_interested([freed]) == []
 
 
 def test_waiting_steps_are_looked_at_again_after_a_while():
     backlog, steps = make_backlog(20)
-    assert backlog.take_due([], 0.09) == []
-    assert backlog.take_due([], 0.11) == steps
+    assert backlog.take_due(0.09) == []
+    assert backlog.take_due(0.11) == steps
 
 
 def test_long_queue_is_looked_at_more_slowly_but_wholly():
     backlog, steps = make_backlog(5_000)
-    assert backlog.take_due([], 0.5) == []
-    assert len(backlog.take_due([], 1.1)) == len(steps)
+    assert backlog.take_due(0.5) == []
+    assert len(backlog.take_due(2.1)) == len(steps)
 
 
 def test_step_that_waits_no_more_is_forgotten():
@@ -52,7 +57,7 @@
     steps[3].pending.clear()
     steps[13].job.phase = JobPhase.CANCELLED
     backlog.refresh([steps[3], steps[13]], 0.05)
-    assert backlog.take_due(["i-3"], 0.05) == []
+    assert backlog.find_interested([make_executor("i-3")]) == []
     assert len(backlog.waiting) == 18
     assert "i-3" not in backlog.interested
 
@@ -64,7 +69,7 @@
     backlog.refresh(steps, 0.05)
     steps[0].mark_pending(2)
     backlog.refresh(steps, 0.06)
-    assert backlog.take_due([], 0.06) == steps
+    assert backlog.take_due(0.06) == steps
 
 
 load_tests = make_load_tests(globals())
--- a/gypsumring/dispatch/tests/test_ordering.py
+++ b/gypsumring/dispatch/tests/test_ordering.py
@@ -1,6 +1,6 @@
 """Order in which ready steps are served under load."""
 
-from gypsumring.dispatch import order_steps
+from gypsumring.dispatch import Backlog
 from gypsumring.dispatch.tests.fleets import make_step
 from gypsumring.pipelines import Queue
 from gypsumring.utils.testing import make_load_tests
@@ -20,8 +20,9 @@
         )
         for step, priority in rows
     }
-    steps = [step for row in rows for step in row[0].job.ready_steps()]
-    ordered = order_steps(steps, lambda job: queues[job.spec.job_id], now)
+    backlog = Backlog(lambda job: queues[job.spec.job_id])
+    backlog.refresh([step for row in rows for step in row[0].job.steps], now)
+    ordered = backlog.order(backlog.waiting, now)
     return [step.job.spec.job_id[0] for step, _ in ordered]
 
 
