Judge what runs and what is known by the time of the question, not of its answer

Change: an attempt stands still if it did when the lists were requested; FRESH_S of 0.35 s on the clock that counts suspended time; node/forwarding.py passes a refusal on only if no earlier copy can have run, and says 504 only if one may have.

--- a/gypsumring/cell/lists.py
+++ b/gypsumring/cell/lists.py
@@ -85,7 +85,7 @@
         if reborn or was_lost:
             self.shut_out(executor)
         listed = {(each.task, each.attempt) for each in lists.running}
-        self.apply_running(executor, lists.running, inherits)
+        self.apply_running(executor, lists.running, inherits, requested_at)
         changed = self.apply_ended(executor, lists.ended, inherits)
         if len(lists.ended) < MAX_LISTED_ENDS:
             self.release_absent(executor, listed, requested_at)
@@ -118,9 +118,17 @@
             self.state.group.start_soon(self.orders.shut_out, executor, *key)
 
     def apply_running(
-        self, executor: ExecutorState, running: list[ListedRun], inherits: bool
+        self,
+        executor: ExecutorState,
+        running: list[ListedRun],
+        inherits: bool,
+        requested_at: float,
     ) -> None:
-        """Update the attempts that run; stop those that nobody accounts for."""
+        """Update the attempts that run; stop those that nobody accounts for.
+
+        The lists may have waited for this process, so an attempt stands still only if
+        it did when they were requested.
+        """
         now = anyio.current_time()
         for listed in running:
             key = (listed.task, listed.attempt)
@@ -144,7 +152,7 @@
             if listed.percent > run.percent:
                 run.percent = listed.percent
                 run.progress_at = now
-            elif now - run.progress_at > stall_limit_s(run):
+            elif requested_at - run.progress_at > stall_limit_s(run):
                 self.stop_stalled(executor, run)
             run.load = listed.load
             run.step.save_checkpoint(run.index, listed.checkpoint)
--- a/gypsumring/cell/messages.py
+++ b/gypsumring/cell/messages.py
@@ -36,6 +36,8 @@
     REFUSED = "refused"
     # The node does not own the cell, or not yet.
     NOT_OWNER = "not_owner"
+    # The owner stopped before it knew; the command may have taken effect.
+    INTERRUPTED = "interrupted"
     # A write got no answer; the command may have taken effect.
     UNCERTAIN = "uncertain"
 
--- /dev/null
+++ b/gypsumring/node/forwarding.py
@@ -0,0 +1,90 @@
+"""Bring the commands of callers to the owner of the cell, whoever it is by then."""
+
+from collections.abc import Awaitable, Callable
+
+import anyio
+
+from gypsumring.cell.messages import (
+    CancelJob,
+    CountWaiting,
+    JobAnswer,
+    Outcome,
+    QueryJob,
+    SubmitJob,
+)
+from gypsumring.metrics import Metrics
+from gypsumring.node.link import OwnerLink
+from gypsumring.transport import ChannelClosed
+
+__all__ = ["Command", "Forwarder"]
+
+RETRY_PAUSE_S = 0.03
+NO_OWNER_RETRY_AFTER_S = 1.0
+
+Command = SubmitJob | QueryJob | CancelJob | CountWaiting
+
+
+class Forwarder:
+    """Send a command until an owner has answered it.
+
+    All commands are idempotent, so one without an answer is sent again. A refusal is
+    passed on only if no owner can have carried out an earlier copy.
+    """
+
+    __slots__ = ("answer_by", "execute", "link", "metrics")
+
+    def __init__(
+        self,
+        link: OwnerLink,
+        execute: Callable[[Command], Awaitable[JobAnswer]],
+        metrics: Metrics,
+    ):
+        self.link = link
+        # Runs a command on this node, if it owns the cell.
+        self.execute = execute
+        self.metrics = metrics
+        # All callers are answered by this time, which a stop brings near.
+        self.answer_by = float("inf")
+
+    async def forward(self, command: Command, deadline: float) -> JobAnswer:
+        """Return the answer of the owner before a deadline, in ``current_time``."""
+        # The fence number of the newest owner that may have carried the command out.
+        lost_fence: int | None = None
+        while anyio.current_time() < (deadline := min(deadline, self.answer_by)):
+            fence = self.link.fence
+            try:
+                answer = await self.send(command, deadline)
+            except ChannelClosed:
+                self.metrics.count("node.forwards.lost")
+                answer = JobAnswer(Outcome.INTERRUPTED)
+            match answer.outcome:
+                case Outcome.NOT_OWNER:
+                    pass
+                case Outcome.INTERRUPTED:
+                    lost_fence = fence
+                case Outcome.REFUSED if lost_fence is not None:
+                    # A later owner has read all that was accepted before it.
+                    if self.link.fence > lost_fence:
+                        return answer
+                    self.metrics.count("node.refusals.uncertain")
+                    return JobAnswer(Outcome.UNCERTAIN)
+                case _:
+                    return answer
+            with anyio.move_on_after(RETRY_PAUSE_S):
+                await self.link.changed.wait()
+        if lost_fence is not None:
+            return JobAnswer(Outcome.UNCERTAIN)
+        self.metrics.count("node.refused.no_owner")
+        return JobAnswer(Outcome.REFUSED, retry_after_s=NO_OWNER_RETRY_AFTER_S)
+
+    async def send(self, command: Command, deadline: float) -> JobAnswer:
+        """Send a command once; raise ChannelClosed if it may have been carried out."""
+        channel = self.link.channel
+        if self.link.own_fence() is not None:
+            return await self.execute(command)
+        if channel is None or channel.closed:
+            return JobAnswer(Outcome.NOT_OWNER)
+        answer = await channel.call(command, deadline)
+        if not isinstance(answer, JobAnswer):
+            raise ChannelClosed("unexpected answer")
+        return answer
--- a/gypsumring/node/membership.py
+++ b/gypsumring/node/membership.py
@@ -20,6 +20,9 @@
 STARTING_S = 2.0
 STARTING_PERIOD_S = 0.05
 CALL_S = 0.6
+# Peers take a silent owner out of the group before its membership ends, but not sooner
+# than this after it has answered.
+FRESH_S = 0.35
 LEAVE_S = 0.5
 # A node that loses the cell more often than this within one generation stays out.
 OWNERS_PER_GENERATION = 1_000
@@ -106,7 +109,8 @@
         self.owner: CellOwner | None = None
         self.owner_scope: anyio.CancelScope | None = None
         self.group: anyio.abc.TaskGroup | None = None
-        # When the last join was sent that confirmed the cell as ours.
+        # When the last join was sent that confirmed the cell as ours; counts
+        # suspended time.
         self.confirmed_at = float("-inf")
         self.stopping = False
         # Counts suspended time.
@@ -118,7 +122,7 @@
 
     def is_fresh(self) -> bool:
         """Tell whether no other node can hold the cell yet."""
-        return anyio.current_time() - self.confirmed_at < self.ttl_s
+        return self.clock() - self.confirmed_at < FRESH_S
 
     def is_starting(self) -> bool:
         """Tell whether this process has just been started."""
@@ -140,6 +144,7 @@
                     await anyio.sleep(JOIN_PERIOD_S)
                     continue
                 sent = anyio.current_time()
+                sent_at = self.clock()
                 self.is_member = True
                 try:
                     assignment = await self.store.join(
@@ -155,7 +160,7 @@
                 else:
                     self.tick()
                     if not self.stopping:
-                        await self.apply(assignment, sent)
+                        await self.apply(assignment, sent_at)
                 waits = self.is_starting() and self.owner is None
                 await anyio.sleep(STARTING_PERIOD_S if waits else JOIN_PERIOD_S)
 
@@ -174,8 +179,8 @@
         """
         return not self.paused and self.clock() - self.ticked_at <= self.ttl_s
 
-    async def apply(self, assignment: Assignment, sent: float) -> None:
-        """Start or stop the cell as the group says."""
+    async def apply(self, assignment: Assignment, sent_at: float) -> None:
+        """Start or stop the cell as the group says; ``sent_at`` is on our clock."""
         settled = assignment.generation == self.generation
         self.generation = assignment.generation
         holds = self.cell in assignment.partitions
@@ -184,7 +189,7 @@
         if not holds:
             await self.stop_owner("dealt to another node")
             return
-        self.confirmed_at = sent
+        self.confirmed_at = sent_at
         self.paused = False
         if self.owner is None and (settled or not self.is_starting()):
             self.owner = self.make_owner(self.next_fence(assignment.generation))
--- a/gypsumring/node/node.py
+++ b/gypsumring/node/node.py
@@ -27,6 +27,7 @@
 from gypsumring.metrics import Metrics
 from gypsumring.node.candidacy import Candidacy
 from gypsumring.node.desired import DesiredStateWatch
+from gypsumring.node.forwarding import Command, Forwarder
 from gypsumring.node.link import OwnerLink
 from gypsumring.node.membership import Member, Membership
 from gypsumring.node.relay import StoreRelay
@@ -59,13 +60,9 @@
 CELL_TOPIC = "keyed.cells"
 NODES_TOPIC = "keyed.nodes"
 MEMBERSHIP_S = 1.0
-RETRY_PAUSE_S = 0.03
 MEASURE_S = 1.0
 # Without an owner for this time a node asks for no new callers.
 UNLINKED_S = 2.5
-NO_OWNER_RETRY_AFTER_S = 1.0
-
-Command = SubmitJob | QueryJob | CancelJob | CountWaiting
 
 
 class Node:
@@ -73,10 +70,10 @@
 
     __slots__ = (
         "addresses",
-        "answer_by",
         "candidacy",
         "cell",
         "desired",
+        "forwarder",
         "link",
         "membership",
         "metrics",
@@ -106,8 +103,6 @@
         self.policy = policy
         self.metrics = metrics
         self.stopping = False
-        # All callers are answered by this time, which a stop brings near.
-        self.answer_by = float("inf")
         # Channels that other nodes have opened to this one, and where those nodes
         # listen, by node name.
         self.peers: dict[str, Channel] = {}
@@ -136,6 +131,7 @@
         self.link = OwnerLink(
             store, GROUP, self.cell, member, self.own_fence, self.handle, size=size
         )
+        self.forwarder = Forwarder(self.link, self.execute, metrics)
         self.relay = StoreRelay(store_path, self.list_channels, metrics)
 
     def is_owner(self) -> bool:
@@ -241,7 +237,7 @@
     async def stop(self, answer_by: float) -> None:
         """Take no new callers, hand the cell over, and answer all by a time."""
         self.stopping = True
-        self.answer_by = answer_by
+        self.forwarder.answer_by = answer_by
         await self.link.withdraw()
         await self.membership.leave()
 
@@ -311,31 +307,8 @@
                 )
 
     async def forward(self, message: Command, deadline: float) -> JobAnswer:
-        """Bring a command to the owner, whoever it is by then.
-
-        All commands are idempotent, so one without an answer is sent again.
-        """
-        sent = False
-        while anyio.current_time() < (deadline := min(deadline, self.answer_by)):
-            answer = None
-            if self.is_owner():
-                sent = True
-                answer = await self.execute(message)
-            elif self.link.channel is not None:
-                sent = True
-                try:
-                    answer = await self.link.channel.call(message, deadline)
-                except ChannelClosed:
-                    self.metrics.count("node.forwards.lost")
-            if isinstance(answer, JobAnswer):
-                if answer.outcome is not Outcome.NOT_OWNER:
-                    return answer
-            with anyio.move_on_after(RETRY_PAUSE_S):
-                await self.link.changed.wait()
-        if sent:
-            return JobAnswer(Outcome.UNCERTAIN)
-        self.metrics.count("node.refused.no_owner")
-        return JobAnswer(Outcome.REFUSED, retry_after_s=NO_OWNER_RETRY_AFTER_S)
+        """Bring a command to the owner, whoever it is by then."""
+        return await self.forwarder.forward(message, deadline)
 
     def list_channels(self) -> list[Channel]:
         """Return the channels to other nodes, the owner's first."""
@@ -382,8 +355,8 @@
 
 
 async def run_until_stopped(owner: CellOwner, command: Callable[[], Any]) -> JobAnswer:
-    """Return the answer of a command, or NOT_OWNER if the owner stops before."""
-    answer = JobAnswer(Outcome.NOT_OWNER)
+    """Return the answer of a command, or INTERRUPTED if the owner stops before."""
+    answer = JobAnswer(Outcome.INTERRUPTED)
     async with anyio.create_task_group() as group:
 
         async def watch() -> None:
--- /dev/null
+++ b/gypsumring/node/tests/test_forwarding.py
@@ -0,0 +1,96 @@
+"""What callers are told when answers of owners are lost."""
+
+import anyio
+
+from gypsumring.cell.messages import JobAnswer, Outcome, QueryJob
+from gypsumring.metrics import Metrics
+from gypsumring.node.forwarding import Forwarder
+from gypsumring.transport import ChannelClosed
+from gypsumring.utils.testing import after, make_load_tests
+
+COMMAND = QueryJob("a" * 16)
+OK = JobAnswer(Outcome.OK)
+REFUSED = JobAnswer(Outcome.REFUSED, retry_after_s=1.0)
+NOT_OWNER = JobAnswer(Outcome.NOT_OWNER)
+INTERRUPTED = JobAnswer(Outcome.INTERRUPTED)
+LOST = ChannelClosed("no reply in time")
+
+
+class ScriptedLink:
+    """A link whose owner answers as told, one answer a call.
+
+    A whole number in the script is the fence number of a new owner.
+    """
+
+    __slots__ = ("changed", "closed", "fence", "script")
+
+    def __init__(self, *script):
+        self.script = list(script)
+        self.fence = 1
+        self.closed = False
+        self.changed = anyio.Event()
+
+    @property
+    def channel(self):
+        """Return the channel to the owner, which is this object."""
+        return self
+
+    def own_fence(self):
+        """Tell that this node owns nothing."""
+        return None
+
+    async def call(self, command, deadline):
+        """Give the next answer."""
+        while self.script and isinstance(self.script[0], int):
+            self.fence = self.script.pop(0)
+        answer = self.script.pop(0) if self.script else NOT_OWNER
+        if isinstance(answer, Exception):
+            raise answer
+        return answer
+
+
+async def forward(*script) -> JobAnswer:
+    """Return what a caller with half a second is told."""
+    forwarder = Forwarder(ScriptedLink(*script), None, Metrics())
+    return await forwarder.forward(COMMAND, after(0.5))
+
+
+async def test_command_is_sent_again_until_an_owner_answers():
+    assert await forward(NOT_OWNER, LOST, INTERRUPTED, NOT_OWNER, OK) is OK
+
+
+async def test_refusal_is_passed_on_with_its_retry_after():
+    assert await forward(NOT_OWNER, REFUSED) is REFUSED
+
+
+async def test_refusal_after_a_lost_answer_is_no_proof_that_nothing_ran():
+    # A copy that was held up may reach the same owner after its refusal.
+    assert (await forward(LOST, REFUSED)).outcome is Outcome.UNCERTAIN
+    assert (await forward(INTERRUPTED, REFUSED)).outcome is Outcome.UNCERTAIN
+
+
+async def test_refusal_of_a_later_owner_is_true():
+    assert await forward(LOST, 2, REFUSED) is REFUSED
+
+
+async def test_caller_without_an_owner_learns_that_nothing_ran():
+    # Told "unknown", clients did not dare to send such a job again.
+    answer = await forward()
+    assert answer.outcome is Outcome.REFUSED
+    assert answer.retry_after_s > 0
+
+
+async def test_lost_answer_leaves_the_outcome_open():
+    assert (await forward(LOST)).outcome is Outcome.UNCERTAIN
+    assert (await forward(INTERRUPTED)).outcome is Outcome.UNCERTAIN
+
+
+async def test_stopping_node_answers_all_callers_in_time():
+    forwarder = Forwarder(ScriptedLink(), None, Metrics())
+    forwarder.answer_by = after(0.1)
+    began = anyio.current_time()
+    await forwarder.forward(COMMAND, after(5.0))
+    assert anyio.current_time() - began < 0.2
+
+
+load_tests = make_load_tests(globals())
--- a/gypsumring/node/tests/test_membership.py
+++ b/gypsumring/node/tests/test_membership.py
@@ -94,6 +94,23 @@
     await run_checks(check)
 
 
+async def test_paused_owner_does_not_say_that_a_job_is_unknown():
+    # Peers take a silent owner out of the group before its membership ends. The next
+    # owner may have accepted a job of which this one, just awake, knows nothing.
+    async def check(membership, store, clock):
+        assert membership.is_fresh()
+        store.is_away = True
+        clock.paused_s += 0.5
+        assert not membership.is_fresh()
+        await anyio.sleep(0.2)
+        assert not membership.is_fresh()
+        store.is_away = False
+        await anyio.sleep(0.2)
+        assert membership.is_fresh()
+
+    await run_checks(check)
+
+
 async def test_owner_that_loses_the_cell_is_stopped():
     async def check(membership, store, clock):
         assert membership.active_owner() is not None
