--- a/gypsumring/node/app.py
+++ b/gypsumring/node/app.py
@@ -2,7 +2,6 @@
 
 import math
 import re
-import traceback
 from typing import Any
 
 import anyio
@@ -27,14 +26,13 @@
 from gypsumring.platform.exceptions import WireError
 from gypsumring.utils.clock import unix_ms
 from gypsumring.utils.logs import EventLogger
+from gypsumring.utils.supervision import describe_error
 
 __all__ = ["NodeApp"]
 
 log = EventLogger("callers")
 
 READY_PATH = "/-/ready"
-# Innermost calls that a log line about an error shows.
-TRACEBACK_LINES = 4
 METRICS_PATH = "/-/metrics"
 JOB_ID = re.compile(r"^[0-9a-f]{16}$")
 # Part of the caller's time that is kept for the way back.
@@ -91,8 +89,7 @@
                 "request failed",
                 method=scope["method"],
                 path=scope["path"],
-                error=repr(error),
-                where=traceback.format_exc(limit=-TRACEBACK_LINES),
+                **describe_error(error),
             )
             return refuse(504, "outcome unknown")
 
