Keep weak machines out of the group while a strong one is in it

The owner was stopped at 31.07 s while the store was away until 33 s. All weak nodes stood by then, and the group deals a cell that is given up to a member that holds no partition, which the four strong ones did. Two machines of half a core gave the cell to each other every 1.4 s, too busy to be linked to, so that both went on standing. Change: the size is part of the member's name; a weak node stands only if the group has had no strong member for 0.6 s of answers of the store. Ruled out: the strong nodes were up, linked and members all the time.

--- a/gypsumring/node/candidacy.py
+++ b/gypsumring/node/candidacy.py
@@ -22,8 +22,11 @@
 # A machine of this share of the largest one's size is as good as that one.
 STRONG_SHARE = 0.7
 # A weak node stands once it has not reached an owner for this time; a strong one has
-# taken over by then, if there is any.
+# taken over by then, if there is any. For some time before it, the group has to have
+# been without a strong member, since the group deals a cell that is given up to any
+# member that holds none.
 STANDBY_S = 1.6
+ALONE_S = 0.6
 # A weak owner hands over once a strong node has been linked to it for this time.
 STEADY_S = 1.0
 
@@ -34,7 +37,15 @@
     Sizes are in thousandths of a core of usual speed.
     """
 
-    __slots__ = ("known", "learned", "size", "store", "strong_since", "topic")
+    __slots__ = (
+        "alone_since",
+        "known",
+        "learned",
+        "size",
+        "store",
+        "strong_since",
+        "topic",
+    )
 
     def __init__(self, store: Store, topic: str, size: int):
         self.store = store
@@ -44,6 +55,8 @@
         self.known: set[int] = {size}
         # The sizes in the store have been read.
         self.learned = False
+        # Since when the group has had no strong member while there was no owner.
+        self.alone_since: float | None = None
         # Since when a strong node has been linked to this owner.
         self.strong_since: float | None = None
 
@@ -52,19 +65,27 @@
         """Tell whether no much larger machine is known."""
         return self.size >= STRONG_SHARE * max(self.known)
 
-    def stands(self, owns: bool, unlinked_s: float) -> bool:
+    def stands(self, owns: bool, unlinked_s: float, largest_member: int | None) -> bool:
         """Tell whether this node should be in the group.
 
-        ``unlinked_s`` is for how long it has reached no owner, in seconds.
+        ``unlinked_s`` is for how long it has reached no owner, in seconds, and
+        ``largest_member`` the size of the largest machine in the group, if known.
         """
         if not self.learned:
             return owns
         if self.is_strong:
             return True
+        now = anyio.current_time()
         if owns:
             since = self.strong_since
-            return since is None or anyio.current_time() - since < STEADY_S
-        return unlinked_s > STANDBY_S
+            return since is None or now - since < STEADY_S
+        if unlinked_s <= STANDBY_S or largest_member is None:
+            self.alone_since = None
+        elif self.size < STRONG_SHARE * largest_member:
+            self.alone_since = None
+        elif self.alone_since is None:
+            self.alone_since = now
+        return self.alone_since is not None and now - self.alone_since >= ALONE_S
 
     def note_linked(self, sizes: list[int]) -> None:
         """Note the sizes of the nodes that are linked to this owner."""
--- a/gypsumring/node/link.py
+++ b/gypsumring/node/link.py
@@ -46,6 +46,7 @@
         "handler",
         "hint",
         "known",
+        "largest_member",
         "linked_at",
         "member",
         "nodes_version",
@@ -75,6 +76,8 @@
         self.own_fence = own_fence
         self.handler = handler
         self.connect = connect
+        # Size of the largest machine in the group at the newest look, if that succeeded.
+        self.largest_member: int | None = None
         # Size of this machine, or 0 once the node stops.
         self.size = size
         self.channel: Channel | None = None
@@ -155,7 +158,10 @@
             )
         except (StoreUnavailable, StoreRefused) as error:
             log.debug("owner not found in the store", error=str(error))
+            self.largest_member = None
             return await self.ask_nodes()
+        members = map(Member.parse, owners.values())
+        self.largest_member = max((each.size for each in members), default=0)
         name = owners.get(self.cell)
         if name is None:
             return None
--- a/gypsumring/node/membership.py
+++ b/gypsumring/node/membership.py
@@ -29,24 +29,29 @@
 
 
 class Member:
-    """Name a process in the group: node, address for channels, incarnation."""
+    """Name a process in the group: node, address for channels, incarnation, size.
 
-    __slots__ = ("address", "incarnation", "node")
+    The size is that of the machine, in thousandths of a core of usual speed.
+    """
+
+    __slots__ = ("address", "incarnation", "node", "size")
 
-    def __init__(self, node: str, address: str, incarnation: str):
+    def __init__(self, node: str, address: str, incarnation: str, size: int = 0):
         self.node = node
         self.address = address
         self.incarnation = incarnation
+        self.size = size
 
     @classmethod
     def parse(cls, text: str) -> "Member":
         """Return the member that a name in the group stands for."""
         node, _, rest = text.partition("@")
-        address, _, incarnation = rest.partition("/")
-        return cls(node, address, incarnation)
+        address, _, rest = rest.partition("/")
+        incarnation, _, size = rest.partition("/")
+        return cls(node, address, incarnation, int(size) if size.isdecimal() else 0)
 
     def __str__(self) -> str:
-        return f"{self.node}@{self.address}/{self.incarnation}"
+        return f"{self.node}@{self.address}/{self.incarnation}/{self.size}"
 
 
 class Membership:
--- a/gypsumring/node/node.py
+++ b/gypsumring/node/node.py
@@ -113,8 +113,9 @@
         self.desired = DesiredStateWatch(
             store, DESIRED_STATE_TOPIC, DESIRED_STATE_KEY, decode_desired_state
         )
-        member = Member(settings.node, settings.peer_address, uuid.uuid4().hex[:8])
         size = settings.processor.size
+        incarnation = uuid.uuid4().hex[:8]
+        member = Member(settings.node, settings.peer_address, incarnation, size)
         self.candidacy = Candidacy(store, NODES_TOPIC, size)
         ttl_s = max(MEMBERSHIP_S, settings.store.shortest_membership_ms / 1000)
         self.membership = Membership(
@@ -147,7 +148,8 @@
         """Tell whether this node should be in the group."""
         if owns:
             self.candidacy.note_linked(list(self.sizes.values()))
-        return self.candidacy.stands(owns, anyio.current_time() - self.link.linked_at)
+        unlinked_s = anyio.current_time() - self.link.linked_at
+        return self.candidacy.stands(owns, unlinked_s, self.link.largest_member)
 
     def is_ready(self) -> bool:
         """Tell whether new callers should come here."""
