--- a/gypsumring/node/link.py
+++ b/gypsumring/node/link.py
@@ -76,7 +76,7 @@
         self.own_fence = own_fence
         self.handler = handler
         self.connect = connect
-        # Size of the largest machine in the group at the newest look, if that succeeded.
+        # Size of the largest machine in the group, if the newest look succeeded.
         self.largest_member: int | None = None
         # Size of this machine, or 0 once the node stops.
         self.size = size
