--- a/gypsumring/node/node.py
+++ b/gypsumring/node/node.py
@@ -135,10 +135,6 @@
         self.forwarder = Forwarder(self.link, self.execute, metrics)
         self.relay = StoreRelay(store_path, self.list_channels, metrics)
 
-    def is_owner(self) -> bool:
-        """Tell whether this node owns the cell and answers commands."""
-        return self.membership.active_owner() is not None
-
     def own_fence(self) -> int | None:
         """Return the fence number of this node, or None if it does not own the cell."""
         owner = self.membership.active_owner()
