Tell why a step waits

A step that did not start left no line: neither logs nor gauges told a lack of room from missing advice, ended tickets, reservations, executors that take no work, or a look that was never planned.

explain_wait reports for one step what it needs and what is left after each condition of a start, and names the first one that is not met. WaitMonitor checks once a second which steps wait, from the job table and not from the backlog whose faults it has to show. It logs "step waits" once the job is late and after each doubling of the wait, ten lines a check at most, and sets gauges for the oldest waiting and the oldest feasible step. It decides nothing: a contended run with the checks gives the same advice, starts and ends as one without (test_checks_change_no_decision).

--- a/gypsumring/cell/owner.py
+++ b/gypsumring/cell/owner.py
@@ -23,6 +23,7 @@
     CellState,
     CellTiming,
 )
+from gypsumring.cell.wait_monitor import WaitMonitor
 from gypsumring.fleet import ExecutorEntry
 from gypsumring.metrics import Metrics
 from gypsumring.pipelines import (
@@ -71,6 +72,7 @@
         "stopped",
         "topic",
         "partition",
+        "waits",
     )
 
     def __init__(
@@ -113,6 +115,7 @@
             self.state, self.attendant, store, executors_topic, decode
         )
         self.scheduler = CellScheduler(self.state, self.orders, list_peers, ask_peer)
+        self.waits = WaitMonitor(self.scheduler)
         self.loaded = False
         self.stopped = anyio.Event()
 
@@ -128,6 +131,7 @@
                 group.start_soon(self.directory.run)
                 group.start_soon(self.scheduler.run)
                 group.start_soon(self.collect_ended)
+                group.start_soon(self.waits.run)
                 group.start_soon(Pacer(self.state).run)
         except* Deposed as errors:
             log.warning(
@@ -164,6 +168,7 @@
             "cell.room_cpu_millis": sum(each.entry.cpu_millis for each in fleet),
             "cell.journal.waiting": len(state.journal.queue),
             "cell.journal.unanswered_s": state.journal.unanswered_s(),
+            **self.waits.measure(),
         }
 
     async def load(self) -> None:
@@ -182,6 +187,7 @@
             elif key.startswith(EXECUTOR_KEY):
                 self.restore_executor(key, value)
         self.state.settle_jobs()
+        self.state.owned_since = anyio.current_time()
         log.info(
             "cell read",
             cell=self.partition,
--- a/gypsumring/cell/scheduling.py
+++ b/gypsumring/cell/scheduling.py
@@ -92,6 +92,7 @@
         interested = self.backlog.find_interested(freed)
         for step, queue in self.backlog.order(due.union(interested), now):
             try:
+                self.backlog.note_look(step, now)
                 if step in due:
                     self.look_at(step, queue, now)
                 elif has_room(step, freed) and not (step.spec.gang and step.runs):
--- a/gypsumring/cell/state.py
+++ b/gypsumring/cell/state.py
@@ -71,6 +71,7 @@
         "last_queues",
         "may_extend",
         "metrics",
+        "owned_since",
         "table",
         "timing",
         "unsettled",
@@ -110,6 +111,8 @@
         # Executors that may run tasks of an earlier owner and have not been heard.
         self.unsettled: set[str] = set()
         self.changed = anyio.Event()
+        # When this owner had read the cell.
+        self.owned_since: float | None = None
         self.group: anyio.abc.TaskGroup | None = None
         # Queues as they were last, also those that have been dropped since, and the
         # desired state from which they were taken.
--- /dev/null
+++ b/gypsumring/cell/tests/test_waiting.py
@@ -0,0 +1,579 @@
+"""Each cause of a wait is told, in bounded lines, by gauges and in reports."""
+
+import tempfile
+from pathlib import Path
+from unittest import mock
+
+import anyio
+import logbook
+from click.testing import CliRunner
+
+from gypsumring.cell import wait_monitor
+from gypsumring.cell.journal import Journal
+from gypsumring.cell.messages import Outcome
+from gypsumring.cell.orders import Orders
+from gypsumring.cell.scheduling import CellScheduler
+from gypsumring.cell.state import CellState, CellTiming
+from gypsumring.cell.tests.test_recovery import running_cluster
+from gypsumring.cell.wait_monitor import MAX_LINES_PER_CHECK, WaitMonitor
+from gypsumring.cell.waiting import WaitReason, WaitReport, explain_wait, why_no_work
+from gypsumring.cli.main import cli
+from gypsumring.dispatch.reserving import Reservation
+from gypsumring.dispatch.tests.fleets import make_executor
+from gypsumring.fleet import ExecutorState
+from gypsumring.metrics import Metrics
+from gypsumring.pipelines import (
+    DesiredState,
+    JobPhase,
+    PipelineSpec,
+    PolicyTiming,
+    Queue,
+    RunState,
+    Step,
+    StepSpec,
+)
+from gypsumring.ports.tasks import Ticket
+from gypsumring.utils.logs import encode_record
+from gypsumring.utils.testing import make_load_tests, run_on_mock_clock
+from stand_ins.platform.cluster import make_job
+from stand_ins.platform.world import steady_behaviour
+
+POLICY = PolicyTiming(0.02, 0.001, 2.0)
+
+
+class IgnoredTasks:
+    """Start no task."""
+
+    def start_soon(self, function, *args) -> None:
+        """Pass over a task."""
+
+
+class Scene:
+    """Hold a cell without a network, whose scheduler never runs by itself."""
+
+    __slots__ = ("monitor", "number", "queue", "scheduler", "state")
+
+    def __init__(self, executors: int = 4, policy: PolicyTiming | None = POLICY):
+        self.queue = Queue(
+            name="q", host="h", path_prefix="/q/", service="svc", policy=policy
+        )
+        desired = DesiredState(version=1, queues=(self.queue,))
+        self.state = CellState(
+            7,
+            Journal(None, "cells", 0, "cell", 1),
+            lambda: desired,
+            CellTiming(10.0, 0.9, 120.0, 5.0, 3.0),
+            Metrics(),
+            anyio.current_time,
+            lambda: 0,
+            lambda: True,
+        )
+        self.state.group = IgnoredTasks()
+        self.scheduler = CellScheduler(
+            self.state, Orders(self.state), lambda: ["n0"], None
+        )
+        self.monitor = WaitMonitor(self.scheduler)
+        self.number = 0
+        for number in range(executors):
+            self.add_executor(f"i-{number}", f"r{number % 2}")
+
+    def add_executor(self, name: str, rack: str) -> None:
+        """Add an executor of 8 cores that has just answered."""
+        executor = make_executor(name, rack=rack, now=anyio.current_time())
+        self.state.fleet[name] = executor
+        self.state.enrolled.add(name)
+
+    def add_step(self, inherited: bool = False, **fields) -> Step:
+        """Accept a job and return its only step."""
+        self.number += 1
+        spec = {"task_count": 4, "cpu_millis": 4000, "estimated_ms": 1000, **fields}
+        job = PipelineSpec(
+            job_id=f"{self.number:016x}",
+            queue="q",
+            service="svc",
+            accepted_ms=0,
+            payload="",
+            steps=(StepSpec(**spec),),
+        )
+        now = anyio.current_time()
+        step = self.state.table.add(job, now, inherited).steps[0]
+        self.scheduler.backlog.refresh(self.state.table.take_touched(), now)
+        return step
+
+    def advise(self, step: Step, *executor_ids: str, valid_s: float = 2.0) -> None:
+        """Let a step run on executors."""
+        until = anyio.current_time() + valid_s
+        for executor_id in executor_ids:
+            step.asked.add(executor_id)
+            step.allowed.add(executor_id)
+            step.tickets[executor_id] = Ticket(executor_id, "t", until)
+
+    def place(self, step: Step, index: int, executor_id: str, attempt: int = 1):
+        """Record a start of a task."""
+        run = self.state.table.place(
+            step, index, attempt, executor_id, anyio.current_time()
+        )
+        self.state.fleet[executor_id].add_run(run)
+        return run
+
+    def explain(self, step: Step) -> WaitReport:
+        """Return why a step waits."""
+        now = anyio.current_time()
+        return explain_wait(step, self.queue, self.scheduler, 0.0, now)
+
+    def reason(self, step: Step) -> WaitReason:
+        """Return the reason for which a step waits."""
+        return self.explain(step).reason
+
+
+async def test_tasks_of_an_earlier_owner_wait_as_withheld():
+    scene = Scene()
+    step = scene.add_step(inherited=True)
+    assert scene.reason(step) is WaitReason.WITHHELD
+    assert scene.explain(step).withheld == 4
+
+
+async def test_gang_that_is_being_started_or_stopped_waits_as_starting():
+    scene = Scene()
+    step = scene.add_step(gang=True)
+    run = scene.place(step, 0, "i-0")
+    report = scene.explain(step)
+    assert report.reason is WaitReason.STARTING
+    assert (report.pending, report.members_starting) == (3, 1)
+    run.state = RunState.STOPPING
+    assert scene.explain(step).members_stopping == 1
+
+
+async def test_step_without_a_planned_look_is_told():
+    # A lost wake-up would otherwise look like a lack of room.
+    scene = Scene()
+    dropped, overdue = scene.add_step(), scene.add_step()
+    scene.scheduler.backlog.drop(dropped)
+    assert scene.reason(dropped) is WaitReason.NOT_PLANNED
+    await anyio.sleep(6.0)
+    assert scene.reason(overdue) is WaitReason.NOT_PLANNED
+
+
+async def test_step_without_advice_waits_for_it():
+    scene = Scene()
+    step = scene.add_step()
+    assert scene.reason(step) is WaitReason.NO_ADVICE
+    step.asking = 1
+    assert scene.reason(step) is WaitReason.ASKING
+    step.asking = 0
+    step.asked.add("i-0")
+    assert scene.reason(step) is WaitReason.TOO_FEW_ALLOWED
+
+
+async def test_gang_is_allowed_on_too_few_executors():
+    scene = Scene()
+    step = scene.add_step(gang=True)
+    scene.advise(step, "i-0")
+    assert scene.reason(step) is WaitReason.TOO_FEW_ALLOWED
+    scene.advise(step, "i-1")
+    assert scene.reason(step) is WaitReason.NONE
+
+
+def unlist(scene: Scene, executor: ExecutorState) -> None:
+    """Let the entry of an executor lapse."""
+    executor.listed = False
+
+
+def drain(scene: Scene, executor: ExecutorState) -> None:
+    """Let an executor drain."""
+    executor.entry = type(executor.entry)(
+        executor_id=executor.executor_id,
+        address="",
+        service="svc",
+        draining=True,
+        cpu_millis=8000,
+        memory_mb=65_536,
+    )
+
+
+def silence(scene: Scene, executor: ExecutorState) -> None:
+    """Let an executor be silent."""
+    executor.last_contact_at -= 2.0
+
+
+def rest(scene: Scene, executor: ExecutorState) -> None:
+    """Let an executor rest."""
+    executor.health.quarantine(anyio.current_time())
+
+
+def list_unknown(scene: Scene, executor: ExecutorState) -> None:
+    """Let an executor list an attempt that nobody accounts for."""
+    executor.unknown_runs.add(("x.0.0.0", 1))
+
+
+def shut_out(scene: Scene, executor: ExecutorState) -> None:
+    """Let a start be shut out on an executor."""
+    executor.shutting_out.add(("x.0.0.0", 1))
+
+
+def forget_entry(scene: Scene, executor: ExecutorState) -> None:
+    """Let the entry of an executor not be durable."""
+    scene.state.enrolled.discard(executor.executor_id)
+
+
+def never_hear(scene: Scene, executor: ExecutorState) -> None:
+    """Let an executor be unheard so far."""
+    executor.first_contact_at = None
+
+
+def remove(scene: Scene, executor: ExecutorState) -> None:
+    """Let an executor have left."""
+    del scene.state.fleet[executor.executor_id]
+
+
+CHANGES = {
+    "not listed": unlist,
+    "draining": drain,
+    "silent": silence,
+    "resting": rest,
+    "unknown attempts": list_unknown,
+    "starts being shut out": shut_out,
+    "not enrolled": forget_entry,
+    "never heard": never_hear,
+}
+
+
+async def test_executors_that_take_no_work_are_counted_by_cause():
+    for word, change in CHANGES.items():
+        scene = Scene()
+        step = scene.add_step(gang=True)
+        scene.advise(step, "i-0", "i-1")
+        assert scene.reason(step) is WaitReason.NONE
+        change(scene, scene.state.fleet["i-1"])
+        report = scene.explain(step)
+        assert report.reason is WaitReason.NOT_TAKING_WORK, word
+        assert report.not_taking == {word: 1}
+        assert (report.allowed, report.taking, report.places_empty) == (2, 1, 4)
+
+
+async def test_executors_that_have_left_are_counted():
+    scene = Scene()
+    step = scene.add_step(gang=True)
+    scene.advise(step, "i-0", "i-1")
+    remove(scene, scene.state.fleet["i-1"])
+    report = scene.explain(step)
+    assert report.reason is WaitReason.TOO_FEW_ALLOWED
+    assert report.not_taking == {"gone": 1}
+
+
+async def test_report_agrees_with_the_scheduler_about_who_takes_work():
+    # A cause that the report does not know would be told as a lack of room.
+    scene = Scene()
+    now = anyio.current_time()
+    executor = scene.state.fleet["i-0"]
+    assert why_no_work(executor, "svc", True, now) == ""
+    assert why_no_work(executor, "other", True, now) == "other service"
+    for word, change in CHANGES.items():
+        scene = Scene()
+        executor = scene.state.fleet["i-0"]
+        change(scene, executor)
+        enrolled = executor in scene.scheduler.list_enrolled()
+        assert not (enrolled and executor.takes_work("svc", now)), word
+        assert why_no_work(executor, "svc", enrolled, now) == word
+
+
+async def test_gang_waits_for_room_that_others_use():
+    scene = Scene()
+    step, other = scene.add_step(gang=True), scene.add_step(task_count=1)
+    scene.advise(step, "i-0", "i-1")
+    run = scene.place(other, 0, "i-0")
+    report = scene.explain(step)
+    assert report.reason is WaitReason.ROOM
+    assert (report.places_free, report.pending, report.with_room) == (3, 4, 2)
+    assert (report.attempts_there, report.used_cpu_millis_there) == (1, 4000)
+    run.state = RunState.STOPPING
+    assert scene.explain(step).stopping_there == 1
+
+
+async def test_executors_kept_for_another_step_are_named():
+    scene = Scene()
+    step, other = scene.add_step(gang=True), scene.add_step(gang=True)
+    scene.advise(step, "i-0", "i-1")
+    scene.scheduler.reserved["i-1"] = Reservation(other, 0)
+    report = scene.explain(step)
+    assert report.reason is WaitReason.RESERVED
+    assert report.reserved_for == {other.name: 1}
+    scene.scheduler.reserved["i-1"] = Reservation(step, 0)
+    assert scene.reason(step) is WaitReason.NONE
+
+
+async def test_step_whose_tickets_have_ended_waits_for_new_ones():
+    scene = Scene()
+    step = scene.add_step(gang=True)
+    scene.advise(step, "i-0", valid_s=2.0)
+    scene.advise(step, "i-1", valid_s=-1.0)
+    report = scene.explain(step)
+    assert report.reason is WaitReason.TICKET
+    assert report.ticketed == 1
+    assert report.newest_ticket_until - report.oldest_ticket_until == 3.0
+    step.asking = 1
+    assert scene.reason(step) is WaitReason.ASKING
+
+
+async def test_step_avoids_executors_on_which_it_failed():
+    scene = Scene()
+    step, other = scene.add_step(task_count=1), scene.add_step(task_count=2)
+    scene.advise(step, "i-0", "i-1")
+    scene.place(other, 0, "i-1")
+    scene.place(other, 1, "i-1")
+    assert scene.reason(step) is WaitReason.NONE
+    step.avoided[0] = {"i-0"}
+    assert scene.reason(step) is WaitReason.AVOIDED
+
+
+async def test_step_waits_for_room_on_one_rack():
+    scene = Scene()
+    step = scene.add_step(gang=True, same_rack=True)
+    scene.advise(step, "i-0", "i-1")
+    assert scene.reason(step) is WaitReason.RACK
+    step.waiting_since = anyio.current_time()
+    await anyio.sleep(1.0)
+    assert scene.reason(step) is WaitReason.RACK
+    # It has waited for as long as the worse place would cost, 2 s.
+    await anyio.sleep(1.0)
+    scene.advise(step, "i-0", "i-1")
+    for executor in scene.state.fleet.values():
+        executor.note_clock(3000, anyio.current_time())
+    assert scene.reason(step) is WaitReason.NONE
+
+
+async def test_step_of_a_queue_without_policy_needs_no_advice():
+    scene = Scene(executors=1, policy=None)
+    step = scene.add_step(gang=True)
+    assert scene.reason(step) is WaitReason.TOO_FEW_ALLOWED
+    scene.add_executor("i-1", "r1")
+    report = scene.explain(step)
+    assert report.reason is WaitReason.NONE
+    assert report.ticketed is None
+
+
+async def test_report_tells_looks_owner_and_beliefs():
+    scene = Scene()
+    scene.state.owned_since = 0.0
+    step = scene.add_step(gang=True)
+    scene.advise(step, "i-0")
+    await anyio.sleep(0.5)
+    scene.scheduler.schedule()
+    await anyio.sleep(0.2)
+    report = scene.explain(step)
+    assert abs(report.looked_at - 0.5) < 1e-6
+    assert abs(report.look_at - 0.6) < 1e-6
+    assert (report.fence, report.owned_since) == (7, 0.0)
+    assert report.heard_oldest_at == report.heard_newest_at
+    assert abs(report.heard_oldest_at) < 1e-6
+
+
+def lines_of(handler: logbook.TestHandler, message: str) -> list[dict]:
+    """Return the fields of the lines with a message."""
+    return [record.extra for record in handler.records if record.msg == message]
+
+
+async def test_line_comes_after_the_target_and_after_each_doubling():
+    scene = Scene()
+    step = scene.add_step(gang=True)
+    # The job is due 2 s after its acceptance.
+    with logbook.TestHandler().applicationbound() as handler:
+        for _ in range(40):
+            await anyio.sleep(1.0)
+            scene.monitor.check(anyio.current_time())
+    lines = lines_of(handler, "step waits")
+    assert [round(line["waited_s"]) for line in lines] == [2, 4, 8, 16, 32]
+    assert {line["step"] for line in lines} == {step.name}
+
+
+async def test_lines_are_bounded_and_the_oldest_steps_come_first():
+    scene = Scene()
+    steps = []
+    for _ in range(25):
+        steps.append(scene.add_step())
+        await anyio.sleep(0.01)
+    await anyio.sleep(10.0)
+    with logbook.TestHandler().applicationbound() as handler:
+        for left_out in (15, 5, 0):
+            before = scene.state.metrics.counters["cell.waits.suppressed"]
+            scene.monitor.check(anyio.current_time())
+            counted = scene.state.metrics.counters["cell.waits.suppressed"] - before
+            assert counted == left_out
+    lines = [line["step"] for line in lines_of(handler, "step waits")]
+    assert lines == [step.name for step in steps]
+    assert MAX_LINES_PER_CHECK == 10
+
+
+async def test_check_of_a_long_queue_makes_few_reports_and_searches():
+    # A full report on each waiting step would cost the owner a part of its core.
+    scene = Scene(executors=2)
+    for _ in range(1000):
+        scene.add_step(task_count=100)
+    await anyio.sleep(10.0)
+    with (
+        mock.patch.object(wait_monitor, "explain_wait", wraps=explain_wait) as reports,
+        mock.patch.object(
+            wait_monitor, "has_expected_room", return_value=False
+        ) as searches,
+    ):
+        scene.monitor.check(anyio.current_time())
+        assert reports.call_count == MAX_LINES_PER_CHECK
+        assert searches.call_count == 0
+        for executor in scene.state.fleet.values():
+            executor.note_clock(10_000, anyio.current_time())
+            executor.used_cpu = -1_000_000
+        scene.monitor.check(anyio.current_time())
+        assert searches.call_count == wait_monitor.MAX_ROOM_SEARCHES
+    assert scene.monitor.measure()["cell.waiting.steps"] == 1000
+
+
+async def test_gauge_tells_a_feasible_step_from_one_without_room():
+    scene = Scene(executors=2)
+    large = scene.add_step(gang=True, task_count=5)
+    scene.advise(large, "i-0", "i-1")
+    await anyio.sleep(1.0)
+    small = scene.add_step(gang=True, task_count=4)
+    scene.advise(small, "i-0", "i-1")
+    await anyio.sleep(0.5)
+    scene.monitor.check(anyio.current_time())
+    gauges = scene.monitor.measure()
+    assert gauges["cell.waiting.steps"] == 2
+    assert abs(gauges["cell.waiting.oldest_s"] - 1.5) < 1e-6
+    assert abs(gauges["cell.waiting.oldest_feasible_s"] - 0.5) < 1e-6
+    # Neither a reservation nor an ended ticket makes it infeasible.
+    scene.scheduler.reserved["i-1"] = Reservation(large, 0)
+    small.tickets.clear()
+    scene.monitor.check(anyio.current_time())
+    assert scene.monitor.measure()["cell.waiting.oldest_feasible_s"] > 0
+    # An executor that takes no work does.
+    rest(scene, scene.state.fleet["i-1"])
+    scene.monitor.check(anyio.current_time())
+    assert scene.monitor.measure()["cell.waiting.oldest_feasible_s"] == 0
+
+
+async def test_executors_not_asked_about_count_by_the_share_that_is_allowed():
+    scene = Scene(executors=4)
+    step = scene.add_step(gang=True, task_count=4)
+    await anyio.sleep(1.0)
+    scene.scheduler.desk.shares.shares["q"] = 0.25
+    scene.monitor.check(anyio.current_time())
+    assert scene.monitor.measure()["cell.waiting.oldest_feasible_s"] == 0
+    scene.scheduler.desk.shares.shares["q"] = 0.5
+    scene.monitor.check(anyio.current_time())
+    assert abs(scene.monitor.measure()["cell.waiting.oldest_feasible_s"] - 1.0) < 1e-6
+    # Those that were asked about and are not allowed never count.
+    step.asked.add("i-0")
+    scene.monitor.check(anyio.current_time())
+    assert scene.monitor.measure()["cell.waiting.oldest_feasible_s"] == 0
+
+
+async def test_step_that_the_backlog_forgot_is_watched():
+    # The gauges must not rely on the bookkeeping whose faults they show.
+    scene = Scene()
+    step = scene.add_step(task_count=1)
+    scene.scheduler.backlog.drop(step)
+    await anyio.sleep(5.0)
+    with logbook.TestHandler().applicationbound() as handler:
+        scene.monitor.check(anyio.current_time())
+    (line,) = lines_of(handler, "step waits")
+    assert line["reason"] == "not_planned"
+    assert scene.monitor.measure()["cell.waiting.oldest_s"] == 5.0
+    assert scene.state.metrics.counters["cell.waits.not_planned"] == 1
+
+
+async def test_gang_that_is_started_and_stopped_again_goes_on_waiting():
+    # Each new attempt would begin the wait anew, so that no line ever came.
+    scene = Scene()
+    step = scene.add_step(gang=True, task_count=2)
+    with logbook.TestHandler().applicationbound() as handler:
+        for attempt in range(1, 9):
+            runs = [
+                scene.place(step, index, f"i-{index}", attempt) for index in range(2)
+            ]
+            await anyio.sleep(1.0)
+            scene.monitor.check(anyio.current_time())
+            for run in runs:
+                scene.scheduler.orders.release(run)
+        assert scene.monitor.measure()["cell.waiting.oldest_s"] == 8.0
+        runs = [scene.place(step, index, f"i-{index}", 9) for index in range(2)]
+        for run in runs:
+            run.state = RunState.RUNNING
+        scene.monitor.check(anyio.current_time())
+    waits = lines_of(handler, "step waits")
+    assert [line["reason"] for line in waits] == ["starting"] * 3
+    (line,) = lines_of(handler, "waiting step has started")
+    assert (line["waited_s"], line["lines"]) == (8.0, 3)
+    assert scene.monitor.measure()["cell.waiting.steps"] == 0
+
+
+async def test_failed_check_leaves_the_cell_alone():
+    scene = Scene()
+    with mock.patch.object(WaitMonitor, "check", side_effect=KeyError("i-0")):
+        with anyio.move_on_after(3.5):
+            await scene.monitor.run()
+    assert scene.state.metrics.counters["cell.wait_checks.failed"] == 3
+
+
+def render(handler: logbook.TestHandler) -> bytes:
+    """Return the captured lines as a node writes them."""
+    return b"\n".join(encode_record(record) for record in handler.records)
+
+
+async def test_trace_of_a_job_shows_why_it_waited_and_that_it_started():
+    gang = StepSpec(task_count=2, cpu_millis=8000, estimated_ms=500, gang=True)
+    long = StepSpec(task_count=2, cpu_millis=8000, estimated_ms=8000)
+    with logbook.TestHandler().applicationbound() as handler:
+        async with running_cluster(steady_behaviour(8.0), executors=2) as cluster:
+            assert await cluster.submit(make_job("b" * 16, long)) is Outcome.OK
+            await anyio.sleep(0.5)
+            assert await cluster.submit(make_job("a" * 16, gang)) is Outcome.OK
+            await anyio.sleep(5.0)
+            gauges = cluster.owner_node().owner().measure()
+            assert gauges["cell.waiting.steps"] == 1
+            assert gauges["cell.waiting.oldest_s"] > 3.0
+            assert gauges["cell.waiting.oldest_feasible_s"] == 0
+            assert await cluster.wait_final("a" * 16, 40.0) is JobPhase.COMPLETED
+    (line, *_) = lines_of(handler, "step waits")
+    assert (line["reason"], line["used_cpu_there"]) == ("room", 16000)
+    with tempfile.TemporaryDirectory() as folder:
+        Path(folder, "n0.log").write_bytes(render(handler))
+        result = CliRunner().invoke(cli, ["trace", "a" * 16, folder])
+    assert result.exit_code == 0, result.output
+    assert "scheduler: step waits step=aaaaaaaaaaaaaaaa.0.0" in result.output
+    assert "reason=room" in result.output
+    assert "waiting step has started step=aaaaaaaaaaaaaaaa.0.0" in result.output
+
+
+async def run_contended(checked: bool) -> list[tuple]:
+    """Return the lines of a run with more work than room, the monitor's ones aside."""
+    small = StepSpec(task_count=3, cpu_millis=3000, estimated_ms=700)
+    gang = StepSpec(task_count=3, cpu_millis=5000, estimated_ms=700, gang=True)
+    check = WaitMonitor.check if checked else lambda self, now: None
+    with (
+        mock.patch.object(WaitMonitor, "check", check),
+        logbook.TestHandler().applicationbound() as handler,
+    ):
+        async with running_cluster(
+            steady_behaviour(0.7), executors=6, policy_share=0.7
+        ) as cluster:
+            for number in range(30):
+                spec = gang if number % 5 == 0 else small
+                await cluster.submit(make_job(f"{number:016x}", spec))
+            for number in range(30):
+                phase = await cluster.wait_final(f"{number:016x}", 60.0)
+                assert phase is JobPhase.COMPLETED
+    assert bool(lines_of(handler, "step waits")) is checked
+    return [
+        (record.msg, sorted(record.extra.items(), key=str))
+        for record in handler.records
+        if record.msg in ("attempt started", "attempt ended", "advice received")
+    ]
+
+
+def test_checks_change_no_decision():
+    assert run_on_mock_clock(run_contended, True) == run_on_mock_clock(
+        run_contended, False
+    )
+
+
+load_tests = make_load_tests(globals())
--- /dev/null
+++ b/gypsumring/cell/wait_monitor.py
@@ -0,0 +1,267 @@
+"""Watch the steps that wait: gauges, and log lines for those that wait for long."""
+
+from typing import Any
+
+import anyio
+
+from gypsumring.cell.scheduling import CellScheduler
+from gypsumring.cell.waiting import (
+    WaitReport,
+    explain_wait,
+    has_expected_room,
+    is_waiting,
+)
+from gypsumring.dispatch.ordering import step_due
+from gypsumring.fleet import ExecutorState
+from gypsumring.pipelines import Queue, Step
+from gypsumring.utils.logs import EventLogger
+from gypsumring.utils.supervision import describe_error
+
+__all__ = ["WaitMonitor"]
+
+log = EventLogger("scheduler")
+
+CHECK_S = 1.0
+# A step that has waited for less is not logged, even if its job is late.
+MIN_WAIT_S = 1.0
+MAX_LINES_PER_CHECK = 10
+# The room for at most so many steps is searched in one check.
+MAX_ROOM_SEARCHES = 8
+# A line names at most so many other steps and executors.
+MAX_NAMED = 5
+
+
+class Watch:
+    """Hold since when a step waits and when it is logged next."""
+
+    __slots__ = ("due", "line_at", "lines", "queue", "since", "step")
+
+    def __init__(self, step: Step, queue: Queue, since: float):
+        self.step = step
+        self.queue = queue
+        self.since = since
+        self.due = step_due(step, queue)
+        self.line_at = max(self.due, since + MIN_WAIT_S)
+        self.lines = 0
+
+
+class WaitMonitor:
+    """Check about once a second which steps wait; decide nothing."""
+
+    __slots__ = ("gauges", "scheduler", "state", "watches")
+
+    def __init__(self, scheduler: CellScheduler):
+        self.scheduler = scheduler
+        self.state = scheduler.state
+        self.watches: dict[Step, Watch] = {}
+        self.gauges = make_gauges()
+
+    async def run(self) -> None:
+        """Check until cancelled."""
+        while True:
+            await anyio.sleep(CHECK_S)
+            try:
+                self.check(anyio.current_time())
+            except Exception as error:
+                # The cell goes on without its gauges.
+                self.state.metrics.count("cell.wait_checks.failed")
+                log.error("wait check failed", **describe_error(error))
+
+    def measure(self) -> dict[str, float]:
+        """Return the gauges of the newest check."""
+        return dict(self.gauges)
+
+    def check(self, now: float) -> None:
+        """Log the steps that wait beyond their target, and set the gauges."""
+        waiting = [
+            step
+            for job in self.state.table.active.values()
+            for step in job.steps
+            if is_waiting(step)
+        ]
+        self.close_ended(set(waiting), now)
+        for step in waiting:
+            if step not in self.watches:
+                self.watches[step] = self.open_watch(step, now)
+        watches = sorted(self.watches.values(), key=lambda watch: watch.since)
+        self.log_overdue(watches, now)
+        self.gauges = make_gauges()
+        if watches:
+            self.gauges["cell.waiting.steps"] = len(watches)
+            self.gauges["cell.waiting.overdue"] = sum(
+                watch.due < now for watch in watches
+            )
+            self.gauges["cell.waiting.oldest_s"] = now - watches[0].since
+            feasible = self.find_oldest_feasible(watches)
+            if feasible is not None:
+                self.gauges["cell.waiting.oldest_feasible_s"] = now - feasible.since
+
+    def open_watch(self, step: Step, now: float) -> Watch:
+        """Return the watch of a step; one that never started waits since acceptance."""
+        row = self.scheduler.backlog.waiting.get(step)
+        queue = self.state.find_queue(step.job) if row is None else row.queue
+        if not step.before and not any(step.attempts):
+            opened_at = step.opened_at
+            since = step.job.accepted_at if opened_at is None else opened_at
+        else:
+            since = now if row is None else row.since
+        return Watch(step, queue, min(since, now))
+
+    def close_ended(self, waiting: set[Step], now: float) -> None:
+        """Forget the steps that wait no longer; log the end if the wait was logged."""
+        for step in [step for step in self.watches if step not in waiting]:
+            watch = self.watches.pop(step)
+            if not watch.lines:
+                continue
+            runs = step.active_runs()
+            started_at = max((run.started_at for run in runs), default=now)
+            started = bool(runs or step.done_count) and not step.job.phase.is_final
+            log.info(
+                "waiting step has started" if started else "step waits no longer",
+                step=step.name,
+                phase=step.job.phase,
+                waited_s=round(started_at - watch.since, 3),
+                lines=watch.lines,
+            )
+
+    def log_overdue(self, watches: list[Watch], now: float) -> None:
+        """Log the steps whose line is due, the oldest first; count those left out."""
+        due = [watch for watch in watches if watch.line_at <= now]
+        for watch in due[:MAX_LINES_PER_CHECK]:
+            report = explain_wait(
+                watch.step, watch.queue, self.scheduler, watch.since, now
+            )
+            self.state.metrics.count(f"cell.waits.{report.reason}")
+            log.info("step waits", **report_fields(report, now))
+            watch.lines += 1
+            # The next line comes once the wait has doubled.
+            watch.line_at = now + max(MIN_WAIT_S, now - watch.since)
+        left_out = len(due) - MAX_LINES_PER_CHECK
+        if left_out > 0:
+            self.state.metrics.count("cell.waits.suppressed", left_out)
+
+    def find_oldest_feasible(self, watches: list[Watch]) -> Watch | None:
+        """Return the oldest step of which all waiting tasks would have room now."""
+        open_executors: dict[str, list[ExecutorState]] = {}
+        free_room: dict[str, tuple[int, int, int]] = {}
+        searches = 0
+        for watch in watches:
+            service = watch.queue.service
+            if service not in open_executors:
+                open_executors[service] = self.list_open(service)
+                free_room[service] = sum_free_room(open_executors[service])
+            if not may_fit(watch.step, free_room[service]):
+                continue
+            searches += 1
+            if searches > MAX_ROOM_SEARCHES:
+                return None
+            share = self.scheduler.desk.shares.get(watch.queue.name)
+            executors = open_executors[service]
+            if has_expected_room(watch.step, watch.queue, executors, share):
+                return watch
+        return None
+
+    def list_open(self, service: str) -> list[ExecutorState]:
+        """Return the executors that take work of a service now."""
+        clock = self.state.clock()
+        return [
+            executor
+            for executor in self.scheduler.list_enrolled()
+            if executor.takes_work(service, clock)
+        ]
+
+
+def make_gauges() -> dict[str, float]:
+    """Return the gauges of a cell in which nothing waits."""
+    return {
+        "cell.waiting.steps": 0,
+        "cell.waiting.overdue": 0,
+        "cell.waiting.oldest_s": 0.0,
+        "cell.waiting.oldest_feasible_s": 0.0,
+    }
+
+
+def sum_free_room(executors: list[ExecutorState]) -> tuple[int, int, int]:
+    """Return the free processors, memory and accelerators of all executors."""
+    return (
+        sum(each.free_cpu() for each in executors),
+        sum(each.entry.memory_mb - each.used_memory for each in executors),
+        sum(each.entry.accelerators - each.used_accelerators for each in executors),
+    )
+
+
+def may_fit(step: Step, free_room: tuple[int, int, int]) -> bool:
+    """Tell whether the waiting tasks of a step fit into the sum of the free room."""
+    spec = step.spec
+    count = len(step.pending) + len(step.withheld)
+    cpu, memory, accelerators = free_room
+    return (
+        (spec.fills or count * spec.cpu_millis <= cpu)
+        and count * spec.memory_mb <= memory
+        and count * spec.accelerators <= accelerators
+    )
+
+
+def report_fields(report: WaitReport, now: float) -> dict[str, Any]:
+    """Return the fields of the log line for a report; ages are in seconds."""
+    step, spec = report.step, report.step.spec
+    return {
+        "step": step.name,
+        "queue": step.job.spec.queue,
+        "reason": report.reason,
+        "waited_s": round(now - report.since, 3),
+        "overdue_s": round(now - report.due, 3),
+        "gang": spec.gang,
+        "tasks": spec.task_count,
+        "cpu_millis": spec.cpu_millis,
+        "memory_mb": spec.memory_mb,
+        "pending": report.pending,
+        "withheld": report.withheld,
+        "uncertain": report.uncertain,
+        "members_starting": report.members_starting,
+        "members_stopping": report.members_stopping,
+        "looked_s": age_of(report.looked_at, now),
+        "look_in_s": time_to(report.look_at, now),
+        "held_back_s": round(max(0.0, report.held_back_until - now), 3),
+        "asking": report.asking,
+        "asked": report.asked,
+        "allowed": report.allowed,
+        "ticketed": report.ticketed,
+        "advice_oldest_s": advice_age(report, report.oldest_ticket_until, now),
+        "advice_newest_s": advice_age(report, report.newest_ticket_until, now),
+        "taking": report.taking,
+        "not_taking": report.not_taking,
+        "admitted": report.admitted,
+        "reserved_for": dict(list(report.reserved_for.items())[:MAX_NAMED]),
+        "with_room": report.with_room,
+        "places_empty": report.places_empty,
+        "places_free": report.places_free,
+        "places_taking": report.places_taking,
+        "places_admitted": report.places_admitted,
+        "places_ticketed": report.places_ticketed,
+        "attempts_there": report.attempts_there,
+        "stopping_there": report.stopping_there,
+        "used_cpu_there": report.used_cpu_millis_there,
+        "cpu_there": report.cpu_millis_there,
+        "heard_oldest_s": age_of(report.heard_oldest_at, now),
+        "heard_newest_s": age_of(report.heard_newest_at, now),
+        "reserves": report.reserved_by_step[:MAX_NAMED],
+        "reserves_count": len(report.reserved_by_step),
+        "fence": report.fence,
+        "owned_s": age_of(report.owned_since, now),
+    }
+
+
+def age_of(moment: float | None, now: float) -> float | None:
+    """Return how long ago something was, in seconds."""
+    return None if moment is None else round(now - moment, 3)
+
+
+def time_to(moment: float | None, now: float) -> float | None:
+    """Return in which time something is due, in seconds."""
+    return None if moment is None else round(moment - now, 3)
+
+
+def advice_age(report: WaitReport, until: float | None, now: float) -> float | None:
+    """Return how long ago the advice with a ticket that ends then was given."""
+    return None if until is None else round(now - until + report.ticket_valid_s, 3)
--- /dev/null
+++ b/gypsumring/cell/waiting.py
@@ -0,0 +1,391 @@
+"""Explain why a step waits: the first condition of a start that is not met."""
+
+import enum
+from collections import Counter
+from collections.abc import Iterable
+
+from gypsumring.cell.advice import TICKET_MARGIN_S
+from gypsumring.cell.scheduling import CellScheduler
+from gypsumring.dispatch.ordering import step_due
+from gypsumring.dispatch.placing import (
+    fill,
+    has_label,
+    places_on,
+    room_for,
+    waits_for_place,
+)
+from gypsumring.fleet import CONTACT_S, ExecutorState
+from gypsumring.pipelines import Queue, RunState, Step
+
+__all__ = [
+    "WaitReason",
+    "WaitReport",
+    "explain_wait",
+    "has_expected_room",
+    "is_waiting",
+    "why_no_work",
+]
+
+# A look that is overdue by more than this has not been planned.
+OVERDUE_LOOK_S = 5.0
+
+
+class WaitReason(enum.StrEnum):
+    """Name the first condition of a start that is not met."""
+
+    # Tasks of an earlier owner may run on an executor that was not heard yet.
+    WITHHELD = "withheld"
+    # Members of a gang are being started or stopped.
+    STARTING = "starting"
+    # The scheduler has no look at the step planned.
+    NOT_PLANNED = "not_planned"
+    # A call to the policy service is under way and without it the step cannot start.
+    ASKING = "asking"
+    NO_ADVICE = "no_advice"
+    # The allowed executors could not hold the step even if they were empty.
+    TOO_FEW_ALLOWED = "too_few_allowed"
+    NOT_TAKING_WORK = "not_taking_work"
+    ROOM = "room"
+    RESERVED = "reserved"
+    TICKET = "ticket"
+    # Tasks may not run where they failed before.
+    AVOIDED = "avoided"
+    # The step waits for a place near its data or on one rack.
+    RACK = "rack"
+    # Nothing binds; the next look should start it.
+    NONE = "none"
+
+
+class WaitReport:
+    """Tell what a waiting step needs and what it could have now."""
+
+    __slots__ = (
+        "admitted",
+        "allowed",
+        "asked",
+        "asking",
+        "attempts_there",
+        "cpu_millis_there",
+        "due",
+        "fence",
+        "heard_newest_at",
+        "heard_oldest_at",
+        "held_back_until",
+        "look_at",
+        "looked_at",
+        "members_starting",
+        "members_stopping",
+        "newest_ticket_until",
+        "not_taking",
+        "oldest_ticket_until",
+        "owned_since",
+        "pending",
+        "places_admitted",
+        "places_empty",
+        "places_free",
+        "places_taking",
+        "places_ticketed",
+        "reason",
+        "reserved_by_step",
+        "reserved_for",
+        "room",
+        "since",
+        "step",
+        "stopping_there",
+        "taking",
+        "ticket_valid_s",
+        "ticketed",
+        "uncertain",
+        "used_cpu_millis_there",
+        "with_room",
+        "withheld",
+    )
+
+    def __init__(self, step: Step, since: float, due: float):
+        self.step = step
+        self.reason = WaitReason.NONE
+        self.since = since
+        self.due = due
+        # The newest look of the scheduler and the next one.
+        self.looked_at: float | None = None
+        self.look_at: float | None = None
+        self.held_back_until = step.held_back_until
+        self.pending = len(step.pending)
+        self.withheld = len(step.withheld)
+        self.uncertain = len(step.uncertain)
+        states = [run.state for run in step.active_runs()]
+        self.members_starting = states.count(RunState.STARTING)
+        self.members_stopping = states.count(RunState.STOPPING)
+        # Calls to the policy service under way, executors asked about and allowed.
+        self.asking = step.asking
+        self.asked = len(step.asked)
+        self.allowed = 0
+        # Allowed executors with a valid ticket; None if there is no policy.
+        self.ticketed: int | None = None
+        self.ticket_valid_s = 0.0
+        self.oldest_ticket_until: float | None = None
+        self.newest_ticket_until: float | None = None
+        # Allowed executors that take work, of these the ones that are not kept for
+        # others, and of these the ones with room for one task.
+        self.taking = 0
+        self.admitted = 0
+        self.with_room = 0
+        self.not_taking: dict[str, int] = {}
+        self.reserved_for: dict[str, int] = {}
+        # How many more tasks of the step each executor holds.
+        self.room: dict[str, int] = {}
+        # Places on the allowed executors: all empty, free, free where work is taken,
+        # free where nothing is kept for others, and free with a valid ticket.
+        self.places_empty = 0
+        self.places_free = 0
+        self.places_taking = 0
+        self.places_admitted = 0
+        self.places_ticketed = 0
+        # What is believed to run on the allowed executors.
+        self.attempts_there = 0
+        self.stopping_there = 0
+        self.cpu_millis_there = 0
+        self.used_cpu_millis_there = 0
+        self.heard_oldest_at: float | None = None
+        self.heard_newest_at: float | None = None
+        # Executors that are kept for this step.
+        self.reserved_by_step = sorted(step.reserved)
+        self.fence = 0
+        self.owned_since: float | None = None
+
+    def count_places(self, executors: Iterable[ExecutorState]) -> int:
+        """Return how many more tasks of the step fit on executors."""
+        return sum(self.room[executor.executor_id] for executor in executors)
+
+
+def is_waiting(step: Step) -> bool:
+    """Tell whether tasks of a step wait for a start, the steps before being done.
+
+    A gang waits until all of its members run.
+    """
+    waits = step.pending or step.withheld
+    if not waits and step.spec.gang and step.runs and not step.is_done:
+        waits = any(run.state is not RunState.RUNNING for run in step.active_runs())
+    return (
+        bool(waits)
+        and not step.job.phase.is_final
+        and all(earlier.is_done for earlier in step.before)
+    )
+
+
+def why_no_work(
+    executor: ExecutorState, service: str, enrolled: bool, now: float
+) -> str:
+    """Return why an executor takes no work of a service; empty if it takes some."""
+    if enrolled and executor.takes_work(service, now):
+        return ""
+    if not executor.listed:
+        return "not listed"
+    if executor.entry.service != service:
+        return "other service"
+    if executor.entry.draining:
+        return "draining"
+    if executor.first_contact_at is None:
+        return "never heard"
+    if now - executor.last_contact_at > CONTACT_S:
+        return "silent"
+    if executor.health.is_quarantined(now):
+        return "resting"
+    if executor.unknown_runs:
+        return "unknown attempts"
+    if executor.shutting_out:
+        return "starts being shut out"
+    if not enrolled:
+        return "not enrolled"
+    return "other"
+
+
+def explain_wait(
+    step: Step, queue: Queue, scheduler: CellScheduler, since: float, now: float
+) -> WaitReport:
+    """Return what a waiting step needs, has and lacks; nothing is changed."""
+    state = scheduler.state
+    report = WaitReport(step, since, step_due(step, queue))
+    report.fence = state.fence
+    report.owned_since = state.owned_since
+    row = scheduler.backlog.waiting.get(step)
+    if row is not None:
+        report.looked_at = row.looked_at
+        report.look_at = row.at
+    candidates = find_candidates(step, queue, scheduler)
+    report.allowed = len(step.allowed) if queue.policy else len(candidates)
+    gone = report.allowed - len(candidates)
+    not_taking: Counter[str] = Counter({"gone": gone} if gone else {})
+    taking = sort_out(report, queue, scheduler, candidates, not_taking, now)
+    report.not_taking = dict(not_taking)
+    usable = keep_admitted(report, queue, scheduler, taking)
+    if queue.policy is not None:
+        usable = keep_ticketed(report, queue, usable, now)
+    report.places_ticketed = report.count_places(usable)
+    patient = is_patient(step, state.timing.spread_factor, now)
+    report.reason = find_reason(report, queue, usable, patient, now)
+    return report
+
+
+def find_candidates(
+    step: Step, queue: Queue, scheduler: CellScheduler
+) -> list[ExecutorState]:
+    """Return the known executors on which the policy lets a step run."""
+    fleet = scheduler.state.fleet
+    if queue.policy is not None:
+        return [fleet[name] for name in sorted(step.allowed) if name in fleet]
+    return [each for each in fleet.values() if each.entry.service == queue.service]
+
+
+def sort_out(
+    report: WaitReport,
+    queue: Queue,
+    scheduler: CellScheduler,
+    candidates: list[ExecutorState],
+    not_taking: Counter[str],
+    now: float,
+) -> list[ExecutorState]:
+    """Note what is known of the candidates; return those that take the step now."""
+    step = report.step
+    clock = scheduler.state.clock()
+    taking = []
+    for executor in candidates:
+        enrolled = executor.executor_id in scheduler.state.enrolled
+        why = why_no_work(executor, queue.service, enrolled, clock)
+        if not why and not has_label(step, executor):
+            why = "label"
+        if why:
+            not_taking[why] += 1
+        else:
+            taking.append(executor)
+        report.room[executor.executor_id] = room_for(step, executor)
+        runs = executor.runs.values()
+        report.attempts_there += len(runs)
+        report.stopping_there += sum(run.state is RunState.STOPPING for run in runs)
+        report.cpu_millis_there += executor.entry.cpu_millis
+        report.used_cpu_millis_there += executor.used_cpu
+        report.places_empty += places_on(step, executor) * has_label(step, executor)
+    report.taking = len(taking)
+    report.places_free = report.count_places(candidates)
+    report.places_taking = report.count_places(taking)
+    note_heard(report, candidates, clock, now)
+    return taking
+
+
+def note_heard(
+    report: WaitReport, candidates: list[ExecutorState], clock: float, now: float
+) -> None:
+    """Note when executors were heard, which they tell on the clock of their states."""
+    heard = [
+        each.last_contact_at for each in candidates if each.first_contact_at is not None
+    ]
+    if heard:
+        report.heard_oldest_at = now - (clock - min(heard))
+        report.heard_newest_at = now - (clock - max(heard))
+
+
+def keep_admitted(
+    report: WaitReport,
+    queue: Queue,
+    scheduler: CellScheduler,
+    taking: list[ExecutorState],
+) -> list[ExecutorState]:
+    """Return the executors that are not kept for another step; note for which."""
+    admitted = []
+    kept_for: Counter[str] = Counter()
+    for executor in taking:
+        if scheduler.admits(executor, report.step, queue.priority):
+            admitted.append(executor)
+        else:
+            kept_for[scheduler.reserved[executor.executor_id].step.name] += 1
+    report.reserved_for = dict(kept_for)
+    report.admitted = len(admitted)
+    report.with_room = sum(report.room[each.executor_id] > 0 for each in admitted)
+    report.places_admitted = report.count_places(admitted)
+    return admitted
+
+
+def keep_ticketed(
+    report: WaitReport, queue: Queue, admitted: list[ExecutorState], now: float
+) -> list[ExecutorState]:
+    """Return the executors with a valid ticket; note the age of the advice."""
+    step = report.step
+    report.ticketed = sum(
+        step.ticket_left_s(executor_id, now) > TICKET_MARGIN_S
+        for executor_id in step.allowed
+    )
+    report.ticket_valid_s = queue.policy.valid_s
+    until = [ticket.expires_at for ticket in step.tickets.values()]
+    report.oldest_ticket_until = min(until, default=None)
+    report.newest_ticket_until = max(until, default=None)
+    return [
+        executor
+        for executor in admitted
+        if step.ticket_left_s(executor.executor_id, now) > TICKET_MARGIN_S
+    ]
+
+
+def find_reason(
+    report: WaitReport,
+    queue: Queue,
+    usable: list[ExecutorState],
+    patient: bool,
+    now: float,
+) -> WaitReason:
+    """Return the first condition of a start that is not met."""
+    step = report.step
+    if not step.pending and step.withheld:
+        return WaitReason.WITHHELD
+    if step.spec.gang and step.runs:
+        return WaitReason.STARTING
+    if report.look_at is None or report.look_at + OVERDUE_LOOK_S < now:
+        return WaitReason.NOT_PLANNED
+    needed = report.pending if step.spec.gang else 1
+    if queue.policy is not None and not step.allowed:
+        if step.asking:
+            return WaitReason.ASKING
+        return WaitReason.TOO_FEW_ALLOWED if step.asked else WaitReason.NO_ADVICE
+    if report.places_empty < needed:
+        return WaitReason.ASKING if step.asking else WaitReason.TOO_FEW_ALLOWED
+    if report.places_free < needed:
+        return WaitReason.ROOM if report.taking else WaitReason.NOT_TAKING_WORK
+    if report.places_taking < needed:
+        return WaitReason.NOT_TAKING_WORK
+    if report.places_admitted < needed:
+        return WaitReason.RESERVED
+    if report.places_ticketed < needed:
+        return WaitReason.ASKING if step.asking else WaitReason.TICKET
+    if not fill(step, usable, ()):
+        return WaitReason.AVOIDED
+    return WaitReason.RACK if patient else WaitReason.NONE
+
+
+def is_patient(step: Step, spread_factor: float, now: float) -> bool:
+    """Tell whether a step still waits for a place near its data or on one rack."""
+    if not step.spec.data_rack and not step.spec.same_rack:
+        return False
+    return step.waiting_since is None or waits_for_place(step, spread_factor, now)
+
+
+def has_expected_room(
+    step: Step, queue: Queue, open_executors: list[ExecutorState], share: float
+) -> bool:
+    """Tell whether all waiting tasks would fit into the room that is free now.
+
+    Tickets and reservations are left aside. Executors about which the policy service
+    was not asked count with the ``share`` of them that it allows.
+    """
+    needed = len(step.pending) + len(step.withheld)
+    places = 0.0
+    for executor in open_executors:
+        if queue.policy is None or executor.executor_id in step.allowed:
+            weight = 1.0
+        elif executor.executor_id not in step.asked:
+            weight = share
+        else:
+            continue
+        if has_label(step, executor):
+            places += weight * room_for(step, executor)
+        if places >= needed:
+            return True
+    return False
--- a/gypsumring/dispatch/backlog.py
+++ b/gypsumring/dispatch/backlog.py
@@ -26,13 +26,16 @@
 class Waiting:
     """Hold when a step is looked at next, and its place in the order of service."""
 
-    __slots__ = ("at", "due", "queue", "step")
+    __slots__ = ("at", "due", "looked_at", "queue", "since", "step")
 
-    def __init__(self, step: Step, queue: Queue, at: float):
+    def __init__(self, step: Step, queue: Queue, at: float, since: float):
         self.step = step
         self.queue = queue
         self.due = step_due(step, queue)
         self.at = at
+        # Since when the step has been in the backlog, and the newest look at it.
+        self.since = since
+        self.looked_at: float | None = None
 
     def rank(self, now: float) -> tuple[int, bool, float, str]:
         """Return the place in the order of service; the smallest goes first.
@@ -81,12 +84,21 @@
         """Plan the next look at a step, whose queue may have changed."""
         queue = self.find_queue(step.job)
         waiting = self.waiting.get(step)
-        if waiting is None or waiting.queue is not queue:
-            self.waiting[step] = Waiting(step, queue, at)
+        if waiting is None:
+            self.waiting[step] = Waiting(step, queue, at, at)
+        elif waiting.queue is not queue:
+            self.waiting[step] = Waiting(step, queue, at, waiting.since)
+            self.waiting[step].looked_at = waiting.looked_at
         else:
             waiting.at = at
         heapq.heappush(self.queue, (at, next(self.numbers), step))
 
+    def note_look(self, step: Step, now: float) -> None:
+        """Note that a waiting step is looked at."""
+        waiting = self.waiting.get(step)
+        if waiting is not None:
+            waiting.looked_at = now
+
     def plan_again(self, step: Step, now: float) -> None:
         """Plan a look at a step that still waits; a long queue is looked at slowly."""
         wait_s = LOOK_S * max(1.0, len(self.waiting) / LOOKS_AT_ONCE)
--- a/gypsumring/fleet/executor.py
+++ b/gypsumring/fleet/executor.py
@@ -7,7 +7,7 @@
 from gypsumring.pipelines.model import StepSpec
 from gypsumring.pipelines.state import Run
 
-__all__ = ["ExecutorEntry", "ExecutorState", "LATE_ORDER_S"]
+__all__ = ["CONTACT_S", "ExecutorEntry", "ExecutorState", "LATE_ORDER_S"]
 
 # The clock of an executor may be this much slow.
 CLOCK_DRIFT = 0.02
