Log the decisions that may keep a gang from starting

A gang that was stopped because a member was missing, an attempt that its executor did not list, an executor that rested after failures and the release of withheld tasks left no line; a refused start did not tell what the owner had believed.

Each of them now logs once with its inputs: "gang stopped" names the member, its executor and the reason, and only if a member is stopped by it, so that repeated looks at the gang add no line. "start refused" has the believed room, the time left of the ticket and the age of the newest answer. No decision changes; members that are already being stopped were passed over by Orders.stop before as well.

--- a/gypsumring/cell/lists.py
+++ b/gypsumring/cell/lists.py
@@ -47,7 +47,7 @@
         executor.was_lost = True
         for run in runs:
             self.orders.release(run)
-            self.break_gang(run)
+            self.break_gang(run, reason)
         self.settle(executor)
 
     def settle(self, executor: ExecutorState) -> None:
@@ -56,10 +56,10 @@
             self.state.unsettled.discard(executor.executor_id)
             self.state.settle_jobs()
 
-    def break_gang(self, run: Run) -> None:
+    def break_gang(self, run: Run, reason: str) -> None:
         """Stop the other members of a gang that has lost one."""
         if run.step.spec.gang and not run.step.is_done:
-            self.orders.stop_gang(run)
+            self.orders.stop_gang(run, reason)
 
     def apply(
         self, executor: ExecutorState, lists: TaskLists, requested_at: float
@@ -224,7 +224,15 @@
             expected = run.step.spec.estimated_ms / 1000
             executor.health.note_done(now - run.started_at, expected)
         elif how == "failed":
-            executor.health.note_failed(self.state.clock())
+            clock = self.state.clock()
+            executor.health.note_failed(clock)
+            if executor.health.is_quarantined(clock):
+                log.info(
+                    "executor rests",
+                    executor=executor.executor_id,
+                    failures=executor.health.failures,
+                    rests_s=round(executor.health.quarantined_until - clock, 3),
+                )
 
     def release_absent(
         self,
@@ -237,9 +245,16 @@
             if key in listed or run.answered_at is None:
                 continue
             if run.answered_at < requested_at:
+                log.warning(
+                    "attempt is not listed",
+                    **run.log_fields(),
+                    state=run.state.value,
+                    answered_s=round(requested_at - run.answered_at, 3),
+                    unanswered=run.unanswered,
+                )
                 self.state.metrics.count("cell.attempts.absent")
                 self.orders.release(run)
-                self.break_gang(run)
+                self.break_gang(run, "a member is not listed")
 
     def acknowledge(self, executor: ExecutorState, changed: set[Job]) -> None:
         """Let the executor forget its ends once what follows from them is durable."""
--- a/gypsumring/cell/orders.py
+++ b/gypsumring/cell/orders.py
@@ -27,6 +27,7 @@
 GANG_START_S = 1.5
 # An executor that refuses as unhealthy takes no work for a while.
 UNHEALTHY_S = 1.0
+RESTING_REASONS = ("unhealthy", "room")
 
 
 class Orders:
@@ -75,7 +76,7 @@
             if executor is None or run.state is not RunState.STARTING:
                 return
             if step.spec.gang and self.is_late(run):
-                self.stop_gang(run)
+                self.stop_gang(run, "a member has not started")
                 return
             if executor.is_silent or not self.state.may_extend():
                 await anyio.sleep(RETRY_PAUSE_S)
@@ -120,12 +121,25 @@
 
     def take_refusal(self, run: Run, executor: ExecutorState, reason: str) -> None:
         """Give up an attempt that the executor did not start."""
-        log.info("start refused", **run.log_fields(), reason=reason)
+        now = self.state.clock()
+        ticket_left_s = run.step.ticket_left_s(run.executor_id, anyio.current_time())
+        log.info(
+            "start refused",
+            **run.log_fields(),
+            reason=reason,
+            unanswered=run.unanswered,
+            ticket_left_s=round(ticket_left_s, 3),
+            used_cpu_millis=executor.used_cpu,
+            cpu_millis=executor.entry.cpu_millis,
+            used_memory_mb=executor.used_memory,
+            memory_mb=executor.entry.memory_mb,
+            heard_s=round(now - executor.last_contact_at, 3),
+            rests_s=UNHEALTHY_S if reason in RESTING_REASONS else 0.0,
+        )
         self.state.metrics.count(f"cell.starts.refused.{reason}")
         if reason == "ticket":
             run.step.tickets.pop(run.executor_id, None)
-        elif reason in ("unhealthy", "room"):
-            now = self.state.clock()
+        elif reason in RESTING_REASONS:
             executor.health.quarantined_until = max(
                 executor.health.quarantined_until, now + UNHEALTHY_S
             )
@@ -135,17 +149,36 @@
         else:
             self.release(run)
         if run.step.spec.gang:
-            self.stop_gang(run)
+            self.stop_gang(run, f"start refused: {reason}")
 
     def is_late(self, run: Run) -> bool:
         """Tell whether the other members of a gang have waited long for this one."""
         return anyio.current_time() - run.started_at > GANG_START_S
 
-    def stop_gang(self, run: Run) -> None:
-        """Stop all members of one run of a gang."""
-        self.stop_all(
-            [other for other in run.step.active_runs() if other.attempt == run.attempt]
-        )
+    def stop_gang(self, run: Run, reason: str) -> None:
+        """Stop all members of one run of a gang, because of one of them."""
+        members = [
+            other
+            for other in run.step.active_runs()
+            if other.attempt == run.attempt and other.state is not RunState.STOPPING
+        ]
+        if members:
+            executor = self.state.fleet.get(run.executor_id)
+            now = self.state.clock()
+            log.info(
+                "gang stopped",
+                step=run.step.name,
+                reason=reason,
+                member=run.task,
+                attempt=run.attempt,
+                executor=run.executor_id,
+                member_state=run.state.value,
+                unanswered=run.unanswered,
+                ordered_s=round(anyio.current_time() - run.started_at, 3),
+                heard_s=executor and round(now - executor.last_contact_at, 3),
+                stopped=len(members),
+            )
+        self.stop_all(members)
 
     async def stop_run(self, run: Run) -> None:
         """Send a stop until it is answered; the lists tell when the room is free."""
--- a/gypsumring/cell/scheduling.py
+++ b/gypsumring/cell/scheduling.py
@@ -33,6 +33,8 @@
 # Tasks with checkpoints are stopped this long before their executor leaves, besides the
 # time that a stop takes.
 EVACUATE_S = 0.5
+# A log line names at most so many members of a gang.
+MAX_LISTED = 10
 
 
 class CellScheduler:
@@ -184,13 +186,23 @@
             if spec.long_running or (spec.checkpointing and hurry):
                 self.state.metrics.count("cell.attempts.evacuated")
                 if spec.gang:
-                    self.orders.stop_gang(run)
+                    self.orders.stop_gang(run, "executor leaves")
                 else:
                     self.orders.stop(run)
 
     def stop_partial(self, step: Step) -> None:
         """Stop the members of a gang of which some do not run."""
-        self.orders.stop_all(step.active_runs())
+        runs = [run for run in step.active_runs() if run.state is not RunState.STOPPING]
+        if runs:
+            log.info(
+                "gang stopped",
+                step=step.name,
+                reason="members are missing",
+                missing=sorted(step.pending)[:MAX_LISTED],
+                missing_count=len(step.pending),
+                stopped=len(runs),
+            )
+        self.orders.stop_all(runs)
 
     def offer(self, step: Step, queue: Queue, now: float) -> list[ExecutorState]:
         """Start the tasks of a step that fit; return the executors that it may use."""
--- a/gypsumring/cell/state.py
+++ b/gypsumring/cell/state.py
@@ -16,6 +16,7 @@
 __all__ = ["CellState", "CellTiming"]
 
 log = EventLogger("jobs")
+cell_log = EventLogger("cell")
 
 JOB_KEY = "j/"
 PROGRESS_KEY = "p/"
@@ -136,12 +137,28 @@
     def settle_jobs(self) -> None:
         """Let tasks of earlier owners be placed once all executors were heard."""
         if not self.unsettled:
-            for job in self.table.active.values():
-                if job.inherited:
-                    job.settle()
-                    self.table.touch(job)
+            inherited = [job for job in self.table.active.values() if job.inherited]
+            withheld = sum(
+                len(step.withheld) for job in inherited for step in job.steps
+            )
+            for job in inherited:
+                job.settle()
+                self.table.touch(job)
+            if inherited:
+                self.log_settled(len(inherited), withheld)
         self.wake()
 
+    def log_settled(self, jobs: int, tasks: int) -> None:
+        """Log that jobs of earlier owners wait for no executor any more."""
+        since = self.owned_since
+        cell_log.info(
+            "withheld tasks released",
+            fence=self.fence,
+            jobs=jobs,
+            tasks=tasks,
+            waited_s=0.0 if since is None else round(anyio.current_time() - since, 3),
+        )
+
     def find_queue(self, job: Job) -> Queue:
         """Return the queue of a job, as it was last if it has been dropped."""
         desired = self.desired_state()
--- a/gypsumring/cell/tests/test_waiting.py
+++ b/gypsumring/cell/tests/test_waiting.py
@@ -10,6 +10,7 @@
 
 from gypsumring.cell import wait_monitor
 from gypsumring.cell.journal import Journal
+from gypsumring.cell.lists import ListReader
 from gypsumring.cell.messages import Outcome
 from gypsumring.cell.orders import Orders
 from gypsumring.cell.scheduling import CellScheduler
@@ -32,7 +33,7 @@
     Step,
     StepSpec,
 )
-from gypsumring.ports.tasks import Ticket
+from gypsumring.ports.tasks import TaskLists, Ticket
 from gypsumring.utils.logs import encode_record
 from gypsumring.utils.testing import make_load_tests, run_on_mock_clock
 from stand_ins.platform.cluster import make_job
@@ -576,4 +577,69 @@
     )
 
 
+async def test_member_that_did_not_start_is_named_when_its_gang_is_stopped():
+    gang = StepSpec(task_count=2, cpu_millis=8000, estimated_ms=500, gang=True)
+    with logbook.TestHandler().applicationbound() as handler:
+        async with running_cluster(executors=2, nodes=1) as cluster:
+            await anyio.sleep(0.5)
+            node = cluster.owner_node()
+            node.faults.cut_executors.add("i-0")
+            assert await cluster.submit(make_job("a" * 16, gang)) is Outcome.OK
+            await anyio.sleep(3.0)
+            node.faults.cut_executors.clear()
+            assert await cluster.wait_final("a" * 16, 40.0) is JobPhase.COMPLETED
+    line = lines_of(handler, "gang stopped")[0]
+    assert line["reason"] == "a member has not started"
+    assert (line["executor"], line["stopped"]) == ("i-0", 2)
+    assert line["ordered_s"] > 1.5
+
+
+async def test_attempt_that_its_executor_does_not_list_is_named():
+    scene = Scene()
+    step = scene.add_step(gang=True, task_count=2)
+    runs = [scene.place(step, index, f"i-{index}") for index in range(2)]
+    for run in runs:
+        run.answered_at = anyio.current_time()
+    await anyio.sleep(0.5)
+    reader = ListReader(scene.state, scene.scheduler.orders)
+    with logbook.TestHandler().applicationbound() as handler:
+        executor = scene.state.fleet["i-0"]
+        reader.apply(executor, TaskLists(2000, 0, [], []), anyio.current_time())
+    (line,) = lines_of(handler, "attempt is not listed")
+    assert (line["task"], line["answered_s"]) == (runs[0].task, 0.5)
+    (line,) = lines_of(handler, "gang stopped")
+    assert line["member"] == runs[0].task
+    assert line["reason"] == "a member is not listed"
+
+
+async def test_refused_start_tells_what_the_owner_believed():
+    scene = Scene()
+    step = scene.add_step(task_count=1)
+    scene.advise(step, "i-0")
+    run = scene.place(step, 0, "i-0")
+    executor = scene.state.fleet["i-0"]
+    with logbook.TestHandler().applicationbound() as handler:
+        scene.scheduler.orders.take_refusal(run, executor, "room")
+    (line,) = lines_of(handler, "start refused")
+    assert (line["reason"], line["rests_s"]) == ("room", 1.0)
+    assert (line["used_cpu_millis"], line["cpu_millis"]) == (4000, 8000)
+    assert line["ticket_left_s"] == 2.0
+
+
+async def test_release_of_withheld_tasks_is_told_once():
+    scene = Scene()
+    scene.state.owned_since = anyio.current_time()
+    scene.state.unsettled.add("i-0")
+    scene.add_step(inherited=True)
+    with logbook.TestHandler().applicationbound() as handler:
+        scene.state.settle_jobs()
+        assert not lines_of(handler, "withheld tasks released")
+        await anyio.sleep(6.0)
+        scene.state.unsettled.clear()
+        scene.state.settle_jobs()
+        scene.state.settle_jobs()
+    (line,) = lines_of(handler, "withheld tasks released")
+    assert (line["jobs"], line["tasks"], line["waited_s"]) == (1, 4, 6.0)
+
+
 load_tests = make_load_tests(globals())
