Name the number of tasks task_count in lines about waits

The field tasks of other lines is a list, over which the trace of a job iterates; a number there ended gypsumring trace with a TypeError for every other job. The test traces another job of the same logs and fails without the change.

--- a/gypsumring/cell/state.py
+++ b/gypsumring/cell/state.py
@@ -155,7 +155,7 @@
             "withheld tasks released",
             fence=self.fence,
             jobs=jobs,
-            tasks=tasks,
+            task_count=tasks,
             waited_s=0.0 if since is None else round(anyio.current_time() - since, 3),
         )
 
--- a/gypsumring/cell/tests/test_waiting.py
+++ b/gypsumring/cell/tests/test_waiting.py
@@ -539,6 +539,10 @@
     with tempfile.TemporaryDirectory() as folder:
         Path(folder, "n0.log").write_bytes(render(handler))
         result = CliRunner().invoke(cli, ["trace", "a" * 16, folder])
+        other = CliRunner().invoke(cli, ["trace", "b" * 16, folder])
+    # The field "tasks" of other lines is a list of names; a number ended the trace.
+    assert other.exit_code == 0, other.exception
+    assert "step waits" not in other.output
     assert result.exit_code == 0, result.output
     assert "scheduler: step waits step=aaaaaaaaaaaaaaaa.0.0" in result.output
     assert "reason=room" in result.output
@@ -639,7 +643,7 @@
         scene.state.settle_jobs()
         scene.state.settle_jobs()
     (line,) = lines_of(handler, "withheld tasks released")
-    assert (line["jobs"], line["tasks"], line["waited_s"]) == (1, 4, 6.0)
+    assert (line["jobs"], line["task_count"], line["waited_s"]) == (1, 4, 6.0)
 
 
 load_tests = make_load_tests(globals())
--- a/gypsumring/cell/wait_monitor.py
+++ b/gypsumring/cell/wait_monitor.py
@@ -212,7 +212,7 @@
         "waited_s": round(now - report.since, 3),
         "overdue_s": round(now - report.due, 3),
         "gang": spec.gang,
-        "tasks": spec.task_count,
+        "task_count": spec.task_count,
         "cpu_millis": spec.cpu_millis,
         "memory_mb": spec.memory_mb,
         "pending": report.pending,
