Keep the room of a gang while its tickets are renewed

Cause: a gang needs room and a ticket on all its executors at one time. A call for tickets takes 0.9 to 1.3 s; room that was free at its start went to others before its end, so that the step asked again, 24 times in a row. What was kept for a gang counted whole empty executors, ended at 30% of the fleet in the middle of a gang, and so held back room that completed nobody's gang. Class of the fault: check, then act on a permission that arrives when what was checked has gone. Change: a gang that fits keeps just that room at once, until its tickets are there. One that does not fit keeps all executors on which its places are expected to open first (dispatch/openings.py), or none; it changes them only for a considerable gain. It renews the tickets of those alone. The test about three gangs and the one about a missed target let tasks run in place of setting the cores in use, since ends are expected from what runs; both fail on the code before as they did.

--- a/gypsumring/cell/advice.py
+++ b/gypsumring/cell/advice.py
@@ -113,9 +113,11 @@
     ) -> list[ExecutorState]:
         """Return allowed executors with room whose tickets have ended, if it fits.
 
-        Tickets of executors that are kept for the step are renewed before they end.
+        Tickets of executors that are kept for the step are renewed before they end. A
+        gang starts on those, so that it needs no others.
         """
         call_s = timing.call_s(1 + len(step.reserved)) + TICKET_MARGIN_S
+        fits = fits and not (step.spec.gang and step.reserved)
         renewed = []
         for executor in allowed:
             executor_id = executor.executor_id
--- /dev/null
+++ b/gypsumring/dispatch/openings.py
@@ -0,0 +1,57 @@
+"""Expect when room for a step opens on an executor."""
+
+from gypsumring.dispatch.placing import places_on, room_for
+from gypsumring.fleet import ExecutorState
+from gypsumring.fleet.executor import counted_cpu
+from gypsumring.pipelines.state import Run, Step
+
+__all__ = ["expect_end", "expect_openings"]
+
+# An attempt that has run for longer than expected is expected to go on for this share
+# of the time that it has run.
+OVERRUN_SHARE = 0.25
+
+
+def expect_end(run: Run, slowdown: float, now: float) -> float:
+    """Return when an attempt is expected to end, by its estimate.
+
+    ``slowdown`` is the time that its executor takes against estimates.
+    """
+    ran_s = now - run.started_at
+    expected_s = slowdown * run.step.spec.estimated_ms / 1000
+    return now + max(expected_s - ran_s, OVERRUN_SHARE * ran_s)
+
+
+def expect_openings(step: Step, executor: ExecutorState, now: float) -> list[float]:
+    """Return when each place for a task of a step opens, the first one first.
+
+    Places that are free open now. Nothing else is expected to start meanwhile.
+    """
+    spec = step.spec
+    places = room_for(step, executor)
+    times = [now] * places
+    most = places_on(step, executor)
+    if places >= most:
+        return times
+    cpu = executor.free_cpu()
+    memory = executor.entry.memory_mb - executor.used_memory
+    accelerators = executor.entry.accelerators - executor.used_accelerators
+    slowdown = executor.health.slowdown
+    ends = sorted(
+        ((expect_end(run, slowdown, now), run) for run in executor.runs.values()),
+        key=lambda row: row[0],
+    )
+    for ends_at, run in ends:
+        cpu += counted_cpu(run.step.spec)
+        memory += run.step.spec.memory_mb
+        accelerators += run.step.spec.accelerators
+        room = most
+        if counted_cpu(spec):
+            room = min(room, cpu // spec.cpu_millis)
+        if spec.memory_mb:
+            room = min(room, memory // spec.memory_mb)
+        if spec.accelerators:
+            room = min(room, accelerators // spec.accelerators)
+        times += [ends_at] * (room - places)
+        places = max(places, room)
+    return times
--- a/gypsumring/dispatch/tests/test_reserving.py
+++ b/gypsumring/dispatch/tests/test_reserving.py
@@ -3,7 +3,7 @@
 from gypsumring.dispatch import Backlog, place_step, reserve_executors
 from gypsumring.dispatch.placing import room_for
 from gypsumring.dispatch.tests.fleets import make_fleet, make_step
-from gypsumring.pipelines import Queue
+from gypsumring.pipelines import Queue, Run
 from gypsumring.utils.testing import make_load_tests
 
 BULK = Queue(name="bulk", host="", path_prefix="", service="svc", priority=1)
@@ -133,6 +133,13 @@
     assert len(reserve_executors(steps, fleet, 1.0, 1.0)) == 3
 
 
+def occupy(fleet, cpu_millis):
+    """Let a task of another step run on each executor."""
+    for number, executor in enumerate(fleet):
+        other = make_step(f"{number:016x}", task_count=1, cpu_millis=cpu_millis)
+        executor.add_run(Run(other, 0, 1, executor.executor_id, 0.0))
+
+
 def make_gang(fleet, cpu_millis=4000, **fields):
     """Return a gang that is allowed everywhere and has waited for a second."""
     gang = make_step(cpu_millis=cpu_millis, gang=True, **fields)
@@ -144,8 +151,7 @@
 # Room that a gang had found went to small tasks before its tickets were renewed.
 def test_gang_keeps_the_free_room_that_it_fits_into():
     fleet = make_fleet(8)
-    for executor in fleet:
-        executor.used_cpu = 4000
+    occupy(fleet, 4000)
     gang = make_gang(fleet, task_count=6)
     reserved = reserve_executors([(gang, BULK)], fleet, 1.0, 1.0)
     kept = [each for each in fleet if each.executor_id in reserved]
@@ -155,8 +161,7 @@
 # Gangs kept a part of the executors that they needed, which helped nobody.
 def test_gang_keeps_all_executors_that_it_needs_or_none():
     fleet = make_fleet(10)
-    for executor in fleet:
-        executor.used_cpu = 6000
+    occupy(fleet, 6000)
     gangs = [
         make_gang(fleet, 8000, job_id=f"{number:016x}", task_count=5)
         for number in range(3)
@@ -169,8 +174,7 @@
 # missed its target, and was overtaken by newer ones from then on.
 def test_gang_keeps_its_executors_when_it_misses_its_target():
     fleet = make_fleet(10)
-    for executor in fleet:
-        executor.used_cpu = 6000
+    occupy(fleet, 6000)
     older = make_gang(fleet, 8000, job_id="a" * 16, task_count=3)
     newer = make_gang(fleet, 8000, job_id="b" * 16, task_count=3, accepted_at=2.0)
     queue = Queue(
@@ -192,4 +196,34 @@
         assert len(older.reserved) == 3, now
 
 
+def test_gang_keeps_those_that_are_expected_to_open_first():
+    fleet = make_fleet(6)
+    occupy(fleet, 6000)
+    for number, executor in enumerate(fleet):
+        for run in executor.runs.values():
+            run.started_at = -0.05 * number
+    gang = make_gang(fleet, 8000, task_count=2)
+    assert set(reserve_executors([(gang, BULK)], fleet, 0.5, 0.5)) == {"i-4", "i-5"}
+
+
+# The executors kept for a gang changed with each rough estimate, and their room went to
+# others just as it opened.
+def test_gang_does_not_change_its_executors_for_a_little():
+    fleet = make_fleet(6)
+    occupy(fleet, 6000)
+    gang = make_gang(fleet, 8000, task_count=2)
+    first = set(reserve_executors([(gang, BULK)], fleet, 0.5, 0.5))
+    for executor in fleet:
+        for run in executor.runs.values():
+            run.started_at = 0.0 if executor.executor_id in first else -0.3
+    assert set(reserve_executors([(gang, BULK)], fleet, 0.6, 0.6)) == first
+
+
+def test_first_gang_may_keep_more_than_the_usual_share():
+    fleet = make_fleet(10)
+    occupy(fleet, 6000)
+    gang = make_gang(fleet, 8000, task_count=9)
+    assert len(reserve_executors([(gang, BULK)], fleet, 1.0, 1.0)) == 9
+
+
 load_tests = make_load_tests(globals())
