Let no step be overtaken for good

Cause: a step that missed its target went behind all newer ones from that moment on, and lost the executors on which it had gathered room. Change: a step keeps its rank while executors are kept for it. The oldest step that has taken three times its target and can get its room goes before newer ones, one at a time, so that late work does not make all other work late.

--- a/gypsumring/cell/scheduling.py
+++ b/gypsumring/cell/scheduling.py
@@ -126,7 +126,9 @@
             if executor.entry.draining:
                 self.evacuate(executor, now)
         steps = self.backlog.order(self.backlog.waiting, now)
-        self.reserved = reserve_executors(steps, fleet, now, self.state.clock())
+        starving = self.backlog.list_starving(now)
+        clock = self.state.clock()
+        self.reserved = reserve_executors(steps, fleet, now, clock, starving)
 
     def list_enrolled(self) -> list[ExecutorState]:
         """Return the executors of which a later owner would know."""
--- a/gypsumring/dispatch/backlog.py
+++ b/gypsumring/dispatch/backlog.py
@@ -9,7 +9,7 @@
 import itertools
 from collections.abc import Callable, Iterable
 
-from gypsumring.dispatch.ordering import step_due
+from gypsumring.dispatch.ordering import job_target_s, step_due
 from gypsumring.fleet import ExecutorState
 from gypsumring.pipelines.model import Queue
 from gypsumring.pipelines.state import Job, Step
@@ -21,17 +21,21 @@
 # So many steps are looked at again within that time; more of them take longer.
 LOOKS_AT_ONCE = 50
 MAX_LOOK_S = 2.0
+# A step starves once its job has taken this many times its target.
+STARVING_FACTOR = 3.0
 
 
 class Waiting:
     """Hold when a step is looked at next, and its place in the order of service."""
 
-    __slots__ = ("at", "due", "looked_at", "queue", "since", "step")
+    __slots__ = ("at", "due", "looked_at", "queue", "since", "starves_at", "step")
 
     def __init__(self, step: Step, queue: Queue, at: float, since: float):
         self.step = step
         self.queue = queue
         self.due = step_due(step, queue)
+        target_s = job_target_s(step.job, queue)
+        self.starves_at = self.due + (STARVING_FACTOR - 1) * target_s
         self.at = at
         # Since when the step has been in the backlog, and the newest look at it.
         self.since = since
@@ -41,9 +45,11 @@
         """Return the place in the order of service; the smallest goes first.
 
         Within a priority the step whose job is due first goes first; jobs that have
-        missed their target come after those that can still meet it.
+        missed their target come after those that can still meet it, unless executors
+        are kept for them already.
         """
-        return (self.queue.priority, self.due < now, self.due, self.step.name)
+        missed = self.due < now and not self.step.reserved
+        return (self.queue.priority, missed, self.due, self.step.name)
 
 
 class Backlog:
@@ -73,6 +79,7 @@
         """Forget a step."""
         if self.waiting.pop(step, None) is None:
             return
+        step.reserved = set()
         for executor_id in step.allowed:
             steps = self.interested.get(executor_id)
             if steps is not None:
@@ -116,6 +123,12 @@
         rows.sort(key=lambda row: row.rank(now))
         return [(row.step, row.queue) for row in rows]
 
+    def list_starving(self, now: float) -> list[tuple[Step, Queue]]:
+        """Return the waiting steps that starve, the oldest first."""
+        rows = [row for row in self.waiting.values() if row.starves_at < now]
+        rows.sort(key=lambda row: (row.due, row.step.name))
+        return [(row.step, row.queue) for row in rows]
+
     def take_due(self, now: float) -> list[Step]:
         """Return the steps whose look is due; each of them has to be planned again."""
         due: dict[Step, None] = {}
--- a/gypsumring/dispatch/reserving.py
+++ b/gypsumring/dispatch/reserving.py
@@ -7,6 +7,8 @@
 priority.
 """
 
+from collections.abc import Iterable
+
 from gypsumring.dispatch.openings import expect_openings
 from gypsumring.dispatch.placing import places_on, room_for
 from gypsumring.fleet import ExecutorState
@@ -99,16 +101,25 @@
     fleet: list[ExecutorState],
     now: float,
     clock: float,
+    starving: Iterable[tuple[Step, Queue]] = (),
 ) -> dict[str, Reservation]:
     """Return the reservations, by executor; steps come in their order of service.
 
     ``clock`` is the time on the clock of the executors' states, which counts suspended
-    time.
+    time. The first of the ``starving`` steps that can get its room goes before all
+    others, so that newer steps cannot overtake it for good.
     """
     ledger = Ledger(fleet, now, clock)
     largest_cpu = max((each.entry.cpu_millis for each in fleet), default=0)
-    for step, queue in steps:
+    first = None
+    for step, queue in starving:
         reserve_for(step, queue, ledger, largest_cpu)
+        if step.reserved:
+            first = step
+            break
+    for step, queue in steps:
+        if step is not first:
+            reserve_for(step, queue, ledger, largest_cpu)
     return ledger.reserved
 
 
--- a/gypsumring/dispatch/tests/test_backlog.py
+++ b/gypsumring/dispatch/tests/test_backlog.py
@@ -72,4 +72,17 @@
     assert backlog.take_due(0.06) == steps
 
 
+def test_steps_that_starve_are_listed_from_the_oldest():
+    backlog = Backlog(lambda job: QUEUE)
+    target_s = 2.0
+    steps = [
+        make_step(f"{number:016x}", accepted_at=at)
+        for number, at in enumerate((3.0, 1.0, 2.0))
+    ]
+    backlog.refresh(steps, 3.0)
+    assert backlog.list_starving(1.0 + 3 * target_s) == []
+    starving = backlog.list_starving(2.5 + 3 * target_s)
+    assert [step for step, _ in starving] == [steps[1], steps[2]]
+
+
 load_tests = make_load_tests(globals())
--- a/gypsumring/dispatch/tests/test_reserving.py
+++ b/gypsumring/dispatch/tests/test_reserving.py
@@ -226,4 +226,20 @@
     assert len(reserve_executors([(gang, BULK)], fleet, 1.0, 1.0)) == 9
 
 
+# Newer steps went before one that had missed its target, for as long as they came.
+def test_oldest_starving_step_goes_first_if_it_can_get_its_room():
+    fleet = make_fleet(10)
+    occupy(fleet, 6000)
+    newer = make_gang(fleet, 8000, job_id="b" * 16, task_count=8)
+    hopeless = make_gang(fleet, 8000, job_id="c" * 16, task_count=11)
+    older = make_gang(fleet, 8000, job_id="d" * 16, task_count=7)
+    steps = [(newer, BULK), (hopeless, BULK), (older, BULK)]
+    reserve_executors(steps, fleet, 1.0, 1.0)
+    assert newer.reserved and not older.reserved
+    starving = [(hopeless, BULK), (older, BULK)]
+    reserve_executors(steps, fleet, 1.1, 1.1, starving)
+    assert len(older.reserved) == 7
+    assert not newer.reserved
+
+
 load_tests = make_load_tests(globals())
