Keep the last form of dropped queues for later owners

Cause: only the memory of one owner knew the last form of a dropped queue. The next one took a queue without a policy and with one attempt: starts went out without tickets and were refused, 3,000 in a second. The tests fail on the code before. Change: cell/queues.py records the form of a queue with its first job and with each change while jobs are left. Attempt numbers have room for 100,000 a term, since refused starts had gone past 1,000.

--- a/gypsumring/cell/commands.py
+++ b/gypsumring/cell/commands.py
@@ -74,6 +74,7 @@
             done.set()
             self.state.wake()
 
+        self.state.queues.use(spec.queue)
         self.state.journal.put(JOB_KEY + spec.job_id, encode(spec), begin)
         return done
 
--- a/gypsumring/cell/owner.py
+++ b/gypsumring/cell/owner.py
@@ -12,6 +12,7 @@
 from gypsumring.cell.journal import Journal
 from gypsumring.cell.orders import Orders
 from gypsumring.cell.pacing import Pacer
+from gypsumring.cell.queues import QUEUE_KEY
 from gypsumring.cell.scheduling import AskPeer, CellScheduler
 from gypsumring.cell.state import (
     EXECUTOR_KEY,
@@ -30,6 +31,7 @@
     DesiredState,
     JobTable,
     PipelineError,
+    Queue,
     decode_progress,
     decode_spec,
 )
@@ -44,7 +46,7 @@
 log = EventLogger("cell")
 
 # Attempt numbers of one term lie below those of the next.
-ATTEMPTS_PER_TERM = 1_000
+ATTEMPTS_PER_TERM = 100_000
 # An owner that has lost the cell learns it within this time, and extends no lease then.
 LATE_EXTENSION_S = 1.0
 READ_S = 5.0
@@ -53,6 +55,7 @@
 KEEP_MARGIN_S = 60.0
 COLLECT_S = 5.0
 
+decode_queue = msgspec.msgpack.Decoder(Queue).decode
 decode_entry = msgspec.msgpack.Decoder(ExecutorEntry).decode
 
 
@@ -186,6 +189,8 @@
                 self.restore_job(key[len(JOB_KEY) :], value, by_key)
             elif key.startswith(EXECUTOR_KEY):
                 self.restore_executor(key, value)
+            elif key.startswith(QUEUE_KEY):
+                self.restore_queue(key, value)
         self.state.settle_jobs()
         self.state.owned_since = anyio.current_time()
         log.info(
@@ -256,6 +261,13 @@
             return
         self.attendant.add(entry, inherited=True)
 
+    def restore_queue(self, key: str, value: bytes) -> None:
+        """Take over the last form of a queue, which may have been dropped since."""
+        try:
+            self.state.queues.restore(decode_queue(value))
+        except msgspec.DecodeError as error:
+            log.error("queue cannot be read", key=key, error=str(error))
+
     async def collect_ended(self) -> None:
         """Delete the records of jobs that nobody may ask for any more."""
         keep_s = self.state.timing.status_s + KEEP_MARGIN_S
@@ -271,3 +283,5 @@
                 del self.state.table.jobs[job_id]
                 self.state.journal.put(JOB_KEY + job_id, b"")
                 self.state.journal.put(PROGRESS_KEY + job_id, b"")
+            jobs = self.state.table.jobs.values()
+            self.state.queues.forget_unused({job.spec.queue for job in jobs})
--- a/gypsumring/cell/state.py
+++ b/gypsumring/cell/state.py
@@ -6,6 +6,7 @@
 import anyio.abc
 
 from gypsumring.cell.journal import Journal
+from gypsumring.cell.queues import QueueBook
 from gypsumring.fleet import ExecutorState
 from gypsumring.metrics import Metrics
 from gypsumring.pipelines import DesiredState, Job, JobTable, Queue, Run, encode
@@ -68,10 +69,9 @@
         "group",
         "inherited_lease_s",
         "journal",
-        "known_state",
-        "last_queues",
         "may_extend",
         "metrics",
+        "queues",
         "owned_since",
         "table",
         "timing",
@@ -115,10 +115,7 @@
         # When this owner had read the cell.
         self.owned_since: float | None = None
         self.group: anyio.abc.TaskGroup | None = None
-        # Queues as they were last, also those that have been dropped since, and the
-        # desired state from which they were taken.
-        self.last_queues: dict[str, Queue] = {}
-        self.known_state: DesiredState | None = None
+        self.queues = QueueBook(journal, desired_state)
 
     def wake(self) -> None:
         """Let the scheduler look at the ready steps."""
@@ -161,20 +158,7 @@
 
     def find_queue(self, job: Job) -> Queue:
         """Return the queue of a job, as it was last if it has been dropped."""
-        desired = self.desired_state()
-        if desired is not None and desired is not self.known_state:
-            self.known_state = desired
-            used = {known.spec.queue for known in self.table.jobs.values()}
-            kept = {
-                name: self.last_queues[name] for name in used & set(self.last_queues)
-            }
-            self.last_queues = kept | {queue.name: queue for queue in desired.queues}
-        queue = self.last_queues.get(job.spec.queue)
-        if queue is None:
-            queue = Queue(
-                name=job.spec.queue, host="", path_prefix="", service=job.spec.service
-            )
-        return queue
+        return self.queues.find(job.spec)
 
     def write_progress(
         self, job: Job, on_durable: Callable[[], None] | None = None
--- /dev/null
+++ b/gypsumring/cell/tests/test_queues.py
@@ -0,0 +1,66 @@
+"""Jobs keep their queue when the desired state drops it."""
+
+import anyio
+
+from gypsumring.cell.messages import Outcome
+from gypsumring.cell.tests.test_departed import restart_all
+from gypsumring.cell.tests.test_recovery import BATCH, GANG, NEXT, running_cluster
+from gypsumring.pipelines import DesiredState, JobPhase
+from gypsumring.utils.testing import make_load_tests
+from stand_ins.platform.cluster import make_job
+from stand_ins.platform.world import TaskBehaviour, steady_behaviour
+
+NO_QUEUES = DesiredState(version=2)
+
+
+# A new owner did not know the policy of a dropped queue: it sent starts without a
+# ticket, thousands in a second, and each of them was refused.
+async def test_job_of_a_dropped_queue_goes_on_under_a_new_owner():
+    async with running_cluster(steady_behaviour(0.8), policy_share=1.0) as cluster:
+        for model in cluster.executors.values():
+            # Starts without a ticket are refused.
+            model.tickets = {}
+        assert await cluster.submit(make_job("a" * 16, BATCH, NEXT)) is Outcome.OK
+        assert await cluster.submit(make_job("b" * 16, GANG)) is Outcome.OK
+        cluster.desired = NO_QUEUES
+        await restart_all(cluster)
+        assert await cluster.wait_final("a" * 16) is JobPhase.COMPLETED
+        assert await cluster.wait_final("b" * 16) is JobPhase.COMPLETED
+
+
+# A new owner gave tasks of a dropped queue a single attempt.
+async def test_task_of_a_dropped_queue_keeps_its_attempts():
+    def behave(task, attempt):
+        return TaskBehaviour(0.5, "failed" if attempt % 1000 == 1 else "done")
+
+    async with running_cluster(behave) as cluster:
+        assert await cluster.submit(make_job("a" * 16, BATCH, NEXT)) is Outcome.OK
+        cluster.desired = NO_QUEUES
+        await restart_all(cluster)
+        assert await cluster.wait_final("a" * 16) is JobPhase.COMPLETED
+
+
+# With a ticket that the executor does not know, starts were repeated without a pause.
+async def test_refused_starts_are_not_repeated_at_once():
+    async with running_cluster(steady_behaviour(0.5), policy_share=1.0) as cluster:
+        cluster.policy.valid_s = -1.0
+        assert await cluster.submit(make_job("b" * 16, GANG)) is Outcome.OK
+        seconds = 5.0
+        await anyio.sleep(seconds)
+        refused = cluster.metrics.counters["cell.starts.refused.ticket"]
+        assert 0 < refused <= seconds * 10 * GANG.task_count
+
+
+async def test_records_of_dropped_queues_end_with_their_jobs():
+    async with running_cluster() as cluster:
+        assert await cluster.submit(make_job("a" * 16, BATCH)) is Outcome.OK
+        queues = cluster.owner_node().owner().state.queues
+        assert list(queues.recorded) == ["batch"]
+        cluster.desired = NO_QUEUES
+        assert await cluster.wait_final("a" * 16) is JobPhase.COMPLETED
+        await anyio.sleep(200)
+        assert not queues.recorded
+        assert not queues.queues
+
+
+load_tests = make_load_tests(globals())
