Pause before a start is repeated that was refused

Cause: a start that an executor refuses for its ticket was placed anew at once, with a new attempt number, each 4 ms.

--- a/gypsumring/cell/orders.py
+++ b/gypsumring/cell/orders.py
@@ -25,6 +25,8 @@
 # Members of a gang that are not all started within this time are stopped; it lies below
 # the time after which executors end them as alone.
 GANG_START_S = 1.5
+# A step of which a start was refused is not started again before this time.
+REFUSAL_PAUSE_S = 0.1
 # An executor that refuses as unhealthy takes no work for a while.
 UNHEALTHY_S = 1.0
 RESTING_REASONS = ("unhealthy", "room")
@@ -137,6 +139,7 @@
             rests_s=UNHEALTHY_S if reason in RESTING_REASONS else 0.0,
         )
         self.state.metrics.count(f"cell.starts.refused.{reason}")
+        run.step.start_after = anyio.current_time() + REFUSAL_PAUSE_S
         if reason == "ticket":
             run.step.tickets.pop(run.executor_id, None)
         elif reason in RESTING_REASONS:
--- a/gypsumring/cell/scheduling.py
+++ b/gypsumring/cell/scheduling.py
@@ -208,8 +208,11 @@
 
     def offer(self, step: Step, queue: Queue, now: float) -> list[ExecutorState]:
         """Start the tasks of a step that fit; return the executors that it may use."""
+        may_start = step.start_after <= now
         if queue.policy is None:
             eligible = self.find_eligible(step, queue)
+            if not may_start:
+                return eligible
             self.start_all(step, self.place(step, eligible), now)
             return eligible
         allowed = self.find_allowed(step, queue)
@@ -218,7 +221,7 @@
             for executor in allowed
             if step.ticket_left_s(executor.executor_id, now) > TICKET_MARGIN_S
         ]
-        if has_room(step, holding):
+        if may_start and has_room(step, holding):
             self.start_all(step, self.place(step, holding), now)
         return allowed
 
--- a/gypsumring/pipelines/state.py
+++ b/gypsumring/pipelines/state.py
@@ -107,6 +107,7 @@
         "reserved",
         "runs",
         "spec",
+        "start_after",
         "states",
         "tickets",
         "uncertain",
@@ -143,7 +144,9 @@
         self.withheld: set[int] = set()
         self.done_count = 0
         self.runs: dict[int, list[Run]] = {}
+        # No call for advice and no start before these times.
         self.held_back_until = 0.0
+        self.start_after = 0.0
         # What the policy service said: executors asked about and allowed, tickets.
         self.asked: set[str] = set()
         self.allowed: set[str] = set()
