Log the form, the target and the durable end of each job

Cause: the lines of a job did not tell its target, the cores and estimates of its tasks and which step waits for which; `job ended` came with the last end and not when callers could be told; submissions that reached no owner, attempts that an executor does not list and the wait for the attempts of an earlier owner left counters only. So nobody could tell from the logs which jobs were late and where their time went.

Change: fields on `job accepted`, `job refused` and `job uncertain`; `job ended` is written once the end is durable, with `durable_ms`; one line for a refused or uncertain submission at the node that took it, one for the absent attempts of one list, one a takeover. No new line for a task.

Evidence: cell/tests/test_log_lines.py and node/tests/test_forwarding.py fail without it. The added processor time was not measured.

--- a/gypsumring/cell/commands.py
+++ b/gypsumring/cell/commands.py
@@ -5,7 +5,8 @@
 from gypsumring.cell.messages import JobAnswer, Outcome
 from gypsumring.cell.orders import Orders
 from gypsumring.cell.state import JOB_KEY, CellState
-from gypsumring.pipelines import JobPhase, PipelineSpec, encode
+from gypsumring.dispatch.ordering import job_target_s
+from gypsumring.pipelines import Job, JobPhase, PipelineSpec, encode
 from gypsumring.utils.logs import EventLogger
 
 __all__ = ["Commands"]
@@ -43,6 +44,7 @@
                 log.info(
                     "job refused",
                     job=job_id,
+                    queue=spec.queue,
                     reason="the store does not answer",
                     unanswered_s=round(self.state.journal.unanswered_s(), 3),
                 )
@@ -52,31 +54,51 @@
             await done.wait()
             return JobAnswer(Outcome.OK)
         self.state.metrics.count("cell.jobs.uncertain")
-        log.warning("job uncertain", job=job_id, reason="the store has not answered")
+        log.warning(
+            "job uncertain",
+            job=job_id,
+            queue=spec.queue,
+            reason="the store has not answered",
+        )
         return JobAnswer(Outcome.UNCERTAIN)
 
     def accept(self, spec: PipelineSpec) -> anyio.Event:
         """Queue the record of a new job; the job begins once it is durable."""
         done = anyio.Event()
         self.accepting[spec.job_id] = done
+        put_at = anyio.current_time()
 
         def begin() -> None:
             del self.accepting[spec.job_id]
-            self.state.table.add(spec, anyio.current_time())
+            job = self.state.table.add(spec, anyio.current_time())
             self.state.metrics.count("cell.jobs.accepted")
-            log.info(
-                "job accepted",
-                job=spec.job_id,
-                queue=spec.queue,
-                tasks=[step.task_count for step in spec.steps],
-                fence=self.state.fence,
-            )
+            self.log_accepted(job, anyio.current_time() - put_at)
             done.set()
             self.state.wake()
 
         self.state.journal.put(JOB_KEY + spec.job_id, encode(spec), begin)
         return done
 
+    def log_accepted(self, job: Job, store_s: float) -> None:
+        """Log what later lines about the job are compared with."""
+        spec = job.spec
+        target_s = job_target_s(job, self.state.find_queue(job))
+        log.info(
+            "job accepted",
+            job=spec.job_id,
+            queue=spec.queue,
+            tasks=[step.task_count for step in spec.steps],
+            fence=self.state.fence,
+            cpu_millis=[step.cpu_millis for step in spec.steps],
+            estimates_ms=[step.estimated_ms for step in spec.steps],
+            after=[step.after for step in spec.steps],
+            gangs=[number for number, step in enumerate(spec.steps) if step.gang],
+            lasts=bool(spec.repeats) or any(step.long_running for step in spec.steps),
+            target_ms=round(target_s * 1000),
+            door_ms=self.state.wall_clock() - spec.accepted_ms,
+            store_ms=round(store_s * 1000),
+        )
+
     def query(self, job_id: str, fresh: bool) -> JobAnswer:
         """Tell the state of a job; only a fresh owner knows that there is none."""
         job = self.state.table.jobs.get(job_id)
--- a/gypsumring/cell/lists.py
+++ b/gypsumring/cell/lists.py
@@ -233,13 +233,23 @@
         requested_at: float,
     ) -> None:
         """Release attempts that an answer requested after their own does not list."""
-        for key, run in list(executor.runs.items()):
-            if key in listed or run.answered_at is None:
-                continue
-            if run.answered_at < requested_at:
-                self.state.metrics.count("cell.attempts.absent")
-                self.orders.release(run)
-                self.break_gang(run)
+        absent = [
+            run
+            for key, run in executor.runs.items()
+            if key not in listed
+            and run.answered_at is not None
+            and run.answered_at < requested_at
+        ]
+        if absent:
+            self.state.metrics.count("cell.attempts.absent", len(absent))
+            log.info(
+                "attempts absent",
+                executor=executor.executor_id,
+                tasks=[run.task for run in absent],
+            )
+        for run in absent:
+            self.orders.release(run)
+            self.break_gang(run)
 
     def acknowledge(self, executor: ExecutorState, changed: set[Job]) -> None:
         """Let the executor forget its ends once what follows from them is durable."""
--- a/gypsumring/cell/state.py
+++ b/gypsumring/cell/state.py
@@ -16,6 +16,7 @@
 __all__ = ["CellState", "CellTiming"]
 
 log = EventLogger("jobs")
+cell_log = EventLogger("cell")
 
 JOB_KEY = "j/"
 PROGRESS_KEY = "p/"
@@ -133,10 +134,12 @@
     def settle_jobs(self) -> None:
         """Let tasks of earlier owners be placed once all executors were heard."""
         if not self.unsettled:
-            for job in self.table.active.values():
-                if job.inherited:
-                    job.settle()
-                    self.table.touch(job)
+            settled = [job for job in self.table.active.values() if job.inherited]
+            for job in settled:
+                job.settle()
+                self.table.touch(job)
+            if settled:
+                cell_log.info("earlier attempts settled", jobs=len(settled))
         self.wake()
 
     def find_queue(self, job: Job) -> Queue:
@@ -160,23 +163,20 @@
         self, job: Job, on_durable: Callable[[], None] | None = None
     ) -> None:
         """Queue the progress of a job; a final phase is shown once it is durable."""
-        if job.phase.is_final and not job.final_since_ms:
+        has_ended = job.phase.is_final and not job.final_since_ms
+        if has_ended:
             job.final_since_ms = self.wall_clock()
             job.ended_at = anyio.current_time()
             self.table.finish(job)
             self.metrics.count(f"cell.jobs.{job.phase}")
             took_s = job.ended_at - job.accepted_at
             self.metrics.record_seconds("cell.turnaround", max(0.0, took_s))
-            log.info(
-                "job ended",
-                job=job.spec.job_id,
-                phase=job.phase,
-                took_ms=round(took_s * 1000),
-            )
         phase = job.phase
 
         def publish() -> None:
             job.durable_phase = phase
+            if has_ended:
+                self.log_ended(job)
             if on_durable is not None:
                 on_durable()
 
@@ -186,3 +186,13 @@
             publish,
             urgent=phase.is_final,
         )
+
+    def log_ended(self, job: Job) -> None:
+        """Log the end of a job once callers may be told."""
+        log.info(
+            "job ended",
+            job=job.spec.job_id,
+            phase=job.phase,
+            took_ms=round((job.ended_at - job.accepted_at) * 1000),
+            durable_ms=round((anyio.current_time() - job.ended_at) * 1000),
+        )
--- /dev/null
+++ b/gypsumring/cell/tests/test_log_lines.py
@@ -0,0 +1,101 @@
+"""Log lines of a cell carry what an account of the jobs needs."""
+
+from collections.abc import Iterator
+from contextlib import contextmanager
+
+import anyio
+import logbook
+
+from gypsumring.cell.messages import Outcome
+from gypsumring.cell.tests.test_recovery import running_cluster
+from gypsumring.pipelines import JobPhase, StepSpec
+from gypsumring.utils.testing import make_load_tests
+from stand_ins.platform.cluster import make_job
+from stand_ins.platform.world import steady_behaviour
+
+FIRST = StepSpec(task_count=2, cpu_millis=2000, estimated_ms=500)
+SECOND = StepSpec(
+    task_count=3, cpu_millis=1000, estimated_ms=300, after=(0,), gang=True
+)
+
+
+@contextmanager
+def collected_lines() -> Iterator[list[logbook.LogRecord]]:
+    """Collect all log lines in order."""
+    with logbook.TestHandler().applicationbound() as handler:
+        yield handler.records
+
+
+def find_lines(lines: list[logbook.LogRecord], message: str) -> list[dict]:
+    """Return the fields of the lines with a message."""
+    return [line.extra for line in lines if line.msg == message]
+
+
+async def test_lines_describe_the_job_and_when_its_end_was_durable():
+    # Without the form and the target of a job nobody can tell late jobs by their lines.
+    with collected_lines() as lines:
+        async with running_cluster(steady_behaviour(0.5)) as cluster:
+            job = make_job("a" * 16, FIRST, SECOND)
+            assert await cluster.submit(job) is Outcome.OK
+            assert await cluster.wait_final("a" * 16, 20.0) is JobPhase.COMPLETED
+    (accepted,) = find_lines(lines, "job accepted")
+    assert accepted["tasks"] == [2, 3]
+    assert accepted["cpu_millis"] == [2000, 1000]
+    assert accepted["estimates_ms"] == [500, 300]
+    assert accepted["after"] == [(), (0,)]
+    assert accepted["gangs"] == [1]
+    assert not accepted["lasts"]
+    assert accepted["target_ms"] > 800
+    assert accepted["store_ms"] >= 0
+    (ended,) = find_lines(lines, "job ended")
+    assert ended["took_ms"] >= 1000
+    assert ended["durable_ms"] >= 0
+
+
+async def test_end_is_logged_when_callers_may_be_told():
+    # The line came with the last end, so that nobody saw ends wait for the store.
+    with collected_lines() as lines:
+        async with running_cluster(steady_behaviour(0.5)) as cluster:
+            await anyio.sleep(1.0)
+            job = make_job("a" * 16, FIRST)
+            assert await cluster.submit(job) is Outcome.OK
+            await anyio.sleep(0.2)
+            cluster.owner_node().store.faults.store_slow_s = 0.4
+            while len(find_lines(lines, "attempt ended")) < 2:
+                await anyio.sleep(0.01)
+            assert not find_lines(lines, "job ended")
+            assert await cluster.wait_final("a" * 16, 20.0) is JobPhase.COMPLETED
+    (ended,) = find_lines(lines, "job ended")
+    assert ended["took_ms"] < 900
+    assert ended["durable_ms"] >= 400
+
+
+async def test_takeover_tells_when_earlier_attempts_are_settled():
+    # Tasks that wait for a silent executor looked as if they waited for room.
+    with collected_lines() as lines:
+        async with running_cluster(steady_behaviour(2.0), nodes=3) as cluster:
+            assert await cluster.submit(make_job("a" * 16, FIRST)) is Outcome.OK
+            await anyio.sleep(0.5)
+            cluster.owner_node().kill()
+            assert await cluster.wait_final("a" * 16, 20.0) is JobPhase.COMPLETED
+    (settled,) = find_lines(lines, "earlier attempts settled")
+    assert settled == {"jobs": 1}
+
+
+async def test_attempts_that_an_executor_does_not_list_are_named():
+    # They left only a counter, so that their work was missing from what was lost.
+    with collected_lines() as lines:
+        async with running_cluster(steady_behaviour(2.0), executors=1) as cluster:
+            assert await cluster.submit(make_job("a" * 16, FIRST)) is Outcome.OK
+            await anyio.sleep(0.5)
+            model = cluster.executors["i-0"]
+            model.crash()
+            await anyio.sleep(0.1)
+            model.start_life()
+            assert await cluster.wait_final("a" * 16, 30.0) is JobPhase.COMPLETED
+    (absent,) = find_lines(lines, "attempts absent")
+    assert absent["executor"] == "i-0"
+    assert sorted(absent["tasks"]) == [f"{'a' * 16}.0.0.{index}" for index in (0, 1)]
+
+
+load_tests = make_load_tests(globals())
--- a/gypsumring/node/app.py
+++ b/gypsumring/node/app.py
@@ -146,7 +146,7 @@
             submission = decode_submission(body)
         except WireError as error:
             self.node.metrics.count("node.refused.bad_request")
-            log.info("job refused", job=job_id, reason=str(error))
+            log.info("job refused", job=job_id, queue=queue.name, reason=str(error))
             return refuse(400, str(error))
         spec = PipelineSpec(
             job_id=job_id,
--- a/gypsumring/node/forwarding.py
+++ b/gypsumring/node/forwarding.py
@@ -15,9 +15,12 @@
 from gypsumring.metrics import Metrics
 from gypsumring.node.link import OwnerLink
 from gypsumring.transport import ChannelClosed
+from gypsumring.utils.logs import EventLogger
 
 __all__ = ["Command", "Forwarder"]
 
+log = EventLogger("jobs")
+
 RETRY_PAUSE_S = 0.03
 NO_OWNER_RETRY_AFTER_S = 1.0
 
@@ -67,16 +70,25 @@
                     if self.link.fence > lost_fence:
                         return answer
                     self.metrics.count("node.refusals.uncertain")
-                    return JobAnswer(Outcome.UNCERTAIN)
+                    return self.leave_uncertain(command)
                 case _:
                     return answer
             with anyio.move_on_after(RETRY_PAUSE_S):
                 await self.link.changed.wait()
         if lost_fence is not None:
-            return JobAnswer(Outcome.UNCERTAIN)
+            return self.leave_uncertain(command)
         self.metrics.count("node.refused.no_owner")
+        if isinstance(command, SubmitJob):
+            log.info("job refused", **job_fields(command), reason="no owner reached")
         return JobAnswer(Outcome.REFUSED, retry_after_s=NO_OWNER_RETRY_AFTER_S)
 
+    def leave_uncertain(self, command: Command) -> JobAnswer:
+        """Answer that an owner may have carried a command out."""
+        if isinstance(command, SubmitJob):
+            reason = "an owner's answer was lost"
+            log.info("job uncertain", **job_fields(command), reason=reason)
+        return JobAnswer(Outcome.UNCERTAIN)
+
     async def send(self, command: Command, deadline: float) -> JobAnswer:
         """Send a command once; raise ChannelClosed if it may have been carried out."""
         channel = self.link.channel
@@ -88,3 +100,8 @@
         if not isinstance(answer, JobAnswer):
             raise ChannelClosed("unexpected answer")
         return answer
+
+
+def job_fields(command: SubmitJob) -> dict[str, str]:
+    """Return what names the job of a command in a log line."""
+    return {"job": command.spec.job_id, "queue": command.spec.queue}
--- a/gypsumring/node/tests/test_forwarding.py
+++ b/gypsumring/node/tests/test_forwarding.py
@@ -1,12 +1,15 @@
 """What callers are told when answers of owners are lost."""
 
 import anyio
+import logbook
 
-from gypsumring.cell.messages import JobAnswer, Outcome, QueryJob
+from gypsumring.cell.messages import JobAnswer, Outcome, QueryJob, SubmitJob
 from gypsumring.metrics import Metrics
 from gypsumring.node.forwarding import Forwarder
+from gypsumring.pipelines import StepSpec
 from gypsumring.transport import ChannelClosed
 from gypsumring.utils.testing import after, make_load_tests
+from stand_ins.platform.cluster import QUEUE, make_job
 
 COMMAND = QueryJob("a" * 16)
 OK = JobAnswer(Outcome.OK)
@@ -93,4 +96,20 @@
     assert anyio.current_time() - began < 0.2
 
 
+async def test_refused_and_uncertain_submissions_are_logged_with_their_queue():
+    # Submissions that reached no owner left only a counter, without job and queue.
+    submission = SubmitJob(make_job("a" * 16, StepSpec(task_count=1)), 0.5)
+    with logbook.TestHandler().applicationbound() as handler:
+        for script in ((), (LOST, REFUSED), (LOST,)):
+            forwarder = Forwarder(ScriptedLink(*script), None, Metrics())
+            await forwarder.forward(submission, after(0.5))
+    assert [record.msg for record in handler.records] == [
+        "job refused",
+        "job uncertain",
+        "job uncertain",
+    ]
+    for record in handler.records:
+        assert (record.extra["job"], record.extra["queue"]) == ("a" * 16, QUEUE)
+
+
 load_tests = make_load_tests(globals())
