Account for the time of all jobs from the logs of all nodes

`gypsumring account LOGS...` prints by queue and in total what became of the jobs, the refused submissions by reason, the late, failed and unended jobs by the cause that took most of their time, the parts of the time on the critical path, the attempts thrown away with their core-seconds, the steps and the owner changes; `--json` prints the same figures.

Lines of several nodes are put on one axis by the time of their collection if they have one, so that clocks that are set do no harm; else the steady clock of the owner bounds the time of a job. Lines that nodes have dropped and lines that cannot be read are counted.

--- /dev/null
+++ b/gypsumring/cli/accounting/summary.py
@@ -0,0 +1,357 @@
+"""Sum up the results of all jobs by queue, part, cause and step."""
+
+from collections import Counter
+from collections.abc import Iterable
+
+import msgspec
+from hdrh.histogram import HdrHistogram
+
+from gypsumring.cli.accounting.breakdown import JobResult, ResultKind, break_down
+from gypsumring.cli.accounting.histories import (
+    Attempt,
+    Histories,
+    JobHistory,
+    OwnerChange,
+    StepHistory,
+    collect_histories,
+)
+from gypsumring.cli.accounting.lines import Log
+from gypsumring.cli.accounting.parts import Cause, Part, first_known
+
+__all__ = [
+    "Account",
+    "CauseAccount",
+    "Distribution",
+    "OwnerChangeAccount",
+    "PartAccount",
+    "QueueAccount",
+    "StepAccount",
+    "TOTAL",
+    "summarize",
+]
+
+TOTAL = "total"
+# Histograms hold 1 millisecond to one hour with two significant digits.
+LOWEST_MS = 1
+HIGHEST_MS = 3_600_000
+SIGNIFICANT_DIGITS = 2
+# How many jobs are named for each cause.
+MAX_EXAMPLES = 3
+
+
+class Distribution(msgspec.Struct):
+    """Hold the mean and two percentiles of times in seconds."""
+
+    mean_s: float = 0.0
+    p50_s: float = 0.0
+    p90_s: float = 0.0
+
+
+class PartAccount(msgspec.Struct):
+    """Tell how much time a part takes, of accepted jobs and of the charged ones."""
+
+    part: str
+    accepted: Distribution
+    charged: Distribution
+
+
+class CauseAccount(msgspec.Struct):
+    """Count the jobs charged to a cause, with their estimated work."""
+
+    cause: str
+    jobs: int = 0
+    core_seconds: float = 0.0
+    # Time of these jobs that the cause took.
+    seconds: float = 0.0
+    examples: list[str] = []
+
+
+class QueueAccount(msgspec.Struct):
+    """Tell what became of the jobs of one queue.
+
+    ``widths`` are the tasks of the steps of most jobs; ``target_used`` is the time of
+    completed jobs against their target.
+    """
+
+    queue: str
+    widths: list[int]
+    seen: int
+    accepted: int
+    core_seconds: float
+    results: dict[str, int]
+    core_seconds_in_time: float
+    target_used_p50: float
+    target_used_p90: float
+    refused_jobs: dict[str, int]
+    refused_tries: dict[str, int]
+    uncertain_tries: int
+    parts: list[PartAccount]
+    causes: list[CauseAccount]
+    # Attempts that ended other than as done, by how, with their core-seconds.
+    thrown_away: dict[str, int]
+    thrown_core_seconds: dict[str, float]
+
+
+class StepAccount(msgspec.Struct):
+    """Tell how the steps of one queue with the same number went."""
+
+    queue: str
+    step: int
+    seen: int
+    tasks: int
+    attempts: int
+    advice_calls: int
+    executors_asked: int
+    executors_allowed: int
+    refused_starts: dict[str, int]
+    ends: dict[str, int]
+    stood_still: int
+    # Owner changes during a step, summed over the steps.
+    owner_changes: int
+
+
+class OwnerChangeAccount(msgspec.Struct):
+    """Tell how long the cell had no owner; ``at_s`` counts from the first line."""
+
+    at_s: float
+    node: str
+    without_owner_s: float | None
+    settled_after_s: float | None
+    open_jobs: int
+
+
+class Account(msgspec.Struct):
+    """Hold the whole account of a log."""
+
+    lines: int
+    malformed: int
+    dropped: dict[str, int]
+    nodes: int
+    span_s: float
+    queues: list[QueueAccount]
+    steps: list[StepAccount]
+    owner_changes: list[OwnerChangeAccount]
+
+
+def summarize(log: Log) -> Account:
+    """Return the account of the jobs in a log, by queue and in total."""
+    histories = collect_histories(log)
+    results = break_down(histories)
+    by_queue: dict[str, list[JobResult]] = {}
+    for result in results:
+        by_queue.setdefault(result.history.queue or "?", []).append(result)
+    queues = [sum_queue(name, by_queue[name]) for name in sorted(by_queue)]
+    if len(queues) > 1:
+        queues.append(sum_queue(TOTAL, results))
+    begin_at = log.lines[0].at if log.lines else 0.0
+    return Account(
+        lines=len(log.lines),
+        malformed=log.malformed,
+        dropped=dict(log.dropped),
+        nodes=len(log.nodes()),
+        span_s=histories.ended_at - begin_at,
+        queues=queues,
+        steps=sum_steps(histories),
+        owner_changes=[
+            sum_change(each, histories, begin_at) for each in histories.changes
+        ],
+    )
+
+
+def sum_queue(name: str, results: list[JobResult]) -> QueueAccount:
+    """Return the account of the jobs of one queue."""
+    jobs = [result.history for result in results]
+    accepted = [result for result in results if result.parts]
+    widths = Counter(tuple(job.widths) for job in jobs if job.widths)
+    common = widths.most_common(1)
+    refused = [result.history for result in results if result.kind is REFUSED]
+    used = [
+        result.total_s / result.history.target_s
+        for result in accepted
+        if result.history.phase == "completed" and result.history.target_s
+    ]
+    target_used = record(used)
+    thrown = list_thrown(jobs)
+    in_time = [result.history for result in results if result.kind is IN_TIME]
+    return QueueAccount(
+        queue=name,
+        widths=list(common[0][0]) if common and name != TOTAL else [],
+        seen=len(jobs),
+        accepted=len(accepted),
+        core_seconds=sum(job.core_seconds() for job in jobs),
+        results=Counter(str(result.kind) for result in results),
+        core_seconds_in_time=sum(job.core_seconds() for job in in_time),
+        target_used_p50=target_used.p50_s,
+        target_used_p90=target_used.p90_s,
+        refused_jobs=Counter(last_reason(job) for job in refused),
+        refused_tries=sum((job.refusals for job in jobs), Counter()),
+        uncertain_tries=sum(job.uncertain for job in jobs),
+        parts=[sum_part(part, accepted) for part in Part],
+        causes=sum_causes(accepted),
+        thrown_away=Counter(how for how, _ in thrown),
+        thrown_core_seconds=add_up(thrown),
+    )
+
+
+REFUSED = ResultKind.REFUSED
+IN_TIME = ResultKind.IN_TIME
+
+
+def last_reason(job: JobHistory) -> str:
+    """Return the reason of the last refusal of a job."""
+    return next(reversed(job.refusals), "?")
+
+
+def record(values: Iterable[float]) -> Distribution:
+    """Return mean and percentiles of values, in seconds if they are times."""
+    values = list(values)
+    if not values:
+        return Distribution()
+    histogram = HdrHistogram(LOWEST_MS, HIGHEST_MS, SIGNIFICANT_DIGITS)
+    for value in values:
+        histogram.record_value(min(max(round(value * 1000), 0), HIGHEST_MS))
+    return Distribution(
+        sum(values) / len(values),
+        histogram.get_value_at_percentile(50) / 1000,
+        histogram.get_value_at_percentile(90) / 1000,
+    )
+
+
+def sum_part(part: Part, accepted: list[JobResult]) -> PartAccount:
+    """Return the account of one part of the time of accepted jobs."""
+    charged = [result for result in accepted if result.kind.is_charged]
+    return PartAccount(
+        str(part),
+        record(result.parts[part] for result in accepted),
+        record(result.parts[part] for result in charged),
+    )
+
+
+def sum_causes(accepted: list[JobResult]) -> list[CauseAccount]:
+    """Return the jobs charged to each cause."""
+    causes = {cause: CauseAccount(str(cause), examples=[]) for cause in Cause}
+    for result in sorted(accepted, key=lambda result: -result.total_s):
+        if result.cause is None:
+            continue
+        account = causes[result.cause]
+        account.jobs += 1
+        account.core_seconds += result.history.core_seconds()
+        account.seconds += result.cause_s
+        if len(account.examples) < MAX_EXAMPLES:
+            account.examples.append(result.history.job_id)
+    return list(causes.values())
+
+
+def list_thrown(jobs: list[JobHistory]) -> list[tuple[str, float]]:
+    """Return how attempts ended other than as done, and their core-seconds."""
+    rows = []
+    for job in jobs:
+        for step in job.steps.values():
+            cpu = job.cpu_of(step.number)
+            for attempt in step.attempts.values():
+                end = find_waste(job, step, attempt)
+                if end is not None:
+                    how, ended_at = end
+                    began_at = first_known(attempt.started_at, ended_at)
+                    rows.append((how, cpu * max(0.0, ended_at - began_at)))
+    return rows
+
+
+def find_waste(
+    job: JobHistory, step: StepHistory, attempt: Attempt
+) -> tuple[str, float] | None:
+    """Return how and when an attempt ended whose work was of no use, or None."""
+    if attempt.how not in ("", "done"):
+        return attempt.how, attempt.ended_at
+    if attempt.how == "done":
+        again = attempt.ended_at != step.done_at(attempt.index)
+        is_member = step.number in job.gangs
+        return ("done twice", attempt.ended_at) if again and not is_member else None
+    later_starts = [
+        other.started_at
+        for other in step.attempts.values()
+        if other.index == attempt.index
+        and other.number > attempt.number
+        and other.started_at is not None
+    ]
+    return ("no end seen", min(later_starts)) if later_starts else None
+
+
+def add_up(rows: list[tuple[str, float]]) -> dict[str, float]:
+    """Return the sums of values by name."""
+    sums: dict[str, float] = {}
+    for name, value in rows:
+        sums[name] = sums.get(name, 0.0) + value
+    return sums
+
+
+def sum_steps(histories: Histories) -> list[StepAccount]:
+    """Return the account of the steps, by queue and number."""
+    accounts: dict[tuple[str, int], StepAccount] = {}
+    for job in histories.jobs.values():
+        for step in job.steps.values():
+            key = (job.queue or "?", step.number)
+            if key not in accounts:
+                accounts[key] = StepAccount(*key, 0, 0, 0, 0, 0, 0, {}, {}, 0, 0)
+            add_step(accounts[key], job, step, histories.changes)
+    return [accounts[key] for key in sorted(accounts)]
+
+
+def add_step(
+    account: StepAccount,
+    job: JobHistory,
+    step: StepHistory,
+    changes: list[OwnerChange],
+) -> None:
+    """Add one step to the account of its kind."""
+    known = step.number < len(job.widths)
+    tasks = {index for index, _ in step.attempts}
+    account.seen += 1
+    account.tasks += job.widths[step.number] if known else len(tasks)
+    account.attempts += len(step.attempts)
+    account.advice_calls += len(step.advice)
+    account.executors_asked += sum(call.asked for call in step.advice)
+    account.executors_allowed += sum(call.allowed for call in step.advice)
+    account.refused_starts = Counter(account.refused_starts) + step.refused_starts
+    ends = Counter(each.how or "no end" for each in step.attempts.values())
+    account.ends = Counter(account.ends) + ends
+    account.stood_still += step.stood_still
+    account.owner_changes += count_changes(step, changes)
+
+
+def count_changes(step: StepHistory, changes: list[OwnerChange]) -> int:
+    """Return how many owner changes fell between the first and last line of a step."""
+    times = [call.began_at for call in step.advice]
+    times += [call.ended_at for call in step.advice]
+    for attempt in step.attempts.values():
+        times += [at for at in (attempt.started_at, attempt.ended_at) if at is not None]
+    if not times:
+        return 0
+    begin_at, end_at = min(times), max(times)
+    return sum(
+        change.lost_at <= end_at
+        and begin_at <= first_known(change.read_at, float("inf"))
+        for change in changes
+    )
+
+
+def sum_change(
+    change: OwnerChange, histories: Histories, begin_at: float
+) -> OwnerChangeAccount:
+    """Return the account of one owner change."""
+    open_jobs = sum(
+        job.first_seen_at <= change.lost_at
+        and (job.ended_at is None or job.ended_at > change.lost_at)
+        for job in histories.jobs.values()
+    )
+    if change.read_at is None:
+        return OwnerChangeAccount(
+            change.lost_at - begin_at, change.node, None, None, open_jobs
+        )
+    return OwnerChangeAccount(
+        change.lost_at - begin_at,
+        change.node,
+        change.read_at - change.lost_at,
+        change.settled_at - change.lost_at,
+        open_jobs,
+    )
--- /dev/null
+++ b/gypsumring/cli/accounting/tables.py
@@ -0,0 +1,216 @@
+"""Render an account as text tables."""
+
+from collections.abc import Iterable
+
+from gypsumring.cli.accounting.breakdown import ResultKind
+from gypsumring.cli.accounting.summary import TOTAL, Account, QueueAccount, StepAccount
+
+__all__ = ["render_account"]
+
+Cell = str | int | float | None
+
+
+def render_account(account: Account) -> str:
+    """Return the tables of an account."""
+    tables = [
+        render_source(account),
+        render_jobs(account.queues),
+        render_refusals(account.queues),
+        render_causes(account.queues),
+        render_parts(account.queues),
+        render_thrown(account.queues),
+        render_steps(account.steps),
+        render_changes(account),
+    ]
+    return "\n\n".join(table for table in tables if table)
+
+
+def render_source(account: Account) -> str:
+    """Return what was read, and which lines are missing."""
+    text = (
+        f"{account.lines} lines of {account.nodes} nodes over {account.span_s:.1f} s, "
+        f"{account.malformed} malformed"
+    )
+    if account.dropped:
+        text += "\nlines dropped by the nodes: " + render_counts(account.dropped)
+    return text
+
+
+def render_jobs(queues: list[QueueAccount]) -> str:
+    """Return what became of the jobs of each queue."""
+    header = ["queue", "tasks", "seen", "accepted", *map(str, ResultKind)]
+    header += ["core-s", "core-s in time %", "target used p50", "p90"]
+    rows: list[list[Cell]] = []
+    for each in queues:
+        share = 100 * each.core_seconds_in_time / (each.core_seconds or 1.0)
+        rows.append(
+            [
+                each.queue,
+                "+".join(map(str, each.widths)),
+                each.seen,
+                each.accepted,
+                *(each.results.get(str(kind), 0) for kind in ResultKind),
+                round(each.core_seconds),
+                share,
+                each.target_used_p50,
+                each.target_used_p90,
+            ]
+        )
+    return render_table("Jobs", header, rows)
+
+
+def render_refusals(queues: list[QueueAccount]) -> str:
+    """Return the refused submissions by reason."""
+    rows: list[list[Cell]] = []
+    for each in queues:
+        for reason, tries in sorted(each.refused_tries.items()):
+            rows.append([each.queue, reason, each.refused_jobs.get(reason, 0), tries])
+        if each.uncertain_tries:
+            uncertain = each.results.get(str(ResultKind.UNCERTAIN), 0)
+            rows.append([each.queue, "uncertain", uncertain, each.uncertain_tries])
+    return render_table(
+        "Refused and uncertain submissions",
+        ["queue", "reason", "jobs never accepted", "submissions"],
+        rows,
+    )
+
+
+def render_causes(queues: list[QueueAccount]) -> str:
+    """Return the late, failed and unended jobs by cause."""
+    rows: list[list[Cell]] = []
+    for each in queues:
+        for cause in each.causes:
+            if cause.jobs:
+                mean_s = cause.seconds / cause.jobs
+                rows.append(
+                    [
+                        each.queue,
+                        cause.cause,
+                        cause.jobs,
+                        round(cause.core_seconds),
+                        mean_s,
+                        " ".join(cause.examples),
+                    ]
+                )
+    return render_table(
+        "Late, failed and unended jobs by the cause that took most of their time",
+        ["queue", "cause", "jobs", "core-s", "mean s", "examples"],
+        rows,
+    )
+
+
+def render_parts(queues: list[QueueAccount]) -> str:
+    """Return where the time of accepted jobs went."""
+    rows: list[list[Cell]] = []
+    for each in queues:
+        for part in each.parts:
+            if part.accepted.mean_s or part.charged.mean_s:
+                rows.append([each.queue, part.part])
+                for times in (part.accepted, part.charged):
+                    rows[-1] += [times.mean_s, times.p50_s, times.p90_s]
+    header = ["queue", "part", "all: mean", "p50", "p90", "late: mean", "p50", "p90"]
+    title = (
+        "Seconds on the critical path of accepted jobs; late: those in the table above"
+    )
+    return render_table(title, header, rows)
+
+
+def render_thrown(queues: list[QueueAccount]) -> str:
+    """Return the attempts that ended other than as done."""
+    rows: list[list[Cell]] = [
+        [each.queue, how, count, round(each.thrown_core_seconds.get(how, 0.0), 1)]
+        for each in queues
+        for how, count in sorted(each.thrown_away.items())
+    ]
+    return render_table(
+        "Attempts thrown away", ["queue", "end", "attempts", "core-s"], rows
+    )
+
+
+def render_steps(steps: list[StepAccount]) -> str:
+    """Return how the steps of each queue went."""
+    rows: list[list[Cell]] = []
+    for each in steps:
+        ends = {how: count for how, count in each.ends.items() if how != "done"}
+        rows.append(
+            [
+                f"{each.queue} {each.step}",
+                each.seen,
+                each.tasks / each.seen,
+                each.attempts / max(1, each.tasks),
+                each.advice_calls / each.seen,
+                each.executors_asked / each.seen,
+                100 * each.executors_allowed / max(1, each.executors_asked),
+                each.stood_still,
+                each.owner_changes / each.seen,
+                render_counts(each.refused_starts),
+                render_counts(ends),
+            ]
+        )
+    header = ["queue, step", "seen", "tasks", "attempts a task", "calls", "asked"]
+    header += ["allowed %", "stood still", "owner changes", "starts refused"]
+    header += ["other ends"]
+    return render_table("Steps", header, rows)
+
+
+def render_changes(account: Account) -> str:
+    """Return the times without an owner."""
+    rows: list[list[Cell]] = [
+        [
+            each.at_s,
+            each.node or "-",
+            each.without_owner_s,
+            each.settled_after_s,
+            each.open_jobs,
+        ]
+        for each in account.owner_changes
+    ]
+    header = ["from s", "new owner", "until read s", "until settled s", "open jobs"]
+    return render_table("Owner changes", header, rows)
+
+
+def render_counts(counts: dict[str, int]) -> str:
+    """Return counts by name, the largest first."""
+    ordered = sorted(counts.items(), key=lambda item: (-item[1], item[0]))
+    return ", ".join(f"{name} {count}" for name, count in ordered)
+
+
+def render_table(title: str, header: list[str], rows: Iterable[list[Cell]]) -> str:
+    """Return a table with a title, or nothing without rows.
+
+    Rows of the total follow a line; the first column is on the left, numbers are on
+    the right.
+    """
+    rows = list(rows)
+    if not rows:
+        return ""
+    texts = [[render_cell(cell) for cell in row] for row in rows]
+    widths = [max(map(len, column)) for column in zip(header, *texts)]
+    numeric = [
+        all(not isinstance(cell, str) for cell in column) for column in zip(*rows)
+    ]
+    lines = [title, align(header, widths, numeric)]
+    lines.append("  ".join("-" * width for width in widths))
+    for number, text in enumerate(texts):
+        if text[0] == TOTAL and number and texts[number - 1][0] != TOTAL:
+            lines.append("")
+        lines.append(align(text, widths, numeric))
+    return "\n".join(line.rstrip() for line in lines)
+
+
+def render_cell(cell: Cell) -> str:
+    """Return the text of one cell."""
+    match cell:
+        case None:
+            return "-"
+        case float():
+            return f"{cell:.2f}"
+    return str(cell)
+
+
+def align(texts: list[str], widths: list[int], numeric: list[bool]) -> str:
+    """Return one line of a table."""
+    return "  ".join(
+        text.rjust(width) if right else text.ljust(width)
+        for text, width, right in zip(texts, widths, numeric)
+    )
--- a/gypsumring/cli/main.py
+++ b/gypsumring/cli/main.py
@@ -1,15 +1,16 @@
 """Command line for teams and operators."""
 
 import functools
-from pathlib import Path
 from typing import Any
 from urllib.parse import quote
 
 import click
 import msgspec
 
+from gypsumring.cli.accounting import read_log, render_account, summarize
 from gypsumring.cli.client import GatewayClient
 from gypsumring.cli.exceptions import BadInput, CommandError
+from gypsumring.cli.log_files import list_files
 from gypsumring.cli.render import render
 from gypsumring.cli.tracing import read_job_lines, render_line
 from gypsumring.documents import DocumentError, parse_document
@@ -118,10 +119,7 @@
 
     Example: gypsumring trace 5c0e7a21d94b36f8 logs/
     """
-    paths = []
-    for each in map(Path, logs):
-        paths += sorted(each.iterdir()) if each.is_dir() else [each]
-    lines = read_job_lines(paths, job_id)
+    lines = read_job_lines(list_files(logs), job_id)
     if not lines:
         raise BadInput(f"{job_id}: no log line names this job")
     if context.as_json:
@@ -131,6 +129,25 @@
         click.echo(render_line(line))
 
 
+@cli.command()
+@click.argument("logs", nargs=-1, required=True, type=click.Path(exists=True))
+@click.pass_obj
+@report_errors
+def account(context: CommandContext, logs: tuple[str, ...]) -> None:
+    """Tell from log files or folders of all nodes where the time of jobs went.
+
+    Example: gypsumring account logs/
+    """
+    log = read_log(list_files(logs))
+    if not log.lines:
+        raise BadInput("no log line was found")
+    result = summarize(log)
+    if context.as_json:
+        context.show(result)
+    else:
+        click.echo(render_account(result))
+
+
 @cli.command()
 @click.argument("files", nargs=-1, required=True)
 @click.pass_obj
--- a/gypsumring/cli/tracing.py
+++ b/gypsumring/cli/tracing.py
@@ -6,28 +6,24 @@
 
 import msgspec
 
+from gypsumring.cli.log_files import split_lines
+
 __all__ = ["read_job_lines", "render_line"]
 
 # Fields that a rendered line shows in front.
 FRONT_FIELDS = ("time", "level", "part", "message", "node")
-JSON_START = b"{"
 
 
 def read_lines(path: Path) -> Iterator[dict[str, Any]]:
     """Return the log lines of a file; other text around them is passed over."""
-    with open(path, "rb") as file:
-        for line in file:
-            begin = line.find(JSON_START)
-            if begin < 0:
-                continue
-            try:
-                content = msgspec.json.decode(line[begin:])
-            except msgspec.DecodeError:
-                continue
-            if isinstance(content, dict) and "message" in content:
-                prefix = line[:begin].decode(errors="replace").split()
-                content.setdefault("node", prefix[-1] if prefix else path.stem)
-                yield content
+    for prefix, line in split_lines(path):
+        try:
+            content = msgspec.json.decode(line)
+        except msgspec.DecodeError:
+            continue
+        if isinstance(content, dict) and "message" in content:
+            content.setdefault("node", prefix[-1] if prefix else path.stem)
+            yield content
 
 
 def names_job(content: dict[str, Any], job_id: str) -> bool:
