Compare the work of a task with that of its step's other tasks

Cause: estimates are rough, so work of a wide step whose estimate was low counted as slow. Change: steps with three tasks done or more take the median of their tasks as usual work. Parts under 5 ms on the mean are left out of the tables. A test runs the account on the lines of a cell with a killed owner, so that lines and account cannot drift apart.

--- a/gypsumring/cli/accounting/breakdown.py
+++ b/gypsumring/cli/accounting/breakdown.py
@@ -18,6 +18,8 @@
 LISTED_AFTER_READ_S = 1.5
 # Times that the owner counted itself differ from those of the lines by this at most.
 CLOCK_SLACK_S = 0.25
+# Tasks of a step that were done, from which on they are compared with each other.
+COMPARED_TASKS = 3
 NEVER = float("-inf")
 
 
@@ -56,7 +58,11 @@
 
 
 class UsualWork:
-    """Tell how long tasks usually work, by queue and step, against their estimates."""
+    """Tell how long tasks usually work.
+
+    Tasks of a step are compared with each other; in steps of few tasks and in gangs,
+    whose members end together, with the estimate and its usual error.
+    """
 
     __slots__ = ("advised", "ratios")
 
@@ -68,17 +74,28 @@
             if any(step.advice for step in job.steps.values()):
                 self.advised.add(job.queue)
             for step in job.steps.values():
-                for attempt in step.attempts.values():
-                    if attempt.how == "done" and attempt.started_at is not None:
-                        worked_s = attempt.ended_at - attempt.started_at
-                        samples.setdefault((job.queue, step.number), []).append(
-                            worked_s / estimate_s(job, step.number)
-                        )
-        self.ratios = {key: median(values) for key, values in samples.items()}
-
-    def expected_s(self, job: JobHistory, step: int) -> float:
+                estimated_s = estimate_s(job, step.number)
+                samples.setdefault((job.queue, step.number), []).extend(
+                    worked_s / estimated_s for worked_s in list_worked_s(step)
+                )
+        self.ratios = {key: median(values) for key, values in samples.items() if values}
+
+    def expected_s(self, job: JobHistory, step: StepHistory) -> float:
         """Return the usual time of work of a task of a step."""
-        return self.ratios.get((job.queue, step), 1.0) * estimate_s(job, step)
+        worked_s = list_worked_s(step)
+        if step.number not in job.gangs and len(worked_s) >= COMPARED_TASKS:
+            return median(worked_s)
+        ratio = self.ratios.get((job.queue, step.number), 1.0)
+        return ratio * estimate_s(job, step.number)
+
+
+def list_worked_s(step: StepHistory) -> list[float]:
+    """Return how long the attempts of a step worked that were done."""
+    return [
+        attempt.ended_at - attempt.started_at
+        for attempt in step.attempts.values()
+        if attempt.how == "done" and attempt.started_at is not None
+    ]
 
 
 def estimate_s(job: JobHistory, step: int) -> float:
@@ -236,7 +253,7 @@
     started_at = attempts[0].started_at if attempts else end_at
     if started_at is None:
         ended_at = first_known(attempts[0].ended_at, end_at)
-        started_at = max(timeline.at, ended_at - usual.expected_s(job, step.number))
+        started_at = max(timeline.at, ended_at - usual.expected_s(job, step))
     if first_advice_at is not None:
         timeline.wait_until(min(first_advice_at, started_at), Part.FIRST_ADVICE)
     elif not attempts:
@@ -342,7 +359,7 @@
         timeline.spend_until(first_known(ended_at, timeline.at), Part.THROWN_AWAY)
         return
     began_at = timeline.at
-    expected_s = usual.expected_s(job, step.number)
+    expected_s = usual.expected_s(job, step)
     if ended_at is None:
         # The line of the end of a job that has completed was dropped.
         completed = job.phase == "completed"
--- a/gypsumring/cli/accounting/tables.py
+++ b/gypsumring/cli/accounting/tables.py
@@ -7,6 +7,9 @@
 
 __all__ = ["render_account"]
 
+# Parts that take less time on the mean are left out.
+LEAST_SHOWN_S = 0.005
+
 Cell = str | int | float | None
 
 
@@ -104,7 +107,7 @@
     rows: list[list[Cell]] = []
     for each in queues:
         for part in each.parts:
-            if part.accepted.mean_s or part.charged.mean_s:
+            if max(part.accepted.mean_s, part.charged.mean_s) >= LEAST_SHOWN_S:
                 rows.append([each.queue, part.part])
                 for times in (part.accepted, part.charged):
                     rows[-1] += [times.mean_s, times.p50_s, times.p90_s]
--- a/gypsumring/cli/tests/test_account.py
+++ b/gypsumring/cli/tests/test_account.py
@@ -6,12 +6,19 @@
 from datetime import UTC, datetime
 from pathlib import Path
 
+import anyio
+import logbook
 from click.testing import CliRunner
 
+from gypsumring.cell.messages import Outcome
+from gypsumring.cell.tests.test_recovery import running_cluster
 from gypsumring.cli.accounting import read_log, summarize
 from gypsumring.cli.accounting.summary import Account, QueueAccount
 from gypsumring.cli.main import cli
+from gypsumring.pipelines import JobPhase, StepSpec
 from gypsumring.utils.testing import make_load_tests
+from stand_ins.platform.cluster import make_job
+from stand_ins.platform.world import steady_behaviour
 
 JOB = "5c0e7a21d94b36f8"
 QUEUE = "r-1"
@@ -255,6 +262,19 @@
     assert is_near(part_of(queue, "usual work"), 1.0)
 
 
+def test_wrong_estimate_of_a_wide_step_is_not_slow_work():
+    builder = LogBuilder()
+    builder.run_jobs(3)
+    builder.accept(0.0, tasks=[4], target_ms=2500)
+    for index, worked_s in enumerate((3.0, 3.0, 3.0, 3.5)):
+        builder.start(0.1, f"{JOB}.0.0.{index}")
+        builder.end(0.1 + worked_s, f"{JOB}.0.0.{index}")
+    builder.finish(3.6)
+    queue = queue_of(builder)
+    assert is_near(part_of(queue, "usual work"), 3.0)
+    assert is_near(part_of(queue, "slow work"), 0.5)
+
+
 def test_end_that_waits_for_the_store_is_not_slow_work():
     builder = LogBuilder()
     builder.run_jobs(3)
@@ -387,4 +407,34 @@
         assert CliRunner().invoke(cli, ["account", str(empty)]).exit_code == 2
 
 
+async def test_lines_of_a_cell_can_be_accounted():
+    # The lines and their account are written in different places.
+    builder = LogBuilder()
+    with logbook.TestHandler().applicationbound() as handler:
+        handler.emit = lambda record: builder.add(
+            anyio.current_time(), record.msg, part=record.channel, **record.extra
+        )
+        async with running_cluster(steady_behaviour(2.0), nodes=3) as cluster:
+            first = StepSpec(task_count=3, cpu_millis=2000, estimated_ms=2000)
+            last = StepSpec(task_count=2, cpu_millis=1000, after=(0,), gang=True)
+            job = make_job(JOB, first, last)
+            await anyio.sleep(1.0)
+            assert await cluster.submit(job) is Outcome.OK
+            await anyio.sleep(0.5)
+            cluster.owner_node().kill()
+            assert await cluster.wait_final(JOB, 30.0) is JobPhase.COMPLETED
+    account = account_of(builder)
+    (queue,) = account.queues
+    assert queue.accepted == 1
+    assert queue.widths == [3, 2]
+    assert queue.core_seconds == 12.0
+    assert [(step.tasks, step.ends) for step in account.steps] == [
+        (3, {"done": 3}),
+        (2, {"done": 2}),
+    ]
+    assert [step.owner_changes for step in account.steps] == [1, 0]
+    assert account.malformed == 0
+    assert len(account.owner_changes) == 2
+
+
 load_tests = make_load_tests(globals())
