Show a gang that waits because its members avoid an executor kept for it

choose_free_room counts room_for, fill refuses Step.avoided, and only tickets of kept executors are renewed (advice.py, choose_renewed). The gang fits on allowed executors and does not start until other tasks end: 10 s here, up to 60 s.

--- /dev/null
+++ b/gypsumring/cell/tests/test_stuck_gangs.py
@@ -0,0 +1,99 @@
+"""Gangs start although an executor, a queue or the policy service fails them."""
+
+from collections.abc import Iterator
+from contextlib import contextmanager
+
+import anyio
+
+from gypsumring.cell.messages import Outcome
+from gypsumring.cell.tests.test_recovery import running_cluster
+from gypsumring.pipelines import DesiredState, JobPhase, Queue, StepSpec
+from gypsumring.ports.tasks import ExecutorSilent
+from gypsumring.utils.testing import make_load_tests
+from stand_ins.platform.cluster import MemoryCluster, make_job
+from stand_ins.platform.memory import MemoryExecutor
+from stand_ins.platform.world import TaskBehaviour
+
+GANG_ID = "a" * 16
+GANG = StepSpec(task_count=3, cpu_millis=4000, estimated_ms=800, gang=True)
+# Executors end a lone member by themselves after this time; a gang that has stopped
+# one run has to find its room elsewhere in the next ones.
+GANG_BOUND_S = 10.0
+SMALL_BOUND_S = 2.0
+FREE = Queue(
+    name="free", host="h", path_prefix="/free/", service="svc", priority=1, stretch=2.0
+)
+
+
+@contextmanager
+def failing_orders(executor_id: str, starts=None, stops=None) -> Iterator[None]:
+    """Let one executor meet orders with the errors that are given; holds succeed."""
+    original_start, original_stop = MemoryExecutor.start, MemoryExecutor.stop
+
+    async def start(self, order, fence, deadline):
+        if starts is not None and self.model.executor_id == executor_id:
+            await fail(starts, deadline)
+        await original_start(self, order, fence, deadline)
+
+    async def stop(self, task, attempt, fence, deadline):
+        if stops is not None and self.model.executor_id == executor_id:
+            await fail(stops, deadline)
+        await original_stop(self, task, attempt, fence, deadline)
+
+    MemoryExecutor.start, MemoryExecutor.stop = start, stop
+    try:
+        yield
+    finally:
+        MemoryExecutor.start, MemoryExecutor.stop = original_start, original_stop
+
+
+async def fail(error: Exception, deadline: float) -> None:
+    """Raise an error, without an answer only at the deadline."""
+    if isinstance(error, ExecutorSilent):
+        await anyio.sleep(max(0.0, deadline - anyio.current_time()))
+    raise error
+
+
+async def completes(cluster: MemoryCluster, limit_s: float) -> bool:
+    """Submit a gang; tell whether it is completed in time."""
+    assert await cluster.submit(make_job(GANG_ID, GANG)) is Outcome.OK
+    return await cluster.wait_final(GANG_ID, limit_s) is JobPhase.COMPLETED
+
+
+# Only tickets of kept executors were renewed. Members that had failed on one of them
+# could not use it, so that a gang that fits elsewhere waited for other tasks to end.
+async def test_gang_starts_although_its_members_avoid_an_executor_kept_for_it():
+    def behave(task: str, attempt: int) -> TaskBehaviour:
+        return TaskBehaviour({"d": 60.0, "e": 4.0}.get(task[0], 0.8))
+
+    async with running_cluster(behave, executors=4, policy_share=1.0) as cluster:
+        batch = cluster.desired.queues[0]
+        cluster.desired = DesiredState(version=2, queues=(batch, FREE))
+
+        async def ask_peer(name, step, executor_ids, deadline):
+            await anyio.sleep(batch.policy.call_s(len(executor_ids)))
+            return [(executor_id, "ticket") for executor_id in executor_ids]
+
+        cluster.owner_node().owner().scheduler.desk.ask_peer = ask_peer
+        long = StepSpec(
+            task_count=3, cpu_millis=4000, estimated_ms=60_000, max_per_executor=1
+        )
+        short = StepSpec(task_count=5, cpu_millis=4000, estimated_ms=4000)
+        for letter, spec in (("d", long), ("e", short)):
+            job = make_job(letter * 16, spec, queue="free")
+            assert await cluster.submit(job) is Outcome.OK
+            await anyio.sleep(0.2)
+        assert await cluster.submit(make_job(GANG_ID, GANG)) is Outcome.OK
+        owner = cluster.owner_node().owner()
+        empty = [
+            executor_id
+            for executor_id, executor in owner.state.fleet.items()
+            if not any(run.task.startswith("d") for run in executor.runs.values())
+        ]
+        step = owner.state.table.jobs[GANG_ID].steps[0]
+        step.avoided = {0: set(empty), 1: set(empty)}
+        assert await cluster.wait_final("e" * 16) is JobPhase.COMPLETED
+        assert await cluster.wait_final(GANG_ID, GANG_BOUND_S) is JobPhase.COMPLETED
+
+
+load_tests = make_load_tests(globals())
