Show that gangs without tickets keep the whole fleet

Room for gangs that fit is kept without a limit and without regard to tickets. While the policy service is away, work that needs no ticket does not start.

--- a/gypsumring/cell/tests/test_stuck_gangs.py
+++ b/gypsumring/cell/tests/test_stuck_gangs.py
@@ -8,11 +8,11 @@
 from gypsumring.cell.messages import Outcome
 from gypsumring.cell.tests.test_recovery import running_cluster
 from gypsumring.pipelines import DesiredState, JobPhase, Queue, StepSpec
-from gypsumring.ports.tasks import ExecutorSilent
+from gypsumring.ports.tasks import ExecutorSilent, PolicyUnavailable
 from gypsumring.utils.testing import make_load_tests
 from stand_ins.platform.cluster import MemoryCluster, make_job
 from stand_ins.platform.memory import MemoryExecutor
-from stand_ins.platform.world import TaskBehaviour
+from stand_ins.platform.world import TaskBehaviour, steady_behaviour
 
 GANG_ID = "a" * 16
 GANG = StepSpec(task_count=3, cpu_millis=4000, estimated_ms=800, gang=True)
@@ -96,4 +96,41 @@
         assert await cluster.wait_final(GANG_ID, GANG_BOUND_S) is JobPhase.COMPLETED
 
 
+# Gangs without tickets kept the room of the whole fleet while the policy service was
+# away, also from work that needs no tickets.
+async def test_work_without_policy_starts_while_the_policy_service_is_away():
+    async with running_cluster(
+        steady_behaviour(4.0), executors=8, policy_share=1.0
+    ) as cluster:
+        batch = cluster.desired.queues[0]
+        cluster.desired = DesiredState(version=2, queues=(batch, FREE))
+        away = False
+
+        async def ask_peer(name, step, executor_ids, deadline):
+            await anyio.sleep(batch.policy.call_s(len(executor_ids)))
+            if away:
+                raise PolicyUnavailable("no answer")
+            return [(executor_id, "ticket") for executor_id in executor_ids]
+
+        cluster.owner_node().owner().scheduler.desk.ask_peer = ask_peer
+        full = StepSpec(task_count=8, cpu_millis=8000, estimated_ms=4000)
+        job = make_job("f" * 16, full, queue="free")
+        assert await cluster.submit(job) is Outcome.OK
+        await anyio.sleep(0.5)
+        wide = StepSpec(task_count=2, cpu_millis=8000, estimated_ms=4000, gang=True)
+        for number in range(4):
+            job = make_job(f"{number:016x}", wide)
+            assert await cluster.submit(job) is Outcome.OK
+        await anyio.sleep(0.5)
+        away = True
+        # Meanwhile the tickets of the gangs end, and after them the first tasks.
+        assert await cluster.wait_final("f" * 16) is JobPhase.COMPLETED
+        await anyio.sleep(0.5)
+        small = StepSpec(task_count=1, cpu_millis=1000, estimated_ms=4000)
+        job = make_job("e" * 16, small, queue="free")
+        assert await cluster.submit(job) is Outcome.OK
+        await anyio.sleep(SMALL_BOUND_S)
+        assert "e" * 16 + ".0.0.0" in cluster.world.starts
+
+
 load_tests = make_load_tests(globals())
