Show a wide gang whose last executors are never asked about

choose_renewed takes executors in the order of their ids and renews the first ones, whose tickets are still valid, before the last ones have any.

--- a/gypsumring/cell/tests/test_stuck_gangs.py
+++ b/gypsumring/cell/tests/test_stuck_gangs.py
@@ -4,10 +4,11 @@
 from contextlib import contextmanager
 
 import anyio
+import msgspec
 
 from gypsumring.cell.messages import Outcome
 from gypsumring.cell.tests.test_recovery import running_cluster
-from gypsumring.pipelines import DesiredState, JobPhase, Queue, StepSpec
+from gypsumring.pipelines import DesiredState, JobPhase, PolicyTiming, Queue, StepSpec
 from gypsumring.ports.tasks import ExecutorSilent, PolicyUnavailable
 from gypsumring.utils.testing import make_load_tests
 from stand_ins.platform.cluster import MemoryCluster, make_job
@@ -133,4 +134,29 @@
         assert "e" * 16 + ".0.0.0" in cluster.world.starts
 
 
+# The tickets of the first kept executors were renewed before the last ones were asked
+# about, so that a wide gang never had tickets for all.
+async def test_wide_gang_gets_all_tickets_through_one_node():
+    def behave(task: str, attempt: int) -> TaskBehaviour:
+        return TaskBehaviour(6.0 if task.startswith("e") else 0.8)
+
+    width = 75
+    async with running_cluster(behave, executors=width, policy_share=1.0) as cluster:
+        # Five calls about fifteen executors each take 2.25 s; the first tickets end 2 s
+        # after the first 0.45 s.
+        timing = PolicyTiming(0.3, 0.01, 2.0)
+        cluster.policy.base_s = timing.base_s
+        cluster.policy.per_executor_s = timing.per_executor_s
+        batch = msgspec.structs.replace(cluster.desired.queues[0], policy=timing)
+        cluster.desired = DesiredState(version=2, queues=(batch, FREE))
+        full = StepSpec(task_count=width, cpu_millis=8000, estimated_ms=6000)
+        job = make_job("e" * 16, full, queue="free")
+        assert await cluster.submit(job) is Outcome.OK
+        await anyio.sleep(0.5)
+        wide = StepSpec(task_count=width, cpu_millis=8000, estimated_ms=800, gang=True)
+        assert await cluster.submit(make_job(GANG_ID, wide)) is Outcome.OK
+        assert await cluster.wait_final("e" * 16) is JobPhase.COMPLETED
+        assert await cluster.wait_final(GANG_ID, GANG_BOUND_S) is JobPhase.COMPLETED
+
+
 load_tests = make_load_tests(globals())
