Show a gang that is placed on the same unhealthy executor again and again

The rest of 1 s is over before the other members are stopped and tickets are renewed (1.4 s a round). The executor stays empty and is chosen each time.

--- a/gypsumring/cell/tests/test_stuck_gangs.py
+++ b/gypsumring/cell/tests/test_stuck_gangs.py
@@ -9,7 +9,7 @@
 from gypsumring.cell.messages import Outcome
 from gypsumring.cell.tests.test_recovery import running_cluster
 from gypsumring.pipelines import DesiredState, JobPhase, PolicyTiming, Queue, StepSpec
-from gypsumring.ports.tasks import ExecutorSilent, PolicyUnavailable
+from gypsumring.ports.tasks import ExecutorSilent, PolicyUnavailable, StartRefused
 from gypsumring.utils.testing import make_load_tests
 from stand_ins.platform.cluster import MemoryCluster, make_job
 from stand_ins.platform.memory import MemoryExecutor
@@ -159,4 +159,11 @@
         assert await cluster.wait_final(GANG_ID, GANG_BOUND_S) is JobPhase.COMPLETED
 
 
+# An executor that refuses all work stays empty, so that each gang came back to it.
+async def test_gang_starts_beside_an_executor_that_refuses_as_unhealthy():
+    with failing_orders("i-0", starts=StartRefused("unhealthy")):
+        async with running_cluster(executors=5, policy_share=1.0) as cluster:
+            assert await completes(cluster, GANG_BOUND_S)
+
+
 load_tests = make_load_tests(globals())
