--- a/gypsumring/cell/tests/test_stuck_gangs.py
+++ b/gypsumring/cell/tests/test_stuck_gangs.py
@@ -166,4 +166,12 @@
             assert await completes(cluster, GANG_BOUND_S)
 
 
+# Nothing was noted against an executor that does not answer starts, so that the gang
+# was placed there again.
+async def test_gang_starts_beside_an_executor_that_answers_no_starts():
+    with failing_orders("i-0", starts=ExecutorSilent("i-0")):
+        async with running_cluster(executors=5, policy_share=1.0) as cluster:
+            assert await completes(cluster, GANG_BOUND_S)
+
+
 load_tests = make_load_tests(globals())
