Show a gang that waits for a stop without an answer

release_absent passes over attempts that were never answered, so that a list requested after LATE_ORDER_S does not settle them.

--- a/gypsumring/cell/tests/test_stuck_gangs.py
+++ b/gypsumring/cell/tests/test_stuck_gangs.py
@@ -7,7 +7,9 @@
 import msgspec
 
 from gypsumring.cell.messages import Outcome
+from gypsumring.cell.orders import GANG_START_S
 from gypsumring.cell.tests.test_recovery import running_cluster
+from gypsumring.fleet import LATE_ORDER_S
 from gypsumring.pipelines import DesiredState, JobPhase, PolicyTiming, Queue, StepSpec
 from gypsumring.ports.tasks import ExecutorSilent, PolicyUnavailable, StartRefused
 from gypsumring.utils.testing import make_load_tests
@@ -174,4 +176,14 @@
             assert await completes(cluster, GANG_BOUND_S)
 
 
+# A member whose stop is not answered stayed accounted for as long as the executor
+# answered holds, and its gang waited for it.
+async def test_gang_starts_beside_an_executor_that_answers_only_holds():
+    silent = ExecutorSilent("i-0")
+    with failing_orders("i-0", starts=silent, stops=silent):
+        async with running_cluster(executors=5, policy_share=1.0) as cluster:
+            limit_s = LATE_ORDER_S + 2 * GANG_START_S + GANG_BOUND_S
+            assert await completes(cluster, limit_s)
+
+
 load_tests = make_load_tests(globals())
