Show that failing nodes are chosen again for each call for advice

AdviserPool.choose breaks ties by name; a call that fails at once leaves the node idle. 95 calls in 10 s, all through the same node.

--- a/gypsumring/cell/tests/test_stuck_gangs.py
+++ b/gypsumring/cell/tests/test_stuck_gangs.py
@@ -186,4 +186,21 @@
             assert await completes(cluster, limit_s)
 
 
+# All calls for advice went through the first idle node by name, also when each of them
+# failed there at once.
+async def test_step_is_advised_through_a_node_that_reaches_the_policy_service():
+    async with running_cluster(executors=5, policy_share=1.0) as cluster:
+        node = cluster.owner_node()
+        desk = node.owner().scheduler.desk
+        desk.list_peers = lambda: ["n0", "n1", "n2", "n3"]
+
+        async def ask_peer(name, step, executor_ids, deadline):
+            if name == "n0":
+                raise PolicyUnavailable("connection refused")
+            return await node.policy.advise(step, executor_ids, deadline)
+
+        desk.ask_peer = ask_peer
+        assert await completes(cluster, GANG_BOUND_S)
+
+
 load_tests = make_load_tests(globals())
