--- a/gypsumring/cell/tests/test_stuck_gangs.py
+++ b/gypsumring/cell/tests/test_stuck_gangs.py
@@ -203,4 +203,18 @@
         assert await completes(cluster, GANG_BOUND_S)
 
 
+# A new owner that did not know a dropped queue gave its jobs one attempt.
+async def test_jobs_of_a_dropped_queue_keep_their_attempts_after_a_takeover():
+    def behave(task: str, attempt: int) -> TaskBehaviour:
+        first = cluster.world.failed_runs.get(task, 0) == 0
+        return TaskBehaviour(3.0 if first else 0.5, "failed" if first else "done")
+
+    async with running_cluster(lambda *args: behave(*args)) as cluster:
+        assert await cluster.submit(make_job(GANG_ID)) is Outcome.OK
+        await anyio.sleep(0.5)
+        cluster.desired = DesiredState(version=2, queues=(FREE,))
+        cluster.owner_node().kill()
+        assert await cluster.wait_final(GANG_ID) is JobPhase.COMPLETED
+
+
 load_tests = make_load_tests(globals())
