Show tasks of a dropped queue that are started without a ticket

The queue of find_queue has no policy: 14,630 starts were refused in 60 s, one each 4 ms, and the attempt numbers ran into those of later terms.

--- a/gypsumring/cell/tests/test_stuck_gangs.py
+++ b/gypsumring/cell/tests/test_stuck_gangs.py
@@ -217,4 +217,18 @@
         assert await cluster.wait_final(GANG_ID) is JobPhase.COMPLETED
 
 
+# A new owner that did not know a dropped queue started its tasks without a ticket.
+async def test_jobs_of_a_dropped_queue_are_advised_after_a_takeover():
+    # Room for one task at a time, so that some start after the takeover.
+    async with running_cluster(
+        steady_behaviour(2.0), executors=1, cpu_millis=2000, policy_share=1.0
+    ) as cluster:
+        spec = StepSpec(task_count=3, cpu_millis=2000, estimated_ms=2000)
+        assert await cluster.submit(make_job(GANG_ID, spec)) is Outcome.OK
+        await anyio.sleep(0.5)
+        cluster.desired = DesiredState(version=2, queues=(FREE,))
+        cluster.owner_node().kill()
+        assert await cluster.wait_final(GANG_ID) is JobPhase.COMPLETED
+
+
 load_tests = make_load_tests(globals())
