--- a/gypsumring/cell/tests/test_stuck_gangs.py
+++ b/gypsumring/cell/tests/test_stuck_gangs.py
@@ -231,4 +231,30 @@
         assert await cluster.wait_final(GANG_ID) is JobPhase.COMPLETED
 
 
+# Small tasks took each gap, since nothing was kept for gangs of queues without policy.
+async def test_gang_without_policy_starts_beside_a_stream_of_small_tasks():
+    def behave(task: str, attempt: int) -> TaskBehaviour:
+        return TaskBehaviour(0.8 if task.startswith("a") else 1.5)
+
+    async with running_cluster(behave, executors=6) as cluster:
+        async with anyio.create_task_group() as load:
+
+            async def send_small() -> None:
+                number = 0
+                while True:
+                    number += 1
+                    spec = StepSpec(task_count=2, cpu_millis=3000, estimated_ms=1500)
+                    job = make_job(f"b{number:015x}", spec)
+                    cluster.group.start_soon(cluster.submit, job)
+                    await anyio.sleep(0.32)
+
+            load.start_soon(send_small)
+            await anyio.sleep(5.0)
+            spec = StepSpec(task_count=4, cpu_millis=8000, estimated_ms=800, gang=True)
+            assert await cluster.submit(make_job(GANG_ID, spec)) is Outcome.OK
+            await anyio.sleep(GANG_BOUND_S)
+            assert f"{GANG_ID}.0.0.0" in cluster.world.starts
+            load.cancel_scope.cancel()
+
+
 load_tests = make_load_tests(globals())
