--- a/gypsumring/dispatch/tests/test_reserving.py
+++ b/gypsumring/dispatch/tests/test_reserving.py
@@ -242,4 +242,21 @@
     assert not newer.reserved
 
 
+def choose_from(executors, ids):
+    """Return the executors of the given ids."""
+    return [executor for executor in executors if executor.executor_id in ids]
+
+
+# Room was kept on executors on which members of the gang had failed. Only tickets of
+# kept executors are renewed, so that the gang waited although it fitted elsewhere.
+def test_kept_room_takes_the_members_that_avoid_an_executor():
+    fleet = make_fleet(4)
+    occupy(fleet[1:], 4000)
+    gang = make_gang(fleet, task_count=3)
+    gang.avoided = {0: {"i-0"}, 1: {"i-0"}}
+    assert len(place_step(gang, fleet, 3.0, 1.0)) == 3
+    reserved = reserve_executors([(gang, BULK)], fleet, 1.0, 1.0)
+    assert len(place_step(gang, choose_from(fleet, reserved), 3.0, 1.0)) == 3
+
+
 load_tests = make_load_tests(globals())
