Show kept room over all racks for a gang that wants one

choose_free_room does not know of same_rack, place_step does. It ends with the patience of waits_for_place; the gang then works spread over racks.

--- a/gypsumring/dispatch/tests/test_reserving.py
+++ b/gypsumring/dispatch/tests/test_reserving.py
@@ -259,4 +259,15 @@
     assert len(place_step(gang, choose_from(fleet, reserved), 3.0, 1.0)) == 3
 
 
+# Room was kept over all racks for a gang that waits for room on one of them.
+def test_kept_room_of_a_gang_on_one_rack_is_on_one_rack():
+    fleet = make_fleet(8)
+    occupy(fleet[1::2], 4000)
+    occupy(fleet[2::2], 8000)
+    gang = make_gang(fleet, task_count=4, same_rack=True, estimated_ms=4000)
+    assert len(place_step(gang, fleet, 3.0, 1.0)) == 4
+    reserved = reserve_executors([(gang, BULK)], fleet, 1.0, 1.0)
+    assert len(place_step(gang, choose_from(fleet, reserved), 3.0, 1.0)) == 4
+
+
 load_tests = make_load_tests(globals())
