--- a/gypsumring/dispatch/tests/test_reserving.py
+++ b/gypsumring/dispatch/tests/test_reserving.py
@@ -270,4 +270,16 @@
     assert len(place_step(gang, choose_from(fleet, reserved), 3.0, 1.0)) == 4
 
 
+# A starving step of a lower priority kept the executors on which an urgent gang would
+# have gathered its room.
+def test_starving_step_leaves_urgent_gangs_their_executors():
+    fleet = make_fleet(10)
+    occupy(fleet, 6000)
+    urgent = make_gang(fleet, 8000, job_id="b" * 16, task_count=6)
+    starving = make_gang(fleet, 8000, job_id="c" * 16, task_count=6)
+    steps = [(urgent, URGENT), (starving, BULK)]
+    reserve_executors(steps, fleet, 1.0, 1.0, [(starving, BULK)])
+    assert len(urgent.reserved) == 6
+
+
 load_tests = make_load_tests(globals())
