--- a/gypsumring/dispatch/tests/test_reserving.py
+++ b/gypsumring/dispatch/tests/test_reserving.py
@@ -282,4 +282,16 @@
     assert len(urgent.reserved) == 6
 
 
+# Executors were kept for a gang until tasks that last would end.
+def test_gang_keeps_nothing_that_only_the_end_of_lasting_tasks_would_open():
+    fleet = make_fleet(4)
+    for number, executor in enumerate(fleet):
+        lasting = make_step(
+            f"{number:016x}", task_count=1, cpu_millis=4000, long_running=True
+        )
+        executor.add_run(Run(lasting, 0, 1, executor.executor_id, 0.0))
+    gang = make_gang(fleet, 8000, task_count=3)
+    assert reserve_executors([(gang, BULK)], fleet, 1.0, 1.0) == {}
+
+
 load_tests = make_load_tests(globals())
