--- a/gypsumring/dispatch/tests/test_asking.py
+++ b/gypsumring/dispatch/tests/test_asking.py
@@ -116,4 +116,15 @@
     assert pool.count_idle(LONG, 30, 0.1) == 0
 
 
+# A step learned about one to four executors in each call of 0.9 s, the ones that had
+# room just then, and could ask for nothing else meanwhile.
+def test_call_names_as_many_as_it_may_although_few_have_room():
+    fleet = make_fleet(100)
+    for executor in fleet[2:]:
+        executor.used_cpu = 8_000
+    gang = make_step(task_count=17, cpu_millis=4_000, gang=True)
+    asked = ask(gang, fleet, places_allowed=34)
+    assert len(asked) >= choose_call_size(LONG)
+
+
 load_tests = make_load_tests(globals())
