--- /dev/null
+++ b/gypsumring/cell/tests/test_stuck_gangs.py
@@ -0,0 +1,260 @@
+"""Gangs start although an executor, a queue or the policy service fails them."""
+
+from collections.abc import Iterator
+from contextlib import contextmanager
+
+import anyio
+import msgspec
+
+from gypsumring.cell.messages import Outcome
+from gypsumring.cell.orders import GANG_START_S
+from gypsumring.cell.tests.test_recovery import running_cluster
+from gypsumring.fleet import LATE_ORDER_S
+from gypsumring.pipelines import DesiredState, JobPhase, PolicyTiming, Queue, StepSpec
+from gypsumring.ports.tasks import ExecutorSilent, PolicyUnavailable, StartRefused
+from gypsumring.utils.testing import make_load_tests
+from stand_ins.platform.cluster import MemoryCluster, make_job
+from stand_ins.platform.memory import MemoryExecutor
+from stand_ins.platform.world import TaskBehaviour, steady_behaviour
+
+GANG_ID = "a" * 16
+GANG = StepSpec(task_count=3, cpu_millis=4000, estimated_ms=800, gang=True)
+# Executors end a lone member by themselves after this time; a gang that has stopped
+# one run has to find its room elsewhere in the next ones.
+GANG_BOUND_S = 10.0
+SMALL_BOUND_S = 2.0
+FREE = Queue(
+    name="free", host="h", path_prefix="/free/", service="svc", priority=1, stretch=2.0
+)
+
+
+@contextmanager
+def failing_orders(executor_id: str, starts=None, stops=None) -> Iterator[None]:
+    """Let one executor meet orders with the errors that are given; holds succeed."""
+    original_start, original_stop = MemoryExecutor.start, MemoryExecutor.stop
+
+    async def start(self, order, fence, deadline):
+        if starts is not None and self.model.executor_id == executor_id:
+            await fail(starts, deadline)
+        await original_start(self, order, fence, deadline)
+
+    async def stop(self, task, attempt, fence, deadline):
+        if stops is not None and self.model.executor_id == executor_id:
+            await fail(stops, deadline)
+        await original_stop(self, task, attempt, fence, deadline)
+
+    MemoryExecutor.start, MemoryExecutor.stop = start, stop
+    try:
+        yield
+    finally:
+        MemoryExecutor.start, MemoryExecutor.stop = original_start, original_stop
+
+
+async def fail(error: Exception, deadline: float) -> None:
+    """Raise an error, without an answer only at the deadline."""
+    if isinstance(error, ExecutorSilent):
+        await anyio.sleep(max(0.0, deadline - anyio.current_time()))
+    raise error
+
+
+async def completes(cluster: MemoryCluster, limit_s: float) -> bool:
+    """Submit a gang; tell whether it is completed in time."""
+    assert await cluster.submit(make_job(GANG_ID, GANG)) is Outcome.OK
+    return await cluster.wait_final(GANG_ID, limit_s) is JobPhase.COMPLETED
+
+
+# Only tickets of kept executors were renewed. Members that had failed on one of them
+# could not use it, so that a gang that fits elsewhere waited for other tasks to end.
+async def test_gang_starts_although_its_members_avoid_an_executor_kept_for_it():
+    def behave(task: str, attempt: int) -> TaskBehaviour:
+        return TaskBehaviour({"d": 60.0, "e": 4.0}.get(task[0], 0.8))
+
+    async with running_cluster(behave, executors=4, policy_share=1.0) as cluster:
+        batch = cluster.desired.queues[0]
+        cluster.desired = DesiredState(version=2, queues=(batch, FREE))
+
+        async def ask_peer(name, step, executor_ids, deadline):
+            await anyio.sleep(batch.policy.call_s(len(executor_ids)))
+            return [(executor_id, "ticket") for executor_id in executor_ids]
+
+        cluster.owner_node().owner().scheduler.desk.ask_peer = ask_peer
+        long = StepSpec(
+            task_count=3, cpu_millis=4000, estimated_ms=60_000, max_per_executor=1
+        )
+        short = StepSpec(task_count=5, cpu_millis=4000, estimated_ms=4000)
+        for letter, spec in (("d", long), ("e", short)):
+            job = make_job(letter * 16, spec, queue="free")
+            assert await cluster.submit(job) is Outcome.OK
+            await anyio.sleep(0.2)
+        assert await cluster.submit(make_job(GANG_ID, GANG)) is Outcome.OK
+        owner = cluster.owner_node().owner()
+        empty = [
+            executor_id
+            for executor_id, executor in owner.state.fleet.items()
+            if not any(run.task.startswith("d") for run in executor.runs.values())
+        ]
+        step = owner.state.table.jobs[GANG_ID].steps[0]
+        step.avoided = {0: set(empty), 1: set(empty)}
+        assert await cluster.wait_final("e" * 16) is JobPhase.COMPLETED
+        assert await cluster.wait_final(GANG_ID, GANG_BOUND_S) is JobPhase.COMPLETED
+
+
+# Gangs without tickets kept the room of the whole fleet while the policy service was
+# away, also from work that needs no tickets.
+async def test_work_without_policy_starts_while_the_policy_service_is_away():
+    async with running_cluster(
+        steady_behaviour(4.0), executors=8, policy_share=1.0
+    ) as cluster:
+        batch = cluster.desired.queues[0]
+        cluster.desired = DesiredState(version=2, queues=(batch, FREE))
+        away = False
+
+        async def ask_peer(name, step, executor_ids, deadline):
+            await anyio.sleep(batch.policy.call_s(len(executor_ids)))
+            if away:
+                raise PolicyUnavailable("no answer")
+            return [(executor_id, "ticket") for executor_id in executor_ids]
+
+        cluster.owner_node().owner().scheduler.desk.ask_peer = ask_peer
+        full = StepSpec(task_count=8, cpu_millis=8000, estimated_ms=4000)
+        job = make_job("f" * 16, full, queue="free")
+        assert await cluster.submit(job) is Outcome.OK
+        await anyio.sleep(0.5)
+        wide = StepSpec(task_count=2, cpu_millis=8000, estimated_ms=4000, gang=True)
+        for number in range(4):
+            job = make_job(f"{number:016x}", wide)
+            assert await cluster.submit(job) is Outcome.OK
+        await anyio.sleep(0.5)
+        away = True
+        # Meanwhile the tickets of the gangs end, and after them the first tasks.
+        assert await cluster.wait_final("f" * 16) is JobPhase.COMPLETED
+        await anyio.sleep(0.5)
+        small = StepSpec(task_count=1, cpu_millis=1000, estimated_ms=4000)
+        job = make_job("e" * 16, small, queue="free")
+        assert await cluster.submit(job) is Outcome.OK
+        await anyio.sleep(SMALL_BOUND_S)
+        assert "e" * 16 + ".0.0.0" in cluster.world.starts
+
+
+# The tickets of the first kept executors were renewed before the last ones were asked
+# about, so that a wide gang never had tickets for all.
+async def test_wide_gang_gets_all_tickets_through_one_node():
+    def behave(task: str, attempt: int) -> TaskBehaviour:
+        return TaskBehaviour(6.0 if task.startswith("e") else 0.8)
+
+    width = 75
+    async with running_cluster(behave, executors=width, policy_share=1.0) as cluster:
+        # Five calls about fifteen executors each take 2.25 s; the first tickets end 2 s
+        # after the first 0.45 s.
+        timing = PolicyTiming(0.3, 0.01, 2.0)
+        cluster.policy.base_s = timing.base_s
+        cluster.policy.per_executor_s = timing.per_executor_s
+        batch = msgspec.structs.replace(cluster.desired.queues[0], policy=timing)
+        cluster.desired = DesiredState(version=2, queues=(batch, FREE))
+        full = StepSpec(task_count=width, cpu_millis=8000, estimated_ms=6000)
+        job = make_job("e" * 16, full, queue="free")
+        assert await cluster.submit(job) is Outcome.OK
+        await anyio.sleep(0.5)
+        wide = StepSpec(task_count=width, cpu_millis=8000, estimated_ms=800, gang=True)
+        assert await cluster.submit(make_job(GANG_ID, wide)) is Outcome.OK
+        assert await cluster.wait_final("e" * 16) is JobPhase.COMPLETED
+        assert await cluster.wait_final(GANG_ID, GANG_BOUND_S) is JobPhase.COMPLETED
+
+
+# An executor that refuses all work stays empty, so that each gang came back to it.
+async def test_gang_starts_beside_an_executor_that_refuses_as_unhealthy():
+    with failing_orders("i-0", starts=StartRefused("unhealthy")):
+        async with running_cluster(executors=5, policy_share=1.0) as cluster:
+            assert await completes(cluster, GANG_BOUND_S)
+
+
+# Nothing was noted against an executor that does not answer starts, so that the gang
+# was placed there again.
+async def test_gang_starts_beside_an_executor_that_answers_no_starts():
+    with failing_orders("i-0", starts=ExecutorSilent("i-0")):
+        async with running_cluster(executors=5, policy_share=1.0) as cluster:
+            assert await completes(cluster, GANG_BOUND_S)
+
+
+# A member whose stop is not answered stayed accounted for as long as the executor
+# answered holds, and its gang waited for it.
+async def test_gang_starts_beside_an_executor_that_answers_only_holds():
+    silent = ExecutorSilent("i-0")
+    with failing_orders("i-0", starts=silent, stops=silent):
+        async with running_cluster(executors=5, policy_share=1.0) as cluster:
+            limit_s = LATE_ORDER_S + 2 * GANG_START_S + GANG_BOUND_S
+            assert await completes(cluster, limit_s)
+
+
+# All calls for advice went through the first idle node by name, also when each of them
+# failed there at once.
+async def test_step_is_advised_through_a_node_that_reaches_the_policy_service():
+    async with running_cluster(executors=5, policy_share=1.0) as cluster:
+        node = cluster.owner_node()
+        desk = node.owner().scheduler.desk
+        desk.list_peers = lambda: ["n0", "n1", "n2", "n3"]
+
+        async def ask_peer(name, step, executor_ids, deadline):
+            if name == "n0":
+                raise PolicyUnavailable("connection refused")
+            return await node.policy.advise(step, executor_ids, deadline)
+
+        desk.ask_peer = ask_peer
+        assert await completes(cluster, GANG_BOUND_S)
+
+
+# A new owner that did not know a dropped queue gave its jobs one attempt.
+async def test_jobs_of_a_dropped_queue_keep_their_attempts_after_a_takeover():
+    def behave(task: str, attempt: int) -> TaskBehaviour:
+        first = cluster.world.failed_runs.get(task, 0) == 0
+        return TaskBehaviour(3.0 if first else 0.5, "failed" if first else "done")
+
+    async with running_cluster(lambda *args: behave(*args)) as cluster:
+        assert await cluster.submit(make_job(GANG_ID)) is Outcome.OK
+        await anyio.sleep(0.5)
+        cluster.desired = DesiredState(version=2, queues=(FREE,))
+        cluster.owner_node().kill()
+        assert await cluster.wait_final(GANG_ID) is JobPhase.COMPLETED
+
+
+# A new owner that did not know a dropped queue started its tasks without a ticket.
+async def test_jobs_of_a_dropped_queue_are_advised_after_a_takeover():
+    # Room for one task at a time, so that some start after the takeover.
+    async with running_cluster(
+        steady_behaviour(2.0), executors=1, cpu_millis=2000, policy_share=1.0
+    ) as cluster:
+        spec = StepSpec(task_count=3, cpu_millis=2000, estimated_ms=2000)
+        assert await cluster.submit(make_job(GANG_ID, spec)) is Outcome.OK
+        await anyio.sleep(0.5)
+        cluster.desired = DesiredState(version=2, queues=(FREE,))
+        cluster.owner_node().kill()
+        assert await cluster.wait_final(GANG_ID) is JobPhase.COMPLETED
+
+
+# Small tasks took each gap, since nothing was kept for gangs of queues without policy.
+async def test_gang_without_policy_starts_beside_a_stream_of_small_tasks():
+    def behave(task: str, attempt: int) -> TaskBehaviour:
+        return TaskBehaviour(0.8 if task.startswith("a") else 1.5)
+
+    async with running_cluster(behave, executors=6) as cluster:
+        async with anyio.create_task_group() as load:
+
+            async def send_small() -> None:
+                number = 0
+                while True:
+                    number += 1
+                    spec = StepSpec(task_count=2, cpu_millis=3000, estimated_ms=1500)
+                    job = make_job(f"b{number:015x}", spec)
+                    cluster.group.start_soon(cluster.submit, job)
+                    await anyio.sleep(0.32)
+
+            load.start_soon(send_small)
+            await anyio.sleep(5.0)
+            spec = StepSpec(task_count=4, cpu_millis=8000, estimated_ms=800, gang=True)
+            assert await cluster.submit(make_job(GANG_ID, spec)) is Outcome.OK
+            await anyio.sleep(GANG_BOUND_S)
+            assert f"{GANG_ID}.0.0.0" in cluster.world.starts
+            load.cancel_scope.cancel()
+
+
+load_tests = make_load_tests(globals())
