Choose the room of gangs at a bounded cost, and give back what is not used

A choice now stands for 0.5 s, gangs after the first one that the limit leaves out are not planned for, and a cheap test comes first. - Room that a gang fits into was kept without an end while its tickets did not come, also from work without a policy. It must start within three calls and a second; then others may use the room for as long. Ends of tasks that last are not expected any more. - A starving step went before urgent ones; it goes first within its priority. Steps that are no gangs have their turn by rank. - Gangs of queues without a policy kept nothing. - A waiting gang asked about one to four executors a call; with few nodes the last of its executors were never asked about. test_oldest_starving_step_goes_first_if_it_can_get_its_room asks after REPLAN_S, since a choice stands that long now.

--- a/gypsumring/cell/advice.py
+++ b/gypsumring/cell/advice.py
@@ -88,7 +88,7 @@
         fits = has_room(step, allowed)
         placements = self.place(step, allowed) if fits else []
         asked = self.choose_renewed(step, timing, allowed, bool(placements), now)
-        if len(placements) < len(step.pending):
+        if len(placements) < len(step.pending) and not has_plan(step):
             places = sum(places_on(step, executor) for executor in allowed)
             share = self.shares.get(queue.name)
             asked += choose_new(step, find_unasked(), places, share, size, self.source)
@@ -117,7 +117,7 @@
         gang starts on those, so that it needs no others.
         """
         call_s = timing.call_s(1 + len(step.reserved)) + TICKET_MARGIN_S
-        fits = fits and not (step.spec.gang and step.reserved)
+        fits = fits and not has_plan(step)
         renewed = []
         for executor in allowed:
             executor_id = executor.executor_id
@@ -126,6 +126,8 @@
                 renewed.append(executor)
             elif fits and left_s < TICKET_MARGIN_S and executor.fit_count(step.spec):
                 renewed.append(executor)
+        # With few nodes not all are asked about at once; those that end first are.
+        renewed.sort(key=lambda each: step.ticket_left_s(each.executor_id, now))
         return renewed
 
     async def ask_policy(
@@ -165,3 +167,8 @@
         for executor_id, value in rows:
             step.allowed.add(executor_id)
             step.tickets[executor_id] = Ticket(executor_id, value, expires_at)
+
+
+def has_plan(step: Step) -> bool:
+    """Tell whether a gang starts on the executors that are kept for it."""
+    return step.spec.gang and bool(step.reserved)
--- a/gypsumring/cell/scheduling.py
+++ b/gypsumring/cell/scheduling.py
@@ -125,10 +125,12 @@
         for executor in fleet:
             if executor.entry.draining:
                 self.evacuate(executor, now)
-        steps = self.backlog.order(self.backlog.waiting, now)
         starving = self.backlog.list_starving(now)
-        clock = self.state.clock()
-        self.reserved = reserve_executors(steps, fleet, now, clock, starving)
+        steps = self.backlog.order(self.backlog.waiting, now)
+        factor = self.state.timing.spread_factor
+        self.reserved = reserve_executors(
+            steps, fleet, now, self.state.clock(), starving, factor
+        )
 
     def list_enrolled(self) -> list[ExecutorState]:
         """Return the executors of which a later owner would know."""
@@ -216,6 +218,8 @@
             self.start_all(step, self.place(step, eligible), now)
             return eligible
         allowed = self.find_allowed(step, queue)
+        if allowed and step.waiting_since is None:
+            step.waiting_since = now
         holding = [
             executor
             for executor in allowed
--- a/gypsumring/dispatch/asking.py
+++ b/gypsumring/dispatch/asking.py
@@ -61,14 +61,16 @@
 
     ``places_allowed`` are the places on the executors that are allowed already, room or
     not. Executors with room for the step come first: a gang takes those with most of
-    it, other steps any of them, so that steps do not meet on the same ones.
+    it, other steps any of them, so that steps do not meet on the same ones. A gang asks
+    about as many as one call names at least, room or not: they may have some later,
+    and the next call would take the base time again.
     """
     missing = len(step.pending) - places_allowed / SURPLUS
     spec = step.spec
     rows = []
     for executor in unasked:
         room = executor.fit_count(spec)
-        if room or missing > 0:
+        if room or missing > 0 or spec.gang:
             most = -room if spec.gang else not room
             suspect = executor.health.is_suspect()
             rows.append((suspect, most, source.random(), room, executor))
--- a/gypsumring/dispatch/backlog.py
+++ b/gypsumring/dispatch/backlog.py
@@ -41,25 +41,27 @@
         self.since = since
         self.looked_at: float | None = None
 
-    def rank(self, now: float) -> tuple[int, bool, float, str]:
+    def rank(self, now: float, first: Step | None) -> tuple[int, bool, float, str]:
         """Return the place in the order of service; the smallest goes first.
 
         Within a priority the step whose job is due first goes first; jobs that have
         missed their target come after those that can still meet it, unless executors
-        are kept for them already.
+        are kept for them already or it is the one that goes ``first``.
         """
-        missed = self.due < now and not self.step.reserved
+        missed = self.due < now and not self.step.reserved and self.step is not first
         return (self.queue.priority, missed, self.due, self.step.name)
 
 
 class Backlog:
     """Hold the steps with tasks to place, by the executors on which they may run."""
 
-    __slots__ = ("find_queue", "interested", "numbers", "queue", "waiting")
+    __slots__ = ("find_queue", "first", "interested", "numbers", "queue", "waiting")
 
     def __init__(self, find_queue: Callable[[Job], Queue]):
         self.find_queue = find_queue
         self.waiting: dict[Step, Waiting] = {}
+        # The oldest starving step of each priority that is not a gang.
+        self.first: dict[int, Step] = {}
         # Looks planned, the next one first; entries that moved are passed over.
         self.queue: list[tuple[float, int, Step]] = []
         self.numbers = itertools.count()
@@ -79,7 +81,7 @@
         """Forget a step."""
         if self.waiting.pop(step, None) is None:
             return
-        step.reserved = set()
+        step.forget_room()
         for executor_id in step.allowed:
             steps = self.interested.get(executor_id)
             if steps is not None:
@@ -120,13 +122,22 @@
     def order(self, steps: Iterable[Step], now: float) -> list[tuple[Step, Queue]]:
         """Return waiting steps with their queues, the one to serve first in front."""
         rows = [self.waiting[step] for step in steps if step in self.waiting]
-        rows.sort(key=lambda row: row.rank(now))
+        first = self.first
+        rows.sort(key=lambda row: row.rank(now, first.get(row.queue.priority)))
         return [(row.step, row.queue) for row in rows]
 
     def list_starving(self, now: float) -> list[tuple[Step, Queue]]:
-        """Return the waiting steps that starve, the oldest first."""
+        """Return the waiting steps that starve, the oldest first.
+
+        The oldest one of each priority that is not a gang goes first from now on. The
+        gangs among them need executors of their own.
+        """
         rows = [row for row in self.waiting.values() if row.starves_at < now]
         rows.sort(key=lambda row: (row.due, row.step.name))
+        self.first = {}
+        for row in rows:
+            if not row.step.spec.gang:
+                self.first.setdefault(row.queue.priority, row.step)
         return [(row.step, row.queue) for row in rows]
 
     def take_due(self, now: float) -> list[Step]:
--- a/gypsumring/dispatch/openings.py
+++ b/gypsumring/dispatch/openings.py
@@ -25,7 +25,8 @@
 def expect_openings(step: Step, executor: ExecutorState, now: float) -> list[float]:
     """Return when each place for a task of a step opens, the first one first.
 
-    Places that are free open now. Nothing else is expected to start meanwhile.
+    Places that are free open now. Nothing else is expected to start meanwhile, and
+    tasks that last are not expected to end.
     """
     spec = step.spec
     places = room_for(step, executor)
@@ -38,7 +39,11 @@
     accelerators = executor.entry.accelerators - executor.used_accelerators
     slowdown = executor.health.slowdown
     ends = sorted(
-        ((expect_end(run, slowdown, now), run) for run in executor.runs.values()),
+        (
+            (expect_end(run, slowdown, now), run)
+            for run in executor.runs.values()
+            if not run.step.spec.long_running
+        ),
         key=lambda row: row[0],
     )
     for ends_at, run in ends:
--- a/gypsumring/dispatch/reserving.py
+++ b/gypsumring/dispatch/reserving.py
@@ -1,16 +1,15 @@
 """Keep executors for gangs and for large tasks.
 
 Small tasks fill each gap as soon as it opens, so that a task that needs a large part of
-an executor would wait until the load falls. A gang needs room and permission on many
-executors at the same time: while the policy service is asked, others would take the
-room. An executor that is kept takes no work of other steps of the same or a lower
-priority.
+an executor would wait until the load falls. The room of a gang would go to others while
+the policy service is asked. An executor that is kept takes no work of other steps of
+the same or a lower priority.
 """
 
 from collections.abc import Iterable
 
-from gypsumring.dispatch.openings import expect_openings
-from gypsumring.dispatch.placing import places_on, room_for
+from gypsumring.dispatch.gang_room import choose_free_room, choose_openings
+from gypsumring.dispatch.placing import has_label, places_on
 from gypsumring.fleet import ExecutorState
 from gypsumring.pipelines.model import Queue
 from gypsumring.pipelines.state import Step
@@ -21,17 +20,18 @@
 LARGE_SHARE = 0.2
 # A step waits so long for room before executors are reserved for it, in seconds.
 PATIENCE_S = 0.4
-# At most this share of the executors is kept for steps that wait for room; the first
-# gang gets all that it needs.
+# At most this share of the executors is kept for steps that wait for room, and this
+# share for all; the first gang gets all that it needs.
 MAX_RESERVED_SHARE = 0.3
+MAX_KEPT_SHARE = 0.6
 # At most so many executors are reserved for a step that is not a gang.
 MAX_FOR_TASKS = 2
-# A gang changes the executors that are kept for it if it gains this share of the time
-# that it would still wait, and at least this many seconds.
-LEAST_GAIN = 0.5
-LEAST_GAIN_S = 0.5
-# Places kept for a gang that fits, against those needed: urgent tasks may take some.
-SURPLUS = 1.2
+# What is kept for a gang is chosen again after this time.
+REPLAN_S = 0.5
+# A gang that fits starts within a few calls for tickets, and a little more. If it has
+# not, something else keeps it: others may use the room for as long again.
+START_CALLS = 3
+START_MARGIN_S = 1.0
 
 
 class Reservation:
@@ -51,27 +51,71 @@
 class Ledger:
     """Collect the reservations of one pass over the waiting steps."""
 
-    __slots__ = ("by_id", "clock", "kept_waiting", "limit", "now", "reserved")
+    __slots__ = (
+        "clock",
+        "fleet",
+        "is_full",
+        "kept_waiting",
+        "largest_cpu",
+        "now",
+        "open_executors",
+        "reserved",
+        "spread_factor",
+    )
 
-    def __init__(self, fleet: list[ExecutorState], now: float, clock: float):
-        self.by_id = {executor.executor_id: executor for executor in fleet}
+    def __init__(
+        self, fleet: list[ExecutorState], now: float, clock: float, spread_factor: float
+    ):
+        self.fleet = fleet
         self.now = now
         self.clock = clock
-        self.limit = int(len(fleet) * MAX_RESERVED_SHARE)
+        self.spread_factor = spread_factor
+        self.largest_cpu = max((each.entry.cpu_millis for each in fleet), default=0)
+        # Executors that take work, by service and id.
+        self.open_executors: dict[str, dict[str, ExecutorState]] = {}
         # Executors that are kept for steps that wait for room.
         self.kept_waiting = 0
+        # A gang was left out, so that no later one goes before it.
+        self.is_full = False
         self.reserved: dict[str, Reservation] = {}
 
+    def list_open(self, service: str) -> dict[str, ExecutorState]:
+        """Return the executors of a service that take work, by id."""
+        found = self.open_executors.get(service)
+        if found is None:
+            found = {
+                executor.executor_id: executor
+                for executor in self.fleet
+                if executor.takes_work(service, self.clock)
+            }
+            self.open_executors[service] = found
+        return found
+
     def list_candidates(self, step: Step, queue: Queue) -> list[ExecutorState]:
         """Return the allowed executors that take work and are not kept for others."""
+        open_ones = self.list_open(queue.service)
+        has_policy = queue.policy is not None or step.allowed
+        ids = step.allowed if has_policy else open_ones
         return [
-            executor
-            for executor_id in step.allowed
-            if executor_id not in self.reserved
-            and (executor := self.by_id.get(executor_id)) is not None
-            and executor.takes_work(queue.service, self.clock)
+            open_ones[executor_id]
+            for executor_id in ids
+            if executor_id in open_ones
+            and executor_id not in self.reserved
+            and has_label(step, open_ones[executor_id])
         ]
 
+    def may_wait(self, count: int) -> bool:
+        """Tell whether a gang may keep so many executors while it waits for room."""
+        if not self.kept_waiting:
+            return True
+        return self.kept_waiting + count <= len(self.fleet) * MAX_RESERVED_SHARE
+
+    def may_keep(self, count: int) -> bool:
+        """Tell whether a gang that fits may keep so many executors."""
+        if not self.reserved:
+            return True
+        return len(self.reserved) + count <= len(self.fleet) * MAX_KEPT_SHARE
+
     def keep(self, step: Step, queue: Queue, executors: list[ExecutorState]) -> None:
         """Keep executors for a step; it gives up those that it had besides."""
         step.reserved = {executor.executor_id for executor in executors}
@@ -84,7 +128,7 @@
 
     ``largest_cpu`` is the size of the largest executor, in thousandths of a core.
     """
-    if not step.pending or not step.allowed or step.waiting_since is None:
+    if not step.pending or step.waiting_since is None:
         return False
     if now - step.waiting_since < PATIENCE_S:
         return False
@@ -102,132 +146,106 @@
     now: float,
     clock: float,
     starving: Iterable[tuple[Step, Queue]] = (),
+    spread_factor: float = 1.0,
 ) -> dict[str, Reservation]:
     """Return the reservations, by executor; steps come in their order of service.
 
     ``clock`` is the time on the clock of the executors' states, which counts suspended
     time. The first of the ``starving`` steps that can get its room goes before all
-    others, so that newer steps cannot overtake it for good.
+    others of its priority, so that newer steps cannot overtake it for good.
     """
-    ledger = Ledger(fleet, now, clock)
-    largest_cpu = max((each.entry.cpu_millis for each in fleet), default=0)
+    ledger = Ledger(fleet, now, clock, spread_factor)
+    starving_at: dict[int, list[tuple[Step, Queue]]] = {}
+    for row in starving:
+        starving_at.setdefault(row[1].priority, []).append(row)
     first = None
-    for step, queue in starving:
-        reserve_for(step, queue, ledger, largest_cpu)
-        if step.reserved:
-            first = step
-            break
     for step, queue in steps:
+        if first is None:
+            first = reserve_first(starving_at.pop(queue.priority, []), ledger)
         if step is not first:
-            reserve_for(step, queue, ledger, largest_cpu)
+            reserve_for(step, queue, ledger)
     return ledger.reserved
 
 
-def reserve_for(step: Step, queue: Queue, ledger: Ledger, largest_cpu: int) -> None:
+def reserve_first(rows: list[tuple[Step, Queue]], ledger: Ledger) -> Step | None:
+    """Serve the first step that can get its room, and return it."""
+    for step, queue in rows:
+        reserve_for(step, queue, ledger)
+        if step.reserved:
+            return step
+    return None
+
+
+def reserve_for(step: Step, queue: Queue, ledger: Ledger) -> None:
     """Keep what one step needs, if it may keep anything."""
-    waits = needs_reservation(step, largest_cpu, ledger.now)
+    waits = needs_reservation(step, ledger.largest_cpu, ledger.now)
     if step.spec.gang:
         reserve_for_gang(step, queue, ledger, waits)
-    elif waits and ledger.kept_waiting < ledger.limit:
+    elif waits and ledger.kept_waiting < int(len(ledger.fleet) * MAX_RESERVED_SHARE):
         reserve_for_tasks(step, queue, ledger)
     else:
         step.reserved = set()
 
 
 def reserve_for_gang(step: Step, queue: Queue, ledger: Ledger, waits: bool) -> None:
-    """Keep the room that a gang fits into, or all executors on which it gathers some.
-
-    Room for a part of a gang is of no use to it.
-    """
-    if not step.pending or not step.allowed or step.runs:
-        step.reserved = set()
+    """Keep what was chosen for a gang a moment ago, or choose anew."""
+    if not step.pending or step.runs:
+        step.forget_room()
+        return
+    if ledger.now < step.replan_at and keep_again(step, queue, ledger):
         return
     candidates = ledger.list_candidates(step, queue)
-    chosen = choose_free_room(step, candidates)
-    if not chosen and waits:
+    chosen = choose_free_room(step, candidates, ledger.spread_factor, ledger.now)
+    if chosen:
+        keep_free_room(step, queue, ledger, chosen)
+        return
+    step.start_by = None
+    if waits and not ledger.is_full:
         chosen = choose_openings(step, candidates, ledger.now)
-        kept = ledger.kept_waiting + len(chosen)
-        if ledger.kept_waiting and kept > ledger.limit:
-            chosen = []
+        if ledger.may_wait(len(chosen)):
+            ledger.kept_waiting += len(chosen)
         else:
-            ledger.kept_waiting = kept
+            ledger.is_full = True
+            chosen = []
     ledger.keep(step, queue, chosen)
+    if waits:
+        step.replan_at = ledger.now + REPLAN_S
 
 
-def choose_free_room(
-    step: Step, candidates: list[ExecutorState]
-) -> list[ExecutorState]:
-    """Return executors whose free room holds a gang, or none.
-
-    Those that the step has already come first, then those with most room.
-    """
-    rows = [(room_for(step, executor), executor) for executor in candidates]
-    needed = len(step.pending)
-    if sum(room for room, _ in rows) < needed:
-        return []
-    return choose_enough(step, rows, int(needed * SURPLUS))
-
-
-def choose_openings(
-    step: Step, candidates: list[ExecutorState], now: float
-) -> list[ExecutorState]:
-    """Return the executors on which a gang is expected to find its room first.
-
-    Those that it has stay, unless others are expected much sooner: estimates are rough,
-    and room that was gathered is lost by a change.
-    """
-    openings = [
-        (expect_openings(step, executor, now), executor) for executor in candidates
+def keep_again(step: Step, queue: Queue, ledger: Ledger) -> bool:
+    """Keep the same executors as before; tell whether all of them can be kept."""
+    open_ones = ledger.list_open(queue.service)
+    own = [
+        open_ones[executor_id]
+        for executor_id in step.reserved
+        if executor_id in open_ones and executor_id not in ledger.reserved
     ]
-    enough_at = find_enough_at(step, openings)
-    if enough_at is None:
-        # No wait makes room for it; others must not wait for it either.
-        return []
-    own = [row for row in openings if row[1].executor_id in step.reserved]
-    own_at = find_enough_at(step, own)
-    if own_at is not None:
-        sooner_s = own_at - enough_at
-        if sooner_s <= max(LEAST_GAIN_S, LEAST_GAIN * (own_at - now)):
-            openings, enough_at = own, own_at
-    rows = [
-        (sum(time <= enough_at for time in each), executor)
-        for each, executor in openings
-    ]
-    return choose_enough(step, rows, len(step.pending))
-
-
-def find_enough_at(
-    step: Step, openings: list[tuple[list[float], ExecutorState]]
-) -> float | None:
-    """Return when all members of a gang have a place, or None if they never have."""
-    times = sorted(time for each, _ in openings for time in each)
-    needed = len(step.pending)
-    return times[needed - 1] if len(times) >= needed else None
-
-
-def choose_enough(
-    step: Step, rows: list[tuple[int, ExecutorState]], needed: int
-) -> list[ExecutorState]:
-    """Return the executors that give ``needed`` places together, or all that give any.
-
-    ``rows`` are places and executor.
-    """
-    rows = [row for row in rows if row[0]]
-    rows.sort(
-        key=lambda row: (
-            row[1].executor_id not in step.reserved,
-            -row[0],
-            row[1].executor_id,
-        )
-    )
-    chosen = []
-    places = 0
-    for room, executor in rows:
-        if places >= needed:
-            break
-        places += room
-        chosen.append(executor)
-    return chosen
+    if len(own) < len(step.reserved):
+        return False
+    if step.start_by is None:
+        ledger.kept_waiting += len(own)
+    ledger.keep(step, queue, own)
+    return True
+
+
+def keep_free_room(
+    step: Step, queue: Queue, ledger: Ledger, chosen: list[ExecutorState]
+) -> None:
+    """Keep the room that a gang fits into until it must have started."""
+    timing = queue.policy
+    call_s = 0.0 if timing is None else timing.call_s(len(chosen))
+    start_s = START_CALLS * call_s + START_MARGIN_S
+    if step.start_by is not None and ledger.now >= step.start_by:
+        step.forget_room()
+        step.replan_at = ledger.now + start_s
+        return
+    if not ledger.may_keep(len(chosen)):
+        step.forget_room()
+        return
+    if step.start_by is None:
+        step.start_by = ledger.now + start_s
+    step.replan_at = ledger.now + REPLAN_S
+    ledger.keep(step, queue, chosen)
 
 
 def reserve_for_tasks(step: Step, queue: Queue, ledger: Ledger) -> None:
@@ -240,11 +258,12 @@
             each.executor_id,
         )
     )
+    limit = int(len(ledger.fleet) * MAX_RESERVED_SHARE)
     chosen: list[ExecutorState] = []
     places = 0
     for executor in candidates:
         enough = places >= len(step.pending) or len(chosen) >= MAX_FOR_TASKS
-        if enough or ledger.kept_waiting >= ledger.limit:
+        if enough or ledger.kept_waiting >= limit:
             break
         if places_on(step, executor):
             places += places_on(step, executor)
--- a/gypsumring/pipelines/state.py
+++ b/gypsumring/pipelines/state.py
@@ -104,10 +104,12 @@
         "occurrence",
         "opened_at",
         "pending",
+        "replan_at",
         "reserved",
         "runs",
         "spec",
         "start_after",
+        "start_by",
         "states",
         "tickets",
         "uncertain",
@@ -157,6 +159,10 @@
         self.waiting_since: float | None = None
         # Executors that take no work of other steps until this one has its room.
         self.reserved: set[str] = set()
+        # When the executors kept for a gang are chosen again, and when a gang that has
+        # its room must have started, or others may use it.
+        self.replan_at = 0.0
+        self.start_by: float | None = None
 
     @property
     def name(self) -> str:
@@ -219,6 +225,12 @@
         self.pending |= self.withheld
         self.withheld.clear()
 
+    def forget_room(self) -> None:
+        """Keep no executors any more."""
+        self.reserved = set()
+        self.replan_at = 0.0
+        self.start_by = None
+
     def ticket_left_s(self, executor_id: str, now: float) -> float:
         """Return how long the step may still be started on an executor, in seconds."""
         ticket = self.tickets.get(executor_id)
