Let a node wait whose call for advice failed

Cause: AdviserPool.choose broke ties by name, and a call that fails at once leaves its node idle, so that the next call for advice went to the same node. Class of the fault: the owner plans work again on what keeps failing. Change: a node whose call failed is left out for 0.1 s, twice as long each time up to 1.6 s, until a call is answered; calls that fail together count once. Of several idle nodes the one that has not been chosen for longest is taken. If all nodes wait, no call begins before the first wait has ended.

--- a/gypsumring/cell/advice.py
+++ b/gypsumring/cell/advice.py
@@ -81,6 +81,10 @@
         """
         timing = queue.policy
         self.advisers.set_names(self.list_peers())
+        open_at = self.advisers.open_at(now)
+        if open_at > now:
+            step.held_back_until = open_at
+            return
         size = choose_call_size(timing)
         idle = self.advisers.count_idle(timing, size, now)
         if step.asked and not idle:
@@ -140,16 +144,23 @@
             rows = await self.ask_peer(adviser.name, step.name, executor_ids, deadline)
         except (PolicyUnavailable, PolicyBusy) as error:
             self.state.metrics.count("cell.advice.failed")
+            failed_at = anyio.current_time()
+            self.advisers.note_failure(adviser, failed_at)
             log.info(
-                "advice failed", step=step.name, node=adviser.name, error=str(error)
+                "advice failed",
+                step=step.name,
+                node=adviser.name,
+                error=str(error),
+                node_waits_s=round(adviser.waits_until - failed_at, 3),
             )
-            step.held_back_until = anyio.current_time() + ADVICE_RETRY_S
+            step.held_back_until = failed_at + ADVICE_RETRY_S
             return
         finally:
             self.advisers.finish(adviser, anyio.current_time())
             step.asking -= 1
             self.state.table.touched[step] = None
             self.state.wake()
+        self.advisers.note_answer(adviser)
         self.state.metrics.count("cell.advice")
         log.info(
             "advice received",
