Settle stopped attempts that no order was answered for

Cause: release_absent passed over attempts that were never answered. An executor that answers holds but no starts and no stops kept them accounted, and their gang blocked, for as long as that lasted. Change: a list that was requested more than LATE_ORDER_S after the newest copy of the start was surely sent releases a stopped attempt that it does not show. The time is noted once a copy has been answered or given up, so that a process that stood still while it sent does not count from before its pause.

--- a/gypsumring/cell/lists.py
+++ b/gypsumring/cell/lists.py
@@ -240,21 +240,23 @@
         listed: set[tuple[str, int]],
         requested_at: float,
     ) -> None:
-        """Release attempts that an answer requested after their own does not list."""
+        """Release attempts that are not listed and that cannot run any more."""
         for key, run in list(executor.runs.items()):
-            if key in listed or run.answered_at is None:
+            if key in listed or not is_surely_absent(run, requested_at):
                 continue
-            if run.answered_at < requested_at:
-                log.warning(
-                    "attempt is not listed",
-                    **run.log_fields(),
-                    state=run.state.value,
-                    answered_s=round(requested_at - run.answered_at, 3),
-                    unanswered=run.unanswered,
-                )
-                self.state.metrics.count("cell.attempts.absent")
-                self.orders.release(run)
-                self.break_gang(run, "a member is not listed")
+            answered_s = None
+            if run.answered_at is not None:
+                answered_s = round(requested_at - run.answered_at, 3)
+            log.warning(
+                "attempt is not listed",
+                **run.log_fields(),
+                state=run.state.value,
+                answered_s=answered_s,
+                unanswered=run.unanswered,
+            )
+            self.state.metrics.count("cell.attempts.absent")
+            self.orders.release(run)
+            self.break_gang(run, "a member is not listed")
 
     def acknowledge(self, executor: ExecutorState, changed: set[Job]) -> None:
         """Let the executor forget its ends once what follows from them is durable."""
@@ -275,6 +277,19 @@
         self.state.write_progress(jobs[-1], forget)
 
 
+def is_surely_absent(run: Run, requested_at: float) -> bool:
+    """Tell whether an attempt that is missing in lists does not run and will not.
+
+    The lists have to be requested after the answer to its order. Without an answer no
+    copy of the start may be left that is carried out later, and none may be sent.
+    """
+    if run.answered_at is not None:
+        return run.answered_at < requested_at
+    if run.state is not RunState.STOPPING:
+        return False
+    return run.start_sent_by + LATE_ORDER_S < requested_at
+
+
 def stall_limit_s(run: Run) -> float:
     """Return for how long an attempt may show no progress, in seconds.
 
--- a/gypsumring/cell/orders.py
+++ b/gypsumring/cell/orders.py
@@ -93,9 +93,11 @@
             )
             sent_at = anyio.current_time()
             deadline = sent_at + ORDER_TIMEOUT_S
+            run.start_sent_by = float("inf")
             try:
                 await client.start(order, self.state.fence, deadline)
             except ExecutorSilent:
+                run.start_sent_by = anyio.current_time()
                 run.unanswered += 1
                 executor.unconfirmed[(run.task, run.attempt)] = sent_at
                 self.state.metrics.count("cell.starts.unanswered")
@@ -104,6 +106,7 @@
             except FenceRefused as error:
                 raise Deposed(f"executor {run.executor_id} has a new owner") from error
             except ExecutorGone:
+                run.start_sent_by = anyio.current_time()
                 run.unanswered += 1
                 await anyio.sleep(ORDER_TIMEOUT_S)
                 continue
--- a/gypsumring/cell/tests/test_lists.py
+++ b/gypsumring/cell/tests/test_lists.py
@@ -2,9 +2,12 @@
 
 import anyio
 
+from gypsumring.cell.lists import is_surely_absent
 from gypsumring.cell.messages import Outcome
 from gypsumring.cell.tests.test_recovery import running_cluster
-from gypsumring.pipelines import StepSpec
+from gypsumring.dispatch.tests.fleets import make_step
+from gypsumring.fleet import LATE_ORDER_S
+from gypsumring.pipelines import JobTable, Run, RunState, StepSpec
 from gypsumring.ports.tasks import ListedRun, TaskLists
 from gypsumring.utils.testing import make_load_tests
 from stand_ins.platform.cluster import make_job
@@ -34,4 +37,37 @@
         assert key in executor.runs
 
 
+def make_stopping_run() -> Run:
+    """Return an attempt without any answer, whose last start was sent by 5.0."""
+    run = JobTable().place(make_step(), 0, 1, "i-0", 0.0)
+    run.state = RunState.STOPPING
+    run.start_sent_by = 5.0
+    return run
+
+
+# A start without an answer may be carried out until LATE_ORDER_S later. Released before
+# that, the task would run twice.
+def test_attempt_without_answers_is_kept_while_a_start_may_be_carried_out():
+    run = make_stopping_run()
+    assert not is_surely_absent(run, 5.0 + LATE_ORDER_S)
+    assert is_surely_absent(run, 5.1 + LATE_ORDER_S)
+
+
+# A copy that is under way may leave this process late, if the process stands still.
+def test_attempt_is_kept_while_a_copy_of_its_start_is_under_way():
+    run = make_stopping_run()
+    run.start_sent_by = float("inf")
+    assert not is_surely_absent(run, 1000.0)
+
+
+# Starts go on being sent until the attempt is stopped.
+def test_attempt_that_starts_is_kept_until_it_is_answered():
+    run = make_stopping_run()
+    run.state = RunState.STARTING
+    assert not is_surely_absent(run, 1000.0)
+    run.answered_at = 1000.0
+    assert not is_surely_absent(run, 1000.0)
+    assert is_surely_absent(run, 1000.1)
+
+
 load_tests = make_load_tests(globals())
--- a/gypsumring/pipelines/state.py
+++ b/gypsumring/pipelines/state.py
@@ -29,7 +29,8 @@
     """Track one attempt from its order until the executor lists its end.
 
     ``answered_at`` is set once the executor has answered the start or stop; lists
-    requested later contain the attempt if it exists.
+    requested later contain the attempt if it exists. ``start_sent_by`` is the time by
+    which the newest copy of the start was sent, infinite while one is under way.
     """
 
     __slots__ = (
@@ -42,6 +43,7 @@
         "percent",
         "progress_at",
         "rack",
+        "start_sent_by",
         "started_at",
         "state",
         "step",
@@ -60,6 +62,7 @@
         self.task = step.task_name(index)
         self.state = RunState.STARTING
         self.started_at = now
+        self.start_sent_by = now
         self.answered_at: float | None = None
         self.unanswered = 0
         # It ran under this owner, so that no earlier owner knows of its end.
