Let an executor that goes on refusing rest for longer

Cause: each refused start let the executor rest for 1.0 s. A round of a gang takes longer (stops of the other members, their ends, tickets), so that the same executor, empty since it refuses everything, was chosen in each round. Change: the rest doubles from 1 s up to 8 s. A start that was sent after the newest refusal and is accepted ends it; starts refused together count once. Until one is accepted the executor is suspect, and used last, as after a failed task. The end of a quarantine is kept apart, so that an accepted start cannot cut it short.

--- a/gypsumring/cell/lists.py
+++ b/gypsumring/cell/lists.py
@@ -230,8 +230,9 @@
                 log.info(
                     "executor rests",
                     executor=executor.executor_id,
+                    reason="tasks failed",
                     failures=executor.health.failures,
-                    rests_s=round(executor.health.quarantined_until - clock, 3),
+                    rests_s=round(executor.health.free_at() - clock, 3),
                 )
 
     def release_absent(
--- a/gypsumring/cell/orders.py
+++ b/gypsumring/cell/orders.py
@@ -25,8 +25,7 @@
 # Members of a gang that are not all started within this time are stopped; it lies below
 # the time after which executors end them as alone.
 GANG_START_S = 1.5
-# An executor that refuses as unhealthy takes no work for a while.
-UNHEALTHY_S = 1.0
+# An executor that refuses for one of these reasons takes no work for a while.
 RESTING_REASONS = ("unhealthy", "room")
 
 
@@ -92,6 +91,7 @@
                 ticket,
             )
             sent_at = anyio.current_time()
+            sent_clock = self.state.clock()
             deadline = sent_at + ORDER_TIMEOUT_S
             run.start_sent_by = float("inf")
             try:
@@ -113,6 +113,7 @@
             except StartRefused as error:
                 self.take_refusal(run, executor, error.reason)
                 return
+            executor.health.note_accepted(sent_clock)
             run.answered_at = anyio.current_time()
             if run.state is RunState.STARTING:
                 run.state = RunState.RUNNING
@@ -125,6 +126,8 @@
     def take_refusal(self, run: Run, executor: ExecutorState, reason: str) -> None:
         """Give up an attempt that the executor did not start."""
         now = self.state.clock()
+        if reason in RESTING_REASONS:
+            self.rest(executor, f"start refused: {reason}")
         ticket_left_s = run.step.ticket_left_s(run.executor_id, anyio.current_time())
         log.info(
             "start refused",
@@ -137,15 +140,11 @@
             used_memory_mb=executor.used_memory,
             memory_mb=executor.entry.memory_mb,
             heard_s=round(now - executor.last_contact_at, 3),
-            rests_s=UNHEALTHY_S if reason in RESTING_REASONS else 0.0,
+            rests_s=round(max(0.0, executor.health.free_at() - now), 3),
         )
         self.state.metrics.count(f"cell.starts.refused.{reason}")
         if reason == "ticket":
             run.step.tickets.pop(run.executor_id, None)
-        elif reason in RESTING_REASONS:
-            executor.health.quarantined_until = max(
-                executor.health.quarantined_until, now + UNHEALTHY_S
-            )
         if reason == "old" or run.unanswered:
             # An earlier copy of the order may still arrive, or has run already.
             self.stop(run)
@@ -154,6 +153,21 @@
         if run.step.spec.gang:
             self.stop_gang(run, f"start refused: {reason}")
 
+    def rest(self, executor: ExecutorState, reason: str) -> None:
+        """Let an executor take no new work for a while; what runs there goes on."""
+        clock = self.state.clock()
+        health = executor.health
+        if not health.note_refused(clock):
+            return
+        self.state.metrics.count("cell.executors.rests")
+        log.info(
+            "executor rests",
+            executor=executor.executor_id,
+            reason=reason,
+            refusals=health.refusals,
+            rests_s=round(health.free_at() - clock, 3),
+        )
+
     def is_late(self, run: Run) -> bool:
         """Tell whether the other members of a gang have waited long for this one."""
         return anyio.current_time() - run.started_at > GANG_START_S
--- a/gypsumring/cell/tests/test_failing_peers.py
+++ b/gypsumring/cell/tests/test_failing_peers.py
@@ -11,7 +11,7 @@
 from gypsumring.cell.tests.test_recovery import running_cluster
 from gypsumring.fleet import LATE_ORDER_S
 from gypsumring.pipelines import JobPhase, StepSpec
-from gypsumring.ports.tasks import ExecutorSilent, PolicyUnavailable
+from gypsumring.ports.tasks import ExecutorSilent, PolicyUnavailable, StartRefused
 from gypsumring.utils.testing import make_load_tests
 from stand_ins.platform.cluster import MemoryCluster, make_job
 from stand_ins.platform.faults import Faults
@@ -116,4 +116,12 @@
             assert cluster.world.starts[f"{GANG_ID}.0.0.0"] > 0
 
 
+# An executor that refuses all work stays empty, so that each gang came back to it once
+# its rest was over.
+async def test_gang_starts_beside_an_executor_that_refuses_as_unhealthy():
+    with failing_orders("i-0", starts=StartRefused("unhealthy")):
+        async with running_cluster(executors=5, policy_share=1.0) as cluster:
+            assert await completes(cluster, GANG_BOUND_S)
+
+
 load_tests = make_load_tests(globals())
--- a/gypsumring/fleet/health.py
+++ b/gypsumring/fleet/health.py
@@ -1,4 +1,4 @@
-"""Judge an executor by the ends and the progress of its tasks."""
+"""Judge an executor by its answers to orders, and by its tasks."""
 
 __all__ = ["ExecutorHealth"]
 
@@ -6,6 +6,10 @@
 FAILURES_IN_A_ROW = 2
 QUARANTINE_S = 4.0
 MAX_QUARANTINE_S = 16.0
+# An executor that refuses a start takes no work for this time, after each further
+# refusal for longer.
+FIRST_REST_S = 1.0
+MAX_REST_S = 8.0
 # Weight of the newest sample in the moving average of the slowdown.
 SLOWDOWN_WEIGHT = 0.3
 
@@ -14,15 +18,29 @@
     """Track failures and speed of one executor.
 
     After a quarantine one task is started as a probe: the count of failures is kept,
-    so that one more failure starts a longer quarantine.
+    so that one more failure starts a longer quarantine. A rest after a refusal works
+    the same way, until a start that was sent later is accepted.
     """
 
-    __slots__ = ("failures", "quarantine_s", "quarantined_until", "slowdown")
+    __slots__ = (
+        "failures",
+        "quarantine_s",
+        "quarantined_until",
+        "refusals",
+        "refused_at",
+        "rests_until",
+        "slowdown",
+    )
 
     def __init__(self):
         self.failures = 0
         self.quarantine_s = QUARANTINE_S
         self.quarantined_until = 0.0
+        # Rests in a row after refusals, the time of the newest refusal, and the end of
+        # the newest rest.
+        self.refusals = 0
+        self.refused_at = float("-inf")
+        self.rests_until = 0.0
         # Moving average of the run time against the estimate.
         self.slowdown = 1.0
 
@@ -45,10 +63,34 @@
         self.quarantined_until = now + self.quarantine_s
         self.quarantine_s = min(self.quarantine_s * 2, MAX_QUARANTINE_S)
 
+    def note_refused(self, now: float) -> bool:
+        """Note a refused start; tell whether a rest begins.
+
+        Starts that are refused during a rest were sent before it.
+        """
+        self.refused_at = now
+        if now < self.rests_until:
+            return False
+        rest_s = FIRST_REST_S * 2**self.refusals
+        if rest_s < MAX_REST_S:
+            self.refusals += 1
+        self.rests_until = now + min(rest_s, MAX_REST_S)
+        return True
+
+    def note_accepted(self, sent_at: float) -> None:
+        """Note a start that was accepted; the rest ends if it was sent later."""
+        if sent_at > self.refused_at:
+            self.refusals = 0
+            self.rests_until = 0.0
+
+    def free_at(self) -> float:
+        """Return from when on the executor may take work."""
+        return max(self.quarantined_until, self.rests_until)
+
     def is_quarantined(self, now: float) -> bool:
         """Tell whether the executor takes no work now."""
-        return now < self.quarantined_until
+        return now < self.free_at()
 
     def is_suspect(self) -> bool:
-        """Tell whether the newest task failed."""
-        return self.failures > 0
+        """Tell whether the newest task failed or the newest start was refused."""
+        return self.failures > 0 or self.refusals > 0
