Let an executor rest that leaves orders without an answer

Cause: nothing was noted against an executor that answers holds but no starts. A gang was stopped after 1.5 s and placed there again; single tasks went on being placed there, since it looked empty. Change: four starts, or four stops, for one attempt in a row without an answer begin the same growing rest as a refusal, while the executor answers holds. The first start that is answered ends it. A rest gives nothing up: running work goes on, and a start without an answer is still repeated with the same attempt.

--- a/gypsumring/cell/orders.py
+++ b/gypsumring/cell/orders.py
@@ -27,6 +27,9 @@
 GANG_START_S = 1.5
 # An executor that refuses for one of these reasons takes no work for a while.
 RESTING_REASONS = ("unhealthy", "room")
+# An executor that leaves so many orders for one attempt without an answer, in a row and
+# while it answers holds, takes no new work for a while.
+UNANSWERED_LIMIT = 4
 
 
 class Orders:
@@ -75,6 +78,7 @@
             if executor is None or run.state is not RunState.STARTING:
                 return
             if step.spec.gang and self.is_late(run):
+                self.note_unanswered(executor, run.unanswered)
                 self.stop_gang(run, "a member has not started")
                 return
             if executor.is_silent or not self.state.may_extend():
@@ -101,6 +105,7 @@
                 run.unanswered += 1
                 executor.unconfirmed[(run.task, run.attempt)] = sent_at
                 self.state.metrics.count("cell.starts.unanswered")
+                self.note_unanswered(executor, run.unanswered)
                 await anyio.sleep(RETRY_PAUSE_S)
                 continue
             except FenceRefused as error:
@@ -168,6 +173,11 @@
             rests_s=round(health.free_at() - clock, 3),
         )
 
+    def note_unanswered(self, executor: ExecutorState, orders: int) -> None:
+        """Let an executor rest that has left many orders in a row without an answer."""
+        if orders >= UNANSWERED_LIMIT and not executor.is_silent:
+            self.rest(executor, "orders are not answered")
+
     def is_late(self, run: Run) -> bool:
         """Tell whether the other members of a gang have waited long for this one."""
         return anyio.current_time() - run.started_at > GANG_START_S
@@ -199,11 +209,14 @@
 
     async def stop_run(self, run: Run) -> None:
         """Send a stop until it is answered; the lists tell when the room is free."""
-        while self.executor_of(run) is not None:
+        unanswered = 0
+        while (executor := self.executor_of(run)) is not None:
             if await self.send_stop(run.executor_id, run.task, run.attempt):
                 run.answered_at = anyio.current_time()
                 self.state.metrics.count("cell.stops")
                 return
+            unanswered = 0 if executor.is_silent else unanswered + 1
+            self.note_unanswered(executor, unanswered)
 
     async def shut_out(self, executor: ExecutorState, task: str, attempt: int) -> None:
         """Stop an attempt that may still be started, until that is answered."""
--- a/gypsumring/cell/tests/test_failing_peers.py
+++ b/gypsumring/cell/tests/test_failing_peers.py
@@ -8,6 +8,12 @@
 import anyio
 
 from gypsumring.cell.messages import Outcome
+from gypsumring.cell.orders import (
+    GANG_START_S,
+    ORDER_TIMEOUT_S,
+    RETRY_PAUSE_S,
+    UNANSWERED_LIMIT,
+)
 from gypsumring.cell.tests.test_recovery import running_cluster
 from gypsumring.fleet import LATE_ORDER_S
 from gypsumring.pipelines import JobPhase, StepSpec
@@ -16,9 +22,13 @@
 from stand_ins.platform.cluster import MemoryCluster, make_job
 from stand_ins.platform.faults import Faults
 from stand_ins.platform.memory import MemoryExecutor, carry_out_late
+from stand_ins.platform.world import steady_behaviour
 
 GANG_ID = "a" * 16
 GANG = StepSpec(task_count=3, cpu_millis=4000, estimated_ms=800, gang=True)
+SINGLE = StepSpec(task_count=1, cpu_millis=1000, estimated_ms=800)
+# An order without an answer is sent again after this time, in seconds.
+REPEATED_S = ORDER_TIMEOUT_S + RETRY_PAUSE_S
 # Executors end a lone member by themselves after some time; a gang that has stopped one
 # run has to find its room elsewhere in the next ones.
 GANG_BOUND_S = 10.0
@@ -124,4 +134,72 @@
             assert await completes(cluster, GANG_BOUND_S)
 
 
+# Nothing was noted against an executor that does not answer starts, so that the gang
+# was placed there again.
+async def test_gang_starts_beside_an_executor_that_answers_no_starts():
+    with failing_orders("i-0", starts=ExecutorSilent("i-0")):
+        async with running_cluster(executors=5, policy_share=1.0) as cluster:
+            assert await completes(cluster, GANG_BOUND_S)
+
+
+# A member whose stop is not answered stayed accounted for as long as the executor
+# answered holds, and its gang waited for it.
+async def test_gang_starts_beside_an_executor_that_answers_only_holds():
+    silent = ExecutorSilent("i-0")
+    with failing_orders("i-0", starts=silent, stops=silent):
+        async with running_cluster(executors=5, policy_share=1.0) as cluster:
+            limit_s = LATE_ORDER_S + 2 * GANG_START_S + GANG_BOUND_S
+            assert await completes(cluster, limit_s)
+
+
+# Single tasks were placed one after the other where no start is answered.
+async def test_single_tasks_start_beside_an_executor_that_answers_no_starts():
+    with failing_orders("i-0", starts=ExecutorSilent("i-0")):
+        async with running_cluster(executors=2) as cluster:
+            assert await cluster.submit(make_job("b" * 16, SINGLE)) is Outcome.OK
+            # Five copies of the start, and the rest of the executor has begun.
+            await anyio.sleep((UNANSWERED_LIMIT + 1) * REPEATED_S)
+            executor = cluster.owner_node().owner().state.fleet["i-0"]
+            placed = set(executor.runs)
+            assert placed
+            for number in range(4):
+                job = make_job(f"{number:016x}", SINGLE)
+                assert await cluster.submit(job) is Outcome.OK
+                assert await cluster.wait_final(f"{number:016x}") is JobPhase.COMPLETED
+            assert set(executor.runs) == placed
+
+
+# A rest must not give up running work: a machine may only be slow to answer.
+async def test_running_work_of_an_executor_that_rests_goes_on():
+    async with running_cluster(steady_behaviour(12.0), executors=1) as cluster:
+        long = StepSpec(task_count=1, cpu_millis=2000, estimated_ms=12_000)
+        assert await cluster.submit(make_job("b" * 16, long)) is Outcome.OK
+        await anyio.sleep(0.5)
+        state = cluster.owner_node().owner().state
+        silent = ExecutorSilent("i-0")
+        with failing_orders("i-0", starts=silent, stops=silent):
+            assert await cluster.submit(make_job("c" * 16, SINGLE)) is Outcome.OK
+            await anyio.sleep(5.0)
+            assert state.fleet["i-0"].health.is_quarantined(state.clock())
+        assert await cluster.wait_final("b" * 16) is JobPhase.COMPLETED
+        assert await cluster.wait_final("c" * 16) is JobPhase.COMPLETED
+        assert cluster.world.starts["b" * 16 + ".0.0.0"] == 1
+        assert cluster.world.starts["c" * 16 + ".0.0.0"] == 1
+
+
+# Four orders without an answer, before the executor was silent, and their repetition
+# once it answers again, must not let it rest for long.
+async def test_first_answered_start_ends_the_rest():
+    async with running_cluster(executors=1) as cluster:
+        with failing_orders("i-0", starts=ExecutorSilent("i-0")):
+            assert await cluster.submit(make_job("b" * 16, SINGLE)) is Outcome.OK
+            await anyio.sleep(8.0)
+            executor = cluster.owner_node().owner().state.fleet["i-0"]
+            assert executor.health.refusals > 1
+        await anyio.sleep(2 * REPEATED_S)
+        assert not executor.health.is_suspect()
+        assert await cluster.wait_final("b" * 16) is JobPhase.COMPLETED
+        assert cluster.world.starts["b" * 16 + ".0.0.0"] == 1
+
+
 load_tests = make_load_tests(globals())
