End stops of unaccounted attempts with their executor

Cause: shut_out and stop_listed repeat a stop until it is answered, or the attempt is no longer listed. Once the executor was dropped nobody updates its lists and it has no client, so that both tasks went on every 0.05 s for ever. An answered stop was not sent again for an attempt that went on to be listed, and an executor that answers no stops took no work for ever. Change: stop_listed ends when its executor is dropped, and sends a stop again while the attempt is listed. shut_out ends LATE_ORDER_S after its begin, since no copy of the start can be carried out then. It does not end as soon as the executor is dropped: one that is listed again within that time, as a new incarnation, may still be reached by the start, and gets the stop.

--- a/gypsumring/cell/orders.py
+++ b/gypsumring/cell/orders.py
@@ -4,7 +4,7 @@
 
 from gypsumring.cell.exceptions import Deposed
 from gypsumring.cell.state import CellState
-from gypsumring.fleet import ExecutorState
+from gypsumring.fleet import LATE_ORDER_S, ExecutorState
 from gypsumring.pipelines import Run, RunState
 from gypsumring.ports.tasks import (
     ExecutorGone,
@@ -22,6 +22,8 @@
 # An order without an answer is repeated after this time.
 ORDER_TIMEOUT_S = 0.2
 RETRY_PAUSE_S = 0.05
+# A list shows within this time that an attempt has ended.
+LISTED_S = 1.5
 # Members of a gang that are not all started within this time are stopped; it lies below
 # the time after which executors end them as alone.
 GANG_START_S = 1.5
@@ -219,20 +221,30 @@
             self.note_unanswered(executor, unanswered)
 
     async def shut_out(self, executor: ExecutorState, task: str, attempt: int) -> None:
-        """Stop an attempt that may still be started, until that is answered."""
+        """Stop an attempt that may still be started, until that is answered.
+
+        After LATE_ORDER_S no copy of its start is left. A stop is sent to an executor
+        that was dropped as soon as it is known again.
+        """
         key = (task, attempt)
-        while key in executor.shutting_out:
+        deadline = anyio.current_time() + LATE_ORDER_S
+        while key in executor.shutting_out and anyio.current_time() < deadline:
             if await self.send_stop(executor.executor_id, task, attempt):
-                executor.shutting_out.discard(key)
-                self.state.wake()
+                break
+        executor.shutting_out.discard(key)
+        self.state.wake()
 
     async def stop_listed(
         self, executor: ExecutorState, task: str, attempt: int
     ) -> None:
-        """Stop an attempt that is not accounted for, until that is answered."""
-        while (task, attempt) in executor.unknown_runs:
+        """Stop an attempt that is not accounted for, until it is no longer listed."""
+        while (task, attempt) in executor.unknown_runs and self.attends(executor):
             if await self.send_stop(executor.executor_id, task, attempt):
-                return
+                await anyio.sleep(self.state.timing.stop_s + LISTED_S)
+
+    def attends(self, executor: ExecutorState) -> bool:
+        """Tell whether an executor has not been dropped from the fleet."""
+        return self.state.fleet.get(executor.executor_id) is executor
 
     async def send_stop(self, executor_id: str, task: str, attempt: int) -> bool:
         """Send one stop; tell whether it was answered, else wait a little."""
