--- a/gypsumring/cell/orders.py
+++ b/gypsumring/cell/orders.py
@@ -4,7 +4,7 @@
 
 from gypsumring.cell.exceptions import Deposed
 from gypsumring.cell.state import CellState
-from gypsumring.fleet import ExecutorState
+from gypsumring.fleet import LATE_ORDER_S, ExecutorState
 from gypsumring.pipelines import Run, RunState
 from gypsumring.ports.tasks import (
     ExecutorGone,
@@ -22,14 +22,18 @@
 # An order without an answer is repeated after this time.
 ORDER_TIMEOUT_S = 0.2
 RETRY_PAUSE_S = 0.05
+# A list shows within this time that an attempt has ended.
+LISTED_S = 1.5
 # Members of a gang that are not all started within this time are stopped; it lies below
 # the time after which executors end them as alone.
 GANG_START_S = 1.5
 # A step of which a start was refused is not started again before this time.
 REFUSAL_PAUSE_S = 0.1
-# An executor that refuses as unhealthy takes no work for a while.
-UNHEALTHY_S = 1.0
+# An executor that refuses for one of these reasons takes no work for a while.
 RESTING_REASONS = ("unhealthy", "room")
+# An executor that leaves so many orders for one attempt without an answer, in a row and
+# while it answers holds, takes no new work for a while.
+UNANSWERED_LIMIT = 4
 
 
 class Orders:
@@ -78,6 +82,7 @@
             if executor is None or run.state is not RunState.STARTING:
                 return
             if step.spec.gang and self.is_late(run):
+                self.note_unanswered(executor, run.unanswered)
                 self.stop_gang(run, "a member has not started")
                 return
             if executor.is_silent or not self.state.may_extend():
@@ -94,24 +99,30 @@
                 ticket,
             )
             sent_at = anyio.current_time()
+            sent_clock = self.state.clock()
             deadline = sent_at + ORDER_TIMEOUT_S
+            run.start_sent_by = float("inf")
             try:
                 await client.start(order, self.state.fence, deadline)
             except ExecutorSilent:
+                run.start_sent_by = anyio.current_time()
                 run.unanswered += 1
                 executor.unconfirmed[(run.task, run.attempt)] = sent_at
                 self.state.metrics.count("cell.starts.unanswered")
+                self.note_unanswered(executor, run.unanswered)
                 await anyio.sleep(RETRY_PAUSE_S)
                 continue
             except FenceRefused as error:
                 raise Deposed(f"executor {run.executor_id} has a new owner") from error
             except ExecutorGone:
+                run.start_sent_by = anyio.current_time()
                 run.unanswered += 1
                 await anyio.sleep(ORDER_TIMEOUT_S)
                 continue
             except StartRefused as error:
                 self.take_refusal(run, executor, error.reason)
                 return
+            executor.health.note_accepted(sent_clock)
             run.answered_at = anyio.current_time()
             if run.state is RunState.STARTING:
                 run.state = RunState.RUNNING
@@ -124,6 +135,8 @@
     def take_refusal(self, run: Run, executor: ExecutorState, reason: str) -> None:
         """Give up an attempt that the executor did not start."""
         now = self.state.clock()
+        if reason in RESTING_REASONS:
+            self.rest(executor, f"start refused: {reason}")
         ticket_left_s = run.step.ticket_left_s(run.executor_id, anyio.current_time())
         log.info(
             "start refused",
@@ -136,16 +149,12 @@
             used_memory_mb=executor.used_memory,
             memory_mb=executor.entry.memory_mb,
             heard_s=round(now - executor.last_contact_at, 3),
-            rests_s=UNHEALTHY_S if reason in RESTING_REASONS else 0.0,
+            rests_s=round(max(0.0, executor.health.free_at() - now), 3),
         )
         self.state.metrics.count(f"cell.starts.refused.{reason}")
         run.step.start_after = anyio.current_time() + REFUSAL_PAUSE_S
         if reason == "ticket":
             run.step.tickets.pop(run.executor_id, None)
-        elif reason in RESTING_REASONS:
-            executor.health.quarantined_until = max(
-                executor.health.quarantined_until, now + UNHEALTHY_S
-            )
         if reason == "old" or run.unanswered:
             # An earlier copy of the order may still arrive, or has run already.
             self.stop(run)
@@ -154,6 +163,26 @@
         if run.step.spec.gang:
             self.stop_gang(run, f"start refused: {reason}")
 
+    def rest(self, executor: ExecutorState, reason: str) -> None:
+        """Let an executor take no new work for a while; what runs there goes on."""
+        clock = self.state.clock()
+        health = executor.health
+        if not health.note_refused(clock):
+            return
+        self.state.metrics.count("cell.executors.rests")
+        log.info(
+            "executor rests",
+            executor=executor.executor_id,
+            reason=reason,
+            refusals=health.refusals,
+            rests_s=round(health.free_at() - clock, 3),
+        )
+
+    def note_unanswered(self, executor: ExecutorState, orders: int) -> None:
+        """Let an executor rest that has left many orders in a row without an answer."""
+        if orders >= UNANSWERED_LIMIT and not executor.is_silent:
+            self.rest(executor, "orders are not answered")
+
     def is_late(self, run: Run) -> bool:
         """Tell whether the other members of a gang have waited long for this one."""
         return anyio.current_time() - run.started_at > GANG_START_S
@@ -185,27 +214,40 @@
 
     async def stop_run(self, run: Run) -> None:
         """Send a stop until it is answered; the lists tell when the room is free."""
-        while self.executor_of(run) is not None:
+        unanswered = 0
+        while (executor := self.executor_of(run)) is not None:
             if await self.send_stop(run.executor_id, run.task, run.attempt):
                 run.answered_at = anyio.current_time()
                 self.state.metrics.count("cell.stops")
                 return
+            unanswered = 0 if executor.is_silent else unanswered + 1
+            self.note_unanswered(executor, unanswered)
 
     async def shut_out(self, executor: ExecutorState, task: str, attempt: int) -> None:
-        """Stop an attempt that may still be started, until that is answered."""
+        """Stop an attempt that may still be started, until that is answered.
+
+        After LATE_ORDER_S no copy of its start is left. A stop is sent to an executor
+        that was dropped as soon as it is known again.
+        """
         key = (task, attempt)
-        while key in executor.shutting_out:
+        deadline = anyio.current_time() + LATE_ORDER_S
+        while key in executor.shutting_out and anyio.current_time() < deadline:
             if await self.send_stop(executor.executor_id, task, attempt):
-                executor.shutting_out.discard(key)
-                self.state.wake()
+                break
+        executor.shutting_out.discard(key)
+        self.state.wake()
 
     async def stop_listed(
         self, executor: ExecutorState, task: str, attempt: int
     ) -> None:
-        """Stop an attempt that is not accounted for, until that is answered."""
-        while (task, attempt) in executor.unknown_runs:
+        """Stop an attempt that is not accounted for, until it is no longer listed."""
+        while (task, attempt) in executor.unknown_runs and self.attends(executor):
             if await self.send_stop(executor.executor_id, task, attempt):
-                return
+                await anyio.sleep(self.state.timing.stop_s + LISTED_S)
+
+    def attends(self, executor: ExecutorState) -> bool:
+        """Tell whether an executor has not been dropped from the fleet."""
+        return self.state.fleet.get(executor.executor_id) is executor
 
     async def send_stop(self, executor_id: str, task: str, attempt: int) -> bool:
         """Send one stop; tell whether it was answered, else wait a little."""
