--- a/gypsumring/cell/orders.py
+++ b/gypsumring/cell/orders.py
@@ -27,6 +27,9 @@
 # Members of a gang that are not all started within this time are stopped; it lies below
 # the time after which executors end them as alone.
 GANG_START_S = 1.5
+# A start that an executor has not answered for this time, though it answers holds, is
+# given up; a copy may still be carried out for a while.
+START_LIMIT_S = 4.0
 # A step of which a start was refused is not started again before this time.
 REFUSAL_PAUSE_S = 0.1
 # An executor that refuses for one of these reasons takes no work for a while.
@@ -85,6 +88,11 @@
                 self.note_unanswered(executor, run.unanswered)
                 self.stop_gang(run, "a member has not started")
                 return
+            if run.unanswered and not executor.is_silent and self.is_overdue(run):
+                log.warning("start given up", **run.log_fields())
+                self.state.metrics.count("cell.starts.given_up")
+                self.stop(run)
+                return
             if executor.is_silent or not self.state.may_extend():
                 await anyio.sleep(RETRY_PAUSE_S)
                 continue
@@ -183,6 +191,10 @@
         if orders >= UNANSWERED_LIMIT and not executor.is_silent:
             self.rest(executor, "orders are not answered")
 
+    def is_overdue(self, run: Run) -> bool:
+        """Tell whether a start has been repeated for too long."""
+        return anyio.current_time() - run.started_at > START_LIMIT_S
+
     def is_late(self, run: Run) -> bool:
         """Tell whether the other members of a gang have waited long for this one."""
         return anyio.current_time() - run.started_at > GANG_START_S
--- a/gypsumring/cell/tests/test_failing_peers.py
+++ b/gypsumring/cell/tests/test_failing_peers.py
@@ -12,6 +12,7 @@
     GANG_START_S,
     ORDER_TIMEOUT_S,
     RETRY_PAUSE_S,
+    START_LIMIT_S,
     UNANSWERED_LIMIT,
 )
 from gypsumring.cell.tests.test_recovery import running_cluster
@@ -169,6 +170,21 @@
             assert set(executor.runs) == placed
 
 
+# The start of a single task was repeated for as long as an executor answered holds and
+# no orders.
+async def test_single_task_is_given_up_where_no_order_is_answered():
+    silent = ExecutorSilent("i-0")
+    with failing_orders("i-0", starts=silent, stops=silent):
+        async with running_cluster(executors=2) as cluster:
+            fleet = cluster.owner_node().owner().state.fleet
+            fleet["i-1"].health.quarantined_until = anyio.current_time() + 1.0
+            assert await cluster.submit(make_job("b" * 16, SINGLE)) is Outcome.OK
+            await anyio.sleep(0.5)
+            assert fleet["i-0"].runs
+            limit_s = START_LIMIT_S + LATE_ORDER_S + GANG_BOUND_S
+            assert await cluster.wait_final("b" * 16, limit_s) is JobPhase.COMPLETED
+
+
 # A rest must not give up running work: a machine may only be slow to answer.
 async def test_running_work_of_an_executor_that_rests_goes_on():
     async with running_cluster(steady_behaviour(12.0), executors=1) as cluster:
