Let first calls for advice wait for an idle node

Cause: a step without advice joined the queue of a node even if all were busy. Just after a takeover one or two nodes are linked, and all waiting steps queued there. The test fails without the change. Change: it joins a queue only if its call begins within 0.1 s; else the next look finds the nodes that have linked meanwhile.

--- a/gypsumring/cell/advice.py
+++ b/gypsumring/cell/advice.py
@@ -31,6 +31,8 @@
 ADVICE_MARGIN_S = 0.3
 # A step whose call failed is asked for again after this time.
 ADVICE_RETRY_S = 0.1
+# The first call of a step joins the queue of a node if it begins within this time.
+QUEUE_S = 0.1
 # Without an executor worth asking about the fleet is searched again after this time.
 NOTHING_TO_ASK_S = 0.25
 
@@ -87,7 +89,8 @@
             return
         size = choose_call_size(timing)
         idle = self.advisers.count_idle(timing, size, now)
-        if step.asked and not idle:
+        if not idle and (step.asked or self.advisers.wait_s(timing, now) > QUEUE_S):
+            # More nodes may be linked by the next look, and a better step may be first.
             return
         fits = has_room(step, allowed)
         placements = self.place(step, allowed) if fits else []
--- a/gypsumring/cell/tests/test_gangs.py
+++ b/gypsumring/cell/tests/test_gangs.py
@@ -129,4 +129,32 @@
         load.cancel_scope.cancel()
 
 
+# Just after a takeover all steps queued behind the only node that was linked already,
+# for seconds, while the other nodes were idle.
+async def test_calls_for_advice_wait_for_nodes_that_link_later():
+    async with contended_cell() as cluster:
+        desk = cluster.owner_node().owner().scheduler.desk
+        names = ["n0"]
+        locks = {f"n{number}": anyio.Lock() for number in range(9)}
+        answered = []
+        desk.list_peers = lambda: names
+
+        async def ask_peer(name, step, executor_ids, deadline):
+            async with locks[name]:
+                await anyio.sleep(SLOW.call_s(len(executor_ids)))
+            answered.append(anyio.current_time())
+            return await cluster.policy.advise(step, executor_ids)
+
+        desk.ask_peer = ask_peer
+        spec = StepSpec(task_count=2, cpu_millis=4000, estimated_ms=2000, gang=True)
+        for number in range(6):
+            job = make_job(f"a{number:015x}", spec, queue="gangs")
+            assert await cluster.submit(job) is Outcome.OK
+        linked_at = anyio.current_time()
+        names += [f"n{number}" for number in range(1, 9)]
+        while len(answered) < 6:
+            await anyio.sleep(0.01)
+        assert answered[5] - linked_at < 2 * SLOW.call_s(EXECUTORS)
+
+
 load_tests = make_load_tests(globals())
