--- a/gypsumring/cell/tests/test_failing_peers.py
+++ b/gypsumring/cell/tests/test_failing_peers.py
@@ -16,6 +16,7 @@
 )
 from gypsumring.cell.tests.test_recovery import running_cluster
 from gypsumring.fleet import LATE_ORDER_S
+from gypsumring.fleet.health import FIRST_REST_S
 from gypsumring.pipelines import JobPhase, StepSpec
 from gypsumring.ports.tasks import ExecutorSilent, PolicyUnavailable, StartRefused
 from gypsumring.utils.testing import make_load_tests
@@ -202,4 +203,19 @@
         assert cluster.world.starts["b" * 16 + ".0.0.0"] == 1
 
 
+# A task that goes on after its stop keeps its room, and the room beside it was given to
+# work that could not be stopped either.
+async def test_executor_that_answers_no_stops_rests():
+    silent = ExecutorSilent("i-0")
+    with failing_orders("i-0", stops=silent):
+        async with running_cluster(steady_behaviour(20.0), executors=1) as cluster:
+            state = cluster.owner_node().owner().state
+            assert await cluster.submit(make_job("b" * 16, SINGLE)) is Outcome.OK
+            await anyio.sleep(0.5)
+            assert await cluster.cancel("b" * 16)
+            # Four stops, and half of the first rest.
+            await anyio.sleep(UNANSWERED_LIMIT * REPEATED_S + FIRST_REST_S / 2)
+            assert state.fleet["i-0"].health.is_quarantined(state.clock())
+
+
 load_tests = make_load_tests(globals())
