Count a start that is listed as accepted

Cause: a rest ended with an answered start only. An executor whose answers are lost, or come later than 0.2 s, lists what it has started up to a second later, and would rest after each start although it works. Change: a start that the lists show running ends the rest, and a copy of it that is under way then no longer counts. Test: starts that are carried out and never answered; it fails without either part (trials).

--- a/gypsumring/cell/lists.py
+++ b/gypsumring/cell/lists.py
@@ -149,6 +149,7 @@
             if run.state is RunState.STARTING:
                 run.state = RunState.RUNNING
                 run.answered_at = now
+                executor.health.note_accepted(self.state.clock())
             if listed.percent > run.percent:
                 run.percent = listed.percent
                 run.progress_at = now
--- a/gypsumring/cell/orders.py
+++ b/gypsumring/cell/orders.py
@@ -107,7 +107,8 @@
                 run.unanswered += 1
                 executor.unconfirmed[(run.task, run.attempt)] = sent_at
                 self.state.metrics.count("cell.starts.unanswered")
-                self.note_unanswered(executor, run.unanswered)
+                if run.state is RunState.STARTING:
+                    self.note_unanswered(executor, run.unanswered)
                 await anyio.sleep(RETRY_PAUSE_S)
                 continue
             except FenceRefused as error:
--- a/gypsumring/cell/tests/test_failing_peers.py
+++ b/gypsumring/cell/tests/test_failing_peers.py
@@ -83,6 +83,23 @@
         MemoryExecutor.start = original
 
 
+@contextmanager
+def lost_start_answers(executor_id: str) -> Iterator[None]:
+    """Let one executor carry out starts whose answers never arrive."""
+    original = MemoryExecutor.start
+
+    async def start(self, order, fence, deadline):
+        await original(self, order, fence, deadline)
+        if self.model.executor_id == executor_id:
+            await fail(ExecutorSilent(executor_id), deadline)
+
+    MemoryExecutor.start = start
+    try:
+        yield
+    finally:
+        MemoryExecutor.start = original
+
+
 async def fail(error: Exception, deadline: float) -> None:
     """Raise an error, without an answer only at the deadline."""
     if isinstance(error, ExecutorSilent):
@@ -218,4 +235,22 @@
             assert state.fleet["i-0"].health.is_quarantined(state.clock())
 
 
+# An executor whose answers to starts are lost or slow would rest after each start that
+# it has carried out.
+async def test_start_that_is_listed_ends_the_rest():
+    with lost_start_answers("i-0"):
+        async with running_cluster(steady_behaviour(5.0), executors=1) as cluster:
+            await anyio.sleep(1.0)
+            state = cluster.owner_node().owner().state
+            health = state.fleet["i-0"].health
+            assert await cluster.submit(make_job("b" * 16, SINGLE)) is Outcome.OK
+            await anyio.sleep(0.1)
+            assert state.fleet["i-0"].runs
+            health.note_refused(state.clock())
+            # An idle executor holds its lists back for a second at most.
+            await anyio.sleep(1.0 + REPEATED_S)
+            assert not health.is_suspect()
+            assert await cluster.wait_final("b" * 16) is JobPhase.COMPLETED
+
+
 load_tests = make_load_tests(globals())
