Show a job that loses its queue if the owner learned of it late

QueueBook.use records nothing while the owner does not know the queue, and refresh keeps only recorded queues. A job accepted before that, or restored from an owner that wrote no records, loses policy and attempts once the queue is dropped.

Fails on; no fix here.

--- a/gypsumring/cell/tests/test_queues.py
+++ b/gypsumring/cell/tests/test_queues.py
@@ -63,4 +63,18 @@
         assert not queues.queues
 
 
+# A queue that the owner learned of after the first job was not recorded, and was
+# forgotten although the job was left: its starts went out without tickets.
+async def test_job_accepted_before_its_queue_is_known_keeps_the_queue():
+    async with running_cluster(steady_behaviour(0.8), policy_share=1.0) as cluster:
+        for model in cluster.executors.values():
+            model.tickets = {}
+        known, cluster.desired = cluster.desired, NO_QUEUES
+        assert await cluster.submit(make_job("a" * 16, BATCH, NEXT)) is Outcome.OK
+        cluster.desired = known
+        await anyio.sleep(0.3)
+        cluster.desired = DesiredState(version=3)
+        assert await cluster.wait_final("a" * 16) is JobPhase.COMPLETED
+
+
 load_tests = make_load_tests(globals())
