Show a queue that is forgotten while its job is on the way to the store

collect_ended passes the queues of jobs in the table; jobs in Commands.accepting are missing there. The record is deleted after the job's record was queued.

--- a/gypsumring/cell/tests/test_queues.py
+++ b/gypsumring/cell/tests/test_queues.py
@@ -3,6 +3,7 @@
 import anyio
 
 from gypsumring.cell.messages import Outcome
+from gypsumring.cell.owner import COLLECT_S
 from gypsumring.cell.tests.test_departed import restart_all
 from gypsumring.cell.tests.test_recovery import BATCH, GANG, NEXT, running_cluster
 from gypsumring.pipelines import DesiredState, JobPhase
@@ -77,4 +78,18 @@
         assert await cluster.wait_final("a" * 16) is JobPhase.COMPLETED
 
 
+# The record of a dropped queue was deleted while a job of it was on its way to the
+# store; the job was accepted and then had no policy.
+async def test_queue_of_a_job_on_its_way_to_the_store_is_kept():
+    async with running_cluster() as cluster:
+        owner = cluster.owner_node().owner()
+        owner.commands.accept(make_job("a" * 16, BATCH))
+        cluster.desired = NO_QUEUES
+        for node in cluster.nodes.values():
+            node.faults.store_away = True
+        owner.state.queues.refresh()
+        await anyio.sleep(COLLECT_S + 1.0)
+        assert list(owner.state.queues.recorded) == ["batch"]
+
+
 load_tests = make_load_tests(globals())
