--- a/gypsumring/dispatch/tests/test_reserving.py
+++ b/gypsumring/dispatch/tests/test_reserving.py
@@ -1,6 +1,8 @@
 """Executors kept for large tasks under a stream of small ones."""
 
-from gypsumring.dispatch import Backlog, place_step, reserve_executors
+from contextlib import contextmanager
+
+from gypsumring.dispatch import Backlog, gang_room, place_step, reserve_executors
 from gypsumring.dispatch.placing import room_for
 from gypsumring.dispatch.reserving import REPLAN_S
 from gypsumring.dispatch.tests.fleets import make_fleet, make_step
@@ -312,4 +314,37 @@
     assert not later.reserved
 
 
+# Gangs that fit and that may keep nothing more were placed anew in each pass.
+def test_gang_that_may_keep_nothing_is_not_placed_anew_in_each_pass():
+    fleet = make_fleet(10)
+    gangs = [
+        make_gang(fleet, 8000, job_id=f"{number:016x}", task_count=2)
+        for number in range(5)
+    ]
+    steps = [(gang, BULK) for gang in gangs]
+    with counted_placements() as placed:
+        reserve_executors(steps, fleet, 1.0, 1.0)
+        assert not gangs[-1].reserved
+        placed.clear()
+        reserve_executors(steps, fleet, 1.1, 1.1)
+        assert placed == []
+
+
+@contextmanager
+def counted_placements():
+    """Collect the names of the steps that room is chosen for."""
+    original = gang_room.place_step
+    placed = []
+
+    def place(step, *arguments):
+        placed.append(step.name)
+        return original(step, *arguments)
+
+    gang_room.place_step = place
+    try:
+        yield placed
+    finally:
+        gang_room.place_step = original
+
+
 load_tests = make_load_tests(globals())
