Show a gang on one rack that changes its rack for a little

choose_openings takes the rack that opens first before it looks for the executors that the gang has, so that LEAST_GAIN does not hold between racks.

Fails on; no fix here.

--- a/gypsumring/dispatch/tests/test_reserving.py
+++ b/gypsumring/dispatch/tests/test_reserving.py
@@ -314,6 +314,22 @@
     assert not later.reserved
 
 
+# Gangs on one rack went to another rack as soon as that was expected to open a little
+# sooner, and lost the room that they had gathered.
+def test_gang_on_one_rack_does_not_change_the_rack_for_a_little():
+    fleet = make_fleet(6)
+    occupy(fleet, 6000)
+    gang = make_gang(fleet, 8000, task_count=2, same_rack=True)
+    first = set(reserve_executors([(gang, BULK)], fleet, 0.5, 0.5))
+    racks = {each.rack for each in fleet if each.executor_id in first}
+    assert len(racks) == 1
+    for executor in fleet:
+        for run in executor.runs.values():
+            run.started_at = 0.5 if executor.rack in racks else 0.4
+    now = 0.5 + REPLAN_S
+    assert set(reserve_executors([(gang, BULK)], fleet, now, now)) == first
+
+
 # Gangs that fit and that may keep nothing more were placed anew in each pass.
 def test_gang_that_may_keep_nothing_is_not_placed_anew_in_each_pass():
     fleet = make_fleet(10)
