--- a/gypsumring/cell/owner.py
+++ b/gypsumring/cell/owner.py
@@ -283,5 +283,4 @@
                 del self.state.table.jobs[job_id]
                 self.state.journal.put(JOB_KEY + job_id, b"")
                 self.state.journal.put(PROGRESS_KEY + job_id, b"")
-            jobs = self.state.table.jobs.values()
-            self.state.queues.forget_unused({job.spec.queue for job in jobs})
+            self.state.queues.forget_unused()
--- a/gypsumring/cell/queues.py
+++ b/gypsumring/cell/queues.py
@@ -5,6 +5,7 @@
 owner cannot read it anywhere else.
 """
 
+from collections import Counter
 from collections.abc import Callable
 
 from gypsumring.cell.journal import Journal
@@ -18,13 +19,28 @@
 class QueueBook:
     """Find the queue of each job, and record those that are in use."""
 
-    __slots__ = ("desired_state", "journal", "known_state", "queues", "recorded")
+    __slots__ = (
+        "accepting",
+        "desired_state",
+        "journal",
+        "known_state",
+        "list_used",
+        "queues",
+        "recorded",
+    )
 
     def __init__(
-        self, journal: Journal, desired_state: Callable[[], DesiredState | None]
+        self,
+        journal: Journal,
+        desired_state: Callable[[], DesiredState | None],
+        list_used: Callable[[], set[str]],
     ):
         self.journal = journal
         self.desired_state = desired_state
+        # Names the queues of all jobs that are known.
+        self.list_used = list_used
+        # Jobs on their way to the store, by queue.
+        self.accepting: Counter[str] = Counter()
         # The desired state that was taken over last.
         self.known_state: DesiredState | None = None
         # The newest form of each queue by name, and the form in the store.
@@ -42,11 +58,10 @@
         if desired is None or desired is self.known_state:
             return
         self.known_state = desired
-        kept = {
-            name: queue for name, queue in self.queues.items() if name in self.recorded
-        }
+        used = self.list_used() | self.accepting.keys() | self.recorded.keys()
+        kept = {name: queue for name, queue in self.queues.items() if name in used}
         self.queues = kept | {queue.name: queue for queue in desired.queues}
-        for name in self.recorded:
+        for name in used:
             self.record(name)
 
     def find(self, spec: PipelineSpec) -> Queue:
@@ -60,10 +75,17 @@
         return queue
 
     def use(self, name: str) -> None:
-        """Record the queue of a job that is about to be accepted."""
+        """Record the queue of a job that is on its way to the store."""
         self.refresh()
+        self.accepting[name] += 1
         self.record(name)
 
+    def note_accepted(self, name: str) -> None:
+        """Note that a job of a queue is in the store, and known."""
+        self.accepting[name] -= 1
+        if not self.accepting[name]:
+            del self.accepting[name]
+
     def record(self, name: str) -> None:
         """Record the newest form of a queue, if the store has another one."""
         queue = self.queues.get(name)
@@ -71,10 +93,11 @@
             self.recorded[name] = queue
             self.journal.put(QUEUE_KEY + name, encode(queue))
 
-    def forget_unused(self, used: set[str]) -> None:
+    def forget_unused(self) -> None:
         """Delete the records of dropped queues of which no job is left."""
         if self.known_state is None:
             return
+        used = self.list_used() | self.accepting.keys()
         in_force = {queue.name for queue in self.known_state.queues}
         for name in self.recorded.keys() - used - in_force:
             del self.recorded[name]
--- a/gypsumring/cell/state.py
+++ b/gypsumring/cell/state.py
@@ -115,7 +115,7 @@
         # When this owner had read the cell.
         self.owned_since: float | None = None
         self.group: anyio.abc.TaskGroup | None = None
-        self.queues = QueueBook(journal, desired_state)
+        self.queues = QueueBook(journal, desired_state, self.list_used_queues)
 
     def wake(self) -> None:
         """Let the scheduler look at the ready steps."""
@@ -156,6 +156,10 @@
             waited_s=0.0 if since is None else round(anyio.current_time() - since, 3),
         )
 
+    def list_used_queues(self) -> set[str]:
+        """Return the names of the queues of all known jobs."""
+        return {job.spec.queue for job in self.table.jobs.values()}
+
     def find_queue(self, job: Job) -> Queue:
         """Return the queue of a job, as it was last if it has been dropped."""
         return self.queues.find(job.spec)
--- a/gypsumring/dispatch/gang_room.py
+++ b/gypsumring/dispatch/gang_room.py
@@ -66,12 +66,12 @@
     openings = [
         (expect_openings(step, executor, now), executor) for executor in candidates
     ]
+    own = [row for row in openings if row[1].executor_id in step.reserved]
     if step.spec.same_rack:
         openings = keep_first_rack(step, openings)
     enough_at = find_enough_at(step, openings)
     if enough_at is None:
         return []
-    own = [row for row in openings if row[1].executor_id in step.reserved]
     own_at = find_enough_at(step, own)
     if own_at is not None:
         sooner_s = own_at - enough_at
--- a/gypsumring/dispatch/reserving.py
+++ b/gypsumring/dispatch/reserving.py
@@ -200,12 +200,13 @@
         keep_free_room(step, queue, ledger, chosen)
         return
     step.start_by = None
+    step.left_out = False
     if waits and not ledger.is_full:
         chosen = choose_openings(step, candidates, ledger.now)
         if ledger.may_wait(len(chosen)):
             ledger.kept_waiting += len(chosen)
         else:
-            ledger.is_full = True
+            ledger.is_full = step.left_out = True
             chosen = []
     ledger.keep(step, queue, chosen)
     if waits:
@@ -224,6 +225,8 @@
         return False
     if step.start_by is None:
         ledger.kept_waiting += len(own)
+    if step.left_out:
+        ledger.is_full = True
     ledger.keep(step, queue, own)
     return True
 
@@ -241,6 +244,7 @@
         return
     if not ledger.may_keep(len(chosen)):
         step.forget_room()
+        step.replan_at = ledger.now + REPLAN_S
         return
     if step.start_by is None:
         step.start_by = ledger.now + start_s
--- a/gypsumring/pipelines/state.py
+++ b/gypsumring/pipelines/state.py
@@ -103,6 +103,7 @@
         "failures",
         "held_back_until",
         "job",
+        "left_out",
         "number",
         "occurrence",
         "opened_at",
@@ -166,6 +167,8 @@
         # its room must have started, or others may use it.
         self.replan_at = 0.0
         self.start_by: float | None = None
+        # The limit of what is kept has left this gang out; no later one goes before it.
+        self.left_out = False
 
     @property
     def name(self) -> str:
@@ -233,6 +236,7 @@
         self.reserved = set()
         self.replan_at = 0.0
         self.start_by = None
+        self.left_out = False
 
     def ticket_left_s(self, executor_id: str, now: float) -> float:
         """Return how long the step may still be started on an executor, in seconds."""
