--- a/stand_ins/platform/cluster.py
+++ b/stand_ins/platform/cluster.py
@@ -20,7 +20,7 @@
     Queue,
     StepSpec,
 )
-from gypsumring.ports.tasks import TaskExecutor
+from gypsumring.ports.tasks import PolicyBusy, PolicyUnavailable, TaskExecutor
 from stand_ins.platform.executor import ExecutorModel
 from stand_ins.platform.faults import Faults
 from stand_ins.platform.memory import (
@@ -59,14 +59,26 @@
 class MemoryNode:
     """One node: its view of the platform and its membership."""
 
-    __slots__ = ("cluster", "faults", "membership", "name", "policy", "scope", "store")
+    __slots__ = (
+        "cluster",
+        "faults",
+        "killed",
+        "membership",
+        "name",
+        "policy",
+        "scope",
+        "store",
+    )
 
     def __init__(self, cluster: "MemoryCluster", name: str):
         self.cluster = cluster
         self.name = name
         self.faults = Faults(cluster.random_source)
         self.store = MemoryStore(cluster.store, self.faults, cluster.group)
-        self.policy = MemoryPolicy(cluster.policy) if cluster.policy else None
+        self.policy = None
+        if cluster.policy is not None:
+            self.policy = MemoryPolicy(cluster.policy, self.faults)
+        self.killed = anyio.Event()
         self.scope = anyio.CancelScope()
         cluster.starts += 1
         member = f"{name}/{cluster.starts}"
@@ -86,7 +98,7 @@
             self.connect,
             ENTRIES_TOPIC,
             lambda executor_id, value: decode_entry(value),
-            lambda: [self.name],
+            self.list_peers,
             self.ask_peer,
             self.cluster.metrics,
             anyio.current_time,
@@ -102,8 +114,35 @@
     async def ask_peer(
         self, name: str, step: str, executor_ids: list[str], deadline: float
     ) -> list[tuple[str, str]]:
-        """Ask the policy service from this node."""
-        return await self.policy.advise(step, executor_ids, deadline)
+        """Ask the policy service through a node; raise PolicyUnavailable."""
+        node = self.cluster.nodes[name]
+        answers = []
+        errors = []
+
+        async def ask() -> None:
+            try:
+                rows = await node.policy.advise(step, executor_ids, deadline)
+                answers.append(rows)
+            except (PolicyUnavailable, PolicyBusy) as error:
+                errors.append(error)
+            group.cancel_scope.cancel()
+
+        async with anyio.create_task_group() as group:
+            group.start_soon(ask)
+            await node.killed.wait()
+            group.cancel_scope.cancel()
+        if answers:
+            return answers[0]
+        raise PolicyUnavailable(str(errors[0]) if errors else f"node {name} is gone")
+
+    def list_peers(self) -> list[str]:
+        """Return the nodes that can call the policy service, this one first."""
+        names = [
+            name
+            for name, node in self.cluster.nodes.items()
+            if node is not self and not node.killed.is_set()
+        ]
+        return [self.name, *names]
 
     async def run(self) -> None:
         """Run until killed."""
@@ -113,6 +152,7 @@
     def kill(self) -> None:
         """End the node at once; orders and appends under way may go on."""
         self.scope.cancel()
+        self.killed.set()
 
     def owner(self) -> CellOwner | None:
         """Return the owner that answers commands here."""
@@ -189,6 +229,8 @@
     def add_executor(self, model: ExecutorModel) -> None:
         """Register an executor."""
         self.executors[model.executor_id] = model
+        if self.policy is not None and model not in self.policy.executors:
+            self.policy.executors.append(model)
         self.register(model)
 
     def register(self, model: ExecutorModel, draining: bool = False) -> None:
@@ -201,6 +243,7 @@
             born_ms=model.born_ms,
             cpu_millis=model.cpu_millis,
             memory_mb=model.memory_mb,
+            labels=model.labels,
         )
         value = msgspec.msgpack.encode(entry)
         self.store.append(ENTRIES_TOPIC, 0, [(model.executor_id, value)], None)
--- a/stand_ins/platform/executor.py
+++ b/stand_ins/platform/executor.py
@@ -1,5 +1,7 @@
 """Model of one executor of tasks."""
 
+import enum
+
 import anyio
 
 from gypsumring.pipelines import parse_task
@@ -14,9 +16,23 @@
 )
 from stand_ins.platform.world import World
 
-__all__ = ["ExecutorModel", "TaskRun"]
+__all__ = ["ExecutorModel", "TaskRun", "Trouble"]
 
 MAX_LISTED_ENDS = 500
+FAILING_S = 0.1
+
+
+class Trouble(enum.Enum):
+    """Name what is wrong with an executor that is up."""
+
+    NONE = "none"
+    # Holds, or orders, get no answer and are carried out late.
+    HOLDS = "holds"
+    ORDERS = "orders"
+    # Starts are refused; tasks fail soon after their start; tasks never end.
+    UNHEALTHY = "unhealthy"
+    FAILING = "failing"
+    HANGING = "hanging"
 
 
 class TaskRun:
@@ -50,6 +66,7 @@
         "gang_s",
         "highest",
         "is_up",
+        "labels",
         "lease_until_ms",
         "loads",
         "longest_lease_ms",
@@ -60,6 +77,7 @@
         "started_at",
         "stop_s",
         "tickets",
+        "trouble",
         "void_until",
         "world",
     )
@@ -83,6 +101,8 @@
         self.stop_s = 0.2
         self.gang_s = 3.0
         self.is_up = True
+        self.labels: tuple[str, ...] = ()
+        self.trouble = Trouble.NONE
         # Tickets by step that the policy model has issued; None checks nothing.
         self.tickets: dict[tuple[str, str], float] | None = None
         # Tasks that have ended as done, over all incarnations.
@@ -106,6 +126,9 @@
         self.ended: list[ListedEnd] = []
         # The highest attempt of each task that was stopped or has ended.
         self.highest: dict[str, int] = {}
+        # A ticket holds in the life of the executor in which it was issued.
+        if self.tickets is not None:
+            self.tickets = {}
         self.is_up = True
 
     def crash(self) -> None:
@@ -213,6 +236,8 @@
             raise StartRefused("old")
         if order.lease_until_ms <= self.clock_ms:
             raise StartRefused("late")
+        if self.trouble is Trouble.UNHEALTHY:
+            raise StartRefused("unhealthy")
         if self.tickets is not None:
             until = self.tickets.get((order.task.rpartition(".")[0], order.ticket), 0.0)
             if until < anyio.current_time():
@@ -222,6 +247,10 @@
         behaviour = self.world.behave(order.task, order.attempt)
         run.work_s = behaviour.work_s
         run.how = behaviour.how
+        if self.trouble is Trouble.FAILING:
+            run.work_s, run.how = FAILING_S, "failed"
+        elif self.trouble is Trouble.HANGING:
+            run.work_s = float("inf")
         self.runs[key] = run
         self.world.check_start(self, run)
         if not self.is_gang(order.task):
@@ -238,8 +267,11 @@
             for other in executor.runs.values():
                 same = other.task.rpartition(".")[0] == name
                 if same and other.attempt == run.attempt:
-                    other.ends_at = anyio.current_time() + run.work_s
-                    other.how = run.how
+                    # A member on an executor in trouble goes its own way.
+                    sound = executor.trouble is Trouble.NONE
+                    fate = run if sound else other
+                    other.ends_at = anyio.current_time() + fate.work_s
+                    other.how = fate.how
 
     def stop(self, task: str, attempt: int, fence: int) -> None:
         """Stop an attempt, and shut out later starts of it."""
--- a/stand_ins/platform/faults.py
+++ b/stand_ins/platform/faults.py
@@ -11,10 +11,13 @@
     """Decide what happens to each call of one node; shares lie between 0 and 1."""
 
     __slots__ = (
+        "advice_late_s",
+        "advice_lost_share",
         "cut_executors",
         "late_s",
         "late_share",
         "lost_share",
+        "policy_busy",
         "random_source",
         "store_away",
         "store_refuses",
@@ -32,6 +35,10 @@
         self.store_refuses = False
         self.store_slow_s = 0.0
         self.cut_executors: set[str] = set()
+        self.policy_busy = False
+        # Advice that was given and does not arrive, and by how much it is late.
+        self.advice_lost_share = 0.0
+        self.advice_late_s = 0.0
 
     def draw(self) -> str:
         """Return how the next call goes: ``answered``, ``lost`` or ``late``."""
--- a/stand_ins/platform/memory.py
+++ b/stand_ins/platform/memory.py
@@ -18,11 +18,12 @@
 from gypsumring.ports.tasks import (
     ExecutorGone,
     ExecutorSilent,
+    PolicyBusy,
     PolicyUnavailable,
     TaskLists,
     TaskStart,
 )
-from stand_ins.platform.executor import ExecutorModel
+from stand_ins.platform.executor import ExecutorModel, Trouble
 from stand_ins.platform.faults import Faults
 from stand_ins.platform.policy import PolicyModel
 from stand_ins.platform.store import StoreModel
@@ -150,15 +151,20 @@
         self.faults = faults
         self.group = group
 
-    async def order(self, act: Callable[[], Any], deadline: float) -> Any:
-        """Carry out an order whose answer may be lost."""
+    async def order(
+        self, act: Callable[[], Any], deadline: float, trouble: Trouble = Trouble.ORDERS
+    ) -> Any:
+        """Carry out an order whose answer may be lost.
+
+        An executor in this ``trouble`` carries it out late and does not answer.
+        """
         if self.model.executor_id in self.faults.cut_executors or not self.model.is_up:
             await self.faults.wait_in_vain(deadline)
             raise ExecutorSilent(self.model.executor_id)
         await anyio.sleep(NETWORK_S)
         if not self.model.is_up:
             raise ExecutorGone(self.model.executor_id)
-        how = self.faults.draw()
+        how = "late" if self.model.trouble is trouble else self.faults.draw()
         if how == "late":
             late_act = self.bind_to_life(act)
             self.group.start_soon(carry_out_late, self.faults, late_act)
@@ -207,7 +213,9 @@
     ) -> TaskLists:
         """Extend the lease, forget ends up to ``last_seen`` and list the rest."""
         await self.order(
-            lambda: self.model.hold(fence, last_seen, lease_until_ms), deadline
+            lambda: self.model.hold(fence, last_seen, lease_until_ms),
+            deadline,
+            Trouble.HOLDS,
         )
         until = min(anyio.current_time() + wait_s, deadline - NETWORK_S * 2)
         while not self.model.ended and anyio.current_time() < until:
@@ -227,17 +235,24 @@
 class MemoryPolicy:
     """Offer a policy model to one node, one call at a time."""
 
-    __slots__ = ("lock", "model")
+    __slots__ = ("faults", "lock", "model")
 
-    def __init__(self, model: PolicyModel):
+    def __init__(self, model: PolicyModel, faults: Faults):
         self.model = model
+        self.faults = faults
         self.lock = anyio.Lock()
 
     async def advise(
         self, step: str, executor_ids: list[str], deadline: float
     ) -> list[tuple[str, str]]:
         """Return executor id and ticket of the executors that may run the step."""
+        if self.faults.policy_busy:
+            raise PolicyBusy("too many calls wait")
         with anyio.move_on_after(max(0.0, deadline - anyio.current_time())):
             async with self.lock:
-                return await self.model.advise(step, executor_ids)
+                rows = await self.model.advise(step, executor_ids)
+            await anyio.sleep(self.faults.advice_late_s)
+            if self.faults.random_source.random() >= self.faults.advice_lost_share:
+                return rows
+            await self.faults.wait_in_vain(deadline)
         raise PolicyUnavailable("no answer in time")
--- a/stand_ins/platform/policy.py
+++ b/stand_ins/platform/policy.py
@@ -4,19 +4,35 @@
 
 import anyio
 
+from gypsumring.pipelines import PolicyTiming
 from stand_ins.platform.executor import ExecutorModel
 
-__all__ = ["PolicyModel"]
+__all__ = ["PolicyModel", "PolicyRule"]
+
+
+class PolicyRule:
+    """Hold what the policy of one queue allows, and the times of a call."""
+
+    __slots__ = ("share", "timing")
+
+    def __init__(self, share: float, timing: PolicyTiming):
+        self.share = share
+        self.timing = timing
 
 
 class PolicyModel:
-    """Allow a fixed share of the executors for each step."""
+    """Allow a fixed share of the executors for each step.
+
+    Queues may have ``rules`` of their own, by name.
+    """
 
     __slots__ = (
         "base_s",
         "calls",
         "executors",
+        "first_ids",
         "per_executor_s",
+        "rules",
         "seed",
         "share",
         "valid_s",
@@ -38,24 +54,37 @@
         self.per_executor_s = per_executor_s
         self.seed = seed
         self.calls = 0
+        self.rules: dict[str, PolicyRule] = {}
+        # One of these is allowed in any case, also after others have joined.
+        self.first_ids = [executor.executor_id for executor in executors]
+
+    def rule_for(self, step: str) -> PolicyRule:
+        """Return the rule of a step's queue."""
+        usual = PolicyTiming(self.base_s, self.per_executor_s, self.valid_s)
+        rule = PolicyRule(self.share, usual)
+        if not self.rules:
+            return rule
+        job = self.executors[0].world.jobs.get(step.partition(".")[0])
+        return rule if job is None else self.rules.get(job.queue, rule)
 
     def allows(self, step: str, executor_id: str) -> bool:
         """Tell whether a step may run on an executor; the answer never changes."""
         if executor_id == self.always_allowed(step):
             return True
-        return random.Random(f"{self.seed}/{step}/{executor_id}").random() < self.share
+        share = self.rule_for(step).share
+        return random.Random(f"{self.seed}/{step}/{executor_id}").random() < share
 
     def always_allowed(self, step: str) -> str:
         """Return the executor that a step may run on in any case."""
-        ids = [executor.executor_id for executor in self.executors]
-        return random.Random(f"{self.seed}/{step}").choice(ids)
+        return random.Random(f"{self.seed}/{step}").choice(self.first_ids)
 
     async def advise(self, step: str, executor_ids: list[str]) -> list[tuple[str, str]]:
         """Issue tickets for the executors that may run a step."""
         self.calls += 1
-        await anyio.sleep(self.base_s + self.per_executor_s * len(executor_ids))
+        timing = self.rule_for(step).timing
+        await anyio.sleep(timing.call_s(len(executor_ids)))
         rows = []
-        until = anyio.current_time() + self.valid_s
+        until = anyio.current_time() + timing.valid_s
         by_id = {executor.executor_id: executor for executor in self.executors}
         for executor_id in executor_ids:
             executor = by_id.get(executor_id)
