--- a/soak/liveness.py
+++ b/soak/liveness.py
@@ -131,6 +131,8 @@
         self.end = anyio.current_time() + seconds
         self.accepted: list[str] = []
         self.events: list[str] = []
+        # Ids of executors that have left for good.
+        self.gone: set[str] = set()
         self.state: dict[str, object] = {}
 
     async def send(self, queue: str, rate: float) -> None:
@@ -177,7 +179,7 @@
         cluster, source = self.cluster, self.source
         names = sorted(cluster.nodes)
         owner = cluster.owner_node()
-        model = source.choice(sorted(cluster.executors.values(), key=by_id))
+        model = source.choice(self.staying())
         on = model.executor_id if "executor" in fault or fault == "trouble" else ""
         self.events.append(f"{anyio.current_time():.2f} {fault} {lasts:.2f} {on}")
         if fault in SWITCHES:
@@ -200,14 +202,13 @@
             await self.crash([model], lasts)
         elif fault == "crash_rack":
             rack = model.labels
-            models = [
-                each for each in cluster.executors.values() if each.labels == rack
-            ]
+            models = [each for each in self.staying() if each.labels == rack]
             await self.crash(models, lasts)
         elif fault == "drain_executor":
             cluster.register(model, draining=True)
             await anyio.sleep(lasts)
-            cluster.register(model)
+            if model.executor_id not in self.gone:
+                cluster.register(model)
         elif fault == "replace_executor":
             await self.replace(model, lasts)
         elif fault == "trouble":
@@ -219,6 +220,11 @@
         else:
             await self.change_queues(fault == "drop_queue", lasts)
 
+    def staying(self) -> list[ExecutorModel]:
+        """Return the executors that have not left, in the order of their ids."""
+        models = self.cluster.executors
+        return [models[each] for each in sorted(models) if each not in self.gone]
+
     async def switch(self, names: list[str], field: str, lasts: float) -> None:
         """Switch a fault of the calls of some nodes on and off."""
         switched = [self.cluster.nodes[name].faults for name in names]
@@ -259,10 +265,10 @@
         """Let an executor drain and leave, and another come under a new id."""
         self.cluster.register(model, draining=True)
         await anyio.sleep(lasts)
-        if not model.is_up or model.executor_id not in self.cluster.executors:
+        if not model.is_up:
             return
         model.crash()
-        del self.cluster.executors[model.executor_id]
+        self.gone.add(model.executor_id)
         self.cluster.store.append("executors", 0, [(model.executor_id, b"")], None)
         name = f"{model.executor_id}n"
         add_executor(self.cluster, name, model.labels)
@@ -346,11 +352,6 @@
             self.violate("KEPT", "", each)
 
 
-def by_id(model: ExecutorModel) -> str:
-    """Return the id of an executor, to sort by."""
-    return model.executor_id
-
-
 def add_executor(cluster: MemoryCluster, name: str, labels: tuple[str, ...]) -> None:
     """Add an executor of the usual size."""
     model = ExecutorModel(cluster.world, name, CORES * 1000, len(name) % 3 * 0.01)
