--- a/gypsumring/cell/scheduling.py
+++ b/gypsumring/cell/scheduling.py
@@ -33,6 +33,8 @@
 # Tasks with checkpoints are stopped this long before their executor leaves, besides the
 # time that a stop takes.
 EVACUATE_S = 0.5
+# A log line names at most so many members of a gang.
+MAX_LISTED = 10
 
 
 class CellScheduler:
@@ -92,6 +94,7 @@
         interested = self.backlog.find_interested(freed)
         for step, queue in self.backlog.order(due.union(interested), now):
             try:
+                self.backlog.note_look(step, now)
                 if step in due:
                     self.look_at(step, queue, now)
                 elif has_room(step, freed) and not (step.spec.gang and step.runs):
@@ -123,7 +126,9 @@
             if executor.entry.draining:
                 self.evacuate(executor, now)
         steps = self.backlog.order(self.backlog.waiting, now)
-        self.reserved = reserve_executors(steps, fleet, now, self.state.clock())
+        starving = self.backlog.list_starving(now)
+        clock = self.state.clock()
+        self.reserved = reserve_executors(steps, fleet, now, clock, starving)
 
     def list_enrolled(self) -> list[ExecutorState]:
         """Return the executors of which a later owner would know."""
@@ -183,13 +188,23 @@
             if spec.long_running or (spec.checkpointing and hurry):
                 self.state.metrics.count("cell.attempts.evacuated")
                 if spec.gang:
-                    self.orders.stop_gang(run)
+                    self.orders.stop_gang(run, "executor leaves")
                 else:
                     self.orders.stop(run)
 
     def stop_partial(self, step: Step) -> None:
         """Stop the members of a gang of which some do not run."""
-        self.orders.stop_all(step.active_runs())
+        runs = [run for run in step.active_runs() if run.state is not RunState.STOPPING]
+        if runs:
+            log.info(
+                "gang stopped",
+                step=step.name,
+                reason="members are missing",
+                missing=sorted(step.pending)[:MAX_LISTED],
+                missing_count=len(step.pending),
+                stopped=len(runs),
+            )
+        self.orders.stop_all(runs)
 
     def offer(self, step: Step, queue: Queue, now: float) -> list[ExecutorState]:
         """Start the tasks of a step that fit; return the executors that it may use."""
