Judge steps with ample room at once in the liveness soak

Change: once arrivals have stopped, a step for whose missing tasks twice the places are free on allowed executors that take work, with under half of the cores in use, starts within 3 s; two calls for advice about all executors and GANG_START_S if one takes longer.

--- a/soak/liveness.py
+++ b/soak/liveness.py
@@ -14,13 +14,20 @@
 
 from gypsumring.cell.messages import Outcome
 from gypsumring.cell.orders import GANG_START_S
+from gypsumring.dispatch.advisers import SHORT_SHARE
 from gypsumring.dispatch.asking import choose_call_size
 from gypsumring.dispatch.backlog import MAX_LOOK_S
 from gypsumring.fleet import LATE_ORDER_S
 from gypsumring.fleet.health import MAX_QUARANTINE_S
 from gypsumring.pipelines import PolicyTiming, Queue, StepSpec
 from gypsumring.utils.testing import run_on_mock_clock
-from soak.waiting import OpenStep, explain_step, list_leftovers, list_open_steps
+from soak.waiting import (
+    OpenStep,
+    explain_step,
+    is_half_free,
+    list_leftovers,
+    list_open_steps,
+)
 from stand_ins.platform.cluster import MemoryCluster, make_job
 from stand_ins.platform.executor import ExecutorModel, Trouble
 from stand_ins.platform.policy import PolicyModel, PolicyRule
@@ -45,6 +52,12 @@
 BELIEF_S = max(LONGEST_WORK_S + MAX_QUARANTINE_S, LATE_ORDER_S)
 IDLE_S = 30.0
 SETTLE_S = 900.0
+# A step with room for twice its tasks starts within this time on a calm cell.
+START_S = 3.0
+# At most this share of the executors stays sick; each try may meet others of them.
+MAX_SICK = 4
+SICK_TRIES = 3
+LASTING_TROUBLES = (Trouble.ORDERS, Trouble.UNHEALTHY, Trouble.FAILING)
 FAULTS = (
     "kill_owner",
     "kill_all",
@@ -173,6 +186,18 @@
                 await anyio.sleep(self.source.expovariate(0.8))
         if self.source.random() < 0.5:
             await self.play("kill_all", 1.5)
+        if self.source.random() < 0.5:
+            self.sicken()
+
+    def sicken(self) -> None:
+        """Let a few executors stay sick after the load."""
+        count = self.source.randint(1, MAX_SICK)
+        for model in self.source.sample(self.staying(), count):
+            model.trouble = self.source.choice(LASTING_TROUBLES)
+            self.events.append(
+                f"{anyio.current_time():.2f} stays {model.trouble.value} "
+                f"{model.executor_id}"
+            )
 
     async def play(self, fault: str, lasts: float) -> None:
         """Play one fault and undo it."""
@@ -304,6 +329,37 @@
         asking_s = rounds * (calls_s / nodes + MAX_LOOK_S)
         return asking_s + LONGEST_WORK_S + 2 * GANG_START_S
 
+    def prompt_bound_s(self, step: OpenStep) -> float:
+        """Return the time in which a step with ample room has to start."""
+        cluster = self.cluster
+        timing = cluster.policy.rule_for(step.name).timing
+        size = choose_call_size(timing)
+        live = sum(not node.killed.is_set() for node in cluster.nodes.values())
+        nodes = live - int(live * SHORT_SHARE)
+        calls = math.ceil(len(cluster.executors) / size)
+        advice_s = math.ceil(calls / nodes) * timing.call_s(size)
+        bound = START_S if advice_s <= START_S else 2 * advice_s + GANG_START_S
+        if any(model.trouble is not Trouble.NONE for model in self.staying()):
+            stop_s = max(model.stop_s for model in self.staying())
+            bound += SICK_TRIES * (GANG_START_S + stop_s + advice_s)
+        return bound
+
+    def check_prompt(self, rows, since: dict, now: float) -> bool:
+        """Check steps with room for twice what they miss; tell whether one is late."""
+        ample = {}
+        if is_half_free(self.cluster):
+            for step, missing in rows:
+                if missing and step.has_ample_room():
+                    ample[step.name, len(step.missing)] = step
+        for key in set(since) - set(ample):
+            del since[key]
+        for key, step in ample.items():
+            bound = self.prompt_bound_s(step)
+            if now - since.setdefault(key, now) > bound:
+                self.violate("PROMPT", step.name, f"waits for more than {bound:.1f} s")
+                return True
+        return False
+
     async def settle(self) -> None:
         """Check that one of the steps that fit starts, until none is left."""
         cluster = self.cluster
@@ -311,11 +367,14 @@
         waits_since: dict[str, float] = {}
         seen: set[str] = set()
         progress_at = quiet_at
+        ample_since: dict = {}
         while anyio.current_time() < quiet_at + SETTLE_S:
             for model in cluster.executors.values():
                 model.advance()
             rows = list(list_open_steps(cluster, self.accepted))
             now = anyio.current_time()
+            if self.check_prompt(rows, ample_since, now):
+                return
             present = {step.name for step, missing in rows if not missing}
             present |= {task for step, _ in rows for task in step.present}
             if present - seen:
@@ -345,6 +404,8 @@
 
     async def check_leftovers(self) -> None:
         """Check that an idle owner keeps nothing."""
+        for model in self.cluster.executors.values():
+            model.trouble = Trouble.NONE
         await anyio.sleep(IDLE_S)
         rows = list(list_open_steps(self.cluster, self.accepted))
         node = self.cluster.owner_node()
--- a/soak/waiting.py
+++ b/soak/waiting.py
@@ -5,12 +5,19 @@
 import anyio
 
 from gypsumring.cell import CellOwner
+from gypsumring.cell.waiting import why_no_work
 from gypsumring.fleet.executor import CONTACT_S
 from gypsumring.pipelines import StepSpec
 from stand_ins.platform.cluster import MemoryCluster
 from stand_ins.platform.executor import ExecutorModel, Trouble
 
-__all__ = ["OpenStep", "explain_step", "list_leftovers", "list_open_steps"]
+__all__ = [
+    "OpenStep",
+    "explain_step",
+    "is_half_free",
+    "list_leftovers",
+    "list_open_steps",
+]
 
 
 class OpenStep:
@@ -64,6 +71,27 @@
         room = sum(self.places(model, empty) for model in models)
         return room >= (self.spec.task_count if self.spec.gang else 1)
 
+    def has_ample_room(self) -> bool:
+        """Tell whether twice the missing tasks fit where the owner starts work."""
+        owner = self.cluster.owner_node().owner()
+        now = owner.state.clock()
+        room = 0
+        for model in self.cluster.executors.values():
+            executor = owner.state.fleet.get(model.executor_id)
+            why = executor and why_no_work(executor, model.service, True, now)
+            if why not in ("silent", "resting", "draining"):
+                room += self.places(model)
+        return room >= 2 * len(self.missing)
+
+
+def is_half_free(cluster: MemoryCluster) -> bool:
+    """Tell whether under half of the cores are in use; there has to be an owner."""
+    if cluster.owner_node() is None:
+        return False
+    models = [model for model in cluster.executors.values() if model.is_up]
+    used = sum(model.used_cpu for model in models)
+    return 2 * used < sum(model.cpu_millis for model in models)
+
 
 def list_open_steps(
     cluster: MemoryCluster, job_ids: list[str]
