--- a/gypsumring/cell/state.py
+++ b/gypsumring/cell/state.py
@@ -6,6 +6,7 @@
 import anyio.abc
 
 from gypsumring.cell.journal import Journal
+from gypsumring.cell.queues import QueueBook
 from gypsumring.fleet import ExecutorState
 from gypsumring.metrics import Metrics
 from gypsumring.pipelines import DesiredState, Job, JobTable, Queue, Run, encode
@@ -68,10 +69,9 @@
         "group",
         "inherited_lease_s",
         "journal",
-        "known_state",
-        "last_queues",
         "may_extend",
         "metrics",
+        "queues",
         "owned_since",
         "table",
         "timing",
@@ -115,10 +115,7 @@
         # When this owner had read the cell.
         self.owned_since: float | None = None
         self.group: anyio.abc.TaskGroup | None = None
-        # Queues as they were last, also those that have been dropped since, and the
-        # desired state from which they were taken.
-        self.last_queues: dict[str, Queue] = {}
-        self.known_state: DesiredState | None = None
+        self.queues = QueueBook(journal, desired_state)
 
     def wake(self) -> None:
         """Let the scheduler look at the ready steps."""
@@ -161,42 +158,26 @@
 
     def find_queue(self, job: Job) -> Queue:
         """Return the queue of a job, as it was last if it has been dropped."""
-        desired = self.desired_state()
-        if desired is not None and desired is not self.known_state:
-            self.known_state = desired
-            used = {known.spec.queue for known in self.table.jobs.values()}
-            kept = {
-                name: self.last_queues[name] for name in used & set(self.last_queues)
-            }
-            self.last_queues = kept | {queue.name: queue for queue in desired.queues}
-        queue = self.last_queues.get(job.spec.queue)
-        if queue is None:
-            queue = Queue(
-                name=job.spec.queue, host="", path_prefix="", service=job.spec.service
-            )
-        return queue
+        return self.queues.find(job.spec)
 
     def write_progress(
         self, job: Job, on_durable: Callable[[], None] | None = None
     ) -> None:
         """Queue the progress of a job; a final phase is shown once it is durable."""
-        if job.phase.is_final and not job.final_since_ms:
+        has_ended = job.phase.is_final and not job.final_since_ms
+        if has_ended:
             job.final_since_ms = self.wall_clock()
             job.ended_at = anyio.current_time()
             self.table.finish(job)
             self.metrics.count(f"cell.jobs.{job.phase}")
             took_s = job.ended_at - job.accepted_at
             self.metrics.record_seconds("cell.turnaround", max(0.0, took_s))
-            log.info(
-                "job ended",
-                job=job.spec.job_id,
-                phase=job.phase,
-                took_ms=round(took_s * 1000),
-            )
         phase = job.phase
 
         def publish() -> None:
             job.durable_phase = phase
+            if has_ended:
+                self.log_ended(job)
             if on_durable is not None:
                 on_durable()
 
@@ -206,3 +187,13 @@
             publish,
             urgent=phase.is_final,
         )
+
+    def log_ended(self, job: Job) -> None:
+        """Log the end of a job once callers may be told."""
+        log.info(
+            "job ended",
+            job=job.spec.job_id,
+            phase=job.phase,
+            took_ms=round((job.ended_at - job.accepted_at) * 1000),
+            durable_ms=round((anyio.current_time() - job.ended_at) * 1000),
+        )
--- a/gypsumring/dispatch/tests/test_reserving.py
+++ b/gypsumring/dispatch/tests/test_reserving.py
@@ -242,4 +242,56 @@
     assert not newer.reserved
 
 
+def choose_from(executors, ids):
+    """Return the executors of the given ids."""
+    return [executor for executor in executors if executor.executor_id in ids]
+
+
+# Room was kept on executors on which members of the gang had failed. Only tickets of
+# kept executors are renewed, so that the gang waited although it fitted elsewhere.
+def test_kept_room_takes_the_members_that_avoid_an_executor():
+    fleet = make_fleet(4)
+    occupy(fleet[1:], 4000)
+    gang = make_gang(fleet, task_count=3)
+    gang.avoided = {0: {"i-0"}, 1: {"i-0"}}
+    assert len(place_step(gang, fleet, 3.0, 1.0)) == 3
+    reserved = reserve_executors([(gang, BULK)], fleet, 1.0, 1.0)
+    assert len(place_step(gang, choose_from(fleet, reserved), 3.0, 1.0)) == 3
+
+
+# Room was kept over all racks for a gang that waits for room on one of them.
+def test_kept_room_of_a_gang_on_one_rack_is_on_one_rack():
+    fleet = make_fleet(8)
+    occupy(fleet[1::2], 4000)
+    occupy(fleet[2::2], 8000)
+    gang = make_gang(fleet, task_count=4, same_rack=True, estimated_ms=4000)
+    assert len(place_step(gang, fleet, 3.0, 1.0)) == 4
+    reserved = reserve_executors([(gang, BULK)], fleet, 1.0, 1.0)
+    assert len(place_step(gang, choose_from(fleet, reserved), 3.0, 1.0)) == 4
+
+
+# A starving step of a lower priority kept the executors on which an urgent gang would
+# have gathered its room.
+def test_starving_step_leaves_urgent_gangs_their_executors():
+    fleet = make_fleet(10)
+    occupy(fleet, 6000)
+    urgent = make_gang(fleet, 8000, job_id="b" * 16, task_count=6)
+    starving = make_gang(fleet, 8000, job_id="c" * 16, task_count=6)
+    steps = [(urgent, URGENT), (starving, BULK)]
+    reserve_executors(steps, fleet, 1.0, 1.0, [(starving, BULK)])
+    assert len(urgent.reserved) == 6
+
+
+# Executors were kept for a gang until tasks that last would end.
+def test_gang_keeps_nothing_that_only_the_end_of_lasting_tasks_would_open():
+    fleet = make_fleet(4)
+    for number, executor in enumerate(fleet):
+        lasting = make_step(
+            f"{number:016x}", task_count=1, cpu_millis=4000, long_running=True
+        )
+        executor.add_run(Run(lasting, 0, 1, executor.executor_id, 0.0))
+    gang = make_gang(fleet, 8000, task_count=3)
+    assert reserve_executors([(gang, BULK)], fleet, 1.0, 1.0) == {}
+
+
 load_tests = make_load_tests(globals())
