Leave the lease of an earlier owner out of waits in the liveness soak

Cause: the count ran while tasks of an earlier owner were withheld, which docs/platform.md states (section 4: the lease that owners ask for, and 1 s). Change: the count begins anew while the tasks are withheld, at most for that lease, a late extension and the drift of the clock.

--- a/soak/liveness.py
+++ b/soak/liveness.py
@@ -349,7 +349,7 @@
         ample = {}
         if is_half_free(self.cluster):
             for step, missing in rows:
-                if missing and step.has_ample_room():
+                if missing and step.has_ample_room() and not step.is_withheld():
                     ample[step.name, len(step.missing)] = step
         for key in set(since) - set(ample):
             del since[key]
--- a/soak/waiting.py
+++ b/soak/waiting.py
@@ -5,8 +5,9 @@
 import anyio
 
 from gypsumring.cell import CellOwner
+from gypsumring.cell.owner import LATE_EXTENSION_S
 from gypsumring.cell.waiting import why_no_work
-from gypsumring.fleet.executor import CONTACT_S
+from gypsumring.fleet.executor import CLOCK_DRIFT, CONTACT_S, LEASE_MARGIN_MS
 from gypsumring.pipelines import StepSpec
 from stand_ins.platform.cluster import MemoryCluster
 from stand_ins.platform.executor import ExecutorModel, Trouble
@@ -83,6 +84,19 @@
                 room += self.places(model)
         return room >= 2 * len(self.missing)
 
+    def is_withheld(self) -> bool:
+        """Tell whether tasks of an earlier owner may still run under its lease.
+
+        The wait ends with the lease that owners ask for, a late extension of it, and
+        the drift of the executor's clock.
+        """
+        state = self.cluster.owner_node().owner().state
+        job = state.table.jobs.get(self.name.partition(".")[0])
+        if job is None or not job.inherited or not state.unsettled:
+            return False
+        longest_s = (state.timing.lease_s + LATE_EXTENSION_S) / (1 - CLOCK_DRIFT)
+        return state.clock() < state.owned_since + longest_s + LEASE_MARGIN_MS / 1000
+
 
 def is_half_free(cluster: MemoryCluster) -> bool:
     """Tell whether under half of the cores are in use; there has to be an owner."""
