Build the liveness soak on the cell soak

Cause: 625 lines, of which the faults, the load and the command repeat soak/cells.py. MemoryCluster knows which executors have left.

--- a/soak/cells.py
+++ b/soak/cells.py
@@ -6,18 +6,19 @@
 import json
 import random
 import sys
+from collections.abc import Awaitable, Callable
 
 import anyio
 import click
 
 from gypsumring.cell.messages import Outcome
-from gypsumring.pipelines import JobPhase, StepSpec
+from gypsumring.pipelines import JobPhase, PipelineSpec, StepSpec
 from gypsumring.utils.testing import run_on_mock_clock
 from stand_ins.platform.cluster import MemoryCluster, make_job
 from stand_ins.platform.memory import ENTRIES_TOPIC
 from stand_ins.platform.world import World, random_behaviour
 
-__all__ = ["CellSoak", "run_cell_soak"]
+__all__ = ["CellSoak", "run_cell_soak", "run_seeds"]
 
 NODES = 3
 EXECUTORS = 5
@@ -52,6 +53,11 @@
 
     __slots__ = ("accepted", "cluster", "faults", "random_source", "steps")
 
+    # Jobs and faults a second, and the kinds of faults.
+    job_rate = 2.0
+    fault_rate = 0.5
+    fault_names = FAULTS
+
     def __init__(self, cluster: MemoryCluster, random_source: random.Random):
         self.cluster = cluster
         self.random_source = random_source
@@ -78,6 +84,10 @@
             )
         return steps
 
+    def draw_job(self, job_id: str) -> PipelineSpec:
+        """Return a new job."""
+        return make_job(job_id, *self.draw_steps())
+
     async def send_load(self, seconds: float) -> None:
         """Submit and cancel jobs until the time is over."""
         end = anyio.current_time() + seconds
@@ -86,11 +96,11 @@
                 self.steps += 1
                 job_id = f"{self.steps:016x}"
                 group.start_soon(self.send_one, job_id)
-                await anyio.sleep(self.random_source.expovariate(2.0))
+                await anyio.sleep(self.random_source.expovariate(self.job_rate))
 
     async def send_one(self, job_id: str) -> None:
         """Submit one job, and cancel it at times."""
-        outcome = await self.cluster.submit(make_job(job_id, *self.draw_steps()))
+        outcome = await self.cluster.submit(self.draw_job(job_id))
         if outcome is Outcome.REFUSED:
             self.cluster.world.refused.add(job_id)
         elif outcome is Outcome.OK:
@@ -104,16 +114,15 @@
         end = anyio.current_time() + seconds
         async with anyio.create_task_group() as group:
             while anyio.current_time() < end:
-                fault = self.random_source.choice(FAULTS)
+                fault = self.random_source.choice(self.fault_names)
                 lasts = self.random_source.uniform(0.3, 6.0)
                 self.faults.append(f"{anyio.current_time():.2f} {fault} {lasts:.2f}")
                 group.start_soon(self.play, fault, lasts)
-                await anyio.sleep(self.random_source.expovariate(0.5))
+                await anyio.sleep(self.random_source.expovariate(self.fault_rate))
 
     def draw_executor(self):
         """Return one of the executors."""
-        models = list(self.cluster.executors.values())
-        return self.random_source.choice(models)
+        return self.random_source.choice(self.cluster.list_staying())
 
     async def play(self, fault: str, lasts: float) -> None:
         """Play one fault and undo it."""
@@ -162,6 +171,10 @@
             "lost_answers": ("lost_share", 0.3, 0.0),
             "late_answers": ("late_share", 0.3, 0.0),
         }[fault]
+        await self.disturb(nodes, field, value, usual, lasts)
+
+    async def disturb(self, nodes, field: str, value, usual, lasts: float) -> None:
+        """Change a field of the faults of some nodes for a while."""
         for node in nodes:
             setattr(node.faults, field, value)
         await anyio.sleep(lasts)
@@ -281,9 +294,19 @@
 @click.option("--seconds", default=30.0, help="Simulated seconds of load and faults.")
 def main(seed: int, seeds: int, seconds: float) -> None:
     """Run seeds one after the other; exit with 1 if a check has failed."""
+    run_seeds(run_cell_soak, seed, seeds, seconds)
+
+
+def run_seeds(
+    run: Callable[[int, float], Awaitable[dict[str, object]]],
+    seed: int,
+    seeds: int,
+    seconds: float,
+) -> None:
+    """Print one line a seed; exit with 1 if a check has failed."""
     failed = False
     for each in range(seed, seed + seeds):
-        result = run_on_mock_clock(run_cell_soak, each, seconds, seed=each)
+        result = run_on_mock_clock(run, each, seconds, seed=each)
         failed = failed or bool(result["invariant_violations"])
         click.echo(json.dumps(result))
     sys.exit(1 if failed else 0)
--- a/soak/waiting.py
+++ b/soak/waiting.py
@@ -6,19 +6,13 @@
 
 from gypsumring.cell import CellOwner
 from gypsumring.cell.owner import LATE_EXTENSION_S
-from gypsumring.cell.waiting import why_no_work
-from gypsumring.fleet.executor import CLOCK_DRIFT, CONTACT_S, LEASE_MARGIN_MS
-from gypsumring.pipelines import StepSpec
+from gypsumring.cell.waiting import WaitReport, explain_wait, why_no_work
+from gypsumring.fleet.executor import CLOCK_DRIFT, LEASE_MARGIN_MS
+from gypsumring.pipelines import Step, StepSpec
 from stand_ins.platform.cluster import MemoryCluster
 from stand_ins.platform.executor import ExecutorModel, Trouble
 
-__all__ = [
-    "OpenStep",
-    "explain_step",
-    "is_half_free",
-    "list_leftovers",
-    "list_open_steps",
-]
+__all__ = ["OpenStep", "explain_step", "list_leftovers", "list_open_steps"]
 
 
 class OpenStep:
@@ -37,7 +31,8 @@
             run.task
             for model in cluster.executors.values()
             for run in model.runs.values()
-            if not spec.gang or run.ends_at < float("inf")
+            if run.task.rpartition(".")[0] == name
+            and (not spec.gang or model.gang_is_complete(run))
         }
         done = {task for each in cluster.world.executors for task in each.done_here}
         tasks = [f"{name}.{index}" for index in range(spec.task_count)]
@@ -73,17 +68,34 @@
         return room >= (self.spec.task_count if self.spec.gang else 1)
 
     def has_ample_room(self) -> bool:
-        """Tell whether twice the missing tasks fit where the owner starts work."""
-        owner = self.cluster.owner_node().owner()
+        """Tell whether twice the missing tasks fit where the owner starts work.
+
+        Under half of the cores have to be in use, and there has to be an owner.
+        """
+        node = self.cluster.owner_node()
+        models = [model for model in self.cluster.executors.values() if model.is_up]
+        used = sum(model.used_cpu for model in models)
+        if node is None or 2 * used >= sum(model.cpu_millis for model in models):
+            return False
+        owner = node.owner()
         now = owner.state.clock()
         room = 0
-        for model in self.cluster.executors.values():
+        for model in models:
             executor = owner.state.fleet.get(model.executor_id)
             why = executor and why_no_work(executor, model.service, True, now)
             if why not in ("silent", "resting", "draining"):
                 room += self.places(model)
         return room >= 2 * len(self.missing)
 
+    def has_unanswered_start(self) -> bool:
+        """Tell whether a task may be started late, where no order is answered."""
+        found = find_step(self.cluster, self.name)
+        models = self.cluster.executors
+        return found is not None and any(
+            models[run.executor_id].trouble is Trouble.ORDERS
+            for run in found[1].active_runs()
+        )
+
     def is_withheld(self) -> bool:
         """Tell whether tasks of an earlier owner may still run under its lease.
 
@@ -98,122 +110,71 @@
         return state.clock() < state.owned_since + longest_s + LEASE_MARGIN_MS / 1000
 
 
-def is_half_free(cluster: MemoryCluster) -> bool:
-    """Tell whether under half of the cores are in use; there has to be an owner."""
-    if cluster.owner_node() is None:
-        return False
-    models = [model for model in cluster.executors.values() if model.is_up]
-    used = sum(model.used_cpu for model in models)
-    return 2 * used < sum(model.cpu_millis for model in models)
-
-
-def list_open_steps(
-    cluster: MemoryCluster, job_ids: list[str]
-) -> Iterator[tuple[OpenStep, bool]]:
-    """Yield the ready steps that are not done, and whether some of it is missing."""
+def list_open_steps(cluster: MemoryCluster, job_ids: list[str]) -> Iterator[OpenStep]:
+    """Yield the ready steps that are not done."""
+    is_complete = cluster.world.step_is_complete
     for job_id in job_ids:
         job = cluster.world.jobs[job_id]
         phase = cluster.phase(job_id)
         if job_id in cluster.world.cancelled or (phase is not None and phase.is_final):
             continue
         for number, spec in enumerate(job.steps):
-            is_complete = cluster.world.step_is_complete
             ready = all(is_complete(job, each, 0) for each in spec.after)
             if ready and not is_complete(job, number, 0):
-                step = OpenStep(cluster, f"{job_id}.0.{number}", spec)
-                yield step, bool(step.missing)
+                yield OpenStep(cluster, f"{job_id}.0.{number}", spec)
+
+
+def find_step(cluster: MemoryCluster, name: str) -> tuple[CellOwner, Step] | None:
+    """Return the owner of the cell, and a step as the owner knows it."""
+    node = cluster.owner_node()
+    if node is None:
+        return None
+    job = node.owner().state.table.jobs.get(name.partition(".")[0])
+    step = job and job.find_step(0, int(name.rpartition(".")[2]))
+    return (node.owner(), step) if step is not None else None
 
 
 def explain_step(cluster: MemoryCluster, name: str) -> dict[str, object]:
     """Return what the owner knows about a step."""
-    node = cluster.owner_node()
-    owner = node.owner() if node is not None else None
-    job = owner.state.table.jobs.get(name.partition(".")[0]) if owner else None
-    if job is None:
-        return {"owner": node and node.name, "job": "not known"}
+    found = find_step(cluster, name)
+    if found is None:
+        return {"step": "not known"}
+    owner, step = found
     now = anyio.current_time()
-    step = job.find_step(0, int(name.rpartition(".")[2]))
-    queue = owner.state.find_queue(job)
-    waiting = owner.scheduler.backlog.waiting.get(step)
-    reasons: dict[str, list[str]] = {}
-    for executor_id in sorted(owner.state.fleet):
-        if owner.state.find_queue(job).policy is None or executor_id in step.allowed:
-            reason = explain_executor(owner, executor_id, step, queue.priority)
-            reasons.setdefault(reason, []).append(executor_id)
+    queue = owner.state.find_queue(step.job)
+    report = explain_wait(step, queue, owner.scheduler, step.job.accepted_at, now)
+    fields = [each for each in WaitReport.__slots__ if each != "step"]
+    runs = [
+        [run.task, run.attempt, run.executor_id, run.state.value]
+        for run in step.active_runs()
+    ]
     return {
         "now": now,
-        "node": node.name,
-        "fence": owner.fence,
-        "phase": job.phase,
-        "inherited": job.inherited,
-        "waited_s": now - job.accepted_at,
-        "queue": [queue.name, queue.priority, queue.policy is not None],
-        "planned_s": waiting.at - now if waiting else None,
-        "pending": sorted(step.pending),
-        "withheld": sorted(step.withheld),
-        "asking": step.asking,
-        "asked": len(step.asked),
-        "allowed": len(step.allowed),
-        "tickets": [
-            round(step.ticket_left_s(each, now), 2) for each in sorted(step.tickets)
-        ],
-        "held_back_s": step.held_back_until - now,
-        "reserved": sorted(step.reserved),
+        "has_policy": queue.policy is not None,
+        "runs": runs,
         "avoided": {key: sorted(each) for key, each in step.avoided.items()},
-        "runs": [
-            [run.task, run.attempt, run.executor_id, run.state.value]
-            for run in step.active_runs()
-        ],
-        "unsettled": sorted(owner.state.unsettled),
-        "executors": reasons,
-    }
-
-
-def explain_executor(owner: CellOwner, executor_id: str, step, priority: int) -> str:
-    """Return why a step does or does not start on an executor."""
-    state = owner.state
-    executor = state.fleet[executor_id]
-    now = state.clock()
-    reservation = owner.scheduler.reserved.get(executor_id)
-    checks = {
-        "not enrolled": executor_id not in state.enrolled,
-        "not listed": not executor.listed,
-        "draining": executor.entry.draining,
-        "silent": now - executor.last_contact_at > CONTACT_S,
-        "unknown runs": bool(executor.unknown_runs),
-        "shutting out": bool(executor.shutting_out),
-        "quarantined": executor.health.is_quarantined(now),
-        "kept for another": reservation and not reservation.admits(step, priority),
-        "no room": not executor.fit_count(step.spec),
-    }
-    found = [reason for reason, holds in checks.items() if holds]
-    return ", ".join(found) or "free"
+    } | {each: getattr(report, each) for each in fields}
 
 
 def list_leftovers(owner: CellOwner, open_steps: set[str]) -> list[str]:
     """Return what an owner without work still keeps; ``open_steps`` can never run."""
     state = owner.state
     now = state.clock()
-    found = [f"{each} is not settled" for each in state.unsettled]
+    kept = {"unsettled": list(state.unsettled)}
     for each, reservation in owner.scheduler.reserved.items():
-        found.append(f"{each} is kept for {reservation.step.name}")
+        kept[f"{each} reserved"] = reservation.step.name
     for each, executor in state.fleet.items():
-        kept = {
-            "runs": list(executor.runs),
-            "room": executor.used_cpu or executor.used_memory,
-            "unknown runs": executor.unknown_runs,
-            "starts to shut out": executor.shutting_out,
-            "rest": executor.health.is_quarantined(now),
-        }
-        found += [f"{each}: {what} {value}" for what, value in kept.items() if value]
-    for step in owner.scheduler.backlog.waiting:
-        if step.name not in open_steps:
-            found.append(f"{step.name} waits")
+        kept[f"{each} runs"] = list(executor.runs)
+        kept[f"{each} room"] = executor.used_cpu or executor.used_memory
+        kept[f"{each} unknown runs"] = executor.unknown_runs
+        kept[f"{each} starts to shut out"] = executor.shutting_out
+        kept[f"{each} rests"] = executor.health.is_quarantined(now)
+    waiting = {step.name for step in owner.scheduler.backlog.waiting}
+    kept["waiting"] = sorted(waiting - open_steps)
     for job in state.table.active.values():
         for step in job.steps:
-            if step.asking or step.withheld:
-                found.append(f"{step.name}: {step.asking} calls, {step.withheld}")
+            kept[f"{step.name} calls"] = step.asking
+            kept[f"{step.name} withheld"] = step.withheld
     for adviser in owner.scheduler.desk.advisers.advisers.values():
-        if adviser.calls or adviser.busy_until > now:
-            found.append(f"{adviser.name}: {adviser.calls} calls")
-    return found
+        kept[f"{adviser.name} calls"] = adviser.calls or adviser.busy_until > now
+    return [f"{what}: {value}" for what, value in kept.items() if value]
--- a/stand_ins/platform/cluster.py
+++ b/stand_ins/platform/cluster.py
@@ -163,6 +163,7 @@
     """Run nodes and executors in one process on the anyio clock."""
 
     __slots__ = (
+        "departed",
         "desired",
         "executors",
         "group",
@@ -192,6 +193,8 @@
         self.starts = 0
         self.store = StoreModel()
         self.executors: dict[str, ExecutorModel] = {}
+        # Ids of executors that have left for good.
+        self.departed: set[str] = set()
         self.nodes: dict[str, MemoryNode] = {}
         self.policy: PolicyModel | None = None
         for number in range(executors):
@@ -233,8 +236,21 @@
             self.policy.executors.append(model)
         self.register(model)
 
+    def remove_executor(self, model: ExecutorModel) -> None:
+        """Let an executor leave for good."""
+        model.crash()
+        self.departed.add(model.executor_id)
+        self.store.append(ENTRIES_TOPIC, 0, [(model.executor_id, b"")], None)
+
+    def list_staying(self) -> list[ExecutorModel]:
+        """Return the executors that have not left."""
+        models = self.executors.items()
+        return [model for each, model in models if each not in self.departed]
+
     def register(self, model: ExecutorModel, draining: bool = False) -> None:
-        """Write the entry of an executor."""
+        """Write the entry of an executor, unless it has left."""
+        if model.executor_id in self.departed:
+            return
         entry = ExecutorEntry(
             executor_id=model.executor_id,
             address="memory:0",
--- a/stand_ins/platform/executor.py
+++ b/stand_ins/platform/executor.py
@@ -26,7 +26,8 @@
     """Name what is wrong with an executor that is up."""
 
     NONE = "none"
-    # Holds, or orders, get no answer and are carried out late.
+    # Nothing reaches it; holds, or orders, get no answer and are carried out late.
+    SILENT = "silent"
     HOLDS = "holds"
     ORDERS = "orders"
     # Starts are refused; tasks fail soon after their start; tasks never end.
--- a/stand_ins/platform/memory.py
+++ b/stand_ins/platform/memory.py
@@ -158,7 +158,8 @@
 
         An executor in this ``trouble`` carries it out late and does not answer.
         """
-        if self.model.executor_id in self.faults.cut_executors or not self.model.is_up:
+        cut = self.model.executor_id in self.faults.cut_executors
+        if cut or self.model.trouble is Trouble.SILENT or not self.model.is_up:
             await self.faults.wait_in_vain(deadline)
             raise ExecutorSilent(self.model.executor_id)
         await anyio.sleep(NETWORK_S)
