--- a/soak/cells.py
+++ b/soak/cells.py
@@ -14,11 +14,11 @@
 from gypsumring.cell.messages import Outcome
 from gypsumring.pipelines import JobPhase, PipelineSpec, StepSpec
 from gypsumring.utils.testing import run_on_mock_clock
-from stand_ins.platform.cluster import MemoryCluster, make_job
+from stand_ins.platform.cluster import MemoryCluster, MemoryNode, make_job
 from stand_ins.platform.memory import ENTRIES_TOPIC
 from stand_ins.platform.world import World, random_behaviour
 
-__all__ = ["CellSoak", "run_cell_soak", "run_seeds"]
+__all__ = ["CellSoak", "make_command", "run_cell_soak"]
 
 NODES = 3
 EXECUTORS = 5
@@ -46,6 +46,17 @@
     "forget_history",
     "hang_tasks",
 )
+# Field of the faults of a node, value, usual value.
+NODE_FAULTS = {
+    "store_away": ("store_away", True, False),
+    "store_refuses_one": ("store_refuses", True, False),
+    "store_slow": ("store_slow_s", 0.2, 0.0),
+    "lost_answers": ("lost_share", 0.3, 0.0),
+    "late_answers": ("late_share", 0.3, 0.0),
+    "policy_busy": ("policy_busy", True, False),
+    "advice_lost": ("advice_lost_share", 0.7, 0.0),
+    "advice_late": ("advice_late_s", 2.5, 0.0),
+}
 
 
 class CellSoak:
@@ -158,23 +169,13 @@
                 if run.how != "stopped":
                     run.ends_at = float("inf")
         else:
-            await self.disturb_store(fault, lasts, name)
-
-    async def disturb_store(self, fault: str, lasts: float, name: str) -> None:
-        """Disturb calls of the nodes to the store and to executors."""
-        one = fault == "store_refuses_one"
-        nodes = [self.cluster.nodes[name]] if one else list(self.cluster.nodes.values())
-        field, value, usual = {
-            "store_away": ("store_away", True, False),
-            "store_refuses_one": ("store_refuses", True, False),
-            "store_slow": ("store_slow_s", 0.2, 0.0),
-            "lost_answers": ("lost_share", 0.3, 0.0),
-            "late_answers": ("late_share", 0.3, 0.0),
-        }[fault]
-        await self.disturb(nodes, field, value, usual, lasts)
-
-    async def disturb(self, nodes, field: str, value, usual, lasts: float) -> None:
-        """Change a field of the faults of some nodes for a while."""
+            one = fault == "store_refuses_one"
+            nodes = [cluster.nodes[name]] if one else list(cluster.nodes.values())
+            await self.disturb(fault, lasts, nodes)
+
+    async def disturb(self, fault: str, lasts: float, nodes: list[MemoryNode]) -> None:
+        """Disturb calls of nodes to the store, to executors or for advice."""
+        field, value, usual = NODE_FAULTS[fault]
         for node in nodes:
             setattr(node.faults, field, value)
         await anyio.sleep(lasts)
@@ -253,6 +254,20 @@
                 return False
         return True
 
+    def report(self, seed: int) -> dict[str, object]:
+        """Return what was seen."""
+        world = self.cluster.world
+        return {
+            "seed": seed,
+            "faults": len(self.faults),
+            "steps": self.steps,
+            "accepted": len(self.accepted),
+            "starts": sum(world.starts.values()),
+            "invariant_violations": len(world.violations),
+            "trace": self.faults if world.violations else [],
+            "violations": world.violations[:10],
+        }
+
     def has_failed_task(self, job_id: str) -> bool:
         """Tell whether a task of a job has used up its attempts."""
         return any(
@@ -276,41 +291,31 @@
             load.start_soon(soak.watch_cancelled, seconds)
         await soak.settle()
         group.cancel_scope.cancel()
-    return {
-        "seed": seed,
-        "faults": len(soak.faults),
-        "steps": soak.steps,
-        "accepted": len(soak.accepted),
-        "starts": sum(world.starts.values()),
-        "invariant_violations": len(world.violations),
-        "trace": soak.faults if world.violations else [],
-        "violations": world.violations[:10],
-    }
-
-
-@click.command()
-@click.option("--seed", default=7, help="First seed.")
-@click.option("--seeds", default=1, help="Number of seeds.")
-@click.option("--seconds", default=30.0, help="Simulated seconds of load and faults.")
-def main(seed: int, seeds: int, seconds: float) -> None:
-    """Run seeds one after the other; exit with 1 if a check has failed."""
-    run_seeds(run_cell_soak, seed, seeds, seconds)
-
-
-def run_seeds(
-    run: Callable[[int, float], Awaitable[dict[str, object]]],
-    seed: int,
-    seeds: int,
-    seconds: float,
-) -> None:
-    """Print one line a seed; exit with 1 if a check has failed."""
-    failed = False
-    for each in range(seed, seed + seeds):
-        result = run_on_mock_clock(run, each, seconds, seed=each)
-        failed = failed or bool(result["invariant_violations"])
-        click.echo(json.dumps(result))
-    sys.exit(1 if failed else 0)
+    return soak.report(seed)
+
+
+def make_command(
+    run: Callable[[int, float], Awaitable[dict[str, object]]], seconds: float
+) -> click.Command:
+    """Return a command that prints one line a seed."""
+
+    @click.command()
+    @click.option("--seed", default=7, help="First seed.")
+    @click.option("--seeds", default=1, help="Number of seeds.")
+    @click.option("--seconds", default=seconds, help="Simulated seconds of load.")
+    def main(seed: int, seeds: int, seconds: float) -> None:
+        """Run seeds one after the other; exit with 1 if a check has failed."""
+        failed = False
+        for each in range(seed, seed + seeds):
+            result = run_on_mock_clock(run, each, seconds, seed=each)
+            failed = failed or bool(result["invariant_violations"])
+            click.echo(json.dumps(result))
+        sys.exit(1 if failed else 0)
+
+    return main
+
 
+main = make_command(run_cell_soak, seconds=30.0)
 
 if __name__ == "__main__":
     main()
--- a/soak/liveness.py
+++ b/soak/liveness.py
@@ -7,7 +7,6 @@
 import random
 
 import anyio
-import click
 import msgspec
 
 from gypsumring.cell.orders import GANG_START_S
@@ -16,53 +15,41 @@
 from gypsumring.dispatch.backlog import MAX_LOOK_S
 from gypsumring.fleet import LATE_ORDER_S
 from gypsumring.fleet.health import MAX_QUARANTINE_S
-from gypsumring.pipelines import PipelineSpec, PolicyTiming, Queue, StepSpec
-from soak.cells import FAULTS as CELL_FAULTS
-from soak.cells import CellSoak, run_seeds
+from gypsumring.pipelines import DesiredState, PipelineSpec, PolicyTiming, StepSpec
+from soak.cells import CellSoak, make_command
 from soak.waiting import OpenStep, explain_step, list_leftovers, list_open_steps
 from stand_ins.platform.cluster import MemoryCluster, make_job
-from stand_ins.platform.executor import ExecutorModel, Trouble
+from stand_ins.platform.executor import Trouble
 from stand_ins.platform.policy import PolicyRule
 from stand_ins.platform.world import TaskBehaviour, World
 
 __all__ = ["LivenessSoak", "run_liveness_soak"]
 
 CORES, MEMORY_MB, RACK_SIZE = 32, 131_072, 12
-MAX_ATTEMPTS = 3
-FAILED_SHARE = 0.02
-# Priority, rate in jobs a second, rule of the policy.
+# Priority, weight in the draw of jobs, rule of the policy.
 QUEUES = {
     "gangs": (1, 0.4, PolicyRule(0.3, PolicyTiming(0.559, 0.00806, 2.0))),
     "wide": (2, 0.5, PolicyRule(0.45, PolicyTiming(0.156, 0.00234, 2.0))),
     "small": (0, 5.0, PolicyRule(0.7, PolicyTiming(0.00936, 0.00013, 2.0))),
 }
-SAMPLE_S = 0.25
 LONGEST_WORK_S = 8.0
 # Within this time after the last fault beliefs about executors are renewed: the last
 # task ends, and the executor on which it failed rests; or a late order is over.
 BELIEF_S = max(LONGEST_WORK_S + MAX_QUARANTINE_S, LATE_ORDER_S)
-IDLE_S = 30.0
-SETTLE_S = 900.0
+SAMPLE_S, IDLE_S, SETTLE_S = 0.25, 30.0, 900.0
 # A step with room for twice its tasks starts within this time on a calm cell.
 START_S = 3.0
-# At most this share of the executors stays sick; each try may meet others of them.
-MAX_SICK = 4
-SICK_TRIES = 3
+# At most so many executors stay sick; each try may meet others of them.
+MAX_SICK, SICK_TRIES = 4, 3
 LASTING_TROUBLES = (Trouble.ORDERS, Trouble.UNHEALTHY, Trouble.FAILING)
 # A start without an answer is given up once no late copy of it can be carried out, and
 # the executor has told in a list what runs there.
 UNANSWERED_START_S = LATE_ORDER_S + 5.0
-# Faults of the calls of some nodes for advice: field, value, usual value.
-ADVICE_FAULTS = {
-    "policy_busy": ("policy_busy", True, False),
-    "advice_lost": ("advice_lost_share", 0.7, 0.0),
-    "advice_late": ("advice_late_s", 2.5, 0.0),
-}
 FAULTS = (
-    *CELL_FAULTS,
-    *ADVICE_FAULTS,
+    *CellSoak.fault_names,
+    *("policy_busy", "advice_lost", "advice_late"),
     *("trouble", "trouble", "trouble"),
-    *("crash_rack", "replace_executor", "drop_queue"),
+    *("replace_executor", "drop_queue"),
 )
 
 
@@ -90,11 +77,13 @@
     )
 
 
-def make_queues(usual: Queue, source: random.Random) -> tuple[Queue, ...]:
-    """Return the queues of one version of the desired state."""
-    return tuple(
+def change_queues(
+    desired: DesiredState, source: random.Random, gone: str = ""
+) -> DesiredState:
+    """Return a desired state with new forms of the queues, without one of them."""
+    queues = tuple(
         msgspec.structs.replace(
-            usual,
+            desired.queues[0],
             name=name,
             path_prefix=f"/{name}/",
             priority=priority,
@@ -102,7 +91,9 @@
             policy=rule.timing,
         )
         for name, (priority, _, rule) in QUEUES.items()
+        if name != gone
     )
+    return msgspec.structs.replace(desired, version=desired.version + 1, queues=queues)
 
 
 class LivenessSoak(CellSoak):
@@ -118,8 +109,7 @@
         # Since when steps wait that have to start, and how much longer they may.
         self.waits: dict[tuple[str, str, int], list[float]] = {}
         self.state: dict[str, object] = {}
-        load = random_source.choice((0.5, 1.0, 2.0))
-        self.job_rate = load * sum(rate for _, rate, _ in QUEUES.values())
+        self.job_rate = random_source.choice((3.0, 6.0, 12.0))
 
     def draw_job(self, job_id: str) -> PipelineSpec:
         """Return a new job of one of the queues in force."""
@@ -153,13 +143,14 @@
         cluster, source = self.cluster, self.random_source
         model = self.draw_executor()
         match fault:
-            case "crash_rack":
-                async with anyio.create_task_group() as group:
-                    for each in cluster.list_staying():
-                        if each.labels == model.labels:
-                            group.start_soon(self.crash, each, lasts)
             case "replace_executor":
-                await self.replace(model, lasts)
+                self.note(f"replace {model.executor_id}")
+                cluster.register(model, draining=True)
+                await anyio.sleep(lasts)
+                if model.is_up:
+                    cluster.remove_executor(model)
+                    name = f"{model.executor_id}n"
+                    cluster.add_executor(model.make_successor(name))
             case "trouble":
                 kind, times = source.choice(list(Trouble)[1:]), source.choice((1, 1, 4))
                 self.note(f"{kind.value} {model.executor_id} {times} times")
@@ -169,43 +160,21 @@
                     model.trouble = Trouble.NONE
                     await anyio.sleep(lasts / times / 2)
             case "drop_queue":
-                self.drop_queue()
-            case _ if fault in ADVICE_FAULTS:
+                gone = source.choice(list(QUEUES))
+                self.note(f"drop {gone}")
+                cluster.desired = change_queues(cluster.desired, source, gone)
+            case "policy_busy" | "advice_lost" | "advice_late":
                 nodes = sorted(cluster.nodes.values(), key=lambda node: node.name)
                 few = source.sample(nodes, source.randint(1, len(nodes)))
-                await self.disturb(few, *ADVICE_FAULTS[fault], lasts)
+                await self.disturb(fault, lasts, few)
             case _:
                 await super().play(fault, lasts)
 
-    async def replace(self, model: ExecutorModel, lasts: float) -> None:
-        """Let an executor drain and leave, and another come under a new id."""
-        self.note(f"replace {model.executor_id}")
-        self.cluster.register(model, draining=True)
-        await anyio.sleep(lasts)
-        if model.is_up:
-            self.cluster.remove_executor(model)
-            name = f"{model.executor_id}n"
-            other = ExecutorModel(self.cluster.world, name, CORES * 1000, model.drift)
-            add_executor(self.cluster, other, model.labels)
-
-    def drop_queue(self) -> None:
-        """Put new forms of the queues in force, without one of them."""
-        desired, source = self.cluster.desired, self.random_source
-        gone = source.choice(list(QUEUES))
-        self.note(f"drop {gone}")
-        queues = make_queues(desired.queues[0], source)
-        queues = tuple(queue for queue in queues if queue.name != gone)
-        self.cluster.desired = msgspec.structs.replace(
-            desired, version=desired.version + 1, queues=queues
-        )
-
     def start_bound_s(self, steps: list[OpenStep]) -> float:
-        """Return the time in which one of the steps that fit has to start.
-
-        All executors are asked about, then tickets renewed, each time behind one call
-        of each other step at the nodes that may carry long calls. Work that runs, and
-        one start of a gang that is not complete, lie ahead.
-        """
+        """Return the time in which one of the steps that fit has to start."""
+        # All executors are asked about, then tickets renewed, each time behind one call
+        # of each other step at the nodes that may carry long calls. Work that runs, and
+        # one start of a gang that is not complete, lie ahead.
         cluster = self.cluster
         calls_s, rounds = 0.0, 1
         for step in steps:
@@ -213,7 +182,7 @@
             size = choose_call_size(rule.timing)
             calls_s += rule.timing.call_s(size)
             rounds = max(rounds, 1 + math.ceil(len(cluster.executors) / size))
-        nodes = len(cluster.nodes) - int(len(cluster.nodes) * 0.34)
+        nodes = len(cluster.nodes) - int(len(cluster.nodes) * SHORT_SHARE)
         asking_s = rounds * (calls_s / nodes + MAX_LOOK_S)
         return asking_s + LONGEST_WORK_S + 2 * GANG_START_S
 
@@ -223,13 +192,12 @@
         timing = self.cluster.policy.rule_for(step.name).timing
         size = choose_call_size(timing)
         live = sum(not node.killed.is_set() for node in nodes)
+        advisers = live - int(live * SHORT_SHARE)
         calls = math.ceil(len(executors) / size)
-        advice_s = math.ceil(calls / (live - int(live * SHORT_SHARE)))
-        advice_s *= timing.call_s(size)
+        advice_s = math.ceil(calls / advisers) * timing.call_s(size)
         bound = START_S if advice_s <= START_S else 2 * advice_s + GANG_START_S
         if any(model.trouble is not Trouble.NONE for model in executors):
-            stop_s = max(model.stop_s for model in executors)
-            bound += SICK_TRIES * (GANG_START_S + stop_s + advice_s)
+            bound += SICK_TRIES * (GANG_START_S + executors[0].stop_s + advice_s)
         return bound
 
     def check_waits(self, steps: list[OpenStep], progress_at: float) -> None:
@@ -238,7 +206,7 @@
         start_s = self.start_bound_s(steps)
         rows = [("START", 0, step, start_s) for step in steps if step.fits()]
         for step in steps:
-            if step.has_ample_room() and not step.is_withheld():
+            if step.has_ample_room():
                 bound = self.prompt_bound_s(step)
                 rows.append(("PROMPT", len(step.missing), step, bound))
         waits = {}
@@ -261,10 +229,10 @@
             for model in cluster.executors.values():
                 model.advance()
             steps = list(list_open_steps(cluster, self.accepted))
-            present = {task for step in steps for task in step.present}
-            if present - seen:
+            known = len(seen)
+            seen.update(*(step.present for step in steps))
+            if len(seen) > known:
                 progress_at = max(anyio.current_time(), quiet_at)
-            seen |= present
             self.check_waits([step for step in steps if step.missing], progress_at)
             running = any(model.runs for model in cluster.executors.values())
             waits = running or any(step.fits(empty=True) for step in steps)
@@ -289,16 +257,6 @@
             self.cluster.world.violate("KEPT", each)
 
 
-def add_executor(
-    cluster: MemoryCluster, model: ExecutorModel, labels: tuple[str, ...]
-) -> None:
-    """Add an executor of the usual size."""
-    model.memory_mb = MEMORY_MB
-    model.labels = labels
-    model.tickets = {}
-    cluster.add_executor(model)
-
-
 def make_cluster(
     world: World, group: anyio.abc.TaskGroup, source: random.Random, seed: int
 ) -> MemoryCluster:
@@ -306,11 +264,13 @@
     count = source.randint(40, 60)
     cluster = MemoryCluster(world, group, 0, count, CORES * 1000, 0.3, seed)
     for number, model in enumerate(cluster.executors.values()):
-        add_executor(cluster, model, (f"rack-{number // RACK_SIZE}",))
+        model.memory_mb = MEMORY_MB
+        model.labels = (f"rack-{number // RACK_SIZE}",)
+        model.tickets = {}
+        cluster.register(model)
     cluster.policy.seed = seed
     cluster.policy.rules = {name: rule for name, (_, _, rule) in QUEUES.items()}
-    queues = make_queues(cluster.desired.queues[0], source)
-    cluster.desired = msgspec.structs.replace(cluster.desired, queues=queues)
+    cluster.desired = change_queues(cluster.desired, source)
     for number in range(source.randint(3, 12)):
         cluster.add_node(f"n{number:02}")
     return cluster
@@ -323,11 +283,10 @@
     def behave(task: str, attempt: int) -> TaskBehaviour:
         draw = random.Random(f"{seed}/{task}/{attempt}")
         step = world.jobs[task.partition(".")[0]].steps[0]
-        work_s = min(LONGEST_WORK_S, step.estimated_ms / 1000 * draw.uniform(0.5, 1.6))
-        failing = draw.random() < FAILED_SHARE and anyio.current_time() < seconds
-        return TaskBehaviour(work_s, "failed" if failing else "done")
+        work_s = step.estimated_ms / 1000 * draw.uniform(0.5, 1.6)
+        return TaskBehaviour(min(LONGEST_WORK_S, work_s), "done")
 
-    world = World(behave, MAX_ATTEMPTS)
+    world = World(behave, max_attempts=3)
     async with anyio.create_task_group() as group:
         soak = LivenessSoak(make_cluster(world, group, source, seed), source)
         async with anyio.create_task_group() as load:
@@ -337,27 +296,10 @@
         if not world.violations:
             await soak.check_leftovers()
         group.cancel_scope.cancel()
-    return {
-        "seed": seed,
-        "faults": len(soak.faults),
-        "accepted": len(soak.accepted),
-        "starts": sum(world.starts.values()),
-        "seconds": round(anyio.current_time(), 1),
-        "invariant_violations": len(world.violations),
-        "trace": soak.faults if world.violations else [],
-        "violations": world.violations[:10],
-        "state": soak.state,
-    }
-
-
-@click.command()
-@click.option("--seed", default=7, help="First seed.")
-@click.option("--seeds", default=1, help="Number of seeds.")
-@click.option("--seconds", default=20.0, help="Simulated seconds of load and faults.")
-def main(seed: int, seeds: int, seconds: float) -> None:
-    """Run seeds one after the other; exit with 1 if a check has failed."""
-    run_seeds(run_liveness_soak, seed, seeds, seconds)
+    return soak.report(seed) | {"state": soak.state}
+
 
+main = make_command(run_liveness_soak, seconds=20.0)
 
 if __name__ == "__main__":
     main()
--- a/soak/waiting.py
+++ b/soak/waiting.py
@@ -6,6 +6,7 @@
 
 from gypsumring.cell import CellOwner
 from gypsumring.cell.owner import LATE_EXTENSION_S
+from gypsumring.cell.state import CellState
 from gypsumring.cell.waiting import WaitReport, explain_wait, why_no_work
 from gypsumring.fleet.executor import CLOCK_DRIFT, LEASE_MARGIN_MS
 from gypsumring.pipelines import Step, StepSpec
@@ -13,13 +14,12 @@
 from stand_ins.platform.executor import ExecutorModel, Trouble
 
 __all__ = ["OpenStep", "explain_step", "list_leftovers", "list_open_steps"]
+# What the state of an executor keeps for tasks.
+KEPT_FIELDS = ("runs", "used_cpu", "used_memory", "unknown_runs", "shutting_out")
 
 
 class OpenStep:
-    """Hold a ready step as the executors show it: the tasks that neither run nor ended.
-
-    A gang that is not complete counts as not running.
-    """
+    """Hold a ready step as the executors show it, and what is missing of it."""
 
     __slots__ = ("cluster", "missing", "name", "present", "spec")
 
@@ -38,14 +38,14 @@
         tasks = [f"{name}.{index}" for index in range(spec.task_count)]
         self.present = (running | done).intersection(tasks)
         self.missing = [task for task in tasks if task not in self.present]
+        # A gang that is not complete counts as not running.
         if spec.gang and len(self.missing) < spec.task_count:
             self.missing = []
 
     def places(self, model: ExecutorModel, empty: bool = False) -> int:
         """Return how many tasks of the step an executor could take, by its runs."""
-        if not model.is_up or model.trouble is not Trouble.NONE:
-            return 0
-        if not self.cluster.policy.allows(self.name, model.executor_id):
+        sound = model.is_up and model.trouble is Trouble.NONE
+        if not sound or not self.cluster.policy.allows(self.name, model.executor_id):
             return 0
         cpu, memory, here = model.cpu_millis, model.memory_mb, 0
         for run in model.runs.values() if not empty else ():
@@ -68,21 +68,19 @@
         return room >= (self.spec.task_count if self.spec.gang else 1)
 
     def has_ample_room(self) -> bool:
-        """Tell whether twice the missing tasks fit where the owner starts work.
-
-        Under half of the cores have to be in use, and there has to be an owner.
-        """
+        """Tell whether twice the missing tasks fit, and under half of all is in use."""
         node = self.cluster.owner_node()
         models = [model for model in self.cluster.executors.values() if model.is_up]
         used = sum(model.used_cpu for model in models)
         if node is None or 2 * used >= sum(model.cpu_millis for model in models):
             return False
-        owner = node.owner()
-        now = owner.state.clock()
+        state = node.owner().state
+        if self.is_withheld(state):
+            return False
         room = 0
         for model in models:
-            executor = owner.state.fleet.get(model.executor_id)
-            why = executor and why_no_work(executor, model.service, True, now)
+            executor = state.fleet.get(model.executor_id)
+            why = executor and why_no_work(executor, "svc", True, state.clock())
             if why not in ("silent", "resting", "draining"):
                 room += self.places(model)
         return room >= 2 * len(self.missing)
@@ -96,13 +94,8 @@
             for run in found[1].active_runs()
         )
 
-    def is_withheld(self) -> bool:
-        """Tell whether tasks of an earlier owner may still run under its lease.
-
-        The wait ends with the lease that owners ask for, a late extension of it, and
-        the drift of the executor's clock.
-        """
-        state = self.cluster.owner_node().owner().state
+    def is_withheld(self, state: CellState) -> bool:
+        """Tell whether tasks of an earlier owner may still run under its lease."""
         job = state.table.jobs.get(self.name.partition(".")[0])
         if job is None or not job.inherited or not state.unsettled:
             return False
@@ -143,17 +136,9 @@
     now = anyio.current_time()
     queue = owner.state.find_queue(step.job)
     report = explain_wait(step, queue, owner.scheduler, step.job.accepted_at, now)
-    fields = [each for each in WaitReport.__slots__ if each != "step"]
-    runs = [
-        [run.task, run.attempt, run.executor_id, run.state.value]
-        for run in step.active_runs()
-    ]
-    return {
-        "now": now,
-        "has_policy": queue.policy is not None,
-        "runs": runs,
-        "avoided": {key: sorted(each) for key, each in step.avoided.items()},
-    } | {each: getattr(report, each) for each in fields}
+    state = {each: getattr(report, each) for each in WaitReport.__slots__}
+    runs = [(run.executor_id, run.state.value) for run in step.active_runs()]
+    return state | {"step": step.name, "runs": runs}
 
 
 def list_leftovers(owner: CellOwner, open_steps: set[str]) -> list[str]:
@@ -164,17 +149,14 @@
     for each, reservation in owner.scheduler.reserved.items():
         kept[f"{each} reserved"] = reservation.step.name
     for each, executor in state.fleet.items():
-        kept[f"{each} runs"] = list(executor.runs)
-        kept[f"{each} room"] = executor.used_cpu or executor.used_memory
-        kept[f"{each} unknown runs"] = executor.unknown_runs
-        kept[f"{each} starts to shut out"] = executor.shutting_out
+        for field in KEPT_FIELDS:
+            kept[f"{each} {field}"] = getattr(executor, field)
         kept[f"{each} rests"] = executor.health.is_quarantined(now)
-    waiting = {step.name for step in owner.scheduler.backlog.waiting}
+    waiting = {each.name for each in owner.scheduler.backlog.waiting}
     kept["waiting"] = sorted(waiting - open_steps)
     for job in state.table.active.values():
         for step in job.steps:
-            kept[f"{step.name} calls"] = step.asking
-            kept[f"{step.name} withheld"] = step.withheld
+            kept[f"{step.name} calls, withheld"] = step.asking or step.withheld
     for adviser in owner.scheduler.desk.advisers.advisers.values():
         kept[f"{adviser.name} calls"] = adviser.calls or adviser.busy_until > now
     return [f"{what}: {value}" for what, value in kept.items() if value]
--- a/stand_ins/platform/executor.py
+++ b/stand_ins/platform/executor.py
@@ -132,6 +132,21 @@
             self.tickets = {}
         self.is_up = True
 
+    def make_successor(self, executor_id: str) -> "ExecutorModel":
+        """Return an executor of the same form under another id."""
+        other = ExecutorModel(
+            self.world,
+            executor_id,
+            self.cpu_millis,
+            self.drift,
+            self.service,
+            self.longest_lease_ms / 1000,
+        )
+        other.memory_mb = self.memory_mb
+        other.labels = self.labels
+        other.tickets = None if self.tickets is None else {}
+        return other
+
     def crash(self) -> None:
         """Stop at once; nothing runs any more."""
         self.is_up = False
