--- /dev/null
+++ b/gypsumring/cell/tests/test_failing_peers.py
@@ -0,0 +1,221 @@
+"""Gangs start although an executor or a node fails their orders and calls."""
+
+import random
+from collections.abc import Iterator
+from contextlib import contextmanager
+from functools import partial
+
+import anyio
+
+from gypsumring.cell.messages import Outcome
+from gypsumring.cell.orders import (
+    GANG_START_S,
+    ORDER_TIMEOUT_S,
+    RETRY_PAUSE_S,
+    START_LIMIT_S,
+    UNANSWERED_LIMIT,
+)
+from gypsumring.cell.tests.test_recovery import running_cluster
+from gypsumring.fleet import LATE_ORDER_S
+from gypsumring.pipelines import JobPhase, StepSpec
+from gypsumring.ports.tasks import ExecutorSilent, PolicyUnavailable, StartRefused
+from gypsumring.utils.testing import make_load_tests
+from stand_ins.platform.cluster import MemoryCluster, make_job
+from stand_ins.platform.faults import Faults
+from stand_ins.platform.memory import MemoryExecutor, carry_out_late
+from stand_ins.platform.world import steady_behaviour
+
+GANG_ID = "a" * 16
+GANG = StepSpec(task_count=3, cpu_millis=4000, estimated_ms=800, gang=True)
+SINGLE = StepSpec(task_count=1, cpu_millis=1000, estimated_ms=800)
+# An order without an answer is sent again after this time, in seconds.
+REPEATED_S = ORDER_TIMEOUT_S + RETRY_PAUSE_S
+# Executors end a lone member by themselves after some time; a gang that has stopped one
+# run has to find its room elsewhere in the next ones.
+GANG_BOUND_S = 10.0
+# A start that is carried out this late still has its lease.
+LATE_START_S = 4.0
+
+
+@contextmanager
+def failing_orders(
+    executor_id: str,
+    starts: Exception | None = None,
+    stops: Exception | None = None,
+) -> Iterator[None]:
+    """Let orders to one executor fail with the errors that are given; holds succeed."""
+    original_start, original_stop = MemoryExecutor.start, MemoryExecutor.stop
+
+    async def start(self, order, fence, deadline):
+        if starts is not None and self.model.executor_id == executor_id:
+            await fail(starts, deadline)
+        await original_start(self, order, fence, deadline)
+
+    async def stop(self, task, attempt, fence, deadline):
+        if stops is not None and self.model.executor_id == executor_id:
+            await fail(stops, deadline)
+        await original_stop(self, task, attempt, fence, deadline)
+
+    MemoryExecutor.start, MemoryExecutor.stop = start, stop
+    try:
+        yield
+    finally:
+        MemoryExecutor.start, MemoryExecutor.stop = original_start, original_stop
+
+
+@contextmanager
+def late_starts(executor_id: str, late_s: float) -> Iterator[None]:
+    """Let one executor carry out each copy of a start so many seconds late as well."""
+    original = MemoryExecutor.start
+
+    async def start(self, order, fence, deadline):
+        if self.model.executor_id == executor_id:
+            faults = Faults(random.Random(0))
+            faults.late_s = (late_s, late_s)
+            act = partial(self.model.start, order, fence)
+            self.group.start_soon(carry_out_late, faults, act)
+        await original(self, order, fence, deadline)
+
+    MemoryExecutor.start = start
+    try:
+        yield
+    finally:
+        MemoryExecutor.start = original
+
+
+async def fail(error: Exception, deadline: float) -> None:
+    """Raise an error, without an answer only at the deadline."""
+    if isinstance(error, ExecutorSilent):
+        await anyio.sleep(max(0.0, deadline - anyio.current_time()))
+    raise error
+
+
+async def completes(cluster: MemoryCluster, limit_s: float) -> bool:
+    """Submit a gang; tell whether it is completed in time."""
+    assert await cluster.submit(make_job(GANG_ID, GANG)) is Outcome.OK
+    return await cluster.wait_final(GANG_ID, limit_s) is JobPhase.COMPLETED
+
+
+# All calls for advice went through the first idle node by name, also when each of them
+# failed there at once.
+async def test_step_is_advised_through_a_node_that_reaches_the_policy_service():
+    async with running_cluster(executors=5, policy_share=1.0) as cluster:
+        node = cluster.owner_node()
+        desk = node.owner().scheduler.desk
+        desk.list_peers = lambda: ["n0", "n1", "n2", "n3"]
+
+        async def ask_peer(name, step, executor_ids, deadline):
+            if name == "n0":
+                raise PolicyUnavailable("connection refused")
+            return await node.policy.advise(step, executor_ids, deadline)
+
+        desk.ask_peer = ask_peer
+        assert await completes(cluster, GANG_BOUND_S)
+
+
+# Members whose orders are not answered may start until LATE_ORDER_S after the last copy
+# of the start. Released before that, the gang would run twice.
+async def test_gang_waits_while_starts_without_an_answer_may_be_carried_out():
+    silent = ExecutorSilent("i-0")
+    with (
+        failing_orders("i-0", starts=silent, stops=silent),
+        late_starts("i-0", LATE_START_S),
+    ):
+        async with running_cluster(executors=5) as cluster:
+            assert await cluster.submit(make_job(GANG_ID, GANG)) is Outcome.OK
+            await anyio.sleep(LATE_ORDER_S + GANG_BOUND_S)
+            assert cluster.world.starts[f"{GANG_ID}.0.0.0"] > 0
+
+
+# An executor that refuses all work stays empty, so that each gang came back to it once
+# its rest was over.
+async def test_gang_starts_beside_an_executor_that_refuses_as_unhealthy():
+    with failing_orders("i-0", starts=StartRefused("unhealthy")):
+        async with running_cluster(executors=5, policy_share=1.0) as cluster:
+            assert await completes(cluster, GANG_BOUND_S)
+
+
+# Nothing was noted against an executor that does not answer starts, so that the gang
+# was placed there again.
+async def test_gang_starts_beside_an_executor_that_answers_no_starts():
+    with failing_orders("i-0", starts=ExecutorSilent("i-0")):
+        async with running_cluster(executors=5, policy_share=1.0) as cluster:
+            assert await completes(cluster, GANG_BOUND_S)
+
+
+# A member whose stop is not answered stayed accounted for as long as the executor
+# answered holds, and its gang waited for it.
+async def test_gang_starts_beside_an_executor_that_answers_only_holds():
+    silent = ExecutorSilent("i-0")
+    with failing_orders("i-0", starts=silent, stops=silent):
+        async with running_cluster(executors=5, policy_share=1.0) as cluster:
+            limit_s = LATE_ORDER_S + 2 * GANG_START_S + GANG_BOUND_S
+            assert await completes(cluster, limit_s)
+
+
+# Single tasks were placed one after the other where no start is answered.
+async def test_single_tasks_start_beside_an_executor_that_answers_no_starts():
+    with failing_orders("i-0", starts=ExecutorSilent("i-0")):
+        async with running_cluster(executors=2) as cluster:
+            assert await cluster.submit(make_job("b" * 16, SINGLE)) is Outcome.OK
+            # Five copies of the start, and the rest of the executor has begun.
+            await anyio.sleep((UNANSWERED_LIMIT + 1) * REPEATED_S)
+            executor = cluster.owner_node().owner().state.fleet["i-0"]
+            placed = set(executor.runs)
+            assert placed
+            for number in range(4):
+                job = make_job(f"{number:016x}", SINGLE)
+                assert await cluster.submit(job) is Outcome.OK
+                assert await cluster.wait_final(f"{number:016x}") is JobPhase.COMPLETED
+            assert set(executor.runs) == placed
+
+
+# The start of a single task was repeated for as long as an executor answered holds and
+# no orders.
+async def test_single_task_is_given_up_where_no_order_is_answered():
+    silent = ExecutorSilent("i-0")
+    with failing_orders("i-0", starts=silent, stops=silent):
+        async with running_cluster(executors=2) as cluster:
+            fleet = cluster.owner_node().owner().state.fleet
+            fleet["i-1"].health.quarantined_until = anyio.current_time() + 1.0
+            assert await cluster.submit(make_job("b" * 16, SINGLE)) is Outcome.OK
+            await anyio.sleep(0.5)
+            assert fleet["i-0"].runs
+            limit_s = START_LIMIT_S + LATE_ORDER_S + GANG_BOUND_S
+            assert await cluster.wait_final("b" * 16, limit_s) is JobPhase.COMPLETED
+
+
+# A rest must not give up running work: a machine may only be slow to answer.
+async def test_running_work_of_an_executor_that_rests_goes_on():
+    async with running_cluster(steady_behaviour(12.0), executors=1) as cluster:
+        long = StepSpec(task_count=1, cpu_millis=2000, estimated_ms=12_000)
+        assert await cluster.submit(make_job("b" * 16, long)) is Outcome.OK
+        await anyio.sleep(0.5)
+        state = cluster.owner_node().owner().state
+        silent = ExecutorSilent("i-0")
+        with failing_orders("i-0", starts=silent, stops=silent):
+            assert await cluster.submit(make_job("c" * 16, SINGLE)) is Outcome.OK
+            await anyio.sleep(5.0)
+            assert state.fleet["i-0"].health.is_quarantined(state.clock())
+        assert await cluster.wait_final("b" * 16) is JobPhase.COMPLETED
+        assert await cluster.wait_final("c" * 16) is JobPhase.COMPLETED
+        assert cluster.world.starts["b" * 16 + ".0.0.0"] == 1
+        assert cluster.world.starts["c" * 16 + ".0.0.0"] == 1
+
+
+# Four orders without an answer, before the executor was silent, and their repetition
+# once it answers again, must not let it rest for long.
+async def test_first_answered_start_ends_the_rest():
+    async with running_cluster(executors=1) as cluster:
+        with failing_orders("i-0", starts=ExecutorSilent("i-0")):
+            assert await cluster.submit(make_job("b" * 16, SINGLE)) is Outcome.OK
+            await anyio.sleep(8.0)
+            executor = cluster.owner_node().owner().state.fleet["i-0"]
+            assert executor.health.refusals > 1
+        await anyio.sleep(2 * REPEATED_S)
+        assert not executor.health.is_suspect()
+        assert await cluster.wait_final("b" * 16) is JobPhase.COMPLETED
+        assert cluster.world.starts["b" * 16 + ".0.0.0"] == 1
+
+
+load_tests = make_load_tests(globals())
