--- a/soak/liveness.py
+++ b/soak/liveness.py
@@ -268,6 +268,7 @@
         model.labels = (f"rack-{number // RACK_SIZE}",)
         model.tickets = {}
         cluster.register(model)
+    cluster.shares_advice = True
     cluster.policy.seed = seed
     cluster.policy.rules = {name: rule for name, (_, _, rule) in QUEUES.items()}
     cluster.desired = change_queues(cluster.desired, source)
--- a/stand_ins/platform/cluster.py
+++ b/stand_ins/platform/cluster.py
@@ -115,6 +115,8 @@
         self, name: str, step: str, executor_ids: list[str], deadline: float
     ) -> list[tuple[str, str]]:
         """Ask the policy service through a node; raise PolicyUnavailable."""
+        if name == self.name:
+            return await self.policy.advise(step, executor_ids, deadline)
         node = self.cluster.nodes[name]
         answers = []
         errors = []
@@ -137,6 +139,8 @@
 
     def list_peers(self) -> list[str]:
         """Return the nodes that can call the policy service, this one first."""
+        if not self.cluster.shares_advice:
+            return [self.name]
         names = [
             name
             for name, node in self.cluster.nodes.items()
@@ -171,6 +175,7 @@
         "nodes",
         "policy",
         "random_source",
+        "shares_advice",
         "starts",
         "store",
         "world",
@@ -195,6 +200,8 @@
         self.executors: dict[str, ExecutorModel] = {}
         # Ids of executors that have left for good.
         self.departed: set[str] = set()
+        # Whether an owner calls the policy service through other nodes as well.
+        self.shares_advice = False
         self.nodes: dict[str, MemoryNode] = {}
         self.policy: PolicyModel | None = None
         for number in range(executors):
