Count in one place how many tasks fit into some room

fit_count, places_on and the expected openings each had the same three divisions; they call count_fitting now. The limit of what is kept for waiting steps is worked out once a pass, and the time between looks stands in the backlog alone. Behaviour is as before: the tests of cell, dispatch and fleet pass unchanged.

--- a/gypsumring/cell/scheduling.py
+++ b/gypsumring/cell/scheduling.py
@@ -14,6 +14,7 @@
     place_step,
     reserve_executors,
 )
+from gypsumring.dispatch.backlog import LOOK_S
 from gypsumring.dispatch.placing import has_label, has_room
 from gypsumring.fleet import ExecutorState
 from gypsumring.pipelines import Queue, RunState, Step
@@ -24,8 +25,6 @@
 
 log = EventLogger("scheduler")
 
-# The scheduler looks again after this time even if nothing has changed.
-LOOK_S = 0.1
 # Changes that arrive within this time are looked at together.
 GATHER_S = 0.003
 # After a pass the scheduler waits at least this many times as long as it took.
--- a/gypsumring/dispatch/openings.py
+++ b/gypsumring/dispatch/openings.py
@@ -2,7 +2,7 @@
 
 from gypsumring.dispatch.placing import places_on, room_for
 from gypsumring.fleet import ExecutorState
-from gypsumring.fleet.executor import counted_cpu
+from gypsumring.fleet.executor import count_fitting, counted_cpu
 from gypsumring.pipelines.state import Run, Step
 
 __all__ = ["expect_end", "expect_openings"]
@@ -50,13 +50,7 @@
         cpu += counted_cpu(run.step.spec)
         memory += run.step.spec.memory_mb
         accelerators += run.step.spec.accelerators
-        room = most
-        if counted_cpu(spec):
-            room = min(room, cpu // spec.cpu_millis)
-        if spec.memory_mb:
-            room = min(room, memory // spec.memory_mb)
-        if spec.accelerators:
-            room = min(room, accelerators // spec.accelerators)
+        room = min(most, count_fitting(spec, cpu, memory, accelerators))
         times += [ends_at] * (room - places)
         places = max(places, room)
     return times
--- a/gypsumring/dispatch/placing.py
+++ b/gypsumring/dispatch/placing.py
@@ -3,6 +3,7 @@
 from collections.abc import Collection, Iterable
 
 from gypsumring.fleet import ExecutorState
+from gypsumring.fleet.executor import count_fitting
 from gypsumring.pipelines.state import Step
 
 __all__ = ["Placement", "has_label", "has_room", "place_step", "places_on"]
@@ -45,13 +46,8 @@
 def places_on(step: Step, executor: ExecutorState) -> int:
     """Return how many tasks of a step an empty executor holds."""
     spec = step.spec
-    places = spec.task_count
-    if spec.cpu_millis and not spec.fills:
-        places = min(places, executor.entry.cpu_millis // spec.cpu_millis)
-    if spec.memory_mb:
-        places = min(places, executor.entry.memory_mb // spec.memory_mb)
-    if spec.accelerators:
-        places = min(places, executor.entry.accelerators // spec.accelerators)
+    entry = executor.entry
+    places = count_fitting(spec, entry.cpu_millis, entry.memory_mb, entry.accelerators)
     if spec.max_per_executor:
         places = min(places, spec.max_per_executor)
     return places
--- a/gypsumring/dispatch/reserving.py
+++ b/gypsumring/dispatch/reserving.py
@@ -57,6 +57,7 @@
         "is_full",
         "kept_waiting",
         "largest_cpu",
+        "limit",
         "now",
         "open_executors",
         "reserved",
@@ -73,8 +74,9 @@
         self.largest_cpu = max((each.entry.cpu_millis for each in fleet), default=0)
         # Executors that take work, by service and id.
         self.open_executors: dict[str, dict[str, ExecutorState]] = {}
-        # Executors that are kept for steps that wait for room.
+        # Executors that are kept for steps that wait for room, and how many may be.
         self.kept_waiting = 0
+        self.limit = int(len(fleet) * MAX_RESERVED_SHARE)
         # A gang was left out, so that no later one goes before it.
         self.is_full = False
         self.reserved: dict[str, Reservation] = {}
@@ -108,7 +110,7 @@
         """Tell whether a gang may keep so many executors while it waits for room."""
         if not self.kept_waiting:
             return True
-        return self.kept_waiting + count <= len(self.fleet) * MAX_RESERVED_SHARE
+        return self.kept_waiting + count <= self.limit
 
     def may_keep(self, count: int) -> bool:
         """Tell whether a gang that fits may keep so many executors."""
@@ -181,7 +183,7 @@
     waits = needs_reservation(step, ledger.largest_cpu, ledger.now)
     if step.spec.gang:
         reserve_for_gang(step, queue, ledger, waits)
-    elif waits and ledger.kept_waiting < int(len(ledger.fleet) * MAX_RESERVED_SHARE):
+    elif waits and ledger.kept_waiting < ledger.limit:
         reserve_for_tasks(step, queue, ledger)
     else:
         step.reserved = set()
@@ -262,12 +264,11 @@
             each.executor_id,
         )
     )
-    limit = int(len(ledger.fleet) * MAX_RESERVED_SHARE)
     chosen: list[ExecutorState] = []
     places = 0
     for executor in candidates:
         enough = places >= len(step.pending) or len(chosen) >= MAX_FOR_TASKS
-        if enough or ledger.kept_waiting >= limit:
+        if enough or ledger.kept_waiting >= ledger.limit:
             break
         if places_on(step, executor):
             places += places_on(step, executor)
--- a/gypsumring/fleet/executor.py
+++ b/gypsumring/fleet/executor.py
@@ -201,16 +201,12 @@
 
     def fit_count(self, spec: StepSpec) -> int:
         """Return how many more tasks of a step the free room holds."""
-        room = spec.task_count
-        if counted_cpu(spec):
-            room = min(room, (self.entry.cpu_millis - self.used_cpu) // spec.cpu_millis)
-        if spec.memory_mb:
-            free = self.entry.memory_mb - self.used_memory
-            room = min(room, free // spec.memory_mb)
-        if spec.accelerators:
-            free = self.entry.accelerators - self.used_accelerators
-            room = min(room, free // spec.accelerators)
-        return max(0, room)
+        return count_fitting(
+            spec,
+            self.entry.cpu_millis - self.used_cpu,
+            self.entry.memory_mb - self.used_memory,
+            self.entry.accelerators - self.used_accelerators,
+        )
 
     def add_run(self, run: Run) -> None:
         """Account for an attempt."""
@@ -233,6 +229,20 @@
         return True
 
 
+def count_fitting(
+    spec: StepSpec, cpu_millis: int, memory_mb: int, accelerators: int
+) -> int:
+    """Return how many tasks of a step some room holds, at most all of them."""
+    count = spec.task_count
+    if counted_cpu(spec):
+        count = min(count, cpu_millis // spec.cpu_millis)
+    if spec.memory_mb:
+        count = min(count, memory_mb // spec.memory_mb)
+    if spec.accelerators:
+        count = min(count, accelerators // spec.accelerators)
+    return max(0, count)
+
+
 def counted_cpu(spec: StepSpec) -> int:
     """Return the processors that a task takes from the room of an executor."""
     return 0 if spec.fills else spec.cpu_millis
