--- a/gypsumring/cell/tests/test_journal.py
+++ b/gypsumring/cell/tests/test_journal.py
@@ -1,5 +1,6 @@
 """Appends of a journal to a store that loses or delays answers or refuses calls."""
 
+import itertools
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
 
@@ -99,6 +100,23 @@
         assert store.records == [("owner", b"7"), ("a", b"value")]
 
 
+async def test_append_is_answered_soon_after_the_store_returns():
+    # After an outage of some seconds copies were sent every 0.5 s, or up to 0.9 s apart
+    # if the store refused them. All submissions waited for the next copy.
+    for outcome, outage_s in itertools.product(
+        ("lost", "refused"), (3.0, 3.1, 3.2, 3.3, 3.4)
+    ):
+        async with running_journal() as (journal, store):
+            store.script = [outcome] * 1000
+            appended = anyio.Event()
+            journal.put("a", b"value", appended.set)
+            await anyio.sleep(outage_s)
+            store.script = []
+            returned_at = anyio.current_time()
+            await appended.wait()
+            assert anyio.current_time() - returned_at < 0.3
+
+
 async def test_records_that_are_not_urgent_share_an_append():
     async with running_journal() as (journal, store):
         durable = []
