Let submissions wait for an unavailable store and withdraw them in time

Change: a submission is queued as always. If its record has not been sent within 0.45 of the caller's time and the store does not answer, it is withdrawn and refused, truthfully, with time left for a retry. When the store returns, one append accepts all that wait.

--- a/gypsumring/cell/commands.py
+++ b/gypsumring/cell/commands.py
@@ -15,9 +15,24 @@
 
 # Part of the caller's time limit that is reserved for sending the answer.
 ANSWER_MARGIN_S = 0.1
-# New jobs are refused if the store has not answered an append for this time.
+# The store counts as unavailable if it has not answered an append for this time.
 STORE_UNAVAILABLE_S = 0.5
 STORE_RETRY_AFTER_S = 1.0
+# Share of a caller's time for which a submission waits for a store that is unavailable.
+# The rest is left for retries.
+STORE_WAIT_SHARE = 0.45
+
+
+class Submission:
+    """Job whose record is being stored; ``withdrawn`` if it was never sent."""
+
+    __slots__ = ("settled", "spec", "withdrawn")
+
+    def __init__(self, spec: PipelineSpec):
+        self.spec = spec
+        self.withdrawn = False
+        # Set once the record is durable or has been withdrawn.
+        self.settled = anyio.Event()
 
 
 class Commands:
@@ -28,30 +43,29 @@
     def __init__(self, state: CellState, orders: Orders):
         self.state = state
         self.orders = orders
-        # Events by id of the jobs whose records are being stored, set once durable.
-        self.accepting: dict[str, anyio.Event] = {}
+        # Jobs whose records are being stored, by id.
+        self.accepting: dict[str, Submission] = {}
 
     async def submit(self, spec: PipelineSpec, time_limit_s: float) -> JobAnswer:
-        """Accept a job once and answer when its record is durable."""
+        """Accept a job once and answer when its record is durable.
+
+        While the store is unavailable, a job whose record has not been sent waits for
+        a share of the caller's time. It is then withdrawn and refused, so that the
+        caller may submit it again.
+        """
         job_id = spec.job_id
-        deadline = anyio.current_time() + time_limit_s - ANSWER_MARGIN_S
+        began_at = anyio.current_time()
+        time_left_s = max(0.0, time_limit_s - ANSWER_MARGIN_S)
         if job_id in self.state.table.jobs:
             return JobAnswer(Outcome.OK)
-        durable = self.accepting.get(job_id)
-        if durable is None:
-            if self.state.journal.unanswered_s() > STORE_UNAVAILABLE_S:
-                self.state.metrics.count("cell.jobs.refused.store_away")
-                log.info(
-                    "job refused",
-                    job=job_id,
-                    queue=spec.queue,
-                    reason="the store does not answer",
-                    unanswered_s=round(self.state.journal.unanswered_s(), 3),
-                )
-                return JobAnswer(Outcome.REFUSED, retry_after_s=STORE_RETRY_AFTER_S)
-            durable = self.accept(spec)
-        with anyio.move_on_after(max(0.0, deadline - anyio.current_time())):
-            await durable.wait()
+        submission = self.accepting.get(job_id) or self.accept(spec)
+        await wait_until(submission.settled, began_at + STORE_WAIT_SHARE * time_left_s)
+        if not submission.settled.is_set() and self.is_store_unavailable():
+            self.withdraw(submission)
+        await wait_until(submission.settled, began_at + time_left_s)
+        if submission.withdrawn:
+            return JobAnswer(Outcome.REFUSED, retry_after_s=STORE_RETRY_AFTER_S)
+        if submission.settled.is_set():
             return JobAnswer(Outcome.OK)
         self.state.metrics.count("cell.jobs.uncertain")
         log.warning(
@@ -62,24 +76,46 @@
         )
         return JobAnswer(Outcome.UNCERTAIN)
 
-    def accept(self, spec: PipelineSpec) -> anyio.Event:
+    def is_store_unavailable(self) -> bool:
+        """Return whether the store has left an append unanswered for too long."""
+        return self.state.journal.unanswered_s() > STORE_UNAVAILABLE_S
+
+    def accept(self, spec: PipelineSpec) -> Submission:
         """Queue the record of a new job; the job is added once it is durable."""
-        durable = anyio.Event()
-        self.accepting[spec.job_id] = durable
+        submission = Submission(spec)
+        self.accepting[spec.job_id] = submission
         queued_at = anyio.current_time()
 
         def add_job() -> None:
             del self.accepting[spec.job_id]
             job = self.state.table.add(spec, anyio.current_time())
-            self.state.queues.record_accepted(spec.queue)
+            self.state.queues.finish_accepting(spec.queue)
             self.state.metrics.count("cell.jobs.accepted")
             self.log_accepted(job, anyio.current_time() - queued_at)
-            durable.set()
+            submission.settled.set()
             self.state.wake()
 
         self.state.queues.start_accepting(spec.queue)
         self.state.journal.put(JOB_KEY + spec.job_id, encode(spec), add_job)
-        return durable
+        return submission
+
+    def withdraw(self, submission: Submission) -> None:
+        """Withdraw a job unless its record was sent, so that it never runs."""
+        spec = submission.spec
+        if not self.state.journal.withdraw(JOB_KEY + spec.job_id):
+            return
+        del self.accepting[spec.job_id]
+        self.state.queues.finish_accepting(spec.queue)
+        submission.withdrawn = True
+        submission.settled.set()
+        self.state.metrics.count("cell.jobs.refused.store_away")
+        log.info(
+            "job refused",
+            job=spec.job_id,
+            queue=spec.queue,
+            reason="the store does not answer",
+            unanswered_s=round(self.state.journal.unanswered_s(), 3),
+        )
 
     def log_accepted(self, job: Job, store_s: float) -> None:
         """Log the properties of a job that later log lines refer to."""
@@ -120,9 +156,9 @@
         """Cancel a job and answer once the cancellation is durable."""
         deadline = anyio.current_time() + time_limit_s - ANSWER_MARGIN_S
         with anyio.move_on_after(max(0.0, deadline - anyio.current_time())):
-            accepting = self.accepting.get(job_id)
-            if accepting is not None:
-                await accepting.wait()
+            submission = self.accepting.get(job_id)
+            if submission is not None:
+                await submission.settled.wait()
             job = self.state.table.jobs.get(job_id)
             if job is None:
                 return self.query(job_id, is_fresh)
@@ -141,3 +177,9 @@
     def count_waiting(self, queue: str) -> JobAnswer:
         """Return the number of jobs of a queue that have not started."""
         return JobAnswer(Outcome.OK, count=self.state.table.count_waiting(queue))
+
+
+async def wait_until(event: anyio.Event, deadline: float) -> None:
+    """Wait for an event until a deadline on the clock of ``anyio.current_time``."""
+    with anyio.move_on_after(max(0.0, deadline - anyio.current_time())):
+        await event.wait()
--- a/gypsumring/cell/journal.py
+++ b/gypsumring/cell/journal.py
@@ -37,12 +37,14 @@
 class PendingRecord:
     """Record that has been queued and is not durable yet."""
 
-    __slots__ = ("callbacks", "key", "value")
+    __slots__ = ("callbacks", "key", "later_callbacks", "value")
 
     def __init__(self, key: str, value: bytes, on_durable: Callable[[], None] | None):
         self.key = key
         self.value = value
         self.callbacks: list[Callable[[], None]] = []
+        # Callbacks that wait for all records up to this one.
+        self.later_callbacks: list[Callable[[], None]] = []
         self.call_when_durable(on_durable)
 
     def call_when_durable(self, on_durable: Callable[[], None] | None) -> None:
@@ -146,7 +148,19 @@
             on_durable()
             return
         entries = list(self.queue.values()) or self.in_flight
-        entries[-1].call_when_durable(on_durable)
+        entries[-1].later_callbacks.append(on_durable)
+
+    def withdraw(self, key: str) -> bool:
+        """Remove a queued record and return True, or False if it was sent already.
+
+        A removed record is never written, and the callbacks of its ``put`` are dropped.
+        """
+        entry = self.queue.pop(key, None)
+        if entry is None:
+            return False
+        for on_durable in entry.later_callbacks:
+            self.call_when_all_durable(on_durable)
+        return True
 
     def unanswered_s(self) -> float:
         """Return how long the append in flight has been unanswered, in seconds."""
@@ -176,7 +190,7 @@
                 self.appended += len(self.in_flight)
                 durable_entries, self.in_flight = self.in_flight, []
                 for entry in durable_entries:
-                    for on_durable in entry.callbacks:
+                    for on_durable in entry.callbacks + entry.later_callbacks:
                         on_durable()
 
     async def wait_for_batch(self) -> None:
--- a/gypsumring/cell/queues.py
+++ b/gypsumring/cell/queues.py
@@ -82,8 +82,8 @@
         self.accepting[name] += 1
         self.record(name)
 
-    def record_accepted(self, name: str) -> None:
-        """Record that a job of a queue is durable and in the job table."""
+    def finish_accepting(self, name: str) -> None:
+        """Record that a job of a queue is in the job table or has been withdrawn."""
         self.accepting[name] -= 1
         if not self.accepting[name]:
             del self.accepting[name]
