Send the time that a caller has left with a repeated command

Cause: a command that was sent again to a later owner carried the original time limit, so that the owner could wait for the store beyond the caller's deadline; the caller then got 504 instead of a refusal. Change: the time limit is computed for each copy. Test: fails on the code before.

--- a/gypsumring/node/forwarding.py
+++ b/gypsumring/node/forwarding.py
@@ -3,6 +3,7 @@
 from collections.abc import Awaitable, Callable
 
 import anyio
+import msgspec
 
 from gypsumring.cell.messages import (
     CancelJob,
@@ -93,8 +94,15 @@
         return JobAnswer(Outcome.UNCERTAIN)
 
     async def send(self, command: Command, deadline: float) -> JobAnswer:
-        """Send a command once; raise ChannelClosed if it may have been executed."""
+        """Send a command once; raise ChannelClosed if it may have been executed.
+
+        The owner receives the time that the caller has left now.
+        """
         channel = self.link.channel
+        if isinstance(command, (SubmitJob, CancelJob)):
+            command = msgspec.structs.replace(
+                command, time_limit_s=deadline - anyio.current_time()
+            )
         if self.link.own_fence() is not None:
             return await self.execute(command)
         if channel is None or channel.closed:
--- a/gypsumring/node/tests/test_forwarding.py
+++ b/gypsumring/node/tests/test_forwarding.py
@@ -96,6 +96,24 @@
     assert anyio.current_time() - began < 0.2
 
 
+async def test_later_owner_receives_the_time_that_is_left():
+    # It received the original time limit, waited for the store beyond the deadline of
+    # the caller, and the caller got no answer in time.
+    limits = []
+
+    class RecordingLink(ScriptedLink):
+        async def call(self, command, deadline):
+            limits.append(command.time_limit_s)
+            await anyio.sleep(0.2)
+            return await super().call(command, deadline)
+
+    submission = SubmitJob(make_job("a" * 16, StepSpec(task_count=1)), 1.0)
+    forwarder = Forwarder(RecordingLink(LOST, 2, OK), None, Metrics())
+    assert await forwarder.forward(submission, after(1.0)) is OK
+    assert limits[0] == 1.0
+    assert 0.7 < limits[1] < 0.8
+
+
 async def test_refused_and_uncertain_submissions_are_logged_with_their_queue():
     # Submissions that reached no owner were only counted, without job and queue.
     submission = SubmitJob(make_job("a" * 16, StepSpec(task_count=1)), 0.5)
