Keep the cell on a stopping owner while the store is slow

With a store that takes 0.5 s an append, a takeover takes 1.2 s, in which no job is accepted and no end is recorded; jobs of a fraction of a second miss three times their target.

Change: while appends take over 0.1 s, a stopping owner stays, until 1.5 s before its last callers are answered; it stops accepting connections as before.

--- a/gypsumring/cell/owner.py
+++ b/gypsumring/cell/owner.py
@@ -51,6 +51,8 @@
 # from then on.
 MAX_EXTENSION_DELAY_S = 1.0
 READ_TIMEOUT_S = 5.0
+# The store counts as slow if appends take longer than this.
+SLOW_APPEND_S = 0.1
 RETRY_PAUSE_S = 0.1
 # Records of ended jobs are retained for this time after callers may query them.
 RETENTION_MARGIN_S = 60.0
@@ -155,6 +157,12 @@
             self.stopped.set()
             log.info("cell released", cell=self.partition, fence=self.fence)
 
+    def is_store_slow(self) -> bool:
+        """Return whether the store answers appends slowly or not at all."""
+        journal = self.state.journal
+        latency_s = max(journal.average_latency_s, journal.unanswered_s())
+        return latency_s > SLOW_APPEND_S
+
     def measure(self) -> dict[str, float]:
         """Return the gauges of the cell."""
         state = self.state
--- a/gypsumring/node/main.py
+++ b/gypsumring/node/main.py
@@ -101,6 +101,8 @@
     config.accesslog = None
     config.errorlog = None
     stopped = anyio.Event()
+    # Set once another node may own the cell, which may be after the last response.
+    handed_over = anyio.Event()
 
     async def handle_signals() -> None:
         with anyio.open_signal_receiver(*SIGNALS) as signals:
@@ -110,9 +112,12 @@
                     continue
                 log.info("stop signal received", signal=number)
                 stop_at = anyio.current_time() + lame_duck_s
-                await node.stop(stop_at + config.graceful_timeout - ANSWER_MARGIN_S)
-                await anyio.sleep_until(stop_at)
-                stopped.set()
+                answer_deadline = stop_at + config.graceful_timeout - ANSWER_MARGIN_S
+                async with anyio.create_task_group() as stopping:
+                    stopping.start_soon(node.stop, answer_deadline)
+                    await anyio.sleep_until(stop_at)
+                    stopped.set()
+                handed_over.set()
                 return
 
     async with anyio.create_task_group() as group:
@@ -121,5 +126,6 @@
         group.start_soon(node.run)
         log.info("node started", node=settings.node, address=settings.caller_address)
         await hypercorn.asyncio.serve(app, config, shutdown_trigger=stopped.wait)
+        await handed_over.wait()
         group.cancel_scope.cancel()
     log.info("node stopped", node=settings.node)
--- a/gypsumring/node/membership.py
+++ b/gypsumring/node/membership.py
@@ -24,6 +24,8 @@
 # but no sooner than this time after its last response.
 CONFIRMATION_VALID_S = 0.35
 LEAVE_TIMEOUT_S = 0.5
+# How often a stopping owner checks whether the store has recovered.
+HANDOVER_POLL_S = 0.05
 # Number of fence numbers per generation. A node must not lose the cell more often than
 # this within a generation, as it would use the fence numbers of the next one.
 FENCES_PER_GENERATION = 1_000
@@ -238,8 +240,18 @@
             await self.stop_owner("node is not a candidate")
             await self.leave_group()
 
-    async def leave(self) -> None:
-        """Stop the owner and leave the group so that another node takes over."""
+    async def leave(self, handover_deadline: float = 0.0) -> None:
+        """Stop the owner and leave the group so that another node takes over.
+
+        A takeover needs several calls to the store, and callers wait meanwhile. While
+        the store is slow, the owner therefore stays, until the deadline at the latest.
+        """
+        while (
+            anyio.current_time() < handover_deadline
+            and (owner := self.active_owner()) is not None
+            and owner.is_store_slow()
+        ):
+            await anyio.sleep(HANDOVER_POLL_S)
         self.stopping = True
         await self.stop_owner("node is stopping")
         if self.is_member:
--- a/gypsumring/node/node.py
+++ b/gypsumring/node/node.py
@@ -63,6 +63,9 @@
 GAUGE_PERIOD_S = 1.0
 # A node without a link to an owner for this time reports that it is not ready.
 UNREADY_AFTER_UNLINKED_S = 2.5
+# Time reserved for a takeover by another node before a stopping node answers its last
+# callers.
+TAKEOVER_S = 1.5
 
 
 class Node:
@@ -239,7 +242,7 @@
         self.stopping = True
         self.forwarder.answer_deadline = answer_deadline
         await self.link.withdraw()
-        await self.membership.leave()
+        await self.membership.leave(answer_deadline - TAKEOVER_S)
 
     def remove_peer(self, channel: Channel) -> None:
         """Discard the entry of a peer whose channel has ended."""
--- a/gypsumring/node/tests/test_membership.py
+++ b/gypsumring/node/tests/test_membership.py
@@ -12,12 +12,17 @@
 class ScriptedOwner:
     """Owner that runs until it is stopped."""
 
-    __slots__ = ("loaded", "stopped")
+    __slots__ = ("loaded", "stopped", "store_is_slow")
 
     def __init__(self):
         self.loaded = True
+        self.store_is_slow = False
         self.stopped = anyio.Event()
 
+    def is_store_slow(self) -> bool:
+        """Return whether the store is slow."""
+        return self.store_is_slow
+
     async def run(self) -> None:
         """Run until cancelled."""
         try:
@@ -42,6 +47,9 @@
             raise StoreUnavailable("unavailable")
         return Assignment(1, self.partitions)
 
+    async def leave(self, group, member, deadline):
+        """Answer that the member has left."""
+
 
 class PausableClock:
     """Clock that includes the time while the process is paused."""
@@ -121,4 +129,46 @@
     await run_checks(check)
 
 
+# During a rolling restart with a slow store, each takeover took 1.2 s, in which no job
+# was accepted and no end was recorded.
+async def test_stopping_owner_stays_while_the_store_is_slow():
+    async def check(membership, store, clock):
+        owner = membership.owner
+        owner.store_is_slow = True
+
+        async def recover() -> None:
+            await anyio.sleep(1.0)
+            assert not owner.stopped.is_set()
+            owner.store_is_slow = False
+
+        began_at = anyio.current_time()
+        async with anyio.create_task_group() as group:
+            group.start_soon(recover)
+            await membership.leave(began_at + 3.0)
+        assert owner.stopped.is_set()
+        assert 1.0 <= anyio.current_time() - began_at < 1.2
+
+    await run_checks(check)
+
+
+async def test_stopping_owner_leaves_at_its_deadline():
+    async def check(membership, store, clock):
+        membership.owner.store_is_slow = True
+        began_at = anyio.current_time()
+        await membership.leave(began_at + 3.0)
+        assert 3.0 <= anyio.current_time() - began_at < 3.2
+        assert membership.owner is None
+
+    await run_checks(check)
+
+
+async def test_stopping_owner_leaves_at_once_with_a_fast_store():
+    async def check(membership, store, clock):
+        began_at = anyio.current_time()
+        await membership.leave(began_at + 3.0)
+        assert anyio.current_time() - began_at < 0.2
+
+    await run_checks(check)
+
+
 load_tests = make_load_tests(globals())
