Add make ablation: what each mechanism is worth over the load model

Its trials also interrupt the store for three seconds, and callers try again after a refusal, as they do on the platform.

--- a/Makefile
+++ b/Makefile
@@ -9,7 +9,7 @@
 PARAMETER ?= gypsumring.dispatch.reserving:MAX_RESERVED_SHARE
 VALUES ?= 0,0.15,0.3,0.45
 
-.PHONY: demo test bench soak cells liveness experiment report format
+.PHONY: demo test bench soak cells liveness experiment ablation report format
 
 $(STAMP): requirements.lock pyproject.toml
 	test -x $(PYTHON) || python3.11 -m venv .venv
@@ -40,6 +40,9 @@
 experiment: $(STAMP)
 	$(PYTHON) -m experiments --parameter $(PARAMETER) --values $(VALUES) --seed $(SEED) --seeds $(SEEDS)
 
+ablation: $(STAMP)
+	$(PYTHON) -m experiments.ablation --seed $(SEED) --seeds 5
+
 report: $(STAMP)
 	$(PYTHON) -m benchmarks.report
 
--- a/experiments/trial.py
+++ b/experiments/trial.py
@@ -19,6 +19,10 @@
 MAX_ATTEMPTS = 3
 POLICY_SHARE = 0.4
 FAILED_SHARE = 0.01
+STORE_OUTAGE_S = 3.0
+CALLER_TIME_LIMIT_S = 3.0
+CALLER_RETRIES = 4
+RETRY_AFTER_S = 1.0
 # A job that does not end within this time of its submission is not completed.
 JOB_TIMEOUT_S = 60.0
 # A late job earns this share of its worth if it completes within
@@ -88,7 +92,7 @@
         result = self.results[kind.name]
         result.submitted += 1
         submitted_at = anyio.current_time()
-        if await self.cluster.submit(job, 10.0) is not Outcome.OK:
+        if await self.submit(job) is not Outcome.OK:
             return
         phase = await self.cluster.wait_final(job.job_id, JOB_TIMEOUT_S)
         if phase is JobPhase.COMPLETED:
@@ -96,6 +100,18 @@
             target_s = kind.stretch * work_s + kind.latency_target_s
             result.record_completed(anyio.current_time() - submitted_at, target_s)
 
+    async def submit(self, job: PipelineSpec) -> Outcome:
+        """Submit a job and try again after a refusal while the caller has time."""
+        deadline = anyio.current_time() + CALLER_TIME_LIMIT_S
+        for _ in range(CALLER_RETRIES + 1):
+            time_left_s = deadline - anyio.current_time()
+            outcome = await self.cluster.submit(job, time_left_s)
+            time_left_s = deadline - anyio.current_time()
+            if outcome is not Outcome.REFUSED or time_left_s <= 0:
+                break
+            await anyio.sleep(min(RETRY_AFTER_S, time_left_s / 2))
+        return outcome
+
     async def inject_faults(self, seconds: float) -> None:
         """Kill the owner and restart its node, then crash and restart an executor."""
         await anyio.sleep(seconds / 3)
@@ -111,8 +127,19 @@
         executor.start_incarnation()
         self.cluster.register(executor)
 
+    async def interrupt_store(self, seconds: float) -> None:
+        """Make the store unavailable to all nodes for a while."""
+        await anyio.sleep(seconds / 2)
+        for node in self.cluster.nodes.values():
+            node.faults.store_away = True
+        await anyio.sleep(STORE_OUTAGE_S)
+        for node in self.cluster.nodes.values():
+            node.faults.store_away = False
+
 
-async def run_on_cluster(seed: int, seconds: float, load: float, faults: bool) -> Trial:
+async def run_on_cluster(
+    seed: int, seconds: float, load: float, faults: bool, store_outage: bool
+) -> Trial:
     """Run one trial; raise AssertionError if the cluster violated an invariant."""
 
     def draw_behaviour(task: str, attempt: int) -> TaskBehaviour:
@@ -135,6 +162,8 @@
                 load_tasks.start_soon(trial.submit_kind, kind, seconds, load)
             if faults:
                 load_tasks.start_soon(trial.inject_faults, seconds)
+            if store_outage:
+                load_tasks.start_soon(trial.interrupt_store, seconds)
         group.cancel_scope.cancel()
     if world.violations:
         raise AssertionError(world.violations[:3])
@@ -142,9 +171,12 @@
 
 
 def run_trial(
-    seed: int, seconds: float, load: float, faults: bool
+    seed: int, seconds: float, load: float, faults: bool, store_outage: bool = False
 ) -> dict[str, KindResult]:
-    """Run one seed on the mock clock and return the results by kind."""
+    """Run one seed on the mock clock and return the results by kind.
+
+    With ``store_outage`` the store is also unavailable for some seconds.
+    """
     return run_on_mock_clock(
-        run_on_cluster, seed, seconds, load, faults, seed=seed
+        run_on_cluster, seed, seconds, load, faults, store_outage, seed=seed
     ).results
