Query no further executors for a gang that still would not fit

Gangs that fitted (up to 11) waited for a node to renew their tickets, with idle executors reserved for them: at 28 to 34 s about 3,000 of 5,500 cores were in use.

Change: a gang that is allowed on executors that could hold it 1.6 times queries further ones only if they are expected to complete it now.

--- a/gypsumring/cell/policy_client.py
+++ b/gypsumring/cell/policy_client.py
@@ -12,6 +12,7 @@
     PolicyProxyPool,
     choose_call_size,
     choose_unqueried,
+    may_complete_gang,
     split_calls,
 )
 from gypsumring.dispatch.placing import count_fitting_when_empty, has_capacity
@@ -109,7 +110,7 @@
                 count_fitting_when_empty(step, executor) for executor in allowed
             )
             share = self.shares.get(queue.name)
-            to_query += choose_unqueried(
+            unqueried = choose_unqueried(
                 step,
                 find_unqueried(),
                 capacity_if_empty,
@@ -117,6 +118,10 @@
                 call_size,
                 self.random_source,
             )
+            if not step.spec.gang or may_complete_gang(
+                step, allowed, capacity_if_empty, unqueried, share
+            ):
+                to_query += unqueried
         if not to_query:
             if not step.reserved:
                 step.next_policy_call_at = now + NO_CANDIDATE_DELAY_S
--- a/gypsumring/dispatch/__init__.py
+++ b/gypsumring/dispatch/__init__.py
@@ -4,6 +4,7 @@
     AllowedShares,
     choose_call_size,
     choose_unqueried,
+    may_complete_gang,
     split_calls,
 )
 from gypsumring.dispatch.backlog import Backlog
@@ -19,6 +20,7 @@
     "Reservation",
     "choose_call_size",
     "choose_unqueried",
+    "may_complete_gang",
     "place_step",
     "reserve_executors",
     "split_calls",
--- a/gypsumring/dispatch/asking.py
+++ b/gypsumring/dispatch/asking.py
@@ -10,12 +10,18 @@
 import random
 from collections.abc import Iterable
 
-from gypsumring.dispatch.placing import count_fitting_when_empty
+from gypsumring.dispatch.placing import count_fitting_on, count_fitting_when_empty
 from gypsumring.fleet import ExecutorState
 from gypsumring.pipelines.model import PolicyTiming
 from gypsumring.pipelines.state import Step
 
-__all__ = ["AllowedShares", "choose_call_size", "choose_unqueried", "split_calls"]
+__all__ = [
+    "AllowedShares",
+    "choose_call_size",
+    "choose_unqueried",
+    "may_complete_gang",
+    "split_calls",
+]
 
 # Assumed share of executors that a queue's policy allows before its first answer.
 INITIAL_SHARE = 0.4
@@ -91,6 +97,29 @@
     return chosen
 
 
+def may_complete_gang(
+    step: Step,
+    allowed: list[ExecutorState],
+    allowed_capacity: int,
+    candidates: list[ExecutorState],
+    share: float,
+) -> bool:
+    """Return whether a query about candidates may let a gang start at once.
+
+    A gang that is allowed on enough executors waits for capacity there. Further
+    executors are of use to it only if the missing members are expected to fit on those
+    that the policy allows. ``allowed_capacity`` is as in ``choose_unqueried``.
+    """
+    needed = len(step.pending)
+    if allowed_capacity < SURPLUS_FACTOR * needed:
+        return True
+    free_capacity = sum(count_fitting_on(step, executor) for executor in allowed)
+    candidate_capacity = sum(
+        count_fitting_on(step, executor) for executor in candidates
+    )
+    return free_capacity + share * candidate_capacity >= needed
+
+
 def choose_call_size(timing: PolicyTiming) -> int:
     """Return the number of executors in one call."""
     if timing.per_executor_s <= 0:
--- a/gypsumring/dispatch/tests/test_asking.py
+++ b/gypsumring/dispatch/tests/test_asking.py
@@ -12,6 +12,7 @@
     PolicyProxyPool,
     choose_call_size,
     choose_unqueried,
+    may_complete_gang,
     split_calls,
 )
 from gypsumring.dispatch.tests.fleets import make_fleet, make_step
@@ -127,4 +128,34 @@
     assert len(queried) >= choose_call_size(LONG)
 
 
+# On a busy fleet with forty waiting gangs, half of all long calls asked about a few
+# more executors for gangs that still did not fit. Gangs that fitted waited for a node
+# to renew their tickets, and the capacity reserved for them was idle.
+def test_gang_that_stays_too_large_queries_no_further_executors():
+    fleet = make_fleet(100)
+    allowed, others = fleet[:20], fleet[20:]
+    for executor in fleet:
+        executor.used_cpu = 8_000
+    gang = make_step(task_count=20, cpu_millis=4_000, gang=True)
+    assert not may_complete_gang(gang, allowed, 40, others, SHARE)
+    for executor in allowed[:8]:
+        executor.used_cpu = 0
+    assert not may_complete_gang(gang, allowed, 40, others, SHARE)
+    # With the share of 0.3, 80 executors with one place each add 24 places.
+    for executor in others:
+        executor.used_cpu = 4_000
+    assert may_complete_gang(gang, allowed, 40, others, SHARE)
+    assert not may_complete_gang(gang, allowed, 40, others[:10], SHARE)
+
+
+def test_gang_without_enough_allowed_executors_queries_further_ones():
+    fleet = make_fleet(100)
+    for executor in fleet:
+        executor.used_cpu = 8_000
+    gang = make_step(task_count=20, cpu_millis=4_000, gang=True)
+    assert may_complete_gang(gang, [], 0, fleet, SHARE)
+    assert may_complete_gang(gang, fleet[:15], 30, fleet[15:], SHARE)
+    assert not may_complete_gang(gang, fleet[:16], 32, fleet[16:], SHARE)
+
+
 load_tests = make_load_tests(globals())
