Renew the tickets of all executors reserved for a gang in one call

A call takes about a second and tickets are valid for 1.5 s, so that the first tickets had expired, or almost, when the last ones arrived; 38 of 91 renewals of long calls in 20 s named five executors or fewer.

Change: once a ticket of a reserved executor is due, those of all of them are renewed.

--- a/gypsumring/cell/policy_client.py
+++ b/gypsumring/cell/policy_client.py
@@ -145,19 +145,24 @@
 
         If the step ``fits``, these are the executors with free capacity and an expired
         ticket. Tickets of executors reserved for the step are renewed before they
-        expire. A gang starts on its reserved executors, so that it needs no others.
+        expire, all in one call, so that they are valid at the same time. A gang starts
+        on its reserved executors, so that it needs no others.
         """
         call_s = timing.call_s(1 + len(step.reserved)) + TICKET_MARGIN_S
         fits = fits and not is_gang_with_reservations(step)
+        renews_reserved = any(
+            step.ticket_remaining_s(executor.executor_id, now) < call_s
+            for executor in allowed
+            if executor.executor_id in step.reserved
+        )
         renewals = []
         for executor in allowed:
-            executor_id = executor.executor_id
-            remaining_s = step.ticket_remaining_s(executor_id, now)
-            if executor_id in step.reserved and remaining_s < call_s:
-                renewals.append(executor)
+            if executor.executor_id in step.reserved:
+                if renews_reserved:
+                    renewals.append(executor)
             elif (
                 fits
-                and remaining_s < TICKET_MARGIN_S
+                and step.ticket_remaining_s(executor.executor_id, now) < TICKET_MARGIN_S
                 and executor.count_fitting_tasks(step.spec)
             ):
                 renewals.append(executor)
