--- a/experiments/ablation.py
+++ b/experiments/ablation.py
@@ -59,6 +59,10 @@
     Mechanism(
         "surplus of queried executors", **{f"{DISPATCH}.asking:SURPLUS_FACTOR": 1.0}
     ),
+    Mechanism(
+        "gangs query only if they may start",
+        **{f"{CELL}.policy_client:may_complete_gang": always(True)},
+    ),
     Mechanism(
         "health of executors",
         **{"gypsumring.fleet.health:ExecutorHealth.is_quarantined": always(False)},
--- a/experiments/trial.py
+++ b/experiments/trial.py
@@ -153,6 +153,7 @@
         cluster = MemoryCluster(
             world, group, NODES, EXECUTORS, CPU_MILLIS, POLICY_SHARE, seed
         )
+        cluster.shares_advice = True
         cluster.desired = DesiredState(version=1, queues=make_queues(MAX_ATTEMPTS))
         while cluster.owner_node() is None:
             await anyio.sleep(0.1)
