Send no empty append after all queued records were withdrawn

Cause: found by reading. A withdrawal during the wait for a batch could leave the queue empty, and an empty append would leave the next sequence number undetermined. Submissions are only withdrawn while an append is in flight, so that it cannot happen today.

--- a/gypsumring/cell/journal.py
+++ b/gypsumring/cell/journal.py
@@ -158,6 +158,8 @@
         entry = self.queue.pop(key, None)
         if entry is None:
             return False
+        if not self.queue:
+            self.next_append_at = float("inf")
         for on_durable in entry.later_callbacks:
             self.call_when_all_durable(on_durable)
         return True
@@ -184,6 +186,9 @@
             while self.queue:
                 await self.wait_for_batch()
                 self.in_flight = self.take_batch()
+                if not self.in_flight:
+                    # All records were withdrawn; an empty append is not allowed.
+                    break
                 await self.append(
                     [(entry.key, entry.value) for entry in self.in_flight]
                 )
@@ -195,7 +200,7 @@
 
     async def wait_for_batch(self) -> None:
         """Wait for more records until the next append is due."""
-        while (now := anyio.current_time()) < self.next_append_at:
+        while self.queue and (now := anyio.current_time()) < self.next_append_at:
             with anyio.move_on_after(self.next_append_at - now):
                 await self.wake.wait()
             self.wake = anyio.Event()
--- a/gypsumring/cell/tests/test_journal.py
+++ b/gypsumring/cell/tests/test_journal.py
@@ -117,6 +117,18 @@
             assert anyio.current_time() - returned_at < 0.3
 
 
+async def test_withdrawal_of_all_records_sends_no_empty_append():
+    # An empty append would leave the next sequence number undetermined.
+    async with running_journal() as (journal, store):
+        journal.put("a", b"value", urgent=False)
+        await anyio.sleep(0.01)
+        assert journal.withdraw("a")
+        await anyio.sleep(0.1)
+        assert len(store.sequences) == 1
+        await write(journal, "b")
+        assert store.records == [("owner", b"7"), ("b", b"value")]
+
+
 async def test_records_that_are_not_urgent_share_an_append():
     async with running_journal() as (journal, store):
         durable = []
