--- a/gypsumring/cell/orders.py
+++ b/gypsumring/cell/orders.py
@@ -77,42 +77,51 @@
         self.state.table.release(run)
         self.state.wake()
 
+    def abandon_late_start(self, run: Run, executor: ExecutorState) -> bool:
+        """Stop an attempt whose start has taken too long; return whether it has."""
+        if run.step.spec.gang and self.is_member_start_late(run):
+            self.back_off_if_unanswered(executor, run.unanswered_orders)
+            self.stop_gang(run, "a member has not started")
+            return True
+        if (
+            run.unanswered_orders
+            and not executor.is_unresponsive
+            and self.is_start_overdue(run)
+        ):
+            log.warning(
+                "start abandoned: executor does not answer the order",
+                **run.log_fields(),
+            )
+            self.state.metrics.count("cell.starts.given_up")
+            self.stop(run)
+            return True
+        return False
+
+    def make_start(self, run: Run, executor: ExecutorState, ticket: str) -> TaskStart:
+        """Return a start order, which also extends the lease of the executor."""
+        lease_ms = int(self.state.timing.lease_s * 1000)
+        return TaskStart(
+            run.task,
+            run.attempt,
+            run.step.job.spec.payload,
+            executor.extend_lease(lease_ms, self.state.clock()),
+            run.step.checkpoint_of(run.index),
+            ticket,
+        )
+
     async def start_run(self, run: Run, ticket: str) -> None:
         """Send a start until it is answered or the attempt is not starting any more."""
-        step = run.step
         while True:
             executor = self.find_executor(run)
             if executor is None or run.state is not RunState.STARTING:
                 return
-            if step.spec.gang and self.is_member_start_late(run):
-                self.back_off_if_unanswered(executor, run.unanswered_orders)
-                self.stop_gang(run, "a member has not started")
-                return
-            if (
-                run.unanswered_orders
-                and not executor.is_unresponsive
-                and self.is_start_overdue(run)
-            ):
-                log.warning(
-                    "start abandoned: executor does not answer the order",
-                    **run.log_fields(),
-                )
-                self.state.metrics.count("cell.starts.given_up")
-                self.stop(run)
+            if self.abandon_late_start(run, executor):
                 return
             if executor.is_unresponsive or not self.state.may_extend_leases():
                 await anyio.sleep(RETRY_PAUSE_S)
                 continue
             client = self.state.clients[run.executor_id]
-            lease_ms = int(self.state.timing.lease_s * 1000)
-            order = TaskStart(
-                run.task,
-                run.attempt,
-                step.job.spec.payload,
-                executor.extend_lease(lease_ms, self.state.clock()),
-                step.checkpoint_of(run.index),
-                ticket,
-            )
+            order = self.make_start(run, executor, ticket)
             sent_at = anyio.current_time()
             sent_clock = self.state.clock()
             deadline = sent_at + ORDER_TIMEOUT_S
@@ -141,17 +150,21 @@
                 self.handle_refusal(run, executor, error.reason)
                 return
             executor.health.record_accepted(sent_clock)
-            run.answered_at = anyio.current_time()
-            if run.state is RunState.STARTING:
-                run.state = RunState.RUNNING
-            self.state.metrics.count("cell.starts")
-            waited_s = run.started_at - step.job.accepted_at
-            self.state.metrics.record_seconds("cell.wait", max(0.0, waited_s))
-            log.info(
-                "attempt started", **run.log_fields(), unanswered=run.unanswered_orders
-            )
+            self.record_started(run)
             return
 
+    def record_started(self, run: Run) -> None:
+        """Record that the executor has confirmed the start of an attempt."""
+        run.answered_at = anyio.current_time()
+        if run.state is RunState.STARTING:
+            run.state = RunState.RUNNING
+        self.state.metrics.count("cell.starts")
+        waited_s = run.started_at - run.step.job.accepted_at
+        self.state.metrics.record_seconds("cell.wait", max(0.0, waited_s))
+        log.info(
+            "attempt started", **run.log_fields(), unanswered=run.unanswered_orders
+        )
+
     def handle_refusal(self, run: Run, executor: ExecutorState, reason: str) -> None:
         """Stop or release an attempt whose start the executor refused."""
         now = self.state.clock()
--- a/gypsumring/cell/policy_client.py
+++ b/gypsumring/cell/policy_client.py
@@ -106,22 +106,9 @@
         placements = self.place(step, allowed) if fits else []
         to_query = self.choose_renewals(step, timing, allowed, bool(placements), now)
         if len(placements) < len(step.pending) and not is_gang_with_reservations(step):
-            capacity_if_empty = sum(
-                count_fitting_when_empty(step, executor) for executor in allowed
+            to_query += self.choose_further(
+                step, queue, allowed, find_unqueried(), call_size
             )
-            share = self.shares.get(queue.name)
-            unqueried = choose_unqueried(
-                step,
-                find_unqueried(),
-                capacity_if_empty,
-                share,
-                call_size,
-                self.random_source,
-            )
-            if not step.spec.gang or may_complete_gang(
-                step, allowed, capacity_if_empty, unqueried, share
-            ):
-                to_query += unqueried
         if not to_query:
             if not step.reserved:
                 step.next_policy_call_at = now + NO_CANDIDATE_DELAY_S
@@ -133,6 +120,28 @@
                 self.call_policy, step, queue.name, timing, executor_ids
             )
 
+    def choose_further(
+        self,
+        step: Step,
+        queue: Queue,
+        allowed: list[ExecutorState],
+        unqueried: list[ExecutorState],
+        call_size: int,
+    ) -> list[ExecutorState]:
+        """Return further executors to query for a step that does not fit."""
+        share = self.shares.get(queue.name)
+        allowed_capacity = sum(
+            count_fitting_when_empty(step, executor) for executor in allowed
+        )
+        chosen = choose_unqueried(
+            step, unqueried, allowed_capacity, share, call_size, self.random_source
+        )
+        if step.spec.gang and not may_complete_gang(
+            step, allowed, allowed_capacity, chosen, share
+        ):
+            return []
+        return chosen
+
     def choose_renewals(
         self,
         step: Step,
