--- a/gypsumring/cell/commands.py
+++ b/gypsumring/cell/commands.py
@@ -23,8 +23,8 @@
 STORE_WAIT_SHARE = 0.45
 
 
-class Submission:
-    """Job whose record is being stored; ``withdrawn`` if it was never sent."""
+class PendingSubmission:
+    """Job whose record is being stored, or was withdrawn before it was sent."""
 
     __slots__ = ("settled", "spec", "withdrawn")
 
@@ -44,7 +44,7 @@
         self.state = state
         self.orders = orders
         # Jobs whose records are being stored, by id.
-        self.accepting: dict[str, Submission] = {}
+        self.accepting: dict[str, PendingSubmission] = {}
 
     async def submit(self, spec: PipelineSpec, time_limit_s: float) -> JobAnswer:
         """Accept a job once and answer when its record is durable.
@@ -80,9 +80,9 @@
         """Return whether the store has left an append unanswered for too long."""
         return self.state.journal.unanswered_s() > STORE_UNAVAILABLE_S
 
-    def accept(self, spec: PipelineSpec) -> Submission:
+    def accept(self, spec: PipelineSpec) -> PendingSubmission:
         """Queue the record of a new job; the job is added once it is durable."""
-        submission = Submission(spec)
+        submission = PendingSubmission(spec)
         self.accepting[spec.job_id] = submission
         queued_at = anyio.current_time()
 
@@ -99,7 +99,7 @@
         self.state.journal.put(JOB_KEY + spec.job_id, encode(spec), add_job)
         return submission
 
-    def withdraw(self, submission: Submission) -> None:
+    def withdraw(self, submission: PendingSubmission) -> None:
         """Withdraw a job unless its record was sent, so that it never runs."""
         spec = submission.spec
         if not self.state.journal.withdraw(JOB_KEY + spec.job_id):
