Log what a suspicion of the owner costs and why an owner was removed

The lines could not tell whether a removed owner had ever served, how many calls a suspicion takes, or whether a slow takeover is the store's answer or our own work. Adds counters of connections, calls, suspicions and removals, the time linked and unanswered, the parts of a cell read, and a gauge and a line for late timers.

--- a/gypsumring/cell/owner.py
+++ b/gypsumring/cell/owner.py
@@ -193,7 +193,9 @@
         """Fence the previous owner and read the records that it has written."""
         started_at = anyio.current_time()
         await self.state.journal.open(OWNER_KEY, msgspec.json.encode(self.fence))
+        fenced_at = anyio.current_time()
         records = await self.read_records()
+        read_at = anyio.current_time()
         by_key = {record.key: record.value for record in records if record.value}
         term = self.read_term(by_key.get(TERM_KEY))
         self.state.table = JobTable(self.state.wall_clock, term * ATTEMPTS_PER_TERM + 1)
@@ -215,6 +217,9 @@
             active=len(self.state.table.active),
             executors=len(self.state.fleet),
             term=term + 1,
+            records=len(records),
+            fence_ms=round((fenced_at - started_at) * 1000),
+            read_ms=round((read_at - fenced_at) * 1000),
             took_ms=round((anyio.current_time() - started_at) * 1000),
         )
 
--- a/gypsumring/node/link.py
+++ b/gypsumring/node/link.py
@@ -7,6 +7,7 @@
 import anyio.abc
 
 from gypsumring.cell.messages import Announce, Hello, Ping, Pong, decoder
+from gypsumring.metrics import Metrics
 from gypsumring.node.membership import Member
 from gypsumring.ports.store import Store, StoreRefused, StoreUnavailable
 from gypsumring.transport import (
@@ -46,7 +47,9 @@
         "has_announced",
         "largest_member",
         "last_linked_at",
+        "linked_since",
         "member",
+        "metrics",
         "node_addresses",
         "nodes_version",
         "own_fence",
@@ -67,7 +70,9 @@
         handler: Handler,
         connect: Connect = Channel.connect,
         size: int = 0,
+        metrics: Metrics | None = None,
     ):
+        self.metrics = metrics or Metrics()
         self.store = store
         self.group_name = group_name
         self.cell = cell
@@ -83,6 +88,8 @@
         self.channel: Channel | None = None
         self.owner_changed = anyio.Event()
         self.last_linked_at = anyio.current_time()
+        # Time since which the owner at ``owner_address`` has responded.
+        self.linked_since = 0.0
         # Addresses of other nodes by name, received from the owner and the store.
         self.node_addresses: dict[str, str] = {}
         self.nodes_version = 0
@@ -115,7 +122,7 @@
                     await self.remove_unresponsive_owner(address)
             except ConnectRefused:
                 # A refused connection proves that the owner's process has ended.
-                await self.remove_owner(address)
+                await self.remove_owner(address, "connection refused")
             except ConnectFailed as error:
                 log.debug("owner not reached", error=str(error))
                 await self.remove_unresponsive_owner(address)
@@ -185,6 +192,7 @@
     async def call_nodes(self, message: Any, without: str = "") -> list[Pong]:
         """Send a message to the other recorded nodes and return their answers."""
         answers: list[Pong] = []
+        self.metrics.count("link.calls_to_all_nodes")
 
         async def call(address: str) -> None:
             answer = await self.call_node(address, message)
@@ -201,6 +209,7 @@
         """Send a message over a separate channel; return None if unanswered."""
         deadline = anyio.current_time() + CONNECT_TIMEOUT_S
         answer: Any = None
+        self.metrics.count("link.calls_to_nodes")
         try:
             channel = await self.connect(address, decoder, self.handler, deadline)
         except ConnectFailed as error:
@@ -240,13 +249,26 @@
             for name, node_address in self.node_addresses.items()
             if name != self.member.node and node_address != address
         ]
+        began_at = anyio.current_time()
         answers = await self.call_nodes(Ping(), without=address)
-        if any(pong.owns or pong.owner_address == address for pong in answers):
+        linked = sum(pong.owns or pong.owner_address == address for pong in answers)
+        log.info(
+            "owner suspected",
+            owner=address,
+            fence=self.fence,
+            unlinked_s=round(began_at - self.last_linked_at, 3),
+            nodes=len(others),
+            answered=len(answers),
+            linked=linked,
+            took_ms=round((anyio.current_time() - began_at) * 1000),
+        )
+        self.metrics.count("link.suspicions")
+        if linked:
             return
         if answers and (len(answers) + 1) * 2 > len(others) + 1:
-            await self.remove_owner(address)
+            await self.remove_owner(address, "unresponsive")
 
-    async def remove_owner(self, address: str) -> None:
+    async def remove_owner(self, address: str, reason: str) -> None:
         """Remove a dead owner from the group so that the cell is reassigned at once.
 
         If the owner is alive after all, the next owner's fence keeps the cell's state
@@ -259,7 +281,13 @@
             await self.store.leave(
                 self.group_name, member, anyio.current_time() + LOOKUP_TIMEOUT_S
             )
-            log.info("dead owner removed from the group", member=member)
+            self.metrics.count("link.owners_removed")
+            log.info(
+                "dead owner removed from the group",
+                member=member,
+                reason=reason,
+                fence=self.fence,
+            )
         except (StoreUnavailable, StoreRefused) as error:
             log.debug(
                 "dead owner could not be removed from the group", error=str(error)
@@ -272,6 +300,7 @@
         """
         has_answered = False
         deadline = anyio.current_time() + CONNECT_TIMEOUT_S
+        self.metrics.count("link.connections_to_owners")
         channel = await self.connect(address, decoder, self.handler, deadline)
         async with anyio.create_task_group() as group:
             group.start_soon(channel.run)
@@ -287,7 +316,14 @@
                 if self.channel is channel:
                     self.channel = None
                     self.owner_address = ""
-                    log.info("owner lost", owner=address)
+                    now = anyio.current_time()
+                    log.info(
+                        "owner lost",
+                        owner=address,
+                        fence=self.fence,
+                        linked_s=round(now - self.linked_since, 3),
+                        unanswered_s=round(now - self.last_linked_at, 3),
+                    )
                 with anyio.CancelScope(shield=True):
                     await channel.aclose()
                 group.cancel_scope.cancel()
@@ -310,6 +346,7 @@
         if self.channel is not channel:
             self.channel = channel
             self.owner_address = address
+            self.linked_since = self.last_linked_at
             log.info("linked to the owner", fence=pong.fence)
             self.notify()
         return True
--- a/gypsumring/node/node.py
+++ b/gypsumring/node/node.py
@@ -61,6 +61,8 @@
 NODES_TOPIC = "keyed.nodes"
 MIN_MEMBERSHIP_S = 1.0
 GAUGE_PERIOD_S = 1.0
+# A timer that fires later than this is logged: the process gets too little of its core.
+LATE_TIMER_S = 0.1
 # A node without a link to an owner for this time reports that it is not ready.
 UNREADY_AFTER_UNLINKED_S = 2.5
 # Time reserved for a takeover by another node before a stopping node answers its last
@@ -133,7 +135,14 @@
             self.is_candidate,
         )
         self.link = OwnerLink(
-            store, GROUP, self.cell, member, self.own_fence, self.handle, size=size
+            store,
+            GROUP,
+            self.cell,
+            member,
+            self.own_fence,
+            self.handle,
+            size=size,
+            metrics=metrics,
         )
         self.forwarder = Forwarder(self.link, self.execute, metrics)
         self.relay = StoreRelay(store_path, self.list_channels, metrics)
@@ -235,7 +244,12 @@
             if owner is not None:
                 for name, value in owner.measure().items():
                     self.metrics.set_gauge(name, value)
-            await anyio.sleep(GAUGE_PERIOD_S)
+            due_at = anyio.current_time() + GAUGE_PERIOD_S
+            await anyio.sleep_until(due_at)
+            late_s = anyio.current_time() - due_at
+            self.metrics.set_gauge("node.timer_late_s", late_s)
+            if late_s > LATE_TIMER_S:
+                log.warning("timers are late", late_s=round(late_s, 3))
 
     async def stop(self, answer_deadline: float) -> None:
         """Become not ready, hand the cell over and answer all callers by a deadline."""
@@ -256,6 +270,7 @@
         """Return the reply to a message of a peer."""
         match message:
             case Hello(node=node, address=address, size=size):
+                self.metrics.count("node.hellos")
                 channel.peer = node
                 self.peer_sizes[node] = size
                 self.peers[node] = channel
--- a/gypsumring/node/tests/test_link.py
+++ b/gypsumring/node/tests/test_link.py
@@ -193,4 +193,17 @@
         assert rig.link.owner_address == "a2"
 
 
+async def test_suspicion_and_removal_are_counted():
+    # The logs of an incident could not tell what a suspicion costs the fleet.
+    async with running_link() as rig:
+        counters = rig.link.metrics.counters
+        assert counters["link.connections_to_owners"] == 1
+        assert counters["link.calls_to_nodes"] == 0
+        rig.peers["a1"].state = "dark"
+        rig.disconnect_other_nodes()
+        await anyio.sleep(0.9)
+        assert counters["link.suspicions"] == 1
+        assert counters["link.owners_removed"] == 1
+
+
 load_tests = make_load_tests(globals())
