Do not remove an owner that is still taking over the cell

Callers saw: no job is accepted, and at the end no answer about accepted jobs (LOST), a minute after machines had been slow for a second.

Cause: a node that took over counted as dead to every node that got no answer to Hello within 0.25 s, also while it read its records. Nodes without an owner added to it: each opened a channel to every other node, and a new one to the new owner after every 0.06 s.

The processors were idle (0.0046 cores at the most), so that the load of the suspicions is not what kept it up there.

Change: an owner is reported only by nodes that have been linked to this term, 3 s after it began to serve; until then only a refused connection or the end of its membership ends it. Reports go to three monitors, which all nodes choose alike by a hash; a monitor removes the owner once a majority of all nodes has reported it. A node waits for a takeover on one channel, looks the owner up at most every 0.3 s, and is woken by the new owner over that channel. The time limit of a ping follows the owner's answers (0.2 to 0.8 s). What is decided is in node/failure_detection.py, without a network.

--- a/gypsumring/cell/messages.py
+++ b/gypsumring/cell/messages.py
@@ -22,6 +22,7 @@
     "QueryJob",
     "RelayAnswer",
     "RelayCall",
+    "ReportOwner",
     "SubmitJob",
     "decoder",
 ]
@@ -85,6 +86,18 @@
     fence: int
 
 
+class ReportOwner(msgspec.Struct, tag=True, array_like=True):
+    """Report to a monitor that ``node`` gets no answer from the owner of the cell.
+
+    ``node_count`` is the number of nodes without the owner, as recorded by ``node``.
+    """
+
+    node: str
+    owner_address: str
+    fence: int
+    node_count: int
+
+
 class SubmitJob(msgspec.Struct, tag=True, array_like=True):
     """Request to accept a job; ``time_limit_s`` is how long the caller waits."""
 
@@ -167,6 +180,7 @@
     | PolicyAnswer
     | RelayCall
     | RelayAnswer
+    | ReportOwner
 )
 
 decoder = msgspec.msgpack.Decoder(Message)
--- /dev/null
+++ b/gypsumring/node/failure_detection.py
@@ -0,0 +1,115 @@
+"""Decide which owner counts as failed and which nodes may remove it from the group.
+
+A node that gets no answer from the owner reports it to a few monitors, which all nodes
+choose alike. A monitor removes an owner that a majority of the nodes has reported. So
+a lost owner costs each node a bounded number of calls, and a minority that is cut off
+from the owner cannot remove it.
+
+Nodes report only an owner that has served for a while. A node that takes over the cell
+may not answer for as long as it reads its records; if it has failed, the group expires
+its membership. A takeover is therefore never undone because it is slow, and a fleet of
+slow nodes changes its owner at most once in this time.
+"""
+
+from gypsumring.utils.hashing import rank_by_rendezvous
+
+__all__ = ["OwnerReports", "OwnerTerm", "ResponseTimes", "choose_monitors"]
+
+MONITOR_COUNT = 3
+# An owner that has served for less than this time is not reported.
+MIN_SERVICE_S = 3.0
+# A report counts for this time; a node that still gets no answer repeats it sooner.
+REPORT_VALID_S = 1.0
+# Weights of a new sample in the averages of ``ResponseTimes``, as in RFC 6298.
+MEAN_WEIGHT = 1 / 8
+DEVIATION_WEIGHT = 1 / 4
+DEVIATIONS = 4
+
+
+class OwnerTerm:
+    """Term of one owner: address, fence number and the time since which it serves."""
+
+    __slots__ = ("address", "fence", "served_since")
+
+    def __init__(self, address: str, fence: int, served_since: float):
+        self.address = address
+        self.fence = fence
+        self.served_since = served_since
+
+    def is_reportable(self, address: str, newest_fence: int, now: float) -> bool:
+        """Return whether a node may report that this owner does not answer.
+
+        ``address`` is that of the owner that does not answer; a higher ``newest_fence``
+        shows that another owner has taken over since.
+        """
+        return (
+            self.address == address
+            and self.fence >= newest_fence
+            and now - self.served_since >= MIN_SERVICE_S
+        )
+
+
+class OwnerReports:
+    """Reports of the nodes that get no answer from an owner, as seen by a monitor."""
+
+    __slots__ = ("address", "fence", "valid_until")
+
+    def __init__(self):
+        self.address = ""
+        self.fence = 0
+        # Time until which the report of a node counts, by the name of the node.
+        self.valid_until: dict[str, float] = {}
+
+    def record(self, node: str, address: str, fence: int, now: float) -> None:
+        """Record the report of a node; reports of an earlier owner are dropped."""
+        if fence < self.fence:
+            return
+        if (fence, address) != (self.fence, self.address):
+            self.fence = fence
+            self.address = address
+            self.valid_until.clear()
+        self.valid_until[node] = now + REPORT_VALID_S
+
+    def is_confirmed(self, node_count: int, now: float) -> bool:
+        """Return whether a majority of the nodes has reported the owner.
+
+        ``node_count`` is the number of nodes without the owner.
+        """
+        reported = sum(until > now for until in self.valid_until.values())
+        return reported * 2 > node_count
+
+    def clear(self) -> None:
+        """Drop all reports, for example after the owner has been removed."""
+        self.valid_until.clear()
+
+
+class ResponseTimes:
+    """Estimate of how long the owner takes to answer, in seconds."""
+
+    __slots__ = ("deviation_s", "mean_s")
+
+    def __init__(self):
+        self.mean_s: float | None = None
+        self.deviation_s = 0.0
+
+    def record(self, seconds: float) -> None:
+        """Record the time that one answer took."""
+        if self.mean_s is None:
+            self.mean_s = seconds
+            self.deviation_s = seconds / 2
+            return
+        error_s = abs(seconds - self.mean_s)
+        self.deviation_s += DEVIATION_WEIGHT * (error_s - self.deviation_s)
+        self.mean_s += MEAN_WEIGHT * (seconds - self.mean_s)
+
+    def timeout_s(self, shortest_s: float, longest_s: float) -> float:
+        """Return after which time an answer is overdue, within the given limits."""
+        if self.mean_s is None:
+            return shortest_s
+        expected_s = self.mean_s + DEVIATIONS * self.deviation_s
+        return min(max(shortest_s, expected_s), longest_s)
+
+
+def choose_monitors(fence: int, names: list[str]) -> list[str]:
+    """Return the nodes that collect the reports about the owner with this fence."""
+    return rank_by_rendezvous(str(fence), names)[:MONITOR_COUNT]
--- a/gypsumring/node/link.py
+++ b/gypsumring/node/link.py
@@ -1,14 +1,31 @@
 """The channel from a node to the owner of the cell."""
 
-from collections.abc import Awaitable, Callable
-from typing import Any
+from collections.abc import Callable
 
 import anyio
-import anyio.abc
 
-from gypsumring.cell.messages import Announce, Hello, Ping, Pong, decoder
+from gypsumring.cell.messages import (
+    Announce,
+    Hello,
+    Ping,
+    Pong,
+    ReportOwner,
+    decoder,
+)
 from gypsumring.metrics import Metrics
+from gypsumring.node.failure_detection import (
+    OwnerReports,
+    OwnerTerm,
+    ResponseTimes,
+    choose_monitors,
+)
 from gypsumring.node.membership import Member
+from gypsumring.node.node_calls import (
+    CONNECT_TIMEOUT_S,
+    Connect,
+    Handler,
+    NodeCalls,
+)
 from gypsumring.ports.store import Store, StoreRefused, StoreUnavailable
 from gypsumring.transport import (
     Channel,
@@ -23,41 +40,56 @@
 log = EventLogger("link")
 
 PING_PERIOD_S = 0.15
-PING_TIMEOUT_S = 0.2
-CONNECT_TIMEOUT_S = 0.2
+# A ping to the owner is overdue after a time between these, according to how long the
+# owner takes to answer.
+SHORTEST_PING_TIMEOUT_S = 0.2
+LONGEST_PING_TIMEOUT_S = 0.8
 HELLO_TIMEOUT_S = 0.25
 LOOKUP_TIMEOUT_S = 0.5
-LOOKUP_PAUSE_S = 0.06
-
-Handler = Callable[[Channel, Any], Awaitable[Any]]
-Connect = Callable[[str, Any, Handler, float], Awaitable[Channel]]
+# A node that takes over the cell may be slow to answer while it reads the records.
+TAKEOVER_ANSWER_TIMEOUT_S = 2.0
+# How often a node that waits for a takeover looks the owner up, and how often it checks
+# whether it has taken over itself.
+TAKEOVER_LOOKUP_PERIOD_S = 0.3
+TAKEOVER_POLL_S = 0.1
+# Pauses between successive attempts to find or reach an owner.
+SHORTEST_PAUSE_S = 0.06
+LONGEST_PAUSE_S = 0.5
+PAUSE_GROWTH = 1.5
+# Nodes that are queried for the owner at one time while the store does not name it.
+MAX_QUERIED_NODES = 4
 
 
 class OwnerLink:
     """Channel to the current owner of the cell, verified by periodic pings."""
 
     __slots__ = (
+        "announced",
         "announced_address",
+        "calls",
         "cell",
         "channel",
-        "connect",
         "fence",
         "group_name",
-        "handler",
         "has_announced",
         "largest_member",
         "last_linked_at",
         "linked_since",
+        "list_peers",
         "member",
         "metrics",
+        "next_queried",
         "node_addresses",
         "nodes_version",
         "own_fence",
         "owner_address",
         "owner_changed",
         "owner_member",
+        "reports",
+        "response_times",
         "size",
         "store",
+        "term",
     )
 
     def __init__(
@@ -71,6 +103,7 @@
         connect: Connect = Channel.connect,
         size: int = 0,
         metrics: Metrics | None = None,
+        list_peers: Callable[[], dict[str, Channel]] = dict,
     ):
         self.metrics = metrics or Metrics()
         self.store = store
@@ -79,8 +112,9 @@
         self.member = member
         # Returns the fence number of this node while it owns the cell, else None.
         self.own_fence = own_fence
-        self.handler = handler
-        self.connect = connect
+        # Returns the channels that other nodes have opened to this one, by node name.
+        self.list_peers = list_peers
+        self.calls = NodeCalls(connect, handler, self.metrics)
         # Size of the largest machine in the group, None if the last lookup failed.
         self.largest_member: int | None = None
         # Size of this machine, 0 once the node is stopping.
@@ -100,8 +134,16 @@
         # and that has not been tried yet.
         self.fence = 0
         self.announced_address = ""
+        self.announced = anyio.Event()
         # Whether this node has announced its ownership to the other nodes.
         self.has_announced = False
+        # Term of the owner that this node was linked to last.
+        self.term: OwnerTerm | None = None
+        self.response_times = ResponseTimes()
+        # Reports of other nodes that do not reach the owner.
+        self.reports = OwnerReports()
+        # Index, modulo their number, of the node that is queried next for the owner.
+        self.next_queried = 0
 
     def notify(self) -> None:
         """Wake the tasks that wait for a change of the owner."""
@@ -110,23 +152,22 @@
 
     async def run(self) -> None:
         """Find the owner and keep a channel to it until cancelled."""
+        pause_s = SHORTEST_PAUSE_S
         while True:
             fence = self.own_fence()
             if fence is not None:
                 await self.announce_ownership(fence)
                 continue
             self.has_announced = False
-            try:
-                address = await self.find_owner()
-                if address is not None and not await self.follow(address):
-                    await self.remove_unresponsive_owner(address)
-            except ConnectRefused:
-                # A refused connection proves that the owner's process has ended.
-                await self.remove_owner(address, "connection refused")
-            except ConnectFailed as error:
-                log.debug("owner not reached", error=str(error))
-                await self.remove_unresponsive_owner(address)
-            await anyio.sleep(LOOKUP_PAUSE_S)
+            began_at = anyio.current_time()
+            address = await self.find_owner()
+            if address is not None:
+                await self.try_follow(address)
+            if self.last_linked_at > began_at:
+                pause_s = SHORTEST_PAUSE_S
+            if not self.announced_address:
+                await self.wait_for_announcement(pause_s)
+            pause_s = min(PAUSE_GROWTH * pause_s, LONGEST_PAUSE_S)
 
     async def withdraw(self) -> None:
         """Notify the owner that this node is no longer a candidate for ownership."""
@@ -148,9 +189,25 @@
             # Nodes that wait for an unresponsive owner would otherwise find the new one
             # only after a timeout.
             self.has_announced = True
-            await self.call_nodes(Announce(self.member.address, fence))
+            await self.announce_to_all(Announce(self.member.address, fence))
         await anyio.sleep(PING_PERIOD_S)
 
+    async def announce_to_all(self, message: Announce) -> None:
+        """Announce the ownership to all recorded nodes.
+
+        Nodes that wait for this takeover have opened a channel already.
+        """
+        channels = self.list_peers()
+        addresses = [
+            address
+            for name, address in self.list_other_nodes().items()
+            if name not in channels
+        ]
+        async with anyio.create_task_group() as group:
+            for channel in channels.values():
+                group.start_soon(announce_over, channel, message)
+            group.start_soon(self.calls.call_all, addresses, message)
+
     async def find_owner(self) -> str | None:
         """Return the announced address of the owner, or else look it up."""
         announced_address, self.announced_address = self.announced_address, ""
@@ -159,7 +216,7 @@
     async def look_up(self) -> str | None:
         """Return the address of the owner, None if there is none or it is this node.
 
-        If the store is unavailable or refuses the call, query the recorded nodes.
+        If the store is unavailable or refuses the call, query other nodes.
         """
         try:
             owners = await self.store.owners(
@@ -181,92 +238,89 @@
         self.owner_member = name
         return owner.address
 
+    def list_other_nodes(self, without: str = "") -> dict[str, str]:
+        """Return the addresses of the other recorded nodes by name, but for one."""
+        return {
+            name: address
+            for name, address in self.node_addresses.items()
+            if name != self.member.node and address != without
+        }
+
     async def query_nodes(self) -> str | None:
-        """Return the owner's address as recorded by other nodes, or None."""
-        answers = await self.call_nodes(Ping())
+        """Return the owner's address as recorded by a few other nodes, or None.
+
+        Successive queries go to different nodes.
+        """
+        addresses = sorted(self.list_other_nodes().values())
+        if not addresses:
+            return None
+        first = self.next_queried % len(addresses)
+        self.next_queried = first + MAX_QUERIED_NODES
+        queried = (addresses[first:] + addresses[:first])[:MAX_QUERIED_NODES]
+        answers = await self.calls.call_all(queried, Ping())
         best = max(answers, key=lambda pong: (pong.owns, pong.fence), default=None)
         if best is None or not best.owner_address:
             return None
         return best.owner_address
 
-    async def call_nodes(self, message: Any, without: str = "") -> list[Pong]:
-        """Send a message to the other recorded nodes and return their answers."""
-        answers: list[Pong] = []
-        self.metrics.count("link.calls_to_all_nodes")
-
-        async def call(address: str) -> None:
-            answer = await self.call_node(address, message)
-            if isinstance(answer, Pong):
-                answers.append(answer)
-
-        async with anyio.create_task_group() as group:
-            for name, address in self.node_addresses.items():
-                if name != self.member.node and address != without:
-                    group.start_soon(call, address)
-        return answers
-
-    async def call_node(self, address: str, message: Any) -> Any:
-        """Send a message over a separate channel; return None if unanswered."""
-        deadline = anyio.current_time() + CONNECT_TIMEOUT_S
-        answer: Any = None
-        self.metrics.count("link.calls_to_nodes")
-        try:
-            channel = await self.connect(address, decoder, self.handler, deadline)
-        except ConnectFailed as error:
-            log.debug("node not reached", address=address, error=str(error))
-            return None
-        async with anyio.create_task_group() as group:
-            group.start_soon(channel.run)
-            try:
-                answer = await channel.call(
-                    message, anyio.current_time() + PING_TIMEOUT_S
-                )
-            except ChannelClosed as error:
-                log.debug("node did not answer", address=address, error=str(error))
-            with anyio.CancelScope(shield=True):
-                await channel.aclose()
-            group.cancel_scope.cancel()
-        return answer
-
     async def record_announced_owner(self, message: Announce) -> None:
         """Switch to an owner that has announced itself, unless its fence is stale."""
         if message.fence <= self.fence:
             return
         self.fence = message.fence
         self.announced_address = message.owner_address
+        self.announced.set()
+        self.announced = anyio.Event()
         if self.channel is not None and self.owner_address != self.announced_address:
             await self.channel.aclose()
 
-    async def remove_unresponsive_owner(self, address: str) -> None:
-        """Remove an owner that no node reaches from the group.
+    async def wait_for_announcement(self, seconds: float) -> None:
+        """Wait until an owner announces itself, at most for a time."""
+        with anyio.move_on_after(seconds):
+            await self.announced.wait()
 
-        This node may itself be partitioned from the others. It therefore removes the
-        owner only if a majority of the nodes, itself included, is reachable and none
-        of them is linked to the owner.
-        """
-        others = [
-            name
-            for name, node_address in self.node_addresses.items()
-            if name != self.member.node and node_address != address
-        ]
-        began_at = anyio.current_time()
-        answers = await self.call_nodes(Ping(), without=address)
-        linked = sum(pong.owns or pong.owner_address == address for pong in answers)
+    async def report_owner(self, address: str) -> None:
+        """Report an owner that does not answer to the monitors, if it has served."""
+        now = anyio.current_time()
+        term = self.term
+        if term is None or not term.is_reportable(address, self.fence, now):
+            return
+        others = self.list_other_nodes(without=address)
+        monitors = choose_monitors(term.fence, [*others, self.member.node])
+        message = ReportOwner(self.member.node, address, term.fence, len(others) + 1)
+        self.metrics.count("link.owners_reported")
         log.info(
-            "owner suspected",
+            "owner reported",
             owner=address,
-            fence=self.fence,
-            unlinked_s=round(began_at - self.last_linked_at, 3),
-            nodes=len(others),
-            answered=len(answers),
-            linked=linked,
-            took_ms=round((anyio.current_time() - began_at) * 1000),
+            fence=term.fence,
+            unanswered_s=round(now - self.last_linked_at, 3),
+            monitors=monitors,
         )
-        self.metrics.count("link.suspicions")
-        if linked:
+        addresses = [others[name] for name in monitors if name in others]
+        async with anyio.create_task_group() as group:
+            group.start_soon(self.calls.call_all, addresses, message)
+            if self.member.node in monitors:
+                group.start_soon(self.record_report, message)
+
+    async def record_report(self, message: ReportOwner) -> None:
+        """Record, as a monitor, that a node gets no answer from the owner.
+
+        Remove the owner once a majority of the nodes has reported it, unless this node
+        is linked to it.
+        """
+        if message.fence < self.fence:
+            return
+        now = anyio.current_time()
+        address = message.owner_address
+        self.reports.record(message.node, address, message.fence, now)
+        if self.owner_address == address:
+            return
+        known_count = len(self.list_other_nodes(without=address)) + 1
+        if not self.reports.is_confirmed(max(message.node_count, known_count), now):
             return
-        if answers and (len(answers) + 1) * 2 > len(others) + 1:
-            await self.remove_owner(address, "unresponsive")
+        self.reports.clear()
+        if await self.look_up() == address:
+            await self.remove_owner(address, "reported by a majority")
 
     async def remove_owner(self, address: str, reason: str) -> None:
         """Remove a dead owner from the group so that the cell is reassigned at once.
@@ -293,63 +347,140 @@
                 "dead owner could not be removed from the group", error=str(error)
             )
 
+    async def try_follow(self, address: str) -> None:
+        """Follow the owner at an address; report or remove it if it does not answer."""
+        try:
+            has_answered = await self.follow(address)
+        except ConnectRefused:
+            # A refused connection proves that the owner's process has ended.
+            await self.remove_owner(address, "connection refused")
+            return
+        except ConnectFailed as error:
+            log.debug("owner not reached", error=str(error))
+            has_answered = False
+        if not has_answered:
+            await self.report_owner(address)
+
     async def follow(self, address: str) -> bool:
-        """Keep a channel to the owner while it responds and owns the cell.
+        """Keep a channel to a node while it owns the cell or takes it over.
+
+        Return whether it has responded, or is not the owner any more.
+        """
+        has_answered = True
+        failure: ConnectFailed | None = None
+        async with anyio.create_task_group() as group:
+            group.start_soon(self.stop_if_reassigned, address, group.cancel_scope)
+            try:
+                has_answered = await self.open_and_verify(address)
+            except ConnectFailed as error:
+                failure = error
+            group.cancel_scope.cancel()
+        if failure is not None:
+            raise failure
+        return has_answered
+
+    async def stop_if_reassigned(self, address: str, scope: anyio.CancelScope) -> None:
+        """Stop following a node that does not own the cell once another may do so."""
+        lookup_at = anyio.current_time() + TAKEOVER_LOOKUP_PERIOD_S
+        while self.owner_address != address:
+            await self.wait_for_announcement(TAKEOVER_POLL_S)
+            if self.owner_address == address:
+                return
+            is_other_announced = self.announced_address not in ("", address)
+            if is_other_announced or self.own_fence() is not None:
+                break
+            if anyio.current_time() >= lookup_at:
+                if await self.look_up() != address:
+                    break
+                lookup_at = anyio.current_time() + TAKEOVER_LOOKUP_PERIOD_S
+        else:
+            return
+        scope.cancel()
+
+    async def open_and_verify(self, address: str) -> bool:
+        """Open a channel to a node and verify it by pings until it fails.
 
-        Return whether the owner has responded at all.
+        Return whether the node has responded at all.
         """
         has_answered = False
-        deadline = anyio.current_time() + CONNECT_TIMEOUT_S
+        connect_s, hello_s = CONNECT_TIMEOUT_S, HELLO_TIMEOUT_S
+        if self.term is None or self.term.address != address:
+            connect_s = hello_s = TAKEOVER_ANSWER_TIMEOUT_S
         self.metrics.count("link.connections_to_owners")
-        channel = await self.connect(address, decoder, self.handler, deadline)
+        deadline = anyio.current_time() + connect_s
+        channel = await self.calls.connect(
+            address, decoder, self.calls.handler, deadline
+        )
         async with anyio.create_task_group() as group:
             group.start_soon(channel.run)
             hello = Hello(self.member.node, self.member.address, self.size)
             try:
-                await channel.call(hello, anyio.current_time() + HELLO_TIMEOUT_S)
+                await channel.call(hello, anyio.current_time() + hello_s)
                 has_answered = True
-                while await self.still_owns_cell(channel, address):
-                    await anyio.sleep(PING_PERIOD_S)
+                while await self.is_owner_or_candidate(channel, address):
+                    await self.wait_for_announcement(PING_PERIOD_S)
             except ChannelClosed as error:
                 log.debug("channel ended", owner=address, error=str(error))
             finally:
                 if self.channel is channel:
-                    self.channel = None
-                    self.owner_address = ""
-                    now = anyio.current_time()
-                    log.info(
-                        "owner lost",
-                        owner=address,
-                        fence=self.fence,
-                        linked_s=round(now - self.linked_since, 3),
-                        unanswered_s=round(now - self.last_linked_at, 3),
-                    )
+                    self.record_lost_link(address)
                 with anyio.CancelScope(shield=True):
                     await channel.aclose()
                 group.cancel_scope.cancel()
         return has_answered
 
-    async def still_owns_cell(self, channel: Channel, address: str) -> bool:
-        """Ping the peer and return whether it still owns the cell."""
+    async def is_owner_or_candidate(self, channel: Channel, address: str) -> bool:
+        """Ping a peer; return whether it owns the cell or may still take it over."""
         if self.own_fence() is not None:
             return False
-        pong = await channel.call(
-            Ping(self.nodes_version), anyio.current_time() + PING_TIMEOUT_S
-        )
-        if not isinstance(pong, Pong) or not pong.owns:
+        is_linked = self.channel is channel
+        timeout_s = TAKEOVER_ANSWER_TIMEOUT_S
+        if is_linked:
+            timeout_s = self.response_times.timeout_s(
+                SHORTEST_PING_TIMEOUT_S, LONGEST_PING_TIMEOUT_S
+            )
+        sent_at = anyio.current_time()
+        pong = await channel.call(Ping(self.nodes_version), sent_at + timeout_s)
+        if not isinstance(pong, Pong):
             return False
-        self.last_linked_at = anyio.current_time()
+        if not pong.owns:
+            return not is_linked
+        self.response_times.record(anyio.current_time() - sent_at)
+        self.record_owner(channel, address, pong)
+        return True
+
+    def record_owner(self, channel: Channel, address: str, pong: Pong) -> None:
+        """Record the answer of the owner of the cell."""
+        now = anyio.current_time()
+        self.last_linked_at = now
         self.fence = max(self.fence, pong.fence)
         if pong.nodes is not None:
             self.node_addresses = {**pong.nodes, **self.list_owner_address(address)}
             self.nodes_version = pong.nodes_version
+        term = self.term
+        if term is None or (term.address, term.fence) != (address, pong.fence):
+            self.term = OwnerTerm(address, pong.fence, now)
         if self.channel is not channel:
             self.channel = channel
             self.owner_address = address
-            self.linked_since = self.last_linked_at
+            self.linked_since = now
+            if self.announced_address == address:
+                self.announced_address = ""
             log.info("linked to the owner", fence=pong.fence)
             self.notify()
-        return True
+
+    def record_lost_link(self, address: str) -> None:
+        """Record that the linked owner does not respond or own the cell any more."""
+        self.channel = None
+        self.owner_address = ""
+        now = anyio.current_time()
+        log.info(
+            "owner lost",
+            owner=address,
+            fence=self.fence,
+            linked_s=round(now - self.linked_since, 3),
+            unanswered_s=round(now - self.last_linked_at, 3),
+        )
 
     def list_owner_address(self, address: str) -> dict[str, str]:
         """Return the owner's name and address, which its own list does not contain."""
@@ -358,3 +489,11 @@
             for name, node_address in self.node_addresses.items()
             if node_address == address
         }
+
+
+async def announce_over(channel: Channel, message: Announce) -> None:
+    """Announce the ownership over a channel that another node has opened."""
+    try:
+        await channel.call(message, anyio.current_time() + HELLO_TIMEOUT_S)
+    except ChannelClosed as error:
+        log.debug("node did not answer", node=channel.peer, error=str(error))
--- a/gypsumring/node/node.py
+++ b/gypsumring/node/node.py
@@ -20,6 +20,7 @@
     Pong,
     QueryJob,
     RelayCall,
+    ReportOwner,
     SubmitJob,
     decoder,
 )
@@ -48,7 +49,7 @@
     RelayedClient,
     serve_channels,
 )
-from gypsumring.utils.clock import suspend_aware_time, unix_ms
+from gypsumring.utils.clock import Clock, suspend_aware_time, unix_ms
 from gypsumring.utils.logs import EventLogger
 from gypsumring.utils.supervision import keep_running
 
@@ -76,6 +77,7 @@
     __slots__ = (
         "candidacy",
         "cell",
+        "clock",
         "desired",
         "forwarder",
         "link",
@@ -99,7 +101,10 @@
         policy: PolicyService | None,
         metrics: Metrics,
         store_path: RelayedClient,
+        clock: Clock = suspend_aware_time,
     ):
+        # Includes the time while the process or the machine is suspended.
+        self.clock = clock
         self.settings = settings
         # A node that joins takes the lowest partitions from members with several, so
         # the last partition is the one that stays with its owner.
@@ -131,7 +136,7 @@
             str(member),
             ttl_s,
             self.make_owner,
-            suspend_aware_time,
+            clock,
             self.is_candidate,
         )
         self.link = OwnerLink(
@@ -143,6 +148,7 @@
             self.handle,
             size=size,
             metrics=metrics,
+            list_peers=lambda: dict(self.peers),
         )
         self.forwarder = Forwarder(self.link, self.execute, metrics)
         self.relay = StoreRelay(store_path, self.list_channels, metrics)
@@ -182,7 +188,7 @@
             self.list_policy_proxies,
             self.query_policy_proxy,
             self.metrics,
-            suspend_aware_time,
+            self.clock,
             unix_ms,
             lambda: self.membership.may_extend_leases(),
         )
@@ -282,6 +288,9 @@
             case Announce():
                 await self.link.record_announced_owner(message)
                 return self.make_pong(self.nodes_version)
+            case ReportOwner():
+                await self.link.record_report(message)
+                return self.make_pong(self.nodes_version)
             case AskPolicy():
                 return await self.answer_policy(message)
             case RelayCall():
--- a/gypsumring/node/tests/test_fleet.py
+++ b/gypsumring/node/tests/test_fleet.py
@@ -2,8 +2,8 @@
 
 import anyio
 
-from gypsumring.node.tests.fleet_model import FleetModel, running_fleet
 from gypsumring.utils.testing import make_load_tests
+from stand_ins.platform.fleet import FleetModel, running_fleet
 
 # Time in which a fleet has an owner again, beside the time that reading the cell takes:
 # a membership of 1 s and as long for the takeover itself, and 1 s for a node on a
@@ -25,8 +25,8 @@
         fleet.machines[name].processor.slowness = 1.0
 
 
-# On a fleet of small machines, each next owner was removed while it read its cell, as it
-# did not answer in time meanwhile: no owner served any more until the end of the day.
+# On a fleet of small machines, each next owner was removed while it read its cell, as
+# it did not answer in time meanwhile: no owner served until the end of the day.
 async def test_owner_that_still_reads_its_cell_is_not_removed():
     for size, share in ((18, 0.12), (38, 0.5)):
         async with running_fleet(size, share) as fleet:
@@ -69,6 +69,18 @@
             assert await fleet.wait_until_settled(REPLACEMENT_S) is not None, size
 
 
+async def test_frozen_owner_is_replaced_before_its_membership_expires():
+    async with running_fleet(9) as fleet:
+        await anyio.sleep(5.0)
+        frozen = fleet.owner()
+        fleet.group.start_soon(frozen.processor.freeze, 5.0)
+        await anyio.sleep(REPLACEMENT_S)
+        assert fleet.owner() is not frozen
+        await anyio.sleep(5.0)
+        assert fleet.is_settled()
+        assert fleet.count_takeovers() == 2
+
+
 async def test_owner_is_kept_while_a_minority_of_the_nodes_is_cut_off_from_it():
     # The nodes that are cut off reach each other and the store.
     async with running_fleet(9) as fleet:
