Give each further attempt to read the cell's records twice the time

Callers would see no owner for as long as the records need more than 5 s to arrive: each attempt was cut off after 5 s for all pages and begun anew.

Change: the time limit doubles with each attempt, to 80 s at the most.

--- a/gypsumring/cell/owner.py
+++ b/gypsumring/cell/owner.py
@@ -50,7 +50,10 @@
 # An owner that has lost the cell is notified within this time, and extends no lease
 # from then on.
 MAX_EXTENSION_DELAY_S = 1.0
+# Time limit of the first attempt to read the records; each further one has twice the
+# time, as many records on a slow link may need it.
 READ_TIMEOUT_S = 5.0
+MAX_READ_TIMEOUT_S = 80.0
 # The store counts as slow if appends take longer than this.
 SLOW_APPEND_S = 0.1
 RETRY_PAUSE_S = 0.1
@@ -225,10 +228,11 @@
 
     async def read_records(self) -> list[KeyedRecord]:
         """Read the newest record of each key, retrying until the store answers."""
+        timeout_s = READ_TIMEOUT_S
         while True:
             try:
                 records, _ = await self.store.newest(
-                    self.topic, self.partition, anyio.current_time() + READ_TIMEOUT_S
+                    self.topic, self.partition, anyio.current_time() + timeout_s
                 )
                 return records
             except (StoreUnavailable, StoreRefused) as error:
@@ -237,6 +241,7 @@
                     cell=self.partition,
                     error=str(error),
                 )
+                timeout_s = min(2 * timeout_s, MAX_READ_TIMEOUT_S)
                 await anyio.sleep(RETRY_PAUSE_S)
 
     def restore_lease(self, value: bytes | None) -> None:
--- a/gypsumring/node/tests/test_fleet.py
+++ b/gypsumring/node/tests/test_fleet.py
@@ -95,4 +95,13 @@
         assert fleet.count_takeovers() == 1
 
 
+# A read of the records that took longer than 5 s was begun anew for ever.
+async def test_records_that_take_long_to_read_are_read_in_the_end():
+    async with running_fleet(5) as fleet:
+        fleet.cell_read_s = 12.0
+        fleet.owner().kill()
+        limit_s = 4 * fleet.cell_read_s + SETTLING_S
+        assert await fleet.wait_until_settled(limit_s) is not None
+
+
 load_tests = make_load_tests(globals())
