Keep a membership while the answers of the store are late

Cause: each join was given up after 0.6 s and sent again over a new connection. On a congested link, on which an answer takes 0.6 s and more, the new connection took as long to open, so that no join arrived within the membership of 1 s. While the records of a takeover arrive, every answer is that late.

Change: a join without an answer is sent again after 0.4 s, beside the first one, and answers count for 2 s; an answer older than one that has been applied is ignored. A membership lasts four times as long as the store takes to answer (1 to 4 s), 4 s during a takeover, and twice as long each time that the group undoes a takeover of this node. The owner's failure is noticed by its nodes as before. An answer to a join from before a pause does not end the pause any more, since it may have waited in a socket buffer.

--- a/gypsumring/node/failure_detection.py
+++ b/gypsumring/node/failure_detection.py
@@ -13,17 +13,13 @@
 
 from gypsumring.utils.hashing import rank_by_rendezvous
 
-__all__ = ["OwnerReports", "OwnerTerm", "ResponseTimes", "choose_monitors"]
+__all__ = ["OwnerReports", "OwnerTerm", "choose_monitors"]
 
 MONITOR_COUNT = 3
 # An owner that has served for less than this time is not reported.
 MIN_SERVICE_S = 3.0
 # A report counts for this time; a node that still gets no answer repeats it sooner.
 REPORT_VALID_S = 1.0
-# Weights of a new sample in the averages of ``ResponseTimes``, as in RFC 6298.
-MEAN_WEIGHT = 1 / 8
-DEVIATION_WEIGHT = 1 / 4
-DEVIATIONS = 4
 
 
 class OwnerTerm:
@@ -83,33 +79,6 @@
         self.valid_until.clear()
 
 
-class ResponseTimes:
-    """Estimate of how long the owner takes to answer, in seconds."""
-
-    __slots__ = ("deviation_s", "mean_s")
-
-    def __init__(self):
-        self.mean_s: float | None = None
-        self.deviation_s = 0.0
-
-    def record(self, seconds: float) -> None:
-        """Record the time that one answer took."""
-        if self.mean_s is None:
-            self.mean_s = seconds
-            self.deviation_s = seconds / 2
-            return
-        error_s = abs(seconds - self.mean_s)
-        self.deviation_s += DEVIATION_WEIGHT * (error_s - self.deviation_s)
-        self.mean_s += MEAN_WEIGHT * (seconds - self.mean_s)
-
-    def timeout_s(self, shortest_s: float, longest_s: float) -> float:
-        """Return after which time an answer is overdue, within the given limits."""
-        if self.mean_s is None:
-            return shortest_s
-        expected_s = self.mean_s + DEVIATIONS * self.deviation_s
-        return min(max(shortest_s, expected_s), longest_s)
-
-
 def choose_monitors(fence: int, names: list[str]) -> list[str]:
     """Return the nodes that collect the reports about the owner with this fence."""
     return rank_by_rendezvous(str(fence), names)[:MONITOR_COUNT]
--- a/gypsumring/node/link.py
+++ b/gypsumring/node/link.py
@@ -16,7 +16,6 @@
 from gypsumring.node.failure_detection import (
     OwnerReports,
     OwnerTerm,
-    ResponseTimes,
     choose_monitors,
 )
 from gypsumring.node.membership import Member
@@ -26,6 +25,7 @@
     Handler,
     NodeCalls,
 )
+from gypsumring.node.response_times import ResponseTimes
 from gypsumring.ports.store import Store, StoreRefused, StoreUnavailable
 from gypsumring.transport import (
     Channel,
--- a/gypsumring/node/membership.py
+++ b/gypsumring/node/membership.py
@@ -6,6 +6,7 @@
 import anyio.abc
 
 from gypsumring.cell import CellOwner
+from gypsumring.node.response_times import ResponseTimes
 from gypsumring.ports.store import Assignment, Store, StoreRefused, StoreUnavailable
 from gypsumring.utils.clock import Clock
 from gypsumring.utils.logs import EventLogger
@@ -19,7 +20,19 @@
 # starts to own a cell only if two successive joins return the same generation.
 STARTUP_S = 2.0
 STARTUP_JOIN_PERIOD_S = 0.05
-JOIN_TIMEOUT_S = 0.6
+# An unanswered join is sent again after this time, and given up after its time limit.
+# Answers are late on a congested link, but the joins themselves still arrive.
+JOIN_RESEND_S = 0.4
+JOIN_TIMEOUT_S = 2.0
+# A membership lasts for this multiple of the time that the store takes to answer,
+# within the shortest and the longest time.
+MEMBERSHIP_ANSWERS = 4
+LONGEST_TTL_S = 4.0
+# Membership while this node takes over the cell: reading the records delays all other
+# messages on its link. A node that has lost the cell before it had taken it over
+# doubles the time for the next attempt.
+TAKEOVER_TTL_S = 4.0
+MAX_TAKEOVER_FACTOR = 8
 # Peers may remove an unresponsive owner from the group before its membership expires,
 # but no sooner than this time after its last response.
 CONFIRMATION_VALID_S = 0.35
@@ -66,6 +79,7 @@
     """
 
     __slots__ = (
+        "applied_sent_at",
         "cell",
         "checked_at",
         "clock",
@@ -82,9 +96,12 @@
         "owner_count",
         "owner_scope",
         "paused",
+        "paused_until",
+        "response_times",
         "started_at",
         "stopping",
         "store",
+        "takeover_factor",
         "topic",
         "ttl_s",
     )
@@ -126,7 +143,15 @@
         self.checked_at = clock()
         # Set if the process was paused for so long that another node may own the cell.
         self.paused = False
+        # End of the last pause, in ``clock`` time.
+        self.paused_until = float("-inf")
         self.started_at = anyio.current_time()
+        # Factor of the membership during the next takeover.
+        self.takeover_factor = 1
+        # Response times of joins, and the send time of the newest join whose answer has
+        # been applied, in ``clock`` time.
+        self.response_times = ResponseTimes()
+        self.applied_sent_at = float("-inf")
 
     def is_recently_confirmed(self) -> bool:
         """Return whether the last confirmation still rules out another owner."""
@@ -147,38 +172,75 @@
             self.group = group
             while not self.stopping:
                 self.detect_pause()
+                had_owner = self.owner is not None
                 if not self.is_candidate(self.owner is not None):
                     await self.resign()
                     await anyio.sleep(JOIN_PERIOD_S)
                     continue
-                called_at = anyio.current_time()
-                sent_at = self.clock()
                 self.is_member = True
-                try:
-                    assignment = await self.store.join(
-                        self.group_name,
-                        self.member,
-                        self.topic,
-                        self.ttl_s,
-                        self.generation,
-                        called_at + JOIN_TIMEOUT_S,
-                    )
-                except (StoreUnavailable, StoreRefused) as error:
-                    log.debug("joining the group failed", error=str(error))
-                else:
-                    self.detect_pause()
-                    if not self.stopping:
-                        await self.apply(assignment, sent_at)
-                awaits_confirmation = self.is_starting() and self.owner is None
-                await anyio.sleep(
-                    STARTUP_JOIN_PERIOD_S if awaits_confirmation else JOIN_PERIOD_S
-                )
+                answered = anyio.Event()
+                group.start_soon(self.renew, answered)
+                with anyio.move_on_after(JOIN_RESEND_S):
+                    await answered.wait()
+                await anyio.sleep(self.join_pause_s(had_owner))
+
+    async def renew(self, answered: anyio.Event) -> None:
+        """Send one join and apply its answer, unless a later one has been applied."""
+        sent_at = self.clock()
+        try:
+            assignment = await self.join()
+        except (StoreUnavailable, StoreRefused) as error:
+            log.debug("joining the group failed", error=str(error))
+        else:
+            self.response_times.record(self.clock() - sent_at)
+            self.detect_pause()
+            if not self.stopping and self.is_member and sent_at >= self.applied_sent_at:
+                self.applied_sent_at = sent_at
+                await self.apply(assignment, sent_at)
+        finally:
+            answered.set()
+
+    async def join(self) -> Assignment:
+        """Join the group or renew the membership, for longer if answers are late."""
+        return await self.store.join(
+            self.group_name,
+            self.member,
+            self.topic,
+            self.membership_s(),
+            self.generation,
+            anyio.current_time() + JOIN_TIMEOUT_S,
+        )
+
+    def membership_s(self) -> float:
+        """Return for how long the next join asks the group to keep this member."""
+        answer_s = self.response_times.timeout_s(0.0, LONGEST_TTL_S)
+        ttl_s = max(self.ttl_s, min(MEMBERSHIP_ANSWERS * answer_s, LONGEST_TTL_S))
+        if self.is_taking_over():
+            ttl_s = max(ttl_s, TAKEOVER_TTL_S * self.takeover_factor)
+        return ttl_s
+
+    def is_taking_over(self) -> bool:
+        """Return whether this node has the cell but has not loaded its state yet."""
+        owner = self.owner
+        return owner is not None and not owner.loaded and not owner.stopped.is_set()
+
+    def join_pause_s(self, had_owner: bool) -> float:
+        """Return the pause before the next join, in seconds.
+
+        A node that begins to take over extends its membership at once.
+        """
+        if self.owner is None and self.is_starting():
+            return STARTUP_JOIN_PERIOD_S
+        if self.is_taking_over() and not had_owner:
+            return 0.0
+        return JOIN_PERIOD_S
 
     def detect_pause(self) -> None:
         """Detect that the process was paused for longer than a membership lasts."""
         now = self.clock()
         if now - self.checked_at > self.ttl_s:
             self.paused = True
+            self.paused_until = now
         self.checked_at = now
 
     def may_extend_leases(self) -> bool:
@@ -194,17 +256,27 @@
         generation_unchanged = assignment.generation == self.generation
         self.generation = assignment.generation
         is_assigned = self.cell in assignment.partitions
+        self.adjust_takeover_factor(is_assigned)
         if self.owner is not None and self.owner.stopped.is_set():
             self.owner = None
         if not is_assigned:
             await self.stop_owner("assigned to another node")
             return
         self.confirmed_at = sent_at
-        self.paused = False
+        # An answer to a join from before a pause may have waited in a socket buffer.
+        if sent_at >= self.paused_until:
+            self.paused = False
         if self.owner is None and (generation_unchanged or not self.is_starting()):
             self.owner = self.make_owner(self.next_fence(assignment.generation))
             self.group.start_soon(self.run_owner, self.owner)
 
+    def adjust_takeover_factor(self, is_assigned: bool) -> None:
+        """Grant the next takeover more time if the group has undone this one."""
+        if self.active_owner() is not None:
+            self.takeover_factor = 1
+        elif self.is_taking_over() and not is_assigned:
+            self.takeover_factor = min(2 * self.takeover_factor, MAX_TAKEOVER_FACTOR)
+
     def next_fence(self, generation: int) -> int:
         """Return a fence number above those of all earlier owners.
 
--- a/gypsumring/node/tests/test_failure_detection.py
+++ b/gypsumring/node/tests/test_failure_detection.py
@@ -8,9 +8,9 @@
     REPORT_VALID_S,
     OwnerReports,
     OwnerTerm,
-    ResponseTimes,
     choose_monitors,
 )
+from gypsumring.node.response_times import ResponseTimes
 from gypsumring.utils.testing import make_load_tests
 
 NAMES = [f"n{number}" for number in range(97)]
--- a/gypsumring/node/tests/test_membership.py
+++ b/gypsumring/node/tests/test_membership.py
@@ -2,7 +2,7 @@
 
 import anyio
 
-from gypsumring.node.membership import Membership
+from gypsumring.node.membership import STARTUP_S, TAKEOVER_TTL_S, Membership
 from gypsumring.ports.store import Assignment, StoreUnavailable
 from gypsumring.utils.testing import make_load_tests
 
@@ -34,18 +34,26 @@
 class ScriptedStore:
     """Store that assigns the cell to every member, unless it is unavailable."""
 
-    __slots__ = ("is_unavailable", "partitions")
+    __slots__ = ("answer_s", "arrivals", "is_unavailable", "partitions", "ttls_s")
 
     def __init__(self):
         self.is_unavailable = False
+        # Time from the arrival of a join to its answer, and times of arrival.
+        self.answer_s = 0.01
+        self.arrivals: list[float] = []
+        # Memberships that were asked for, in seconds.
+        self.ttls_s: list[float] = []
         self.partitions = frozenset({0})
 
     async def join(self, group, member, topic, ttl_s, generation, deadline):
         """Return the assignment, or raise while the store is unavailable."""
-        await anyio.sleep(0.01)
+        self.ttls_s.append(ttl_s)
+        self.arrivals.append(anyio.current_time())
+        assignment = Assignment(1, self.partitions)
+        await anyio.sleep(self.answer_s)
         if self.is_unavailable:
             raise StoreUnavailable("unavailable")
-        return Assignment(1, self.partitions)
+        return assignment
 
     async def leave(self, group, member, deadline):
         """Answer that the member has left."""
@@ -171,4 +179,82 @@
     await run_checks(check)
 
 
+# While a new owner read its records on a slow link, its joins came too late: the group
+# gave the cell to the next node, which was as slow.
+async def test_membership_lasts_longer_while_the_cell_is_read():
+    store = ScriptedStore()
+    owners = []
+
+    def make_owner(fence):
+        owners.append(ScriptedOwner())
+        owners[-1].loaded = False
+        return owners[-1]
+
+    membership = Membership(store, "g", "cells", 0, "n0", TTL_S, make_owner)
+    async with anyio.create_task_group() as group:
+        membership.started_at -= STARTUP_S
+        group.start_soon(membership.run)
+        await anyio.sleep(0.03)
+        # The first join only assigns the cell; the next one is sent at once.
+        assert store.ttls_s[:2] == [TTL_S, TAKEOVER_TTL_S]
+        store.partitions = frozenset()
+        await anyio.sleep(0.3)
+        assert store.ttls_s[-1] == TTL_S
+        store.partitions = frozenset({0})
+        await anyio.sleep(0.3)
+        assert store.ttls_s[-1] == 2 * TAKEOVER_TTL_S
+        owners[-1].loaded = True
+        await anyio.sleep(0.3)
+        assert store.ttls_s[-1] == TTL_S
+        group.cancel_scope.cancel()
+
+
+# On a congested link each join was given up before its answer came, and the next one
+# had to wait for a new connection: the membership lapsed although the owner was alive.
+async def test_membership_does_not_lapse_while_answers_are_late():
+    async def check(membership, store, clock):
+        store.answer_s = 0.9
+        await anyio.sleep(10.0)
+        assert membership.active_owner() is not None
+        intervals = [
+            later - earlier
+            for earlier, later in zip(store.arrivals, store.arrivals[1:])
+        ]
+        assert all(interval < ttl_s for interval, ttl_s in zip(intervals, store.ttls_s))
+        # Several joins in a row may get lost.
+        assert store.ttls_s[-1] > 3 * store.answer_s
+
+    await run_checks(check)
+
+
+async def test_answers_that_arrive_out_of_order_are_ignored():
+    async def check(membership, store, clock):
+        owner = membership.active_owner()
+        store.answer_s = 0.6
+        store.partitions = frozenset()
+        await anyio.sleep(0.15)
+        store.answer_s = 0.01
+        store.partitions = frozenset({0})
+        await anyio.sleep(0.43)
+        assert membership.applied_sent_at > clock() - 0.2
+        await anyio.sleep(0.5)
+        assert membership.active_owner() is owner
+
+    await run_checks(check)
+
+
+async def test_answer_from_before_a_pause_does_not_confirm_the_cell():
+    # Another node may own the cell by then and rely on the expiry of the leases.
+    async def check(membership, store, clock):
+        store.answer_s = 0.3
+        await anyio.sleep(0.15)
+        clock.paused_s += 4.0
+        await anyio.sleep(0.25)
+        assert not membership.may_extend_leases()
+        await anyio.sleep(0.5)
+        assert membership.may_extend_leases()
+
+    await run_checks(check)
+
+
 load_tests = make_load_tests(globals())
