Remove the membership of the process that this one replaces

Change: a process that finds the cell assigned to an earlier process of its own node removes that member.

Result: test_restarted_process_removes_its_predecessor and test_owner_that_restarts_at_once_is_replaced_at_once failed before and pass.

--- a/gypsumring/node/link.py
+++ b/gypsumring/node/link.py
@@ -233,6 +233,9 @@
             return None
         owner = Member.parse(name)
         if owner.node == self.member.node:
+            if name != str(self.member):
+                self.owner_member = name
+                await self.remove_owner(owner.address, "predecessor of this process")
             return None
         self.node_addresses[owner.node] = owner.address
         self.owner_member = name
--- a/gypsumring/node/tests/test_fleet.py
+++ b/gypsumring/node/tests/test_fleet.py
@@ -69,6 +69,15 @@
             assert await fleet.wait_until_settled(REPLACEMENT_S) is not None, size
 
 
+async def test_owner_that_restarts_at_once_is_replaced_at_once():
+    async with running_fleet(9) as fleet:
+        await anyio.sleep(5.0)
+        owner = fleet.owner()
+        owner.kill()
+        owner.start()
+        assert await fleet.wait_until_settled(REPLACEMENT_S) is not None
+
+
 async def test_frozen_owner_is_replaced_before_its_membership_expires():
     async with running_fleet(9) as fleet:
         await anyio.sleep(5.0)
--- a/gypsumring/node/tests/test_link.py
+++ b/gypsumring/node/tests/test_link.py
@@ -199,6 +199,20 @@
             assert reports and reports[0] == ReportOwner("n0", "a1", 7, 3)
 
 
+# An owner that was killed and started again at once refused no connection. Its
+# membership lasted on, and no other node took over meanwhile.
+async def test_restarted_process_removes_its_predecessor():
+    async with running_link() as rig:
+        predecessor = Member("n0", "a0", "earlier")
+        rig.peers["a1"].state = "ended"
+        rig.store.next_owner = predecessor
+        await anyio.sleep(0.3)
+        assert rig.store.left == [str(OWNER), str(predecessor)]
+        rig.store.owner = SELF
+        await anyio.sleep(0.5)
+        assert len(rig.store.left) == 2
+
+
 async def test_node_waits_for_a_takeover_on_one_channel():
     # Each node opened a new channel to a node that took over up to ten times a second.
     async with running_link() as rig:
