--- a/Makefile
+++ b/Makefile
@@ -9,7 +9,7 @@
 PARAMETER ?= gypsumring.dispatch.reserving:MAX_RESERVED_SHARE
 VALUES ?= 0,0.15,0.3,0.45
 
-.PHONY: demo test bench soak cells liveness experiment ablation report format
+.PHONY: demo test bench soak cells liveness ownership experiment ablation report format
 
 $(STAMP): requirements.lock pyproject.toml
 	test -x $(PYTHON) || python3.11 -m venv .venv
@@ -37,6 +37,9 @@
 liveness: $(STAMP)
 	$(PYTHON) -m soak.liveness --seed $(SEED) --seeds $(SEEDS) --seconds $(SECONDS) 2>/dev/null
 
+ownership: $(STAMP)
+	$(PYTHON) -m soak.ownership --seed $(SEED) --seeds $(SEEDS) 2>/dev/null
+
 experiment: $(STAMP)
 	$(PYTHON) -m experiments --parameter $(PARAMETER) --values $(VALUES) --seed $(SEED) --seeds $(SEEDS)
 
