Tell apart why an executor's entry is refused

The decoder of the entries returned None for whatever it refused, so that neither the counter nor a log line could say what is odd about an entry. It raises InvalidEntry with a reason now; each reason has a counter beside cell.entries.unreadable. The tests compare the reason as well.

--- a/gypsumring/cell/discovery.py
+++ b/gypsumring/cell/discovery.py
@@ -6,7 +6,7 @@
 
 from gypsumring.cell.executor_polling import ExecutorPoller
 from gypsumring.cell.state import CellState
-from gypsumring.fleet import ExecutorEntry
+from gypsumring.fleet import ExecutorEntry, InvalidEntry
 from gypsumring.ports.exceptions import OffsetExpired
 from gypsumring.ports.store import (
     KeyedRecord,
@@ -26,7 +26,8 @@
 # this time.
 REREGISTRATION_TIME_S = 2.5
 
-DecodeEntry = Callable[[str, bytes], ExecutorEntry | None]
+# Raises InvalidEntry if an entry names no executor to use.
+DecodeEntry = Callable[[str, bytes], ExecutorEntry]
 
 
 class ExecutorDirectory:
@@ -115,8 +116,10 @@
                 executor.listed = False
                 log.info("executor entry was removed", executor=record.key)
             return
-        entry = self.decode(record.key, record.value)
-        if entry is None:
+        try:
+            entry = self.decode(record.key, record.value)
+        except InvalidEntry as error:
             self.state.metrics.count("cell.entries.unreadable")
+            self.state.metrics.count(f"cell.entries.unreadable.{error.reason}")
             return
         self.executor_poller.update(entry)
--- a/gypsumring/fleet/__init__.py
+++ b/gypsumring/fleet/__init__.py
@@ -1,5 +1,6 @@
 """State of executors recorded by their owner: capacity, leases, clocks, health."""
 
+from gypsumring.fleet.exceptions import InvalidEntry
 from gypsumring.fleet.executor import (
     CONTACT_TIMEOUT_S,
     MAX_ORDER_DELAY_S,
@@ -13,5 +14,6 @@
     "ExecutorEntry",
     "ExecutorHealth",
     "ExecutorState",
+    "InvalidEntry",
     "MAX_ORDER_DELAY_S",
 ]
--- a/gypsumring/platform/discovery.py
+++ b/gypsumring/platform/discovery.py
@@ -4,7 +4,7 @@
 
 import msgspec
 
-from gypsumring.fleet import ExecutorEntry
+from gypsumring.fleet import ExecutorEntry, InvalidEntry
 
 __all__ = ["decode_executor_entry"]
 
@@ -36,17 +36,19 @@
 decode_body = msgspec.json.Decoder(EntryBody).decode
 
 
-def decode_executor_entry(executor_id: str, value: bytes) -> ExecutorEntry | None:
-    """Decode an entry; return None if it is malformed or not from a known writer."""
+def decode_executor_entry(executor_id: str, value: bytes) -> ExecutorEntry:
+    """Decode an entry; raise InvalidEntry if it names no executor to use."""
     try:
         body = decode_body(value)
-    except (msgspec.DecodeError, UnicodeDecodeError):
-        return None
+    except msgspec.ValidationError as error:
+        raise InvalidEntry("field", str(error)) from error
+    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+        raise InvalidEntry("format", str(error)) from error
     address = ADDRESS.match(body.address)
     if address is None or not 0 < int(address[1]) <= MAX_PORT:
-        return None
+        raise InvalidEntry("address", "not a host and a port from 1 to 65535")
     if body.state not in ("ready", "draining"):
-        return None
+        raise InvalidEntry("state", "neither ready nor draining")
     return ExecutorEntry(
         executor_id=executor_id,
         address=body.address,
--- a/gypsumring/platform/tests/test_decoding.py
+++ b/gypsumring/platform/tests/test_decoding.py
@@ -2,6 +2,7 @@
 
 import random
 
+from gypsumring.fleet import InvalidEntry
 from gypsumring.pipelines import JobPhase
 from gypsumring.platform import (
     decode_desired_state,
@@ -50,6 +51,15 @@
     raise AssertionError("no error")
 
 
+def get_refusal(executor_id: str, value: bytes) -> str:
+    """Return the reason for which an entry is refused."""
+    try:
+        entry = decode_executor_entry(executor_id, value)
+    except InvalidEntry as error:
+        return error.reason
+    raise AssertionError(f"accepted: {entry}")
+
+
 def test_job_is_decoded_into_steps():
     submission = decode_submission(JOB)
     first, second = submission.steps
@@ -78,18 +88,18 @@
 
 
 def test_malformed_entries_and_entries_of_other_writers_are_ignored():
-    for damaged in (
-        ENTRY.replace(b'"draining"', b'"asleep"'),
-        ENTRY.replace(b'"capacity"', b'"room"'),
-        ENTRY.replace(b"16000", b'"many"'),
-        ENTRY.replace(b"10.1.0.9:8080", b"10.1.0.9:http"),
-        ENTRY.replace(b"10.1.0.9:8080", b"10.1.0.9:99999"),
-        ENTRY.replace(b"10.1.0.9:8080", b"10.1.0.9"),
-        ENTRY[:40],
-        b"\x00\xff",
-        b"[]",
+    for damaged, reason in (
+        (ENTRY.replace(b'"draining"', b'"asleep"'), "state"),
+        (ENTRY.replace(b'"capacity"', b'"room"'), "field"),
+        (ENTRY.replace(b"16000", b'"many"'), "field"),
+        (ENTRY.replace(b"10.1.0.9:8080", b"10.1.0.9:http"), "address"),
+        (ENTRY.replace(b"10.1.0.9:8080", b"10.1.0.9:99999"), "address"),
+        (ENTRY.replace(b"10.1.0.9:8080", b"10.1.0.9"), "address"),
+        (ENTRY[:40], "format"),
+        (b"\x00\xff", "format"),
+        (b"[]", "field"),
     ):
-        assert decode_executor_entry("i-1", damaged) is None
+        assert get_refusal("i-1", damaged) == reason, damaged
 
 
 def test_desired_state_is_decoded_with_times_in_seconds():
@@ -121,7 +131,7 @@
         for content, decode, expected_errors in (
             (JOB, decode_submission, (WireError,)),
             (CONFIG, decode_desired_state, (WireError,)),
-            (ENTRY, lambda value: decode_executor_entry("i", value), ()),
+            (ENTRY, lambda value: decode_executor_entry("i", value), (InvalidEntry,)),
             (task_lists, decode_task_lists, (ExecutorSilent,)),
         ):
             damaged = bytearray(content)
