Let the cluster of the tests hold entries in the platform's format

The cluster in one process stored its executors in the owner's own record format and decoded them without any check, so that no test of a cell could meet an odd entry.

--- a/gypsumring/platform/tests/rig.py
+++ b/gypsumring/platform/tests/rig.py
@@ -14,6 +14,7 @@
 import anyio
 import httpx
 
+from stand_ins.platform.entries import encode_entry
 from stand_ins.platform.executor import ExecutorModel
 from stand_ins.platform.policy import PolicyModel
 from stand_ins.platform.servers import ExecutorApp, PolicyApp, StoreApp
@@ -156,17 +157,8 @@
 
 def register_executor(store: StoreModel, model: ExecutorModel, address: str) -> None:
     """Append an executor's entry to the store, as the platform does."""
-    entry = {
-        "service": "svc",
-        "address": address,
-        "zone": "a",
-        "state": "ready",
-        "capacity": {"cpu": model.cpu_millis, "memMb": model.memory_mb},
-        "labels": ["a", "r1"],
-        "born": model.born_ms,
-    }
-    value = json.dumps(entry).encode()
-    store.append("keyed.servers", 0, [(model.executor_id, value)], None)
+    entry = (model.executor_id, encode_entry(model, address))
+    store.append("keyed.servers", 0, [entry], None)
 
 
 @asynccontextmanager
@@ -183,6 +175,7 @@
     with tempfile.TemporaryDirectory() as folder:
         async with serve_apps(apps) as addresses, httpx.AsyncClient() as client:
             for model in models:
+                model.labels = ("a", "r1")
                 register_executor(store, model, addresses[model.executor_id])
             config = json.dumps({"version": 1, "routes": [ROUTE]}).encode()
             store.append("keyed.op", 0, [("config", config)], None)
--- a/stand_ins/platform/cluster.py
+++ b/stand_ins/platform/cluster.py
@@ -4,12 +4,10 @@
 
 import anyio
 import anyio.abc
-import msgspec
 
 from gypsumring.cell import CellOwner
 from gypsumring.cell.messages import JobAnswer, Outcome
 from gypsumring.cell.state import CellTiming
-from gypsumring.fleet import ExecutorEntry
 from gypsumring.metrics import Metrics
 from gypsumring.node.membership import Membership
 from gypsumring.pipelines import (
@@ -20,7 +18,9 @@
     Queue,
     StepSpec,
 )
+from gypsumring.platform import decode_executor_entry
 from gypsumring.ports.tasks import PolicyBusy, PolicyUnavailable, TaskExecutor
+from stand_ins.platform.entries import encode_entry
 from stand_ins.platform.executor import ExecutorModel
 from stand_ins.platform.faults import Faults
 from stand_ins.platform.memory import (
@@ -41,7 +41,8 @@
 MEMBERSHIP_TTL_S = 1.0
 RETRY_INTERVAL_S = 0.05
 
-decode_entry = msgspec.msgpack.Decoder(ExecutorEntry).decode
+# Executors are reached by their id; the entry needs an address of the usual form.
+EXECUTOR_ADDRESS = "memory:1"
 
 
 def make_job(job_id: str, *steps: StepSpec, queue: str = QUEUE) -> PipelineSpec:
@@ -97,7 +98,7 @@
             lambda: self.cluster.desired,
             self.connect,
             ENTRIES_TOPIC,
-            lambda executor_id, value: decode_entry(value),
+            decode_executor_entry,
             self.list_policy_proxies,
             self.query_policy_proxy,
             self.cluster.metrics,
@@ -267,17 +268,7 @@
         """Write the executor's entry to the store, unless the executor has left."""
         if model.executor_id in self.departed:
             return
-        entry = ExecutorEntry(
-            executor_id=model.executor_id,
-            address="memory:0",
-            service=model.service,
-            draining=draining,
-            born_ms=model.born_ms,
-            cpu_millis=model.cpu_millis,
-            memory_mb=model.memory_mb,
-            labels=model.labels,
-        )
-        value = msgspec.msgpack.encode(entry)
+        value = encode_entry(model, EXECUTOR_ADDRESS, draining)
         self.store.append(ENTRIES_TOPIC, 0, [(model.executor_id, value)], None)
 
     def owner_node(self) -> MemoryNode | None:
