Add failing tests for odd bytes of other writers

Operators of similar systems reported that one odd entry among those of the executors ended the machines that read the list again and again. To reach the policy decoder its function got a name, and the ports of a node a type; neither changes behaviour.

--- a/gypsumring/platform/policy.py
+++ b/gypsumring/platform/policy.py
@@ -21,6 +21,14 @@
     allowed: list[tuple[str, str]] = []
 
 
+def decode_advice(body: bytes) -> list[tuple[str, str]]:
+    """Decode the answer to a policy query; raise PolicyUnavailable if malformed."""
+    try:
+        return msgspec.json.decode(body, type=AdviceReply).allowed
+    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+        raise PolicyUnavailable(f"malformed policy answer: {error}") from error
+
+
 class PlatformPolicyService:
     """HTTP client of the policy service; implements the port ``PolicyService``."""
 
@@ -44,7 +52,4 @@
             raise PolicyUnavailable(
                 f"policy service answered with status {response.status}"
             )
-        try:
-            return msgspec.json.decode(response.body, type=AdviceReply).allowed
-        except (msgspec.DecodeError, UnicodeDecodeError) as error:
-            raise PolicyUnavailable(f"malformed policy answer: {error}") from error
+        return decode_advice(response.body)
--- a/gypsumring/settings/node.py
+++ b/gypsumring/settings/node.py
@@ -9,6 +9,7 @@
 __all__ = ["BoundSettings", "NodeSettings", "ProcessorSettings", "StoreSettings"]
 
 PositiveNumber = Annotated[float, msgspec.Meta(gt=0)]
+PeerPorts = Annotated[tuple[int, ...], msgspec.Meta(min_length=1)]
 PositiveSeconds = Annotated[float, msgspec.Meta(gt=0)]
 
 
@@ -61,7 +62,7 @@
     # If empty, metrics are served on the readiness address only.
     metrics_address: str = ""
     peer_host: str
-    peer_ports: Annotated[tuple[int, ...], msgspec.Meta(min_length=1)]
+    peer_ports: PeerPorts
     store: StoreSettings
     policy_address: str = ""
     bounds: BoundSettings
--- a/gypsumring/settings/tests/test_loader.py
+++ b/gypsumring/settings/tests/test_loader.py
@@ -5,7 +5,10 @@
 import tempfile
 from pathlib import Path
 
+import msgspec
+
 from gypsumring.settings import CommandSettings, SettingsError, load_settings
+from gypsumring.settings.node import PeerPorts
 from gypsumring.utils.testing import make_load_tests
 
 load_tests = make_load_tests(globals())
@@ -45,3 +48,20 @@
     assert "JSON" in read_error(b"{")
     assert "larger than" in read_error(b" " * 10_000_000)
     assert "settings.json" in read_error(b"\xff\xfe")
+
+
+def test_nested_settings_are_refused():
+    """Guard against a reload that ends the process with RecursionError."""
+    nested = b"[" * 100_000 + b"]" * 100_000
+    assert read_error(nested)
+    assert read_error(b'{"gateways":[],"team":"a","x":' + nested + b"}")
+
+
+def test_ports_out_of_range_are_refused():
+    """Guard against a node that ends when it listens on a port out of range."""
+    for port in ("0", "65536", "1" + "0" * 400):
+        try:
+            msgspec.json.decode(f"[{port}]", type=PeerPorts)
+        except msgspec.ValidationError:
+            continue
+        raise AssertionError(f"accepted: {port}")
--- a/gypsumring/transport/http_client.py
+++ b/gypsumring/transport/http_client.py
@@ -16,6 +16,7 @@
 
 READ_BYTES = 65536
 CONNECT_TIMEOUT_S = 0.5
+MAX_RESPONSE_BYTES = 64 * 1024 * 1024
 # The kernel closes a connection whose data stays unacknowledged for this long.
 TCP_USER_TIMEOUT_MS = 2_000
 
--- a/gypsumring/transport/tests/test_channel.py
+++ b/gypsumring/transport/tests/test_channel.py
@@ -5,7 +5,7 @@
 import anyio
 import msgspec
 
-from gypsumring.transport import Channel, ChannelClosed
+from gypsumring.transport import Channel, ChannelClosed, ConnectFailed
 from gypsumring.utils.testing import after, make_load_tests, raised
 
 STREAM_BUFFER_SIZE = 100
@@ -85,4 +85,29 @@
             await raised(ChannelClosed, local.call(Text("late"), after(0.2)))
 
 
+async def test_nested_frame_closes_its_channel_only():
+    # RecursionError left the channel and ended all channels of the process.
+    nested = b"\x91" * 100_000 + b"\xc0"
+    for payload in (
+        b"\x94\x01\xc2\x92\xa4Text\xa1x" + nested,
+        b"\x93\x01\xc2\x93\xa4Text\xa1x" + nested,
+    ):
+        async with connect_channels() as (local, stream, peer):
+            await stream.send(len(payload).to_bytes(4, "big") + payload)
+            await anyio.sleep(0.1)
+            assert peer.closed
+            await raised(ChannelClosed, local.call(Text("late"), after(0.2)))
+
+
+async def test_address_that_names_no_host_and_port_is_a_failed_connection():
+    # ValueError, UnicodeError or OverflowError ended the search for the owner.
+    for address in ("", "host", "a..b:80", "x" * 70 + ":80", "\ufffd:80", "h:9" * 3000):
+        call = Channel.connect(address, decoder, answer, after(0.2))
+        assert "not a host and a port" in str(await raised(ConnectFailed, call))
+    for port in ("99999", "-1", "1" + "0" * 30, "9" * 5000, "x"):
+        address = f"127.0.0.1:{port}"
+        call = Channel.connect(address, decoder, answer, after(0.2))
+        assert "not a host and a port" in str(await raised(ConnectFailed, call))
+
+
 load_tests = make_load_tests(globals())
