Refuse values that nest too deeply in every decoder

A value that nests 100,000 deep, also in an unknown field, raises RecursionError, which only the decoder of documents caught. In an entry of an executor it ended the cell owner after owner, in the desired state it left the watch, in a message of a peer the channel; by the code a caller was told 504 in place of 400.

--- a/gypsumring/adapters/http.py
+++ b/gypsumring/adapters/http.py
@@ -11,6 +11,7 @@
 
 from gypsumring.adapters.exceptions import BodyTooLarge, CallFailed, InvalidAnswer
 from gypsumring.metrics import Metrics
+from gypsumring.utils.decoding import DECODE_ERRORS
 
 __all__ = [
     "MAX_ANSWER_BYTES",
@@ -199,5 +200,5 @@
     )
     try:
         return codec.decode(answer.body, type=answer_type)
-    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+    except DECODE_ERRORS as error:
         raise InvalidAnswer(str(error)) from error
--- a/gypsumring/cell/owner.py
+++ b/gypsumring/cell/owner.py
@@ -38,6 +38,7 @@
 from gypsumring.ports.store import KeyedRecord, Store, StoreRefused, StoreUnavailable
 from gypsumring.ports.tasks import TaskExecutor
 from gypsumring.utils.clock import Clock, WallClock
+from gypsumring.utils.decoding import DECODE_ERRORS
 from gypsumring.utils.logs import EventLogger
 from gypsumring.utils.supervision import describe_error
 
@@ -277,7 +278,7 @@
         """Start polling an executor that an earlier owner has used."""
         try:
             entry = decode_entry(value)
-        except msgspec.DecodeError as error:
+        except DECODE_ERRORS as error:
             log.error("executor record cannot be decoded", key=key, error=str(error))
             return
         self.executor_poller.add(entry, inherited=True)
@@ -286,7 +287,7 @@
         """Restore the last version of a queue, which may have been removed since."""
         try:
             self.state.queues.restore(decode_queue(value))
-        except msgspec.DecodeError as error:
+        except DECODE_ERRORS as error:
             log.error("queue record cannot be decoded", key=key, error=str(error))
 
     async def evict_ended_jobs(self) -> None:
--- a/gypsumring/cli/client.py
+++ b/gypsumring/cli/client.py
@@ -13,6 +13,7 @@
     Refused,
 )
 from gypsumring.settings import CommandSettings
+from gypsumring.utils.decoding import DECODE_ERRORS
 
 __all__ = ["GatewayClient"]
 
@@ -76,7 +77,7 @@
     """Return the decoded body of a success; raise the error of the status code."""
     try:
         body = msgspec.json.decode(answer.content)
-    except msgspec.DecodeError as error:
+    except DECODE_ERRORS as error:
         raise OutcomeUnknown(f"the response is not valid JSON: {error}") from error
     if answer.is_success:
         return body
--- a/gypsumring/cli/main.py
+++ b/gypsumring/cli/main.py
@@ -15,6 +15,7 @@
 from gypsumring.cli.tracing import read_job_lines, render_line
 from gypsumring.documents import DocumentError, parse_document
 from gypsumring.settings import CommandSettings, SettingsError, load_settings
+from gypsumring.utils.decoding import DECODE_ERRORS
 
 __all__ = ["cli", "main"]
 
@@ -280,7 +281,7 @@
     content = read_input(file)
     try:
         msgspec.json.decode(content)
-    except msgspec.DecodeError as error:
+    except DECODE_ERRORS as error:
         raise BadInput(f"{file}: invalid JSON: {error}") from error
     context.show(context.call("POST", "/jobs", content))
 
--- a/gypsumring/cli/tracing.py
+++ b/gypsumring/cli/tracing.py
@@ -7,6 +7,7 @@
 import msgspec
 
 from gypsumring.cli.log_files import split_lines
+from gypsumring.utils.decoding import DECODE_ERRORS
 
 __all__ = ["read_job_lines", "render_line"]
 
@@ -19,7 +20,7 @@
     for prefix, line in split_lines(path):
         try:
             content = msgspec.json.decode(line)
-        except msgspec.DecodeError:
+        except DECODE_ERRORS:
             continue
         if isinstance(content, dict) and "message" in content:
             content.setdefault("node", prefix[-1] if prefix else path.stem)
--- a/gypsumring/documents/parsing.py
+++ b/gypsumring/documents/parsing.py
@@ -4,6 +4,7 @@
 
 from gypsumring.documents.exceptions import DocumentError
 from gypsumring.documents.model import Document
+from gypsumring.utils.decoding import DECODE_ERRORS
 
 __all__ = ["MAX_DOCUMENT_BYTES", "diff_documents", "parse_document"]
 
@@ -23,7 +24,7 @@
     except msgspec.ValidationError as error:
         text = str(error)
         raise DocumentError(text if "$" in text else f"{text} - at `$`") from error
-    except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as error:
+    except DECODE_ERRORS as error:
         raise DocumentError(f"$: invalid JSON: {error}") from error
 
 
--- a/gypsumring/documents/store.py
+++ b/gypsumring/documents/store.py
@@ -25,6 +25,7 @@
 from gypsumring.metrics import Metrics, RefusalReason
 from gypsumring.settings import TimingSettings
 from gypsumring.streams import AppendUnconfirmed, Stream
+from gypsumring.utils.decoding import DECODE_ERRORS
 from gypsumring.utils.snapshots import SnapshotReader, append_snapshot, split_state
 
 __all__ = ["DocumentStore", "StoredDocument"]
@@ -246,7 +247,7 @@
         """Replace the state by a newer one; raise DocumentError if it is malformed."""
         try:
             loaded = stored_decoder.decode(state)
-        except msgspec.DecodeError as error:
+        except DECODE_ERRORS as error:
             raise DocumentError(f"$: malformed snapshot: {error}") from error
         self.move_to(covers_offset - 1)
         by_name = {stored.name: stored for stored in loaded}
--- a/gypsumring/gateway/app.py
+++ b/gypsumring/gateway/app.py
@@ -50,6 +50,7 @@
     ServiceRequest,
     serve_request,
 )
+from gypsumring.utils.decoding import DECODE_ERRORS
 from gypsumring.utils.hashing import choose_ledger
 
 __all__ = ["GatewayApp", "JobCancellation", "JobSubmission"]
@@ -371,7 +372,7 @@
         content = await read_body(request, receive, MAX_DOCUMENT_BYTES)
         try:
             document_name = msgspec.json.decode(content, type=DocumentName).name
-        except msgspec.DecodeError as error:
+        except DECODE_ERRORS as error:
             raise refuse_field(str(error)) from error
         if document_name != name:
             raise HttpRefused(
@@ -516,7 +517,7 @@
     content = await read_body(request, receive, max_bytes)
     try:
         return msgspec.json.decode(content, type=kind)
-    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+    except DECODE_ERRORS as error:
         raise refuse_field(str(error)) from error
 
 
--- a/gypsumring/jobs/ledger.py
+++ b/gypsumring/jobs/ledger.py
@@ -18,6 +18,7 @@
 )
 from gypsumring.messages.work import JobSpec, JobState
 from gypsumring.metrics import Metrics
+from gypsumring.utils.decoding import DECODE_ERRORS
 from gypsumring.utils.snapshots import SnapshotReader
 
 __all__ = ["JobLedger", "SNAPSHOT_PREFIX"]
@@ -150,7 +151,7 @@
         """Replace the state by a snapshot; raise SnapshotError."""
         try:
             stored = ledger_decoder.decode(state)
-        except msgspec.DecodeError as error:
+        except DECODE_ERRORS as error:
             raise SnapshotError(
                 f"malformed snapshot that covers offset {covers_offset}: {error}"
             ) from error
--- a/gypsumring/messages/codec.py
+++ b/gypsumring/messages/codec.py
@@ -10,6 +10,7 @@
     LedgerBody,
     RecordBatch,
 )
+from gypsumring.utils.decoding import DECODE_ERRORS
 
 __all__ = [
     "DecodeError",
@@ -45,7 +46,7 @@
         raise DecodeError(f"frame of {len(payload)} bytes exceeds {MAX_FRAME_BYTES}")
     try:
         return decoder.decode(payload)
-    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+    except DECODE_ERRORS as error:
         raise DecodeError(str(error)) from error
 
 
--- a/gypsumring/ownership/fold.py
+++ b/gypsumring/ownership/fold.py
@@ -14,6 +14,7 @@
     Release,
     Renew,
 )
+from gypsumring.utils.decoding import DECODE_ERRORS
 from gypsumring.utils.snapshots import SnapshotReader
 
 __all__ = ["ControlFold", "Member", "OwnerView", "SNAPSHOT_PREFIX"]
@@ -87,7 +88,7 @@
         """Replace the state by a later one; raise DecodeError."""
         try:
             loaded = state_decoder.decode(state)
-        except msgspec.DecodeError as error:
+        except DECODE_ERRORS as error:
             raise DecodeError(f"malformed control snapshot: {error}") from error
         for shard in sorted(self.shards):
             view = loaded.shards.get(shard)
--- a/gypsumring/pipelines/records.py
+++ b/gypsumring/pipelines/records.py
@@ -4,6 +4,7 @@
 
 from gypsumring.pipelines.exceptions import PipelineError
 from gypsumring.pipelines.model import JobPhase, PipelineSpec
+from gypsumring.utils.decoding import DECODE_ERRORS
 
 __all__ = ["Progress", "decode_progress", "decode_spec", "encode"]
 
@@ -53,7 +54,7 @@
     """Decode the record of an accepted job; raise PipelineError if unreadable."""
     try:
         return spec_decoder.decode(value)
-    except msgspec.DecodeError as error:
+    except DECODE_ERRORS as error:
         raise PipelineError(f"unreadable job record: {error}") from error
 
 
@@ -61,5 +62,5 @@
     """Decode the progress record of a job; raise PipelineError if unreadable."""
     try:
         return progress_decoder.decode(value)
-    except msgspec.DecodeError as error:
+    except DECODE_ERRORS as error:
         raise PipelineError(f"unreadable progress record: {error}") from error
--- a/gypsumring/platform/desired_state.py
+++ b/gypsumring/platform/desired_state.py
@@ -4,6 +4,7 @@
 
 from gypsumring.pipelines import DesiredState, PolicyTiming, Queue, ServicePool
 from gypsumring.platform.exceptions import WireError
+from gypsumring.utils.decoding import DECODE_ERRORS
 
 __all__ = ["decode_desired_state"]
 
@@ -60,7 +61,7 @@
     """Decode a desired state; raise WireError if it is malformed."""
     try:
         body = decode_body(value)
-    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+    except DECODE_ERRORS as error:
         raise WireError(f"malformed desired state: {error}") from error
     return DesiredState(
         version=body.version,
--- a/gypsumring/platform/discovery.py
+++ b/gypsumring/platform/discovery.py
@@ -5,6 +5,7 @@
 import msgspec
 
 from gypsumring.fleet import ExecutorEntry, InvalidEntry
+from gypsumring.utils.decoding import DECODE_ERRORS
 
 __all__ = ["decode_executor_entry"]
 
@@ -42,8 +43,9 @@
         body = decode_body(value)
     except msgspec.ValidationError as error:
         raise InvalidEntry("field", str(error)) from error
-    except (msgspec.DecodeError, UnicodeDecodeError) as error:
-        raise InvalidEntry("format", str(error)) from error
+    except DECODE_ERRORS as error:
+        reason = "nesting" if isinstance(error, RecursionError) else "format"
+        raise InvalidEntry(reason, str(error)) from error
     address = ADDRESS.match(body.address)
     if address is None or not 0 < int(address[1]) <= MAX_PORT:
         raise InvalidEntry("address", "not a host and a port from 1 to 65535")
--- a/gypsumring/platform/executors.py
+++ b/gypsumring/platform/executors.py
@@ -18,6 +18,7 @@
     HttpResponse,
     NoResponse,
 )
+from gypsumring.utils.decoding import DECODE_ERRORS
 
 __all__ = ["PlatformExecutor"]
 
@@ -104,7 +105,7 @@
     """Decode the task lists of an executor; raise ``ExecutorSilent`` if malformed."""
     try:
         reply = msgspec.json.decode(body, type=ListsReply)
-    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+    except DECODE_ERRORS as error:
         raise ExecutorSilent(f"malformed task lists: {error}") from error
     running = [
         ListedRun(row.task, row.attempt, row.checkpoint, row.percent, row.load)
@@ -210,7 +211,7 @@
     """Raise the error for the reason with which an executor refused an order."""
     try:
         reason = msgspec.json.decode(response.body, type=OrderReply).reason
-    except (msgspec.DecodeError, UnicodeDecodeError):
+    except DECODE_ERRORS:
         reason = ""
     if reason == "fence":
         raise FenceRefused(reason)
--- a/gypsumring/platform/ingress.py
+++ b/gypsumring/platform/ingress.py
@@ -10,6 +10,7 @@
     check_pipeline,
 )
 from gypsumring.platform.exceptions import WireError
+from gypsumring.utils.decoding import DECODE_ERRORS
 
 __all__ = [
     "Submission",
@@ -84,7 +85,7 @@
     """Decode and validate a submitted job; raise WireError that names the field."""
     try:
         body = decode_body(content)
-    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+    except DECODE_ERRORS as error:
         raise WireError(str(error)) from error
     if len(body.spec.encode()) > MAX_PAYLOAD_BYTES:
         raise WireError(f"spec: larger than {MAX_PAYLOAD_BYTES} bytes")
--- a/gypsumring/platform/policy.py
+++ b/gypsumring/platform/policy.py
@@ -4,6 +4,7 @@
 
 from gypsumring.ports.tasks import PolicyBusy, PolicyUnavailable
 from gypsumring.transport import ConnectFailed, HttpClient, NoResponse
+from gypsumring.utils.decoding import DECODE_ERRORS
 
 __all__ = ["PlatformPolicyService"]
 
@@ -25,7 +26,7 @@
     """Decode the answer to a policy query; raise PolicyUnavailable if malformed."""
     try:
         return msgspec.json.decode(body, type=AdviceReply).allowed
-    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+    except DECODE_ERRORS as error:
         raise PolicyUnavailable(f"malformed policy answer: {error}") from error
 
 
--- a/gypsumring/platform/store.py
+++ b/gypsumring/platform/store.py
@@ -26,6 +26,7 @@
     NoResponse,
     RelayedClient,
 )
+from gypsumring.utils.decoding import DECODE_ERRORS
 
 __all__ = [
     "DESIRED_STATE_KEY",
@@ -123,7 +124,7 @@
     """Decode the body of a response; raise StoreUnavailable if it is malformed."""
     try:
         return msgspec.json.decode(response.body, type=reply_type)
-    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+    except DECODE_ERRORS as error:
         raise StoreUnavailable(f"malformed reply from the store: {error}") from error
 
 
--- a/gypsumring/settings/loader.py
+++ b/gypsumring/settings/loader.py
@@ -6,6 +6,7 @@
 import msgspec
 
 from gypsumring.settings.exceptions import SettingsError
+from gypsumring.utils.decoding import DECODE_ERRORS
 
 __all__ = ["MAX_SETTINGS_BYTES", "load_settings"]
 
@@ -30,5 +31,5 @@
         return msgspec.json.decode(content, type=settings_type)
     except msgspec.ValidationError as error:
         raise SettingsError(f"{path}: {error}") from error
-    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+    except DECODE_ERRORS as error:
         raise SettingsError(f"{path}: invalid JSON: {error}") from error
--- a/gypsumring/transport/channel.py
+++ b/gypsumring/transport/channel.py
@@ -18,6 +18,7 @@
     ConnectRefused,
 )
 from gypsumring.transport.http_client import set_socket_timeouts
+from gypsumring.utils.decoding import DECODE_ERRORS
 from gypsumring.utils.logs import EventLogger
 from gypsumring.utils.supervision import describe_error
 
@@ -155,7 +156,7 @@
                         self.dispatch_frames(buffer, group)
                 except STREAM_ERRORS:
                     pass
-                except (msgspec.DecodeError, ChannelClosed) as error:
+                except (*DECODE_ERRORS, ChannelClosed) as error:
                     log.warning(
                         "closing a channel after an invalid frame",
                         peer=self.peer,
