Refuse executor entries with numbers, ids or addresses out of range

One entry with cpu of 10^400 or born of 2^70 ended each owner: its record could not be encoded, the error ended the cell, and the next owner read the same entry. remainingMs of 10^350 could not become a float. An address that ended in a line end, or an id with one, went into the head of each request. utils/ranges.py gives the fields their ranges once, utils/addresses.py checks host and port; the decoder of entries uses both.

--- a/gypsumring/platform/discovery.py
+++ b/gypsumring/platform/discovery.py
@@ -5,7 +5,9 @@
 import msgspec
 
 from gypsumring.fleet import ExecutorEntry, InvalidEntry
+from gypsumring.utils.addresses import split_address
 from gypsumring.utils.decoding import DECODE_ERRORS
+from gypsumring.utils.ranges import Number, Quantity
 
 __all__ = ["decode_executor_entry"]
 
@@ -13,9 +15,9 @@
 class CapacityBody(msgspec.Struct, rename="camel"):
     """Capacity of an executor; ``cpu`` is in thousandths of a core."""
 
-    cpu: int = 0
-    mem_mb: int = 0
-    gpu: int = 0
+    cpu: Quantity = 0
+    mem_mb: Quantity = 0
+    gpu: Quantity = 0
 
 
 class EntryBody(msgspec.Struct, rename="camel"):
@@ -27,18 +29,20 @@
     capacity: CapacityBody
     zone: str = ""
     labels: list[str] = []
-    born: int = 0
-    remaining_ms: int = 0
+    born: Number = 0
+    remaining_ms: Quantity = 0
 
 
-ADDRESS = re.compile(r"^[^:/\s]+:(\d{1,5})$", re.ASCII)
-MAX_PORT = 65_535
+# The id is sent in a header of each request to the executor.
+EXECUTOR_ID = re.compile(r"[!-~]{1,255}")
 
 decode_body = msgspec.json.Decoder(EntryBody).decode
 
 
 def decode_executor_entry(executor_id: str, value: bytes) -> ExecutorEntry:
     """Decode an entry; raise InvalidEntry if it names no executor to use."""
+    if EXECUTOR_ID.fullmatch(executor_id) is None:
+        raise InvalidEntry("id", "not 1 to 255 visible ASCII characters")
     try:
         body = decode_body(value)
     except msgspec.ValidationError as error:
@@ -46,9 +50,10 @@
     except DECODE_ERRORS as error:
         reason = "nesting" if isinstance(error, RecursionError) else "format"
         raise InvalidEntry(reason, str(error)) from error
-    address = ADDRESS.match(body.address)
-    if address is None or not 0 < int(address[1]) <= MAX_PORT:
-        raise InvalidEntry("address", "not a host and a port from 1 to 65535")
+    try:
+        split_address(body.address)
+    except ValueError as error:
+        raise InvalidEntry("address", str(error)) from error
     if body.state not in ("ready", "draining"):
         raise InvalidEntry("state", "neither ready nor draining")
     return ExecutorEntry(
--- /dev/null
+++ b/gypsumring/utils/ranges.py
@@ -0,0 +1,48 @@
+"""Ranges of numbers that other processes send or store.
+
+JSON has numbers of any size; the records, requests and clocks that they go on into have
+64 bits or floats. Within these ranges, sums over all executors and fence numbers made
+from generations stay below 64 bits.
+"""
+
+from typing import Annotated
+
+import msgspec
+
+__all__ = [
+    "MAX_NUMBER",
+    "MAX_QUANTITY",
+    "Fence",
+    "MachineSize",
+    "Measure",
+    "Number",
+    "Priority",
+    "Quantity",
+    "RepeatCount",
+    "Seconds",
+    "clamp",
+]
+
+MAX_QUANTITY = 2**40
+# The largest integer up to which all integers are floats as well.
+MAX_NUMBER = 2**53
+
+# Capacities, counts and durations in milliseconds.
+Quantity = Annotated[int, msgspec.Meta(ge=0, le=MAX_QUANTITY)]
+# Offsets, versions, generations, attempt numbers and times in milliseconds.
+Number = Annotated[int, msgspec.Meta(ge=0, le=MAX_NUMBER)]
+# A thousand times a generation, plus a count.
+Fence = Annotated[int, msgspec.Meta(ge=0, le=2**63 - 1)]
+# Measured or estimated values; NaN is out of range.
+Measure = Annotated[float, msgspec.Meta(ge=0, le=MAX_QUANTITY)]
+# Time that is left, which may have run out.
+Seconds = Annotated[float, msgspec.Meta(ge=-MAX_QUANTITY, le=MAX_QUANTITY)]
+Priority = Annotated[int, msgspec.Meta(ge=-(2**31), le=2**31)]
+RepeatCount = Annotated[int, msgspec.Meta(ge=0, le=1_000_000)]
+# Thousandths of a core of reference speed.
+MachineSize = Annotated[int, msgspec.Meta(ge=0, le=10_000_000)]
+
+
+def clamp(number: int, largest: int) -> int:
+    """Return the nearest number from 0 to ``largest``."""
+    return min(max(number, 0), largest)
