Refuse numbers out of range in submitted jobs

The record of a job with such a number cannot be encoded (OverflowError); by the code the caller receives 504 and the id stays blocked in the owner. Each number of a job has a range now, and the 400 names the field.

--- a/gypsumring/platform/ingress.py
+++ b/gypsumring/platform/ingress.py
@@ -11,6 +11,7 @@
 )
 from gypsumring.platform.exceptions import WireError
 from gypsumring.utils.decoding import DECODE_ERRORS
+from gypsumring.utils.ranges import Measure, Number, Quantity, RepeatCount
 
 __all__ = [
     "Submission",
@@ -26,24 +27,24 @@
 class StepBody(msgspec.Struct, rename="camel"):
     """One step; ``anti_affinity`` is the maximum number of its tasks per executor."""
 
-    count: int = 1
-    cpu: int = 0
-    mem_mb: int = 0
-    gpu: int = 0
-    est_runtime_ms: float = 0
-    depends_on: list[int] = []
+    count: Quantity = 1
+    cpu: Quantity = 0
+    mem_mb: Quantity = 0
+    gpu: Quantity = 0
+    est_runtime_ms: Measure = 0
+    depends_on: list[Quantity] = []
     gang: bool = False
     same_rack: bool = False
     required_label: str = ""
     data_rack: str = ""
-    anti_affinity: int = 0
+    anti_affinity: Quantity = 0
     speculative: bool = False
     checkpointing: bool = False
     long_running: bool = False
     fills: bool = False
     image: str = ""
-    target_ms: float = 0
-    may_miss: int = 0
+    target_ms: Measure = 0
+    may_miss: Quantity = 0
 
 
 class SubmissionBody(msgspec.Struct, rename="camel"):
@@ -51,9 +52,9 @@
 
     spec: str
     pipeline: list[StepBody]
-    start_at_ms: int = 0
-    interval_ms: int = 0
-    repeats: int = 0
+    start_at_ms: Number = 0
+    interval_ms: Quantity = 0
+    repeats: RepeatCount = 0
 
 
 class Schedule:
@@ -89,8 +90,6 @@
         raise WireError(str(error)) from error
     if len(body.spec.encode()) > MAX_PAYLOAD_BYTES:
         raise WireError(f"spec: larger than {MAX_PAYLOAD_BYTES} bytes")
-    if body.repeats < 0 or body.interval_ms < 0:
-        raise WireError("repeats, intervalMs: must not be negative")
     steps = tuple(map(translate_step, body.pipeline))
     try:
         check_pipeline(steps)
