Refuse replies of the store with numbers out of range

An offset or a generation goes into the next request or the fence. A record without a key made the whole batch unreadable; by the code, one with a key longer than the record was taken for the removal of another key. Both have an empty key now, which no reader knows.

--- a/gypsumring/platform/executors.py
+++ b/gypsumring/platform/executors.py
@@ -19,7 +19,7 @@
     NoResponse,
 )
 from gypsumring.utils.decoding import DECODE_ERRORS
-from gypsumring.utils.ranges import Measure, Number
+from gypsumring.utils.ranges import Measure, Number, SignedMeasure
 
 __all__ = ["PlatformExecutor"]
 
@@ -38,7 +38,7 @@
     attempt: Number
     checkpoint: str
     percent: Measure
-    load: Measure = 0.0
+    load: SignedMeasure = 0.0
 
 
 class EndedRow(msgspec.Struct, array_like=True):
--- a/gypsumring/platform/store.py
+++ b/gypsumring/platform/store.py
@@ -27,6 +27,7 @@
     RelayedClient,
 )
 from gypsumring.utils.decoding import DECODE_ERRORS
+from gypsumring.utils.ranges import Number, Quantity
 
 __all__ = [
     "DESIRED_STATE_KEY",
@@ -49,17 +50,17 @@
 class AppendReply(msgspec.Struct, rename="camel"):
     """Reply to an append; after a mismatch, ``seq_no`` is the expected number."""
 
-    offset: int = 0
-    end_offset: int = 0
+    offset: Number = 0
+    end_offset: Number = 0
     reason: str = ""
-    seq_no: int = 0
+    seq_no: Number = 0
 
 
 class NewestItem(msgspec.Struct):
     """Newest record of a key in a keyed topic; ``value`` is in base64."""
 
     key: str
-    offset: int
+    offset: Number
     value: str = ""
 
 
@@ -67,27 +68,30 @@
     """One page of the newest records of a keyed topic."""
 
     items: list[NewestItem]
-    end_offset: int
+    end_offset: Number
     has_more: bool = False
 
 
 class OffsetReply(msgspec.Struct, rename="camel"):
     """Reply to a read that starts at a deleted record."""
 
-    first_offset: int = 0
+    first_offset: Number = 0
 
 
 class JoinReply(msgspec.Struct):
-    """Group membership with rows of topic, partition and committed offset."""
+    """Group membership with rows of topic, partition and committed offset.
 
-    generation: int
-    parts: list[tuple[str, int, int]] = []
+    The committed offset is not used and has no range.
+    """
+
+    generation: Number
+    parts: list[tuple[str, Quantity, int]] = []
 
 
 class OwnersReply(msgspec.Struct):
     """Assignment of partitions: rows of topic, partition, member, committed offset."""
 
-    parts: list[tuple[str, int, str, int]] = []
+    parts: list[tuple[str, Quantity, str, int]] = []
 
 
 def encode_records(records: list[tuple[str, bytes]]) -> bytes:
@@ -103,19 +107,25 @@
 
 
 def decode_records(body: bytes, offset: int) -> list[KeyedRecord]:
-    """Decode framed records; the first has offset ``offset``. Raise WireError."""
+    """Decode framed records; the first has offset ``offset``. Raise WireError.
+
+    A record whose key cannot be read has an empty key: the records after it count.
+    """
     records = []
     position = 0
     while position + RECORD_LENGTH.size <= len(body):
         (length,) = RECORD_LENGTH.unpack_from(body, position)
         position += RECORD_LENGTH.size
         content = body[position : position + length]
-        if len(content) < length or not content:
+        if len(content) < length:
             raise WireError("record shorter than its announced length")
         position += length
-        key_end = 1 + content[0]
-        key = content[1:key_end].decode(errors="replace")
-        records.append(KeyedRecord(offset, key, content[key_end:]))
+        key_end = 1 + content[0] if content else 1
+        if key_end > length:
+            records.append(KeyedRecord(offset, "", b""))
+        else:
+            key = content[1:key_end].decode(errors="replace")
+            records.append(KeyedRecord(offset, key, content[key_end:]))
         offset += 1
     return records
 
--- a/gypsumring/utils/ranges.py
+++ b/gypsumring/utils/ranges.py
@@ -19,7 +19,7 @@
     "Priority",
     "Quantity",
     "RepeatCount",
-    "Seconds",
+    "SignedMeasure",
     "clamp",
 ]
 
@@ -35,8 +35,8 @@
 Fence = Annotated[int, msgspec.Meta(ge=0, le=2**63 - 1)]
 # Measured or estimated values; NaN is out of range.
 Measure = Annotated[float, msgspec.Meta(ge=0, le=MAX_QUANTITY)]
-# Time that is left, which may have run out.
-Seconds = Annotated[float, msgspec.Meta(ge=-MAX_QUANTITY, le=MAX_QUANTITY)]
+# Rough figures, and time that is left, which may have run out.
+SignedMeasure = Annotated[float, msgspec.Meta(ge=-MAX_QUANTITY, le=MAX_QUANTITY)]
 Priority = Annotated[int, msgspec.Meta(ge=-(2**31), le=2**31)]
 RepeatCount = Annotated[int, msgspec.Meta(ge=0, le=1_000_000)]
 # Thousandths of a core of reference speed.
