Refuse desired states with numbers out of range

A version of 10^400 was accepted, and no later version is newer; negative times of the policy service were accepted as well. The version in force stays.

--- a/gypsumring/platform/desired_state.py
+++ b/gypsumring/platform/desired_state.py
@@ -5,6 +5,7 @@
 from gypsumring.pipelines import DesiredState, PolicyTiming, Queue, ServicePool
 from gypsumring.platform.exceptions import WireError
 from gypsumring.utils.decoding import DECODE_ERRORS
+from gypsumring.utils.ranges import Measure, Number, Priority, Quantity
 
 __all__ = ["decode_desired_state"]
 
@@ -12,9 +13,9 @@
 class AdviceBody(msgspec.Struct, rename="camel"):
     """Policy service timing in milliseconds; ``period_ms`` applies to each executor."""
 
-    decide_ms: float
-    period_ms: float
-    valid_ms: float
+    decide_ms: Measure
+    period_ms: Measure
+    valid_ms: Measure
 
 
 class RouteBody(msgspec.Struct, rename="camel"):
@@ -24,10 +25,10 @@
     host: str
     path_prefix: str
     service: str
-    slo_ms: float = 1000.0
-    priority: int = 0
-    max_attempts: int = 1
-    stretch: float = 1.0
+    slo_ms: Measure = 1000.0
+    priority: Priority = 0
+    max_attempts: Quantity = 1
+    stretch: Measure = 1.0
     advice: AdviceBody | None = None
 
 
@@ -42,13 +43,13 @@
 class LimitsBody(msgspec.Struct, rename="camel", frozen=True):
     """Limits on callers' requests."""
 
-    max_body_bytes: int = 262_144
+    max_body_bytes: Quantity = 262_144
 
 
 class DesiredStateBody(msgspec.Struct):
     """One complete version of the desired state."""
 
-    version: int
+    version: Number
     routes: list[RouteBody] = []
     services: list[ServiceBody] = []
     limits: LimitsBody = LimitsBody()
