Refuse messages of peers with numbers out of range

A fence of 2^64 - 1 and a time limit that is not a number were accepted; by the code, a node takes no announcement of a later owner after such a fence.

--- a/gypsumring/cell/messages.py
+++ b/gypsumring/cell/messages.py
@@ -6,6 +6,14 @@
 
 from gypsumring.pipelines.model import JobPhase, PipelineSpec
 from gypsumring.transport import HttpCall
+from gypsumring.utils.ranges import (
+    Fence,
+    MachineSize,
+    Measure,
+    Number,
+    Quantity,
+    SignedMeasure,
+)
 
 __all__ = [
     "Announce",
@@ -51,7 +59,7 @@
 
     node: str
     address: str
-    size: int = 0
+    size: MachineSize = 0
 
 
 class Ping(msgspec.Struct, tag=True, array_like=True):
@@ -61,7 +69,7 @@
     recorded.
     """
 
-    nodes_version: int = 0
+    nodes_version: Number = 0
 
 
 class Pong(msgspec.Struct, tag=True, array_like=True):
@@ -72,9 +80,9 @@
     """
 
     owns: bool
-    fence: int
+    fence: Fence
     owner_address: str = ""
-    nodes_version: int = 0
+    nodes_version: Number = 0
     nodes: dict[str, str] | None = None
 
 
@@ -82,14 +90,14 @@
     """Notification of the current owner of the cell."""
 
     owner_address: str
-    fence: int
+    fence: Fence
 
 
 class SubmitJob(msgspec.Struct, tag=True, array_like=True):
     """Request to accept a job; ``time_limit_s`` is how long the caller waits."""
 
     spec: PipelineSpec
-    time_limit_s: float
+    time_limit_s: SignedMeasure
 
 
 class QueryJob(msgspec.Struct, tag=True, array_like=True):
@@ -102,7 +110,7 @@
     """Request to cancel a job."""
 
     job_id: str
-    time_limit_s: float
+    time_limit_s: SignedMeasure
 
 
 class CountWaiting(msgspec.Struct, tag=True, array_like=True):
@@ -116,8 +124,8 @@
 
     outcome: Outcome
     phase: JobPhase = JobPhase.QUEUED
-    count: int = 0
-    retry_after_s: float = 0.0
+    count: Quantity = 0
+    retry_after_s: Measure = 0.0
 
 
 class AskPolicy(msgspec.Struct, tag=True, array_like=True):
@@ -125,7 +133,7 @@
 
     step: str
     executor_ids: list[str]
-    timeout_s: float
+    timeout_s: SignedMeasure
 
 
 class PolicyAnswer(msgspec.Struct, tag=True, array_like=True):
@@ -139,7 +147,7 @@
     """Request to the peer to relay a call to a store that refuses the sender."""
 
     call: HttpCall
-    timeout_s: float
+    timeout_s: SignedMeasure
 
 
 class RelayAnswer(msgspec.Struct, tag=True, array_like=True):
