Take odd sizes in names of the group and the store for unknown

The name of a group's member with a size of 5,000 digits raised ValueError in the function with which a node looks the owner up. A size of 250 digits in the store made every machine too small to own the cell.

--- a/gypsumring/node/candidacy.py
+++ b/gypsumring/node/candidacy.py
@@ -10,6 +10,7 @@
 
 from gypsumring.ports.store import Store, StoreRefused, StoreUnavailable
 from gypsumring.utils.logs import EventLogger
+from gypsumring.utils.ranges import parse_machine_size
 
 __all__ = ["Candidacy"]
 
@@ -127,7 +128,7 @@
         records, _ = await self.store.newest(
             self.topic, 0, anyio.current_time() + CALL_TIMEOUT_S
         )
-        return {int(record.key) for record in records if record.key.isdecimal()}
+        return {parse_machine_size(record.key) for record in records} - {0}
 
     async def write_size(self) -> None:
         """Write the size of this machine to the store."""
--- a/gypsumring/node/membership.py
+++ b/gypsumring/node/membership.py
@@ -9,6 +9,7 @@
 from gypsumring.ports.store import Assignment, Store, StoreRefused, StoreUnavailable
 from gypsumring.utils.clock import Clock
 from gypsumring.utils.logs import EventLogger
+from gypsumring.utils.ranges import parse_machine_size
 
 __all__ = ["Member", "Membership"]
 
@@ -51,7 +52,7 @@
         node, _, remainder = text.partition("@")
         address, _, remainder = remainder.partition("/")
         incarnation, _, size = remainder.partition("/")
-        return cls(node, address, incarnation, int(size) if size.isdecimal() else 0)
+        return cls(node, address, incarnation, parse_machine_size(size))
 
     def __str__(self) -> str:
         return f"{self.node}@{self.address}/{self.incarnation}/{self.size}"
--- a/gypsumring/utils/ranges.py
+++ b/gypsumring/utils/ranges.py
@@ -5,6 +5,7 @@
 from generations stay below 64 bits.
 """
 
+import re
 from typing import Annotated
 
 import msgspec
@@ -21,11 +22,14 @@
     "RepeatCount",
     "SignedMeasure",
     "clamp",
+    "parse_machine_size",
 ]
 
 MAX_QUANTITY = 2**40
 # The largest integer up to which all integers are floats as well.
 MAX_NUMBER = 2**53
+MAX_MACHINE_SIZE = 10_000_000
+MACHINE_SIZE = re.compile(r"[0-9]{1,8}")
 
 # Capacities, counts and durations in milliseconds.
 Quantity = Annotated[int, msgspec.Meta(ge=0, le=MAX_QUANTITY)]
@@ -40,9 +44,17 @@
 Priority = Annotated[int, msgspec.Meta(ge=-(2**31), le=2**31)]
 RepeatCount = Annotated[int, msgspec.Meta(ge=0, le=1_000_000)]
 # Thousandths of a core of reference speed.
-MachineSize = Annotated[int, msgspec.Meta(ge=0, le=10_000_000)]
+MachineSize = Annotated[int, msgspec.Meta(ge=0, le=MAX_MACHINE_SIZE)]
 
 
 def clamp(number: int, largest: int) -> int:
     """Return the nearest number from 0 to ``largest``."""
     return min(max(number, 0), largest)
+
+
+def parse_machine_size(text: str) -> int:
+    """Return the size that a name contains, or 0 if it contains none in range."""
+    # int() refuses numbers of thousands of digits.
+    if MACHINE_SIZE.fullmatch(text) is None or int(text) > MAX_MACHINE_SIZE:
+        return 0
+    return int(text)
