Let odd addresses and responses fail only their own connection

An address without a host or port raised ValueError where it was opened; by the code this ends the restore of a stored executor and the search for an announced owner. A host with an empty label raises UnicodeError in the resolver. A response that changes the protocol raised an error of another class, and a response without end was collected until the deadline; 64 MB are the limit. A header with a line end is refused before a connection is opened.

--- a/gypsumring/transport/channel.py
+++ b/gypsumring/transport/channel.py
@@ -18,6 +18,7 @@
     ConnectRefused,
 )
 from gypsumring.transport.http_client import set_socket_timeouts
+from gypsumring.utils.addresses import split_address
 from gypsumring.utils.decoding import DECODE_ERRORS
 from gypsumring.utils.logs import EventLogger
 from gypsumring.utils.supervision import describe_error
@@ -101,10 +102,13 @@
         deadline: float,
     ) -> "Channel":
         """Open a channel to ``host:port``; raise ConnectFailed."""
-        host, _, port = address.rpartition(":")
+        try:
+            host, port = split_address(address)
+        except ValueError as error:
+            raise ConnectFailed(str(error)) from error
         try:
             with anyio.fail_after(max(0.0, deadline - anyio.current_time())):
-                stream = await anyio.connect_tcp(host, int(port))
+                stream = await anyio.connect_tcp(host, port)
         except ConnectionRefusedError as error:
             raise ConnectRefused(f"{address}: {error!r}") from error
         except (OSError, TimeoutError) as error:
--- a/gypsumring/transport/http_client.py
+++ b/gypsumring/transport/http_client.py
@@ -4,6 +4,7 @@
 that sends hundreds of requests per second; ``httptools`` parses in C.
 """
 
+import re
 import socket
 
 import anyio
@@ -11,14 +12,17 @@
 import httptools
 
 from gypsumring.transport.exceptions import ConnectFailed, NoResponse
+from gypsumring.utils.addresses import split_address
 
 __all__ = ["HttpClient", "HttpResponse"]
 
 READ_BYTES = 65536
 CONNECT_TIMEOUT_S = 0.5
+# More than the store returns in one response.
 MAX_RESPONSE_BYTES = 64 * 1024 * 1024
 # The kernel closes a connection whose data stays unacknowledged for this long.
 TCP_USER_TIMEOUT_MS = 2_000
+LINE_END = re.compile(r"[\r\n]")
 
 
 class HttpResponse:
@@ -38,12 +42,13 @@
 class ResponseCollector:
     """Callbacks with which the parser delivers one response."""
 
-    __slots__ = ("complete", "headers", "keep_alive", "parser", "parts")
+    __slots__ = ("complete", "headers", "keep_alive", "parser", "parts", "size")
 
     def __init__(self):
         self.parser = httptools.HttpResponseParser(self)
         self.keep_alive = False
         self.parts: list[bytes] = []
+        self.size = 0
         self.headers: dict[str, str] = {}
         self.complete = False
 
@@ -54,6 +59,7 @@
     def on_body(self, body: bytes) -> None:
         """Store a part of the body."""
         self.parts.append(body)
+        self.size += len(body)
 
     def on_message_complete(self) -> None:
         """Mark the response as complete."""
@@ -68,11 +74,14 @@
     try:
         while not collector.complete:
             parser.feed_data(await stream.receive(READ_BYTES))
+            if collector.size > MAX_RESPONSE_BYTES:
+                raise NoResponse(f"response of more than {MAX_RESPONSE_BYTES} bytes")
     except (
         anyio.EndOfStream,
         anyio.BrokenResourceError,
         anyio.ClosedResourceError,
         httptools.HttpParserError,
+        httptools.HttpParserUpgrade,
         OSError,
     ) as error:
         raise NoResponse(
@@ -97,13 +106,10 @@
 class HttpClient:
     """HTTP client of one address with a pool of persistent connections."""
 
-    __slots__ = ("address", "host", "idle_streams", "port")
+    __slots__ = ("address", "idle_streams")
 
     def __init__(self, address: str):
-        host, _, port = address.rpartition(":")
         self.address = address
-        self.host = host
-        self.port = int(port)
         self.idle_streams: list[anyio.abc.SocketStream] = []
 
     async def request(
@@ -120,18 +126,23 @@
         Raise ConnectFailed if nothing was sent and NoResponse if the request may
         have been executed.
         """
-        stream = (
-            self.idle_streams.pop()
-            if self.idle_streams
-            else await self.connect(deadline)
-        )
         lines = [f"{method} {path} HTTP/1.1", f"Host: {self.address}"]
         if body or method != "GET":
             lines.append(f"Content-Type: {content_type}")
             lines.append(f"Content-Length: {len(body)}")
         if headers:
             lines.extend(f"{name}: {value}" for name, value in headers.items())
-        head = ("\r\n".join(lines) + "\r\n\r\n").encode("latin-1")
+        if any(LINE_END.search(line) for line in lines):
+            raise ConnectFailed(f"{self.address}: line end in a header")
+        try:
+            head = ("\r\n".join(lines) + "\r\n\r\n").encode("latin-1")
+        except UnicodeEncodeError as error:
+            raise ConnectFailed(f"{self.address}: odd header: {error}") from error
+        stream = (
+            self.idle_streams.pop()
+            if self.idle_streams
+            else await self.connect(deadline)
+        )
         reusable = False
         try:
             with anyio.fail_after(max(0.0, deadline - anyio.current_time())):
@@ -153,10 +164,14 @@
 
     async def connect(self, deadline: float) -> anyio.abc.SocketStream:
         """Open a connection; raise ConnectFailed."""
+        try:
+            host, port = split_address(self.address)
+        except ValueError as error:
+            raise ConnectFailed(str(error)) from error
         timeout_s = min(CONNECT_TIMEOUT_S, deadline - anyio.current_time())
         try:
             with anyio.fail_after(max(0.0, timeout_s)):
-                stream = await anyio.connect_tcp(self.host, self.port)
+                stream = await anyio.connect_tcp(host, port)
         except (OSError, TimeoutError) as error:
             raise ConnectFailed(f"{self.address}: {error!r}") from error
         set_socket_timeouts(stream)
