--- a/gypsumring/settings/node.py
+++ b/gypsumring/settings/node.py
@@ -9,7 +9,8 @@
 __all__ = ["BoundSettings", "NodeSettings", "ProcessorSettings", "StoreSettings"]
 
 PositiveNumber = Annotated[float, msgspec.Meta(gt=0)]
-PeerPorts = Annotated[tuple[int, ...], msgspec.Meta(min_length=1)]
+Port = Annotated[int, msgspec.Meta(ge=1, le=65_535)]
+PeerPorts = Annotated[tuple[Port, ...], msgspec.Meta(min_length=1)]
 PositiveSeconds = Annotated[float, msgspec.Meta(gt=0)]
 
 
