Start no work on an executor whose entry has turned odd

The owner went on to use the entry that another writer had overwritten. It starts nothing new there now, polls the executor until it has left, so that what runs there is not lost, and uses it again with its next good entry. Nothing in the log named such an entry: it is logged once by its id, with the reason; the last 1,000 ids are remembered.

--- a/gypsumring/cell/discovery.py
+++ b/gypsumring/cell/discovery.py
@@ -25,6 +25,8 @@
 # Executors whose entries expired while the store was unavailable register again within
 # this time.
 REREGISTRATION_TIME_S = 2.5
+# Another writer may use a new id for each entry.
+MAX_REPORTED_IDS = 1_000
 
 # Raises InvalidEntry if an entry names no executor to use.
 DecodeEntry = Callable[[str, bytes], ExecutorEntry]
@@ -38,6 +40,7 @@
         "ignore_missing_until",
         "decode",
         "offset",
+        "reported_ids",
         "state",
         "store",
         "topic",
@@ -57,6 +60,8 @@
         self.topic = topic
         self.decode = decode
         self.offset: int | None = None
+        # Ids of the unusable entries that have been logged, oldest first.
+        self.reported_ids: dict[str, None] = {}
         # Missing entries are ignored until this time.
         self.ignore_missing_until = 0.0
 
@@ -106,8 +111,9 @@
             self.offset = end_offset
 
     def apply(self, record: KeyedRecord) -> None:
-        """Apply one record; count and skip records that cannot be decoded."""
+        """Apply one record; an entry that cannot be used affects no other."""
         if not record.value:
+            self.reported_ids.pop(record.key, None)
             executor = self.state.fleet.get(record.key)
             if (
                 executor is not None
@@ -119,7 +125,29 @@
         try:
             entry = self.decode(record.key, record.value)
         except InvalidEntry as error:
-            self.state.metrics.count("cell.entries.unreadable")
-            self.state.metrics.count(f"cell.entries.unreadable.{error.reason}")
+            self.reject(record.key, error)
             return
         self.executor_poller.update(entry)
+
+    def reject(self, executor_id: str, error: InvalidEntry) -> None:
+        """Count an unusable entry, log it once and start no new work under its id.
+
+        An executor that is known under this id may still run tasks. It is polled until
+        it has left, and takes work again once its entry can be used.
+        """
+        self.state.metrics.count("cell.entries.unreadable")
+        self.state.metrics.count(f"cell.entries.unreadable.{error.reason}")
+        executor = self.state.fleet.get(executor_id)
+        if executor is not None:
+            executor.listed = False
+        if executor_id in self.reported_ids:
+            return
+        if len(self.reported_ids) >= MAX_REPORTED_IDS:
+            del self.reported_ids[next(iter(self.reported_ids))]
+        self.reported_ids[executor_id] = None
+        log.warning(
+            "executor entry names no executor to use",
+            executor=executor_id,
+            reason=str(error),
+            known=executor is not None,
+        )
