Let odd stored records stop no owner

A term or lease that is no number, a job whose record has another id or a step that cannot exist, and a progress record that counts more occurrences than the job has ended each owner while it read the cell, or kept it busy. Such a record is skipped, counted and logged. An unreadable term is replaced by the fence number, which rises at least as fast, so that no attempt number is used again; an unreadable lease by the longest one. The numbers of a stored executor are limited and it stays polled, as tasks may run there.

--- a/gypsumring/cell/owner.py
+++ b/gypsumring/cell/owner.py
@@ -1,6 +1,7 @@
 """Ownership of a cell, from its takeover until another node takes over."""
 
 from collections.abc import Callable
+from typing import Annotated
 
 import anyio
 import msgspec
@@ -32,6 +33,7 @@
     JobTable,
     PipelineError,
     Queue,
+    check_pipeline,
     decode_progress,
     decode_spec,
 )
@@ -40,6 +42,7 @@
 from gypsumring.utils.clock import Clock, WallClock
 from gypsumring.utils.decoding import DECODE_ERRORS
 from gypsumring.utils.logs import EventLogger
+from gypsumring.utils.ranges import MAX_NUMBER, MAX_QUANTITY, Quantity, clamp
 from gypsumring.utils.supervision import describe_error
 
 __all__ = ["CellOwner"]
@@ -61,6 +64,10 @@
 
 decode_queue = msgspec.msgpack.Decoder(Queue).decode
 decode_entry = msgspec.msgpack.Decoder(ExecutorEntry).decode
+decode_lease = msgspec.json.Decoder(Quantity).decode
+decode_term = msgspec.json.Decoder(
+    Annotated[int, msgspec.Meta(ge=0, le=MAX_NUMBER // ATTEMPTS_PER_TERM)]
+).decode
 
 
 class CellOwner:
@@ -240,27 +247,50 @@
         timing = self.state.timing
         own_ms = int(timing.lease_s * 1000)
         max_lease_ms = int(timing.max_lease_s * 1000)
-        recorded_ms = (
-            max_lease_ms if value is None else msgspec.json.decode(value, type=int)
-        )
+        recorded_ms = max_lease_ms
+        if value is not None:
+            try:
+                recorded_ms = decode_lease(value)
+            except DECODE_ERRORS as error:
+                self.skip_record("lease", LEASE_KEY, error)
         inherited_ms = min(max(recorded_ms, own_ms), max_lease_ms)
         self.state.inherited_lease_s = inherited_ms / 1000 + MAX_EXTENSION_DELAY_S
         if value is None or recorded_ms < own_ms:
             self.state.journal.put(LEASE_KEY, msgspec.json.encode(own_ms))
 
     def read_term(self, value: bytes | None) -> int:
-        """Return the number of earlier terms."""
+        """Return the number of earlier terms.
+
+        Each takeover raises the term by one and the fence number by one or more. A
+        term that cannot be decoded is therefore replaced by the fence number.
+        """
         if value is None:
             return 0
-        return msgspec.json.decode(value, type=int)
+        try:
+            return decode_term(value)
+        except DECODE_ERRORS as error:
+            self.skip_record("term", TERM_KEY, error)
+            return self.fence
+
+    def skip_record(self, kind: str, key: str, error: Exception) -> None:
+        """Count and log a stored record that cannot be used."""
+        self.state.metrics.count("cell.records.unreadable")
+        log.error(
+            "stored record cannot be decoded", kind=kind, key=key, error=str(error)
+        )
 
     def restore_job(self, job_id: str, value: bytes, by_key: dict[str, bytes]) -> None:
         """Restore a job of an earlier owner from its records."""
         try:
             spec = decode_spec(value)
+            if spec.job_id != job_id:
+                raise PipelineError(f"record of job {spec.job_id}")
+            # Fields of an odd record would end the owner where the job is restored.
+            check_pipeline(spec.steps)
             progress_value = by_key.get(PROGRESS_KEY + job_id)
             progress = decode_progress(progress_value) if progress_value else None
         except PipelineError as error:
+            self.state.metrics.count("cell.records.unreadable")
             log.error("job record cannot be decoded", job=job_id, error=str(error))
             return
         waited_s = max(0.0, (self.state.wall_clock() - spec.accepted_ms) / 1000)
@@ -268,7 +298,8 @@
             spec, anyio.current_time() - waited_s, inherited=True
         )
         if progress is not None:
-            job.restore(progress)
+            opened = min(progress.opened, max(1, spec.repeats))
+            job.restore(msgspec.structs.replace(progress, opened=opened))
             self.state.table.mark_changed(job)
         if job.phase.is_final:
             job.ended_at = anyio.current_time()
@@ -277,10 +308,14 @@
     def restore_executor(self, key: str, value: bytes) -> None:
         """Start polling an executor that an earlier owner has used."""
         try:
-            entry = decode_entry(value)
+            entry = limit_entry(decode_entry(value))
         except DECODE_ERRORS as error:
+            self.state.metrics.count("cell.records.unreadable")
             log.error("executor record cannot be decoded", key=key, error=str(error))
             return
+        if key != EXECUTOR_KEY + entry.executor_id:
+            self.skip_record("executor", key, ValueError(f"of {entry.executor_id}"))
+            return
         self.executor_poller.add(entry, inherited=True)
 
     def restore_queue(self, key: str, value: bytes) -> None:
@@ -288,6 +323,7 @@
         try:
             self.state.queues.restore(decode_queue(value))
         except DECODE_ERRORS as error:
+            self.state.metrics.count("cell.records.unreadable")
             log.error("queue record cannot be decoded", key=key, error=str(error))
 
     async def evict_ended_jobs(self) -> None:
@@ -306,3 +342,19 @@
                 self.state.journal.put(JOB_KEY + job_id, b"")
                 self.state.journal.put(PROGRESS_KEY + job_id, b"")
             self.state.queues.delete_unused()
+
+
+def limit_entry(entry: ExecutorEntry) -> ExecutorEntry:
+    """Return the entry with its numbers in range.
+
+    Earlier versions stored any number of up to 64 bits. The executor may run tasks, so
+    that its record is not skipped; it takes work only with a new entry.
+    """
+    return msgspec.structs.replace(
+        entry,
+        remaining_ms=clamp(entry.remaining_ms, MAX_QUANTITY),
+        born_ms=clamp(entry.born_ms, MAX_NUMBER),
+        cpu_millis=clamp(entry.cpu_millis, MAX_QUANTITY),
+        memory_mb=clamp(entry.memory_mb, MAX_QUANTITY),
+        accelerators=clamp(entry.accelerators, MAX_QUANTITY),
+    )
--- a/gypsumring/cell/tests/test_odd_entries.py
+++ b/gypsumring/cell/tests/test_odd_entries.py
@@ -181,7 +181,7 @@
 
 
 async def test_odd_stored_records_stop_no_owner():
-    # Each of these records ended every owner while it read the cell.
+    # Records like these ended every owner while it read the cell.
     odd_job = msgspec.msgpack.encode({"job_id": "d" * 16, "steps": 7})
     spec = make_job("e" * 16, StepSpec(task_count=1, after=(5,)))
     count = make_job("f" * 16, StepSpec(task_count=-1))
