--- a/gypsumring/transport/tests/test_http_client.py
+++ b/gypsumring/transport/tests/test_http_client.py
@@ -1,5 +1,7 @@
 """Odd responses and addresses end in the declared errors of the HTTP client."""
 
+import random
+
 import anyio
 
 from gypsumring.transport import ConnectFailed, HttpClient, NoResponse
@@ -36,6 +38,27 @@
         await raised(NoResponse, read_response(ScriptedStream(odd)))
 
 
+async def test_damaged_responses_count_as_no_response():
+    # An error of another class ended the caller of the client.
+    random_source = random.Random(12)
+    good = HEAD + b'Content-Length: 12\r\nConnection: close\r\n\r\n{"offset":1}'
+    complete = 0
+    for _ in range(1_500):
+        damaged = bytearray(good)
+        for _ in range(random_source.randint(1, 3)):
+            position = random_source.randrange(len(damaged))
+            damaged[position] = random_source.randrange(256)
+        cut = random_source.randrange(len(damaged))
+        stream = ScriptedStream(bytes(damaged[:cut]), bytes(damaged[cut:]))
+        try:
+            response = await read_response(stream)
+        except NoResponse:
+            continue
+        complete += 1
+        assert len(response.body) <= len(good)
+    assert 0 < complete < 1_500
+
+
 async def test_change_of_protocol_counts_as_no_response():
     # The parser raised an error of another class, which left the client.
     head = b"HTTP/1.1 101 X\r\nUpgrade: websocket\r\nConnection: upgrade\r\n\r\n"
