--- a/gypsumring/pipelines/tests/test_table.py
+++ b/gypsumring/pipelines/tests/test_table.py
@@ -151,4 +151,20 @@
     assert job.steps[0].pending == {1}
 
 
+def test_occurrences_that_are_all_due_open_in_portions():
+    # A job of a million occurrences that start in 1970 opened all at once: the owner
+    # stood still and ran out of memory, and so did each later one.
+    spec = make_spec(StepSpec(task_count=1_000), repeats=200, interval_ms=1)
+    job = Job(spec, 0.0)
+    assert job.open_due_occurrences(1_000, 0.0)
+    assert sum(step.spec.task_count for step in job.steps) == 64_000
+    assert not job.open_due_occurrences(1_000, 0.0)
+    for step in job.steps[:10]:
+        for index in range(1_000):
+            step.mark_done(index)
+    job.close_done()
+    assert job.open_due_occurrences(1_000, 0.0)
+    assert job.opened == 74
+
+
 load_tests = make_load_tests(globals())
