--- a/gypsumring/pipelines/state.py
+++ b/gypsumring/pipelines/state.py
@@ -2,13 +2,25 @@
 
 import enum
 
-from gypsumring.pipelines.model import JobPhase, PipelineSpec, StepSpec, format_task
+from gypsumring.pipelines.model import (
+    MAX_STEP_TASKS,
+    MAX_STEPS,
+    JobPhase,
+    PipelineSpec,
+    StepSpec,
+    format_task,
+)
 from gypsumring.pipelines.records import Progress, StepProgress
 from gypsumring.ports.tasks import Ticket
 
 __all__ = ["Job", "Run", "RunState", "Step", "TaskState"]
 
 
+# Tasks of a job that may be open at once, as many as one occurrence may have. A
+# schedule that lies in the past would otherwise fill the memory of each owner.
+MAX_OPEN_TASKS = MAX_STEPS * MAX_STEP_TASKS
+
+
 class TaskState(enum.IntEnum):
     """State of a task; the values are stored in a byte array."""
 
@@ -323,12 +335,22 @@
                 dependent.release_withheld()
 
     def open_due_occurrences(self, now_ms: int, now: float) -> bool:
-        """Open the occurrences due by a Unix time; return whether there were any."""
+        """Open the occurrences due by a Unix time; return whether there were any.
+
+        Those that would exceed ``MAX_OPEN_TASKS`` open once earlier ones are done.
+        """
         opened = self.opened
+        occurrence_tasks = sum(step.task_count for step in self.spec.steps)
+        open_tasks: int | None = None
         while self.opened < self.spec.repeats:
             due_ms = self.spec.start_at_ms + self.opened * self.spec.interval_ms
             if due_ms > now_ms:
                 break
+            if open_tasks is None:
+                open_tasks = sum(step.spec.task_count for step in self.steps)
+            open_tasks += occurrence_tasks
+            if open_tasks > MAX_OPEN_TASKS:
+                break
             for step in self.open_next():
                 step.opened_at = now - (now_ms - due_ms) / 1000
         return self.opened > opened
