Add a failing test for texts that no record can hold

The store refuses records above its limit, such as that of an entry with very many labels; by the code the owner would send it again and again (not run).

--- a/gypsumring/platform/tests/test_odd_bytes.py
+++ b/gypsumring/platform/tests/test_odd_bytes.py
@@ -4,6 +4,7 @@
 
 import msgspec
 
+from gypsumring.cell.state import EXECUTOR_KEY
 from gypsumring.fleet import InvalidEntry
 from gypsumring.platform import (
     decode_desired_state,
@@ -21,6 +22,7 @@
     OwnersReply,
     decode_records,
     decode_reply,
+    encode_records,
 )
 from gypsumring.platform.tests.test_decoding import CONFIG, ENTRY, JOB
 from gypsumring.ports.store import StoreUnavailable
@@ -250,4 +252,46 @@
     assert msgspec.msgpack.encode(decode_submission(JOB).steps)
 
 
+def test_texts_that_no_record_can_hold_are_refused():
+    # The key of a record has at most 255 bytes, and the store refuses records above its
+    # limit: the journal of each owner failed, or sent the record again and again.
+    for length in (1, 200, 253, 254, 255):
+        executor_id = "x" * length
+        try:
+            decode_executor_entry(executor_id, ENTRY)
+        except InvalidEntry as error:
+            assert error.reason == "id"
+        else:
+            assert encode_records([(EXECUTOR_KEY + executor_id, b"1")])
+    long_text = b'"' + b"x" * 1_000 + b'"'
+    many = b"[" + b'"x",' * 1_000 + b'"x"]'
+    for name, value in ((b"huvo", long_text[1:-1]), (b'["a","r1-3"]', many)):
+        error = assert_refused(
+            InvalidEntry,
+            lambda content: decode_executor_entry("i-1", content),
+            ENTRY.replace(name, value),
+        )
+        assert error.reason == "field"
+    for name in (b"image", b"requiredLabel", b"dataRack"):
+        step = b'{"%s":%s,"cpu":1,' % (name, long_text)
+        error = assert_refused(
+            WireError, decode_submission, JOB.replace(b'{"count":2,', step)
+        )
+        assert name.decode() in str(error)
+    steps = b"[" + b"{}," * 64 + b"{}]"
+    assert_refused(WireError, decode_submission, b'{"spec":"","pipeline":%s}' % steps)
+    depends = b'"dependsOn":[' + b"0," * 1_000 + b"0]"
+    error = assert_refused(
+        WireError, decode_submission, JOB.replace(b'"dependsOn":[0]', depends)
+    )
+    assert "dependsOn" in str(error)
+    for name in (b"r" * 300, "é".encode() * 150):
+        error = assert_refused(
+            WireError,
+            decode_desired_state,
+            CONFIG.replace(b'"name":"r"', b'"name":"%s"' % name),
+        )
+        assert "name" in str(error)
+
+
 load_tests = make_load_tests(globals())
