Refuse texts that no record can hold

The record of an entry with very many labels, or of a job with a long image, may exceed the 256 KB that the store takes; by the code the owner would send it again and again (not run). Ids and names of queues have at most 240 bytes, other names 255 characters, labels and predecessors 64 rows.

--- a/gypsumring/pipelines/__init__.py
+++ b/gypsumring/pipelines/__init__.py
@@ -3,6 +3,7 @@
 from gypsumring.pipelines.exceptions import PipelineError
 from gypsumring.pipelines.model import (
     MAX_PAYLOAD_BYTES,
+    MAX_STEPS,
     DesiredState,
     JobPhase,
     PipelineSpec,
@@ -24,6 +25,7 @@
     "JobPhase",
     "JobTable",
     "MAX_PAYLOAD_BYTES",
+    "MAX_STEPS",
     "PipelineError",
     "PipelineSpec",
     "PolicyTiming",
--- a/gypsumring/pipelines/model.py
+++ b/gypsumring/pipelines/model.py
@@ -11,6 +11,7 @@
     "DesiredState",
     "JobPhase",
     "MAX_PAYLOAD_BYTES",
+    "MAX_STEPS",
     "PipelineSpec",
     "PolicyTiming",
     "Queue",
--- a/gypsumring/platform/desired_state.py
+++ b/gypsumring/platform/desired_state.py
@@ -5,7 +5,13 @@
 from gypsumring.pipelines import DesiredState, PolicyTiming, Queue, ServicePool
 from gypsumring.platform.exceptions import WireError
 from gypsumring.utils.decoding import DECODE_ERRORS
-from gypsumring.utils.ranges import Measure, Number, Priority, Quantity
+from gypsumring.utils.ranges import (
+    MAX_KEY_NAME_BYTES,
+    Measure,
+    Number,
+    Priority,
+    Quantity,
+)
 
 __all__ = ["decode_desired_state"]
 
@@ -64,6 +70,12 @@
         body = decode_body(value)
     except DECODE_ERRORS as error:
         raise WireError(f"malformed desired state: {error}") from error
+    for number, route in enumerate(body.routes):
+        if len(route.name.encode()) > MAX_KEY_NAME_BYTES:
+            raise WireError(
+                f"malformed desired state: routes[{number}].name: "
+                f"larger than {MAX_KEY_NAME_BYTES} bytes"
+            )
     return DesiredState(
         version=body.version,
         queues=tuple(map(translate_queue, body.routes)),
--- a/gypsumring/platform/discovery.py
+++ b/gypsumring/platform/discovery.py
@@ -7,7 +7,7 @@
 from gypsumring.fleet import ExecutorEntry, InvalidEntry
 from gypsumring.utils.addresses import split_address
 from gypsumring.utils.decoding import DECODE_ERRORS
-from gypsumring.utils.ranges import Number, Quantity
+from gypsumring.utils.ranges import MAX_KEY_NAME_BYTES, Number, Quantity, Text, Texts
 
 __all__ = ["decode_executor_entry"]
 
@@ -23,18 +23,18 @@
 class EntryBody(msgspec.Struct, rename="camel"):
     """Store entry of an executor; ``zone`` is its data centre."""
 
-    service: str
-    address: str
+    service: Text
+    address: Text
     state: str
     capacity: CapacityBody
-    zone: str = ""
-    labels: list[str] = []
+    zone: Text = ""
+    labels: Texts = []
     born: Number = 0
     remaining_ms: Quantity = 0
 
 
-# The id is sent in a header of each request to the executor.
-EXECUTOR_ID = re.compile(r"[!-~]{1,255}")
+# The id is part of a key of the store and of each request to the executor.
+EXECUTOR_ID = re.compile(rf"[!-~]{{1,{MAX_KEY_NAME_BYTES}}}")
 
 decode_body = msgspec.json.Decoder(EntryBody).decode
 
@@ -42,7 +42,7 @@
 def decode_executor_entry(executor_id: str, value: bytes) -> ExecutorEntry:
     """Decode an entry; raise InvalidEntry if it names no executor to use."""
     if EXECUTOR_ID.fullmatch(executor_id) is None:
-        raise InvalidEntry("id", "not 1 to 255 visible ASCII characters")
+        raise InvalidEntry("id", "too long, or not of visible ASCII characters only")
     try:
         body = decode_body(value)
     except msgspec.ValidationError as error:
--- a/gypsumring/platform/ingress.py
+++ b/gypsumring/platform/ingress.py
@@ -1,9 +1,12 @@
 """Decoding of callers' requests and encoding of the responses."""
 
+from typing import Annotated
+
 import msgspec
 
 from gypsumring.pipelines import (
     MAX_PAYLOAD_BYTES,
+    MAX_STEPS,
     JobPhase,
     PipelineError,
     StepSpec,
@@ -11,7 +14,7 @@
 )
 from gypsumring.platform.exceptions import WireError
 from gypsumring.utils.decoding import DECODE_ERRORS
-from gypsumring.utils.ranges import Measure, Number, Quantity, RepeatCount
+from gypsumring.utils.ranges import Measure, Number, Quantity, RepeatCount, Text
 
 __all__ = [
     "Submission",
@@ -27,6 +30,9 @@
 MAX_TIME_LIMIT_DIGITS = 15
 
 
+Predecessors = Annotated[list[Quantity], msgspec.Meta(max_length=MAX_STEPS)]
+
+
 class StepBody(msgspec.Struct, rename="camel"):
     """One step; ``anti_affinity`` is the maximum number of its tasks per executor."""
 
@@ -35,17 +41,17 @@
     mem_mb: Quantity = 0
     gpu: Quantity = 0
     est_runtime_ms: Measure = 0
-    depends_on: list[Quantity] = []
+    depends_on: Predecessors = []
     gang: bool = False
     same_rack: bool = False
-    required_label: str = ""
-    data_rack: str = ""
+    required_label: Text = ""
+    data_rack: Text = ""
     anti_affinity: Quantity = 0
     speculative: bool = False
     checkpointing: bool = False
     long_running: bool = False
     fills: bool = False
-    image: str = ""
+    image: Text = ""
     target_ms: Measure = 0
     may_miss: Quantity = 0
 
--- a/gypsumring/utils/ranges.py
+++ b/gypsumring/utils/ranges.py
@@ -1,4 +1,4 @@
-"""Ranges of numbers that other processes send or store.
+"""Ranges of numbers and texts that other processes send or store.
 
 JSON has numbers of any size; the records, requests and clocks that they go on into have
 64 bits or floats. Within these ranges, sums over all executors and fence numbers made
@@ -13,6 +13,7 @@
 __all__ = [
     "MAX_NUMBER",
     "MAX_QUANTITY",
+    "MAX_KEY_NAME_BYTES",
     "Fence",
     "MachineSize",
     "Measure",
@@ -21,6 +22,8 @@
     "Quantity",
     "RepeatCount",
     "SignedMeasure",
+    "Text",
+    "Texts",
     "clamp",
     "parse_machine_size",
 ]
@@ -45,6 +48,12 @@
 RepeatCount = Annotated[int, msgspec.Meta(ge=0, le=1_000_000)]
 # Thousandths of a core of reference speed.
 MachineSize = Annotated[int, msgspec.Meta(ge=0, le=MAX_MACHINE_SIZE)]
+# Names of services, zones, racks and images: a record of a job or an executor with the
+# longest ones stays below the 256 KB that the store takes.
+Text = Annotated[str, msgspec.Meta(max_length=255)]
+Texts = Annotated[list[Text], msgspec.Meta(max_length=64)]
+# A key of the store has at most 255 bytes, which include a prefix.
+MAX_KEY_NAME_BYTES = 240
 
 
 def clamp(number: int, largest: int) -> int:
