--- a/gypsumring/platform/tests/test_odd_bytes.py
+++ b/gypsumring/platform/tests/test_odd_bytes.py
@@ -210,7 +210,7 @@
 
 
 def test_numbers_out_of_range_in_the_desired_state_are_refused():
-    # A time that cannot become a float ended the watch of the desired state.
+    # A version of 400 digits was accepted, and no later one was newer than it.
     for name in (b"version", b"sloMs", b"priority", b"maxAttempts", b"maxBodyBytes"):
         content = replace_number(CONFIG, name, LARGE)
         error = assert_refused(WireError, decode_desired_state, content)
