--- a/gypsumring/platform/discovery.py
+++ b/gypsumring/platform/discovery.py
@@ -4,7 +4,10 @@
 
 import msgspec
 
-from gypsumring.fleet import ExecutorEntry
+from gypsumring.fleet import ExecutorEntry, InvalidEntry
+from gypsumring.utils.addresses import split_address
+from gypsumring.utils.decoding import DECODE_ERRORS
+from gypsumring.utils.ranges import MAX_KEY_NAME_BYTES, Number, Quantity, Text, Texts
 
 __all__ = ["decode_executor_entry"]
 
@@ -12,41 +15,47 @@
 class CapacityBody(msgspec.Struct, rename="camel"):
     """Capacity of an executor; ``cpu`` is in thousandths of a core."""
 
-    cpu: int = 0
-    mem_mb: int = 0
-    gpu: int = 0
+    cpu: Quantity = 0
+    mem_mb: Quantity = 0
+    gpu: Quantity = 0
 
 
 class EntryBody(msgspec.Struct, rename="camel"):
     """Store entry of an executor; ``zone`` is its data centre."""
 
-    service: str
-    address: str
+    service: Text
+    address: Text
     state: str
     capacity: CapacityBody
-    zone: str = ""
-    labels: list[str] = []
-    born: int = 0
-    remaining_ms: int = 0
+    zone: Text = ""
+    labels: Texts = []
+    born: Number = 0
+    remaining_ms: Quantity = 0
 
 
-ADDRESS = re.compile(r"^[^:/\s]+:(\d{1,5})$", re.ASCII)
-MAX_PORT = 65_535
+# The id is part of a key of the store and of each request to the executor.
+EXECUTOR_ID = re.compile(rf"[!-~]{{1,{MAX_KEY_NAME_BYTES}}}")
 
 decode_body = msgspec.json.Decoder(EntryBody).decode
 
 
-def decode_executor_entry(executor_id: str, value: bytes) -> ExecutorEntry | None:
-    """Decode an entry; return None if it is malformed or not from a known writer."""
+def decode_executor_entry(executor_id: str, value: bytes) -> ExecutorEntry:
+    """Decode an entry; raise InvalidEntry if it names no executor to use."""
+    if EXECUTOR_ID.fullmatch(executor_id) is None:
+        raise InvalidEntry("id", "too long, or not of visible ASCII characters only")
     try:
         body = decode_body(value)
-    except (msgspec.DecodeError, UnicodeDecodeError):
-        return None
-    address = ADDRESS.match(body.address)
-    if address is None or not 0 < int(address[1]) <= MAX_PORT:
-        return None
+    except msgspec.ValidationError as error:
+        raise InvalidEntry("field", str(error)) from error
+    except DECODE_ERRORS as error:
+        reason = "nesting" if isinstance(error, RecursionError) else "format"
+        raise InvalidEntry(reason, str(error)) from error
+    try:
+        split_address(body.address)
+    except ValueError as error:
+        raise InvalidEntry("address", str(error)) from error
     if body.state not in ("ready", "draining"):
-        return None
+        raise InvalidEntry("state", "neither ready nor draining")
     return ExecutorEntry(
         executor_id=executor_id,
         address=body.address,
--- a/gypsumring/platform/executors.py
+++ b/gypsumring/platform/executors.py
@@ -18,6 +18,8 @@
     HttpResponse,
     NoResponse,
 )
+from gypsumring.utils.decoding import DECODE_ERRORS
+from gypsumring.utils.ranges import Measure, Number, SignedMeasure
 
 __all__ = ["PlatformExecutor"]
 
@@ -33,18 +35,18 @@
     """Row of a running attempt; ``percent`` is its approximate progress."""
 
     task: str
-    attempt: int
+    attempt: Number
     checkpoint: str
-    percent: float
-    load: float = 0.0
+    percent: Measure
+    load: SignedMeasure = 0.0
 
 
 class EndedRow(msgspec.Struct, array_like=True):
     """Row of an ended attempt."""
 
-    number: int
+    number: Number
     task: str
-    attempt: int
+    attempt: Number
     how: str
     checkpoint: str
 
@@ -52,11 +54,11 @@
 class ListsReply(msgspec.Struct, rename="camel"):
     """Task lists that an executor reports; further entries of a row are ignored."""
 
-    clock_ms: int
+    clock_ms: Number
     running: list[RunningRow] = []
     ended: list[EndedRow] = []
     # Unix time in milliseconds at which this incarnation started.
-    born: int = 0
+    born: Number = 0
 
 
 class StartBody(msgspec.Struct, rename="camel", omit_defaults=True):
@@ -104,7 +106,7 @@
     """Decode the task lists of an executor; raise ``ExecutorSilent`` if malformed."""
     try:
         reply = msgspec.json.decode(body, type=ListsReply)
-    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+    except DECODE_ERRORS as error:
         raise ExecutorSilent(f"malformed task lists: {error}") from error
     running = [
         ListedRun(row.task, row.attempt, row.checkpoint, row.percent, row.load)
@@ -210,7 +212,7 @@
     """Raise the error for the reason with which an executor refused an order."""
     try:
         reason = msgspec.json.decode(response.body, type=OrderReply).reason
-    except (msgspec.DecodeError, UnicodeDecodeError):
+    except DECODE_ERRORS:
         reason = ""
     if reason == "fence":
         raise FenceRefused(reason)
--- a/gypsumring/platform/ingress.py
+++ b/gypsumring/platform/ingress.py
@@ -1,15 +1,20 @@
 """Decoding of callers' requests and encoding of the responses."""
 
+from typing import Annotated
+
 import msgspec
 
 from gypsumring.pipelines import (
     MAX_PAYLOAD_BYTES,
+    MAX_STEPS,
     JobPhase,
     PipelineError,
     StepSpec,
     check_pipeline,
 )
 from gypsumring.platform.exceptions import WireError
+from gypsumring.utils.decoding import DECODE_ERRORS
+from gypsumring.utils.ranges import Measure, Number, Quantity, RepeatCount, Text
 
 __all__ = [
     "Submission",
@@ -20,29 +25,35 @@
 ]
 
 DEFAULT_TIME_LIMIT_S = 3.0
+# Callers that state more wait no longer than this.
+MAX_TIME_LIMIT_S = 3_600.0
+MAX_TIME_LIMIT_DIGITS = 15
+
+
+Predecessors = Annotated[list[Quantity], msgspec.Meta(max_length=MAX_STEPS)]
 
 
 class StepBody(msgspec.Struct, rename="camel"):
     """One step; ``anti_affinity`` is the maximum number of its tasks per executor."""
 
-    count: int = 1
-    cpu: int = 0
-    mem_mb: int = 0
-    gpu: int = 0
-    est_runtime_ms: float = 0
-    depends_on: list[int] = []
+    count: Quantity = 1
+    cpu: Quantity = 0
+    mem_mb: Quantity = 0
+    gpu: Quantity = 0
+    est_runtime_ms: Measure = 0
+    depends_on: Predecessors = []
     gang: bool = False
     same_rack: bool = False
-    required_label: str = ""
-    data_rack: str = ""
-    anti_affinity: int = 0
+    required_label: Text = ""
+    data_rack: Text = ""
+    anti_affinity: Quantity = 0
     speculative: bool = False
     checkpointing: bool = False
     long_running: bool = False
     fills: bool = False
-    image: str = ""
-    target_ms: float = 0
-    may_miss: int = 0
+    image: Text = ""
+    target_ms: Measure = 0
+    may_miss: Quantity = 0
 
 
 class SubmissionBody(msgspec.Struct, rename="camel"):
@@ -50,9 +61,9 @@
 
     spec: str
     pipeline: list[StepBody]
-    start_at_ms: int = 0
-    interval_ms: int = 0
-    repeats: int = 0
+    start_at_ms: Number = 0
+    interval_ms: Quantity = 0
+    repeats: RepeatCount = 0
 
 
 class Schedule:
@@ -84,12 +95,10 @@
     """Decode and validate a submitted job; raise WireError that names the field."""
     try:
         body = decode_body(content)
-    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+    except DECODE_ERRORS as error:
         raise WireError(str(error)) from error
     if len(body.spec.encode()) > MAX_PAYLOAD_BYTES:
         raise WireError(f"spec: larger than {MAX_PAYLOAD_BYTES} bytes")
-    if body.repeats < 0 or body.interval_ms < 0:
-        raise WireError("repeats, intervalMs: must not be negative")
     steps = tuple(map(translate_step, body.pipeline))
     try:
         check_pipeline(steps)
@@ -135,7 +144,10 @@
 
 def read_time_limit_s(headers: dict[bytes, bytes]) -> float:
     """Return the caller's time limit in seconds, or the default without a valid one."""
-    try:
-        return max(0.0, int(headers[b"deadline-ms"]) / 1000)
-    except (KeyError, ValueError):
+    value = headers.get(b"deadline-ms", b"").strip()
+    if not value.isdigit():
         return DEFAULT_TIME_LIMIT_S
+    # int() refuses numbers of thousands of digits.
+    if len(value) > MAX_TIME_LIMIT_DIGITS:
+        return MAX_TIME_LIMIT_S
+    return min(int(value) / 1000, MAX_TIME_LIMIT_S)
--- a/gypsumring/platform/policy.py
+++ b/gypsumring/platform/policy.py
@@ -4,6 +4,7 @@
 
 from gypsumring.ports.tasks import PolicyBusy, PolicyUnavailable
 from gypsumring.transport import ConnectFailed, HttpClient, NoResponse
+from gypsumring.utils.decoding import DECODE_ERRORS
 
 __all__ = ["PlatformPolicyService"]
 
@@ -21,6 +22,14 @@
     allowed: list[tuple[str, str]] = []
 
 
+def decode_advice(body: bytes) -> list[tuple[str, str]]:
+    """Decode the answer to a policy query; raise PolicyUnavailable if malformed."""
+    try:
+        return msgspec.json.decode(body, type=AdviceReply).allowed
+    except DECODE_ERRORS as error:
+        raise PolicyUnavailable(f"malformed policy answer: {error}") from error
+
+
 class PlatformPolicyService:
     """HTTP client of the policy service; implements the port ``PolicyService``."""
 
@@ -44,7 +53,4 @@
             raise PolicyUnavailable(
                 f"policy service answered with status {response.status}"
             )
-        try:
-            return msgspec.json.decode(response.body, type=AdviceReply).allowed
-        except (msgspec.DecodeError, UnicodeDecodeError) as error:
-            raise PolicyUnavailable(f"malformed policy answer: {error}") from error
+        return decode_advice(response.body)
