Count an over-full executor as zero in the first test of a gang

The free capacity of one that uses more than it has is negative, and the cheap test whether a gang fits subtracted it from the room of the others. Callers would see a gang that fits at once wait without the reservation that keeps its room.

Each executor now counts for zero at least. The forecast of capacity keeps the negative value: tasks have to end before anything fits there.

Evidence: test_overfull_executor_does_not_hide_the_free_capacity_of_others failed before (no executors chosen) and passes now.

--- a/gypsumring/dispatch/gang_capacity.py
+++ b/gypsumring/dispatch/gang_capacity.py
@@ -49,7 +49,7 @@
     needed = len(step.pending)
     task_capacity = 0
     for executor in candidates:
-        task_capacity += (executor.entry.cpu_millis - executor.used_cpu) // cpu
+        task_capacity += max(0, executor.free_cpu_millis()) // cpu
         if task_capacity >= needed:
             return True
     return False
--- a/gypsumring/dispatch/tests/fleets.py
+++ b/gypsumring/dispatch/tests/fleets.py
@@ -1,9 +1,11 @@
 """Executors and steps for tests of scheduling decisions."""
 
+import msgspec
+
 from gypsumring.fleet import ExecutorEntry, ExecutorState
 from gypsumring.pipelines import Job, PipelineSpec, Step, StepSpec
 
-__all__ = ["make_executor", "make_fleet", "make_step"]
+__all__ = ["change_capacity", "make_executor", "make_fleet", "make_step"]
 
 
 def make_executor(
@@ -23,6 +25,11 @@
     return executor
 
 
+def change_capacity(executor: ExecutorState, **fields: int) -> None:
+    """Replace the capacity of an executor, as a new entry of it does."""
+    executor.entry = msgspec.structs.replace(executor.entry, **fields)
+
+
 def make_fleet(count: int, **options) -> list[ExecutorState]:
     """Return executors that alternate between two racks."""
     return [
--- a/gypsumring/dispatch/tests/test_reserving.py
+++ b/gypsumring/dispatch/tests/test_reserving.py
@@ -5,7 +5,7 @@
 from gypsumring.dispatch import Backlog, gang_capacity, place_step, reserve_executors
 from gypsumring.dispatch.placing import count_fitting_on
 from gypsumring.dispatch.reserving import REVIEW_PERIOD_S
-from gypsumring.dispatch.tests.fleets import make_fleet, make_step
+from gypsumring.dispatch.tests.fleets import change_capacity, make_fleet, make_step
 from gypsumring.pipelines import Queue, Run
 from gypsumring.utils.testing import make_load_tests
 
@@ -167,6 +167,17 @@
 
 
 # Gangs reserved only part of the executors that they needed, which helped no step.
+# Guards against an executor whose capacity has shrunk below what runs there: its
+# negative free capacity was subtracted from that of the others.
+def test_overfull_executor_does_not_hide_the_free_capacity_of_others():
+    fleet = make_fleet(3)
+    occupy(fleet[:1], 8000)
+    change_capacity(fleet[0], cpu_millis=1000)
+    gang = make_gang(fleet, task_count=4)
+    chosen = gang_capacity.choose_free_capacity(gang, fleet, 1.0, 1.0)
+    assert {executor.executor_id for executor in chosen} == {"i-1", "i-2"}
+
+
 def test_gang_reserves_all_executors_that_it_needs_or_none():
     fleet = make_fleet(10)
     occupy(fleet, 6000)
--- a/gypsumring/fleet/executor.py
+++ b/gypsumring/fleet/executor.py
@@ -199,7 +199,10 @@
         )
 
     def free_cpu_millis(self) -> int:
-        """Return the unused CPU capacity, in thousandths of a core."""
+        """Return the unused CPU capacity, in thousandths of a core.
+
+        It is negative if the capacity has shrunk below what the tasks use.
+        """
         return self.entry.cpu_millis - self.used_cpu
 
     def count_fitting_tasks(self, spec: StepSpec) -> int:
