Count an over-full executor as zero in the free capacity of a cell

The gauge cell.waiting.oldest_feasible_s tells operators that capacity is free which a waiting step could use. Its first test sums the free capacity of all executors; one whose capacity had shrunk below what runs there made the sum too small or negative, so that the gauge stayed at 0.

ExecutorState.free_capacity() returns no capacity for an over-full executor, in all three dimensions, as nothing may start there.

Evidence: test_overfull_executor_does_not_make_a_step_infeasible failed before (gauge 0) and passes now.

--- a/gypsumring/cell/tests/test_waiting.py
+++ b/gypsumring/cell/tests/test_waiting.py
@@ -25,7 +25,7 @@
 )
 from gypsumring.cli.main import cli
 from gypsumring.dispatch.reserving import Reservation
-from gypsumring.dispatch.tests.fleets import make_executor
+from gypsumring.dispatch.tests.fleets import change_capacity, make_executor
 from gypsumring.fleet import ExecutorState
 from gypsumring.metrics import Metrics
 from gypsumring.pipelines import (
@@ -460,6 +460,21 @@
     assert fixture.monitor.measure()["cell.waiting.oldest_feasible_s"] == 0
 
 
+# Guards against a gauge of the oldest feasible step that stays at 0 because of an
+# executor whose capacity has shrunk below what runs there.
+async def test_overfull_executor_does_not_make_a_step_infeasible():
+    fixture = CellFixture(executors=2)
+    running = fixture.add_step(task_count=2)
+    fixture.place(running, 0, "i-0")
+    fixture.place(running, 1, "i-0")
+    change_capacity(fixture.state.fleet["i-0"], cpu_millis=1000)
+    step = fixture.add_step(task_count=2)
+    fixture.allow(step, "i-0", "i-1")
+    await anyio.sleep(1.0)
+    fixture.monitor.check(anyio.current_time())
+    assert fixture.monitor.measure()["cell.waiting.oldest_feasible_s"] == 1.0
+
+
 async def test_unqueried_executors_count_by_the_allowed_share():
     fixture = CellFixture(executors=4)
     step = fixture.add_step(gang=True, task_count=4)
--- a/gypsumring/cell/wait_monitor.py
+++ b/gypsumring/cell/wait_monitor.py
@@ -203,14 +203,13 @@
 
 def sum_free_capacity(executors: list[ExecutorState]) -> tuple[int, int, int]:
     """Return the free millicores, memory in MB and accelerators of all executors."""
-    return (
-        sum(executor.free_cpu_millis() for executor in executors),
-        sum(executor.entry.memory_mb - executor.used_memory for executor in executors),
-        sum(
-            executor.entry.accelerators - executor.used_accelerators
-            for executor in executors
-        ),
-    )
+    cpu = memory = accelerators = 0
+    for executor in executors:
+        free = executor.free_capacity()
+        cpu += free[0]
+        memory += free[1]
+        accelerators += free[2]
+    return cpu, memory, accelerators
 
 
 def may_fit(step: Step, free_capacity: tuple[int, int, int]) -> bool:
--- a/gypsumring/fleet/executor.py
+++ b/gypsumring/fleet/executor.py
@@ -205,6 +205,28 @@
         """
         return self.entry.cpu_millis - self.used_cpu
 
+    def is_overfull(self) -> bool:
+        """Return whether the tasks use more than the capacity, which may shrink."""
+        entry = self.entry
+        return (
+            self.used_cpu > entry.cpu_millis
+            or self.used_memory > entry.memory_mb
+            or self.used_accelerators > entry.accelerators
+        )
+
+    def free_capacity(self) -> tuple[int, int, int]:
+        """Return the unused millicores, memory in MB and accelerators.
+
+        An over-full executor has none, so that sums over executors may use the result.
+        """
+        if self.is_overfull():
+            return 0, 0, 0
+        return (
+            self.entry.cpu_millis - self.used_cpu,
+            self.entry.memory_mb - self.used_memory,
+            self.entry.accelerators - self.used_accelerators,
+        )
+
     def count_fitting_tasks(self, spec: StepSpec) -> int:
         """Return how many more tasks of a step fit into the free capacity."""
         return count_fitting(
