Start nothing on an executor whose capacity has shrunk below its use

A task that uses none of the exceeded dimension (a filling task, whose CPU is not accounted, or one without CPU) still counted as fitting on an over-full executor.

count_fitting() returns 0 if any dimension is negative. The tasks that run go on.

--- a/gypsumring/fleet/executor.py
+++ b/gypsumring/fleet/executor.py
@@ -260,7 +260,12 @@
 def count_fitting(
     spec: StepSpec, cpu_millis: int, memory_mb: int, accelerators: int
 ) -> int:
-    """Return how many tasks of a step fit into a capacity, at most its task count."""
+    """Return how many tasks of a step fit into a capacity, at most its task count.
+
+    Nothing fits if any capacity is negative, even if the step does not use that one.
+    """
+    if cpu_millis < 0 or memory_mb < 0 or accelerators < 0:
+        return 0
     count = spec.task_count
     if accounted_cpu_millis(spec):
         count = min(count, cpu_millis // spec.cpu_millis)
@@ -268,7 +273,7 @@
         count = min(count, memory_mb // spec.memory_mb)
     if spec.accelerators:
         count = min(count, accelerators // spec.accelerators)
-    return max(0, count)
+    return count
 
 
 def accounted_cpu_millis(spec: StepSpec) -> int:
--- a/gypsumring/fleet/tests/test_executor.py
+++ b/gypsumring/fleet/tests/test_executor.py
@@ -1,6 +1,10 @@
 """Tests of the clock, lease and capacity recorded for an executor."""
 
-from gypsumring.dispatch.tests.fleets import make_executor, make_step
+from gypsumring.dispatch.tests.fleets import (
+    change_capacity,
+    make_executor,
+    make_step,
+)
 from gypsumring.pipelines import JobTable
 from gypsumring.utils.testing import make_load_tests
 
@@ -46,6 +50,30 @@
     assert executor.used_cpu == 0
 
 
+# Guards against starts on an executor whose capacity has shrunk below what runs there,
+# by tasks that use none of the exceeded dimension.
+def test_nothing_fits_on_an_overfull_executor():
+    executor, table = make_executor("i-0"), JobTable()
+    running = make_step(task_count=1, cpu_millis=4000, memory_mb=1000)
+    filling = make_step("b" * 16, cpu_millis=1000, fills=True)
+    without_cpu = make_step("c" * 16, cpu_millis=0, memory_mb=100)
+    run = table.place(running, 0, 1, "i-0", 0.0)
+    executor.add_run(run)
+    change_capacity(executor, cpu_millis=4000)
+    assert not executor.is_overfull()
+    assert executor.count_fitting_tasks(filling.spec) == 4
+    assert executor.count_fitting_tasks(without_cpu.spec) == 4
+    change_capacity(executor, cpu_millis=3999)
+    assert executor.is_overfull()
+    assert executor.count_fitting_tasks(filling.spec) == 0
+    assert executor.count_fitting_tasks(without_cpu.spec) == 0
+    # The running task goes on; its end makes room again.
+    executor.remove_run(run)
+    assert executor.count_fitting_tasks(without_cpu.spec) == 4
+    change_capacity(executor, memory_mb=-1)
+    assert executor.count_fitting_tasks(filling.spec) == 0
+
+
 def test_unconfirmed_starts_are_blocked_unless_in_progress():
     executor, table = make_executor("i-0"), JobTable()
     run = table.place(make_step(), 0, 1, "i-0", 0.0)
