Use a capacity that has grown at once, and log changes of capacity

A new entry with another capacity was applied within the 0.25 s of the directory's poll, but nobody was told: steps that fitted nowhere saw the new room only at their next periodic evaluation, 0.1 s later in a short backlog and up to 2 s in a long one, while steps of later rank may take it before.

ExecutorPoller.update() now treats an executor that has grown like one with released capacity, and logs "executor capacity changed" with its use.

--- a/gypsumring/cell/executor_polling.py
+++ b/gypsumring/cell/executor_polling.py
@@ -78,11 +78,31 @@
             log.info("executor is draining", executor=entry.executor_id)
         if entry.draining:
             executor.may_leave_at = anyio.current_time() + entry.remaining_ms / 1000
-        executor.entry = entry
+        previous, executor.entry = executor.entry, entry
         executor.listed = True
+        self.note_capacity(executor, previous)
         if entry.executor_id not in self.state.enrolled:
             self.enroll(entry)
 
+    def note_capacity(self, executor: ExecutorState, previous: ExecutorEntry) -> None:
+        """Log a changed capacity; steps that wait may use one that has grown."""
+        entry = executor.entry
+        if entry.capacity == previous.capacity:
+            return
+        log.info(
+            "executor capacity changed",
+            executor=entry.executor_id,
+            cpu_millis=entry.cpu_millis,
+            memory_mb=entry.memory_mb,
+            accelerators=entry.accelerators,
+            used_cpu_millis=executor.used_cpu,
+            used_memory_mb=executor.used_memory,
+            used_accelerators=executor.used_accelerators,
+        )
+        if any(new > old for new, old in zip(entry.capacity, previous.capacity)):
+            self.state.freed_executors.add(entry.executor_id)
+            self.state.wake()
+
     def enroll(self, entry: ExecutorEntry) -> None:
         """Make the entry durable, so that a later owner polls the executor."""
 
--- a/gypsumring/fleet/executor.py
+++ b/gypsumring/fleet/executor.py
@@ -35,6 +35,11 @@
     accelerators: int = 0
     labels: tuple[str, ...] = ()
 
+    @property
+    def capacity(self) -> tuple[int, int, int]:
+        """Millicores, memory in MB and accelerators."""
+        return self.cpu_millis, self.memory_mb, self.accelerators
+
 
 class ExecutorState:
     """State of one incarnation of an executor.
