Withdraw an unanswered start once its executor has shrunk below its use

A start that gets no answer is sent again each 0.25 s.

Before each copy the owner compares the accounted use, this start included, with the newest capacity. If it does not fit, no further copy is sent: an attempt that was never sent is released, any other goes by the stop path, which blocks copies still under way and releases the capacity only once the executor's lists confirm it. A gang is stopped as a whole, so that no member waits alone. An attempt that the executor has confirmed runs on.

Evidence: test_unanswered_start_is_not_repeated_on_a_shrunk_executor and test_gang_moves_when_the_executor_of_an_unanswered_member_shrinks failed before (tasks ran on the shrunk executor) and pass now.

--- a/gypsumring/cell/orders.py
+++ b/gypsumring/cell/orders.py
@@ -117,6 +117,9 @@
                 return
             if self.abandon_late_start(run, executor):
                 return
+            if executor.is_overfull():
+                self.withdraw_start(run, executor)
+                return
             if executor.is_unresponsive or not self.state.may_extend_leases():
                 await anyio.sleep(RETRY_PAUSE_S)
                 continue
@@ -153,6 +156,28 @@
             self.record_started(run)
             return
 
+    def withdraw_start(self, run: Run, executor: ExecutorState) -> None:
+        """Withdraw a start whose executor has shrunk, so that the order is not sent.
+
+        A copy that was sent before may still arrive; the stop blocks it.
+        """
+        log.info(
+            "start withdrawn: executor has shrunk",
+            **run.log_fields(),
+            unanswered=run.unanswered_orders,
+            used_cpu_millis=executor.used_cpu,
+            cpu_millis=executor.entry.cpu_millis,
+            used_memory_mb=executor.used_memory,
+            memory_mb=executor.entry.memory_mb,
+        )
+        self.state.metrics.count("cell.starts.withdrawn")
+        if run.unanswered_orders:
+            self.stop(run)
+        else:
+            self.release(run)
+        if run.step.spec.gang:
+            self.stop_gang(run, "a member's executor has shrunk")
+
     def record_started(self, run: Run) -> None:
         """Record that the executor has confirmed the start of an attempt."""
         run.answered_at = anyio.current_time()
--- a/gypsumring/cell/tests/test_capacity_changes.py
+++ b/gypsumring/cell/tests/test_capacity_changes.py
@@ -1,11 +1,23 @@
 """Executors whose capacity shrinks and grows while they run."""
 
+from collections.abc import Callable
+
 import anyio
 
 from gypsumring.cell.executor_polling import ExecutorPoller
+from gypsumring.cell.messages import Outcome
+from gypsumring.cell.tests.test_recovery import running_cluster
 from gypsumring.cell.tests.test_waiting import CellFixture
 from gypsumring.fleet import ExecutorEntry
+from gypsumring.pipelines import JobPhase, StepSpec
 from gypsumring.utils.testing import make_load_tests
+from stand_ins.platform.cluster import MemoryCluster, make_job
+from stand_ins.platform.executor import Trouble
+from stand_ins.platform.world import steady_behaviour
+
+JOB_ID = "a" * 16
+# Entries are read every 0.25 s, and the store and the executors answer within 0.05 s.
+ENTRY_DELAY_S = 0.3
 
 
 def make_entry(executor_id: str, cpu_millis: int) -> ExecutorEntry:
@@ -20,6 +32,20 @@
     )
 
 
+def resize(cluster: MemoryCluster, executor_id: str, cpu_millis: int) -> None:
+    """Change the capacity of an executor and its entry in the store."""
+    model = cluster.executors[executor_id]
+    model.cpu_millis = cpu_millis
+    cluster.register(model)
+
+
+async def wait_until(condition: Callable[[], bool], limit_s: float = 5.0) -> None:
+    """Wait until a condition holds; fail after the limit."""
+    with anyio.fail_after(limit_s):
+        while not condition():
+            await anyio.sleep(0.01)
+
+
 # Guards against steps that fit nowhere for a while and use a capacity that has grown
 # only at their next periodic evaluation, which comes after 2 s in a long backlog.
 async def test_grown_capacity_is_used_at_once():
@@ -43,4 +69,52 @@
     assert len(step.active_runs()) == 2
 
 
+# Guards against a start that was not answered and is repeated after its executor has
+# shrunk: the repeated copy brings the executor over its capacity.
+async def test_unanswered_start_is_not_repeated_on_a_shrunk_executor():
+    async with running_cluster(
+        steady_behaviour(2.0), nodes=1, executors=2, cpu_millis=4000
+    ) as cluster:
+        resize(cluster, "i-1", 0)
+        await anyio.sleep(ENTRY_DELAY_S)
+        node = cluster.owner_node()
+        # The orders do not arrive, and long polls are answered.
+        cluster.executors["i-0"].trouble = Trouble.ORDERS
+        node.faults.late_s = (30.0, 30.0)
+        step = StepSpec(task_count=2, cpu_millis=2000, estimated_ms=2000)
+        assert await cluster.submit(make_job(JOB_ID, step)) is Outcome.OK
+        fleet = node.owner().state.fleet
+        await wait_until(lambda: len(fleet["i-0"].unconfirmed_starts) == 2)
+        resize(cluster, "i-0", 1000)
+        resize(cluster, "i-1", 4000)
+        await anyio.sleep(ENTRY_DELAY_S)
+        cluster.executors["i-0"].trouble = Trouble.NONE
+        assert await cluster.wait_final(JOB_ID) is JobPhase.COMPLETED
+        assert cluster.executors["i-0"].done_here == set()
+
+
+# Guards against a withdrawn member of a gang that leaves the others to wait alone.
+async def test_gang_moves_when_the_executor_of_an_unanswered_member_shrinks():
+    async with running_cluster(
+        steady_behaviour(2.0), nodes=1, executors=3, cpu_millis=4000
+    ) as cluster:
+        resize(cluster, "i-2", 0)
+        await anyio.sleep(ENTRY_DELAY_S)
+        node = cluster.owner_node()
+        cluster.executors["i-1"].trouble = Trouble.ORDERS
+        node.faults.late_s = (30.0, 30.0)
+        gang = StepSpec(task_count=2, cpu_millis=4000, estimated_ms=2000, gang=True)
+        assert await cluster.submit(make_job(JOB_ID, gang)) is Outcome.OK
+        fleet = node.owner().state.fleet
+        await wait_until(lambda: bool(fleet["i-1"].unconfirmed_starts))
+        resize(cluster, "i-1", 2000)
+        resize(cluster, "i-2", 4000)
+        await anyio.sleep(ENTRY_DELAY_S)
+        cluster.executors["i-1"].trouble = Trouble.NONE
+        assert await cluster.wait_final(JOB_ID) is JobPhase.COMPLETED
+        assert cluster.executors["i-1"].done_here == set()
+        ended = [end.how for model in cluster.executors.values() for end in model.ended]
+        assert "alone" not in ended
+
+
 load_tests = make_load_tests(globals())
