Start nothing by the capacity of an executor's earlier incarnation

An executor may restart under its id with another capacity. Its task lists can arrive before its new entry is written and read; until then new tasks were placed, and unanswered starts repeated, by the capacity of the earlier incarnation.

An executor accepts work only while the incarnations of its entry and of its task lists agree ("entry of another incarnation" in reports on waiting steps), and copies of an unanswered start wait for the new entry. It costs a restarted executor the time until its entry is read, 0.25 s here.

--- a/gypsumring/cell/orders.py
+++ b/gypsumring/cell/orders.py
@@ -120,7 +120,11 @@
             if executor.is_overfull():
                 self.withdraw_start(run, executor)
                 return
-            if executor.is_unresponsive or not self.state.may_extend_leases():
+            if (
+                executor.is_unresponsive
+                or not executor.has_current_entry()
+                or not self.state.may_extend_leases()
+            ):
                 await anyio.sleep(RETRY_PAUSE_S)
                 continue
             client = self.state.clients[run.executor_id]
--- a/gypsumring/cell/tests/test_capacity_changes.py
+++ b/gypsumring/cell/tests/test_capacity_changes.py
@@ -117,4 +117,26 @@
         assert "alone" not in ended
 
 
+# Guards against starts by the capacity of an earlier incarnation: the task lists of a
+# restarted executor may arrive before its new entry.
+async def test_restarted_executor_gets_no_work_before_its_new_entry():
+    async with running_cluster(steady_behaviour(0.5), nodes=1, executors=1) as cluster:
+        await anyio.sleep(ENTRY_DELAY_S)
+        model = cluster.executors["i-0"]
+        model.crash()
+        await anyio.sleep(1.0)
+        model.cpu_millis = 2000
+        model.start_incarnation()
+        # An owner gives a new incarnation no work for 13 s after an unanswered poll.
+        executor = cluster.owner_node().owner().state.fleet["i-0"]
+        await wait_until(lambda: executor.born_ms == model.born_ms)
+        executor.health.quarantined_until = 0.0
+        step = StepSpec(task_count=4, cpu_millis=2000, estimated_ms=500)
+        assert await cluster.submit(make_job(JOB_ID, step)) is Outcome.OK
+        await anyio.sleep(0.5)
+        assert cluster.world.starts == {}
+        cluster.register(model)
+        assert await cluster.wait_final(JOB_ID) is JobPhase.COMPLETED
+
+
 load_tests = make_load_tests(globals())
--- a/gypsumring/cell/tests/test_log_lines.py
+++ b/gypsumring/cell/tests/test_log_lines.py
@@ -97,6 +97,7 @@
             model.crash()
             await anyio.sleep(0.1)
             model.start_incarnation()
+            cluster.register(model)
             assert await cluster.wait_final("a" * 16, 30.0) is JobPhase.COMPLETED
     absent = find_lines(lines, "attempt is not listed")
     assert [line["executor"] for line in absent] == ["i-0", "i-0"]
--- a/gypsumring/cell/waiting.py
+++ b/gypsumring/cell/waiting.py
@@ -196,6 +196,8 @@
         return "unknown attempts"
     if executor.starts_to_block:
         return "starts being shut out"
+    if not executor.has_current_entry():
+        return "entry of another incarnation"
     if not enrolled:
         return "not enrolled"
     return "other"
--- a/gypsumring/fleet/executor.py
+++ b/gypsumring/fleet/executor.py
@@ -190,6 +190,14 @@
         """Rack of the executor, which is its last label."""
         return self.entry.labels[-1] if self.entry.labels else ""
 
+    def has_current_entry(self) -> bool:
+        """Return whether the entry is of the incarnation that reported its tasks.
+
+        Another incarnation may have another capacity.
+        """
+        born_ms = self.entry.born_ms
+        return not born_ms or not self.born_ms or born_ms == self.born_ms
+
     def accepts_work(self, service: str, now: float) -> bool:
         """Return whether new tasks of a service may start on the executor."""
         return (
@@ -200,6 +208,7 @@
             and now - self.last_response_at <= CONTACT_TIMEOUT_S
             and not self.unknown_runs
             and not self.starts_to_block
+            and self.has_current_entry()
             and not self.health.is_quarantined(now)
         )
 
