Test waiting steps, gangs and takeovers while capacities change

Four cases that hold already: steps and gangs that fit nowhere for 10 s wait and start once capacities have grown, with and without a policy service; tasks on a shrunk executor go on and nothing starts there; a gang leaves a reserved executor that cannot hold it any more; a new owner starts nothing by the capacity in the cell's records, which is that of the executor's first entry, before it has read the entries.

Evidence: with inherited executors listed at once the takeover test fails; with a planted count_fitting() that fits one task everywhere the tests of waiting steps and of the gang fail.

--- a/gypsumring/cell/tests/test_capacity_changes.py
+++ b/gypsumring/cell/tests/test_capacity_changes.py
@@ -9,11 +9,11 @@
 from gypsumring.cell.tests.test_recovery import running_cluster
 from gypsumring.cell.tests.test_waiting import CellFixture
 from gypsumring.fleet import ExecutorEntry
-from gypsumring.pipelines import JobPhase, StepSpec
+from gypsumring.pipelines import JobPhase, PipelineSpec, StepSpec
 from gypsumring.utils.testing import make_load_tests
 from stand_ins.platform.cluster import MemoryCluster, make_job
 from stand_ins.platform.executor import Trouble
-from stand_ins.platform.world import steady_behaviour
+from stand_ins.platform.world import TaskBehaviour, steady_behaviour
 
 JOB_ID = "a" * 16
 # Entries are read every 0.25 s, and the store and the executors answer within 0.05 s.
@@ -139,4 +139,108 @@
         assert await cluster.wait_final(JOB_ID) is JobPhase.COMPLETED
 
 
+def make_filling_job(job_id: str, count: int) -> PipelineSpec:
+    """Return a job of tasks of 4 cores that run for a minute."""
+    return make_job(
+        job_id, StepSpec(task_count=count, cpu_millis=4000, estimated_ms=60_000)
+    )
+
+
+# Guards against steps and gangs that are refused, or forgotten, because they fit
+# nowhere while capacities are small.
+async def test_steps_that_fit_nowhere_for_a_while_wait_and_start():
+    for policy_share in (None, 1.0):
+        async with running_cluster(
+            steady_behaviour(1.0), executors=3, policy_share=policy_share
+        ) as cluster:
+            for executor_id in cluster.executors:
+                resize(cluster, executor_id, 500)
+            await anyio.sleep(ENTRY_DELAY_S)
+            single = StepSpec(task_count=2, cpu_millis=4000, estimated_ms=1000)
+            gang = StepSpec(task_count=4, cpu_millis=3000, estimated_ms=1000, gang=True)
+            assert await cluster.submit(make_job("a" * 16, single)) is Outcome.OK
+            assert await cluster.submit(make_job("b" * 16, gang)) is Outcome.OK
+            # Longer than tickets are valid, and than reservations are reviewed.
+            await anyio.sleep(10.0)
+            assert cluster.world.starts == {}
+            assert cluster.phase("a" * 16) is JobPhase.QUEUED
+            assert cluster.phase("b" * 16) is JobPhase.QUEUED
+            for executor_id in cluster.executors:
+                resize(cluster, executor_id, 8000)
+            grown_at = anyio.current_time()
+            for job_id in ("a" * 16, "b" * 16):
+                assert await cluster.wait_final(job_id) is JobPhase.COMPLETED
+            assert anyio.current_time() - grown_at < 4.0
+            assert set(cluster.world.starts.values()) == {1}
+
+
+# Guards against an executor that stops what runs there, or starts more, while it is
+# over-full.
+async def test_tasks_on_a_shrunk_executor_go_on_and_nothing_starts_there():
+    def behave(task: str, attempt: int) -> TaskBehaviour:
+        return TaskBehaviour(4.0 if task.startswith("a") else 0.5)
+
+    async with running_cluster(behave, executors=1) as cluster:
+        model = cluster.executors["i-0"]
+        assert await cluster.submit(make_filling_job("a" * 16, 2)) is Outcome.OK
+        await wait_until(lambda: len(model.runs) == 2)
+        resize(cluster, "i-0", 5000)
+        await anyio.sleep(ENTRY_DELAY_S)
+        assert await cluster.submit(make_job("b" * 16)) is Outcome.OK
+        await anyio.sleep(2.0)
+        assert len(model.runs) == 2
+        assert await cluster.wait_final("b" * 16) is JobPhase.COMPLETED
+        assert await cluster.wait_final("a" * 16) is JobPhase.COMPLETED
+        assert set(cluster.world.starts.values()) == {1}
+
+
+# Guards against a gang that keeps executors reserved that cannot hold it any more.
+async def test_gang_leaves_a_reserved_executor_that_has_shrunk():
+    def behave(task: str, attempt: int) -> TaskBehaviour:
+        long = task.startswith("a") and task.endswith((".0", ".1"))
+        return TaskBehaviour(60.0 if long else 3.0)
+
+    async with running_cluster(behave, executors=4, policy_share=1.0) as cluster:
+        assert await cluster.submit(make_filling_job("a" * 16, 8)) is Outcome.OK
+        await wait_until(lambda: len(cluster.world.starts) == 8)
+        gang = StepSpec(task_count=2, cpu_millis=8000, estimated_ms=500, gang=True)
+        assert await cluster.submit(make_job("b" * 16, gang)) is Outcome.OK
+        state = cluster.owner_node().owner().state
+        step = state.table.jobs["b" * 16].steps[0]
+        await wait_until(lambda: bool(step.reserved))
+        shrunk = min(step.reserved)
+        resize(cluster, shrunk, 7000)
+        await wait_until(lambda: shrunk not in step.reserved, 1.5)
+        assert await cluster.wait_final("b" * 16, 15.0) is JobPhase.COMPLETED
+        assert f"{'b' * 16}.0.0" not in cluster.executors[shrunk].done_here
+
+
+# Guards against a new owner that starts tasks by the capacity in the cell's records,
+# which is that of the executor's first entry.
+async def test_new_owner_starts_nothing_by_the_recorded_capacity():
+    async with running_cluster(steady_behaviour(2.0), nodes=3, executors=2) as cluster:
+        await anyio.sleep(1.0)
+        resize(cluster, "i-0", 2000)
+        resize(cluster, "i-1", 0)
+        await anyio.sleep(ENTRY_DELAY_S)
+        step = StepSpec(task_count=6, cpu_millis=2000, estimated_ms=2000)
+        assert await cluster.submit(make_job(JOB_ID, step)) is Outcome.OK
+        await wait_until(lambda: len(cluster.world.starts) == 1)
+        # The new owner gets the task lists 0.8 s before the entries.
+        for node in cluster.nodes.values():
+            node.store.entries_delay_s = 0.8
+        cluster.owner_node().kill()
+        await wait_until(lambda: cluster.owner_node() is not None)
+        fleet = cluster.owner_node().owner().state.fleet
+        # The record is older than the entry.
+        assert fleet["i-0"].entry.cpu_millis == 8000
+        await wait_until(lambda: fleet["i-0"].first_response_at is not None)
+        await anyio.sleep(0.2)
+        assert len(cluster.world.starts) == 1
+        await wait_until(
+            lambda: {each.entry.cpu_millis for each in fleet.values()} == {2000, 0}
+        )
+        assert await cluster.wait_final(JOB_ID) is JobPhase.COMPLETED
+
+
 load_tests = make_load_tests(globals())
