--- a/soak/cells.py
+++ b/soak/cells.py
@@ -276,7 +276,9 @@
         )
 
 
-async def run_cell_soak(seed: int, seconds: float) -> dict[str, object]:
+async def run_cell_soak(
+    seed: int, seconds: float, soak_class: type[CellSoak] = CellSoak
+) -> dict[str, object]:
     """Run one seed and return what was seen."""
     world = World(random_behaviour(seed, 0.8, 0.05), MAX_ATTEMPTS)
     async with anyio.create_task_group() as group:
@@ -284,7 +286,7 @@
         cluster = MemoryCluster(
             world, group, NODES, EXECUTORS, 8_000, policy_share, seed
         )
-        soak = CellSoak(cluster, cluster.random_source)
+        soak = soak_class(cluster, cluster.random_source)
         async with anyio.create_task_group() as load:
             load.start_soon(soak.send_load, seconds)
             load.start_soon(soak.inject, seconds)
--- a/stand_ins/platform/memory.py
+++ b/stand_ins/platform/memory.py
@@ -197,7 +197,8 @@
 
     async def start(self, start: TaskStart, fence: int, deadline: float) -> None:
         """Start an attempt unless it already runs; raise StartRefused."""
-        await self.order(lambda: self.model.start(start, fence), deadline)
+        sent_at = anyio.current_time()
+        await self.order(lambda: self.model.start(start, fence, sent_at), deadline)
 
     async def stop(self, task: str, attempt: int, fence: int, deadline: float) -> None:
         """Stop an attempt and block late starts of it."""
