Show the free CPU and the over-full executors of a cell

Operators took cell.room_cpu_millis less cell.used_cpu_millis for the free CPU of a cell. An executor whose capacity has shrunk below what runs there makes that too small, or negative, while others have room. cell.free_cpu_millis counts each executor for zero at least, and cell.executors.over_capacity counts those that use more than they have.

Evidence: test_gauges_show_the_free_capacity_beside_an_overfull_executor (the gauges are new: it failed with a KeyError before).

--- a/gypsumring/cell/owner.py
+++ b/gypsumring/cell/owner.py
@@ -184,6 +184,12 @@
             "cell.room_cpu_millis": sum(
                 executor.entry.cpu_millis for executor in fleet
             ),
+            "cell.free_cpu_millis": sum(
+                executor.free_capacity()[0] for executor in fleet
+            ),
+            "cell.executors.over_capacity": sum(
+                executor.is_overfull() for executor in fleet
+            ),
             "cell.journal.waiting": len(state.journal.queue),
             "cell.journal.unanswered_s": state.journal.unanswered_s(),
             **self.wait_monitor.measure(),
--- a/gypsumring/cell/tests/test_capacity_changes.py
+++ b/gypsumring/cell/tests/test_capacity_changes.py
@@ -176,6 +176,22 @@
             assert set(cluster.world.starts.values()) == {1}
 
 
+# Guards against gauges that show a cell as full because one executor is over-full.
+async def test_gauges_show_the_free_capacity_beside_an_overfull_executor():
+    async with running_cluster(steady_behaviour(4.0), nodes=1, executors=2) as cluster:
+        resize(cluster, "i-1", 0)
+        await anyio.sleep(ENTRY_DELAY_S)
+        assert await cluster.submit(make_filling_job("a" * 16, 2)) is Outcome.OK
+        await wait_until(lambda: len(cluster.executors["i-0"].runs) == 2)
+        resize(cluster, "i-0", 1000)
+        resize(cluster, "i-1", 7000)
+        await anyio.sleep(ENTRY_DELAY_S)
+        gauges = cluster.owner_node().owner().measure()
+        assert gauges["cell.used_cpu_millis"] == gauges["cell.room_cpu_millis"] == 8000
+        assert gauges["cell.free_cpu_millis"] == 7000
+        assert gauges["cell.executors.over_capacity"] == 1
+
+
 # Guards against an executor that stops what runs there, or starts more, while it is
 # over-full.
 async def test_tasks_on_a_shrunk_executor_go_on_and_nothing_starts_there():
