Plant the fault of LIMIT in both checks of an executor's capacity

test_rooms_that_are_filled_without_counting_are_found plants a scheduler that counts no capacity. Since starts on an over-full executor are withdrawn, that fault is masked: each start is withdrawn before it is sent and placed again in the next pass, and the test did not end within 11 minutes of processor time.

A withdrawn start makes its step wait for 0.1 s, as a refused one does, so that no disagreement of the two checks can place it in each pass.

--- a/gypsumring/cell/orders.py
+++ b/gypsumring/cell/orders.py
@@ -30,7 +30,7 @@
 # The owner abandons a start that has been unanswered for this time while the executor
 # answers long polls. A copy of the order may still be executed later.
 START_TIMEOUT_S = 4.0
-# A step waits this long after a refused start before it is started again.
+# A step waits this long after a refused or withdrawn start before it starts again.
 START_REFUSED_BACKOFF_S = 0.1
 # Reasons for refusing a start after which an executor backs off.
 BACKOFF_REASONS = ("unhealthy", "room")
@@ -176,6 +176,7 @@
             memory_mb=executor.entry.memory_mb,
         )
         self.state.metrics.count("cell.starts.withdrawn")
+        run.step.earliest_start_at = anyio.current_time() + START_REFUSED_BACKOFF_S
         if run.unanswered_orders:
             self.stop(run)
         else:
--- a/soak/tests/test_cell_faults.py
+++ b/soak/tests/test_cell_faults.py
@@ -44,8 +44,11 @@
 def test_rooms_that_are_filled_without_counting_are_found():
     assert_found(
         "LIMIT",
-        lambda: mock.patch.object(
-            ExecutorState, "count_fitting_tasks", lambda self, spec: spec.task_count
+        # Starts on an executor that is over-full are withdrawn as well.
+        lambda: mock.patch.multiple(
+            ExecutorState,
+            count_fitting_tasks=lambda self, spec: spec.task_count,
+            is_overfull=lambda self: False,
         ),
     )
 
