--- a/gypsumring/cell/orders.py
+++ b/gypsumring/cell/orders.py
@@ -30,7 +30,7 @@
 # The owner abandons a start that has been unanswered for this time while the executor
 # answers long polls. A copy of the order may still be executed later.
 START_TIMEOUT_S = 4.0
-# A step waits this long after a refused start before it is started again.
+# A step waits this long after a refused or withdrawn start before it starts again.
 START_REFUSED_BACKOFF_S = 0.1
 # Reasons for refusing a start after which an executor backs off.
 BACKOFF_REASONS = ("unhealthy", "room")
@@ -117,7 +117,15 @@
                 return
             if self.abandon_late_start(run, executor):
                 return
-            if executor.is_unresponsive or not self.state.may_extend_leases():
+            if executor.is_overfull():
+                self.withdraw_start(run, executor)
+                return
+            if (
+                executor.is_unresponsive
+                or not executor.has_current_entry()
+                or not self.state.knows_capacities()
+                or not self.state.may_extend_leases()
+            ):
                 await anyio.sleep(RETRY_PAUSE_S)
                 continue
             client = self.state.clients[run.executor_id]
@@ -153,6 +161,29 @@
             self.record_started(run)
             return
 
+    def withdraw_start(self, run: Run, executor: ExecutorState) -> None:
+        """Withdraw a start whose executor has shrunk, so that the order is not sent.
+
+        A copy that was sent before may still arrive; the stop blocks it.
+        """
+        log.info(
+            "start withdrawn: executor has shrunk",
+            **run.log_fields(),
+            unanswered=run.unanswered_orders,
+            used_cpu_millis=executor.used_cpu,
+            cpu_millis=executor.entry.cpu_millis,
+            used_memory_mb=executor.used_memory,
+            memory_mb=executor.entry.memory_mb,
+        )
+        self.state.metrics.count("cell.starts.withdrawn")
+        run.step.earliest_start_at = anyio.current_time() + START_REFUSED_BACKOFF_S
+        if run.unanswered_orders:
+            self.stop(run)
+        else:
+            self.release(run)
+        if run.step.spec.gang:
+            self.stop_gang(run, "a member's executor has shrunk")
+
     def record_started(self, run: Run) -> None:
         """Record that the executor has confirmed the start of an attempt."""
         run.answered_at = anyio.current_time()
--- a/gypsumring/fleet/executor.py
+++ b/gypsumring/fleet/executor.py
@@ -35,6 +35,11 @@
     accelerators: int = 0
     labels: tuple[str, ...] = ()
 
+    @property
+    def capacity(self) -> tuple[int, int, int]:
+        """Millicores, memory in MB and accelerators."""
+        return self.cpu_millis, self.memory_mb, self.accelerators
+
 
 class ExecutorState:
     """State of one incarnation of an executor.
@@ -185,6 +190,14 @@
         """Rack of the executor, which is its last label."""
         return self.entry.labels[-1] if self.entry.labels else ""
 
+    def has_current_entry(self) -> bool:
+        """Return whether the entry is of the incarnation that reported its tasks.
+
+        Another incarnation may have another capacity.
+        """
+        born_ms = self.entry.born_ms
+        return not born_ms or not self.born_ms or born_ms == self.born_ms
+
     def accepts_work(self, service: str, now: float) -> bool:
         """Return whether new tasks of a service may start on the executor."""
         return (
@@ -195,13 +208,39 @@
             and now - self.last_response_at <= CONTACT_TIMEOUT_S
             and not self.unknown_runs
             and not self.starts_to_block
+            and self.has_current_entry()
             and not self.health.is_quarantined(now)
         )
 
     def free_cpu_millis(self) -> int:
-        """Return the unused CPU capacity, in thousandths of a core."""
+        """Return the unused CPU capacity, in thousandths of a core.
+
+        It is negative if the capacity has shrunk below what the tasks use.
+        """
         return self.entry.cpu_millis - self.used_cpu
 
+    def is_overfull(self) -> bool:
+        """Return whether the tasks use more than the capacity, which may shrink."""
+        entry = self.entry
+        return (
+            self.used_cpu > entry.cpu_millis
+            or self.used_memory > entry.memory_mb
+            or self.used_accelerators > entry.accelerators
+        )
+
+    def free_capacity(self) -> tuple[int, int, int]:
+        """Return the unused millicores, memory in MB and accelerators.
+
+        An over-full executor has none, so that sums over executors may use the result.
+        """
+        if self.is_overfull():
+            return 0, 0, 0
+        return (
+            self.entry.cpu_millis - self.used_cpu,
+            self.entry.memory_mb - self.used_memory,
+            self.entry.accelerators - self.used_accelerators,
+        )
+
     def count_fitting_tasks(self, spec: StepSpec) -> int:
         """Return how many more tasks of a step fit into the free capacity."""
         return count_fitting(
@@ -235,7 +274,12 @@
 def count_fitting(
     spec: StepSpec, cpu_millis: int, memory_mb: int, accelerators: int
 ) -> int:
-    """Return how many tasks of a step fit into a capacity, at most its task count."""
+    """Return how many tasks of a step fit into a capacity, at most its task count.
+
+    Nothing fits if any capacity is negative, even if the step does not use that one.
+    """
+    if cpu_millis < 0 or memory_mb < 0 or accelerators < 0:
+        return 0
     count = spec.task_count
     if accounted_cpu_millis(spec):
         count = min(count, cpu_millis // spec.cpu_millis)
@@ -243,7 +287,7 @@
         count = min(count, memory_mb // spec.memory_mb)
     if spec.accelerators:
         count = min(count, accelerators // spec.accelerators)
-    return max(0, count)
+    return count
 
 
 def accounted_cpu_millis(spec: StepSpec) -> int:
