Let a task of the stand-ins crash its executor

The stand-ins had no task that takes its executor down, so nothing showed what the owner does with one. A behaviour may now crash the executor at the start, before the start is answered, or after some seconds of work; the executor starts again under its id.

--- a/stand_ins/platform/cluster.py
+++ b/stand_ins/platform/cluster.py
@@ -21,7 +21,7 @@
     StepSpec,
 )
 from gypsumring.ports.tasks import PolicyBusy, PolicyUnavailable, TaskExecutor
-from stand_ins.platform.executor import ExecutorModel
+from stand_ins.platform.executor import ExecutorModel, TaskRun
 from stand_ins.platform.faults import Faults
 from stand_ins.platform.memory import (
     ENTRIES_TOPIC,
@@ -40,6 +40,8 @@
 QUEUE = "batch"
 MEMBERSHIP_TTL_S = 1.0
 RETRY_INTERVAL_S = 0.05
+# An executor that a task has crashed starts again after this time.
+RESTART_S = 2.0
 
 decode_entry = msgspec.msgpack.Decoder(ExecutorEntry).decode
 
@@ -181,6 +183,7 @@
         "nodes",
         "policy",
         "random_source",
+        "restart_s",
         "shares_advice",
         "store",
         "world",
@@ -197,6 +200,8 @@
         seed: int = 0,
     ):
         self.world = world
+        world.schedule_crash = self.schedule_crash
+        self.restart_s = RESTART_S
         self.group = group
         self.random_source = random.Random(seed)
         self.metrics = Metrics()
@@ -256,6 +261,29 @@
         self.departed.add(model.executor_id)
         self.store.append(ENTRIES_TOPIC, 0, [(model.executor_id, b"")], None)
 
+    def schedule_crash(
+        self, model: ExecutorModel, run: TaskRun, after_s: float
+    ) -> None:
+        """Crash an executor after some seconds of a task's work; start it again."""
+        if after_s <= 0:
+            model.crash()
+        self.group.start_soon(self.crash_and_restart, model, run, after_s)
+
+    async def crash_and_restart(
+        self, model: ExecutorModel, run: TaskRun, after_s: float
+    ) -> None:
+        """Crash an executor if the task still runs then, and start it again."""
+        if after_s > 0:
+            await anyio.sleep(after_s)
+            model.advance()
+            if model.runs.get((run.task, run.attempt)) is not run:
+                return
+            model.crash()
+        await anyio.sleep(self.restart_s)
+        if model.executor_id not in self.departed:
+            model.start_incarnation()
+            self.register(model)
+
     def list_staying(self) -> list[ExecutorModel]:
         """Return the executors that have not left."""
         models = self.executors.items()
--- a/stand_ins/platform/executor.py
+++ b/stand_ins/platform/executor.py
@@ -158,6 +158,8 @@
     def crash(self) -> None:
         """Stop the executor at once, with all its tasks."""
         self.is_up = False
+        for run in self.runs.values():
+            self.world.record_crash(run.task)
         self.runs = {}
 
     @property
@@ -280,6 +282,11 @@
             run.work_s = float("inf")
         self.runs[key] = run
         self.world.check_start(self, run)
+        if behaviour.crashes_after_s is not None:
+            self.world.deadly.add(order.task)
+            self.world.schedule_crash(self, run, behaviour.crashes_after_s)
+            if not self.is_up:
+                return
         if not self.is_gang(order.task):
             run.ends_at = run.started_at + run.work_s
         elif self.gang_is_complete(run):
--- a/stand_ins/platform/memory.py
+++ b/stand_ins/platform/memory.py
@@ -175,7 +175,8 @@
             delayed_operation = self.bind_to_incarnation(operation)
             self.group.start_soon(carry_out_late, self.faults, delayed_operation)
         result = operation() if delivery != "late" else None
-        if delivery != "answered":
+        # An executor that the operation has crashed does not answer.
+        if delivery != "answered" or not self.model.is_up:
             await self.faults.wait_without_answer(deadline)
             raise ExecutorSilent(self.model.executor_id)
         await anyio.sleep(NETWORK_LATENCY_S)
--- a/stand_ins/platform/world.py
+++ b/stand_ins/platform/world.py
@@ -13,6 +13,11 @@
 
 __all__ = ["TaskBehaviour", "World"]
 
+# After this many crashes under a task it may be started fewer times than this again.
+MAX_CRASHES = 3
+MAX_STARTS_AFTER_CRASHES = 3
+# A job may be given up once this many executors have crashed under one of its tasks.
+MIN_CRASHES_OF_GIVEN_UP = 2
 # Tolerance for the start of a scheduled task before its time.
 MAX_EARLY_START_MS = 250
 LONG_TASK_SHARE = 0.04
@@ -20,16 +25,23 @@
 
 
 class TaskBehaviour:
-    """Duration of an attempt, in seconds, and its outcome."""
+    """Duration of an attempt, in seconds, and its outcome.
 
-    __slots__ = ("how", "work_s")
+    A deadly task crashes its executor ``crashes_after_s`` after its start.
+    """
+
+    __slots__ = ("crashes_after_s", "how", "work_s")
 
-    def __init__(self, work_s: float, how: str = "done"):
+    def __init__(
+        self, work_s: float, how: str = "done", crashes_after_s: float | None = None
+    ):
         self.work_s = work_s
         self.how = how
+        self.crashes_after_s = crashes_after_s
 
 
 BehaviourFactory = Callable[[str, int], TaskBehaviour]
+CrashHandler = Callable[["ExecutorModel", "TaskRun", float], None]
 
 
 class World:
@@ -41,13 +53,17 @@
     __slots__ = (
         "behave",
         "cancelled",
+        "crashes",
+        "deadly",
         "done",
         "executors",
         "failed_runs",
         "jobs",
         "max_attempts",
         "refused",
+        "schedule_crash",
         "starts",
+        "starts_after_crashes",
         "violations",
     )
 
@@ -63,6 +79,13 @@
         self.done: dict[str, float] = {}
         self.failed_runs: dict[str, int] = {}
         self.starts: dict[str, int] = {}
+        # Crashes of executors on which a task ran, and starts after MAX_CRASHES.
+        self.crashes: dict[str, int] = {}
+        self.starts_after_crashes: dict[str, int] = {}
+        # Tasks that have been started and crash their executors.
+        self.deadly: set[str] = set()
+        # Crashes an executor some seconds after the start of a deadly task.
+        self.schedule_crash: CrashHandler | None = None
         self.violations: list[str] = []
 
     def violate(self, rule: str, detail: str) -> None:
@@ -81,6 +104,7 @@
             self.violate("REFUSED", run.task)
         step = spec.steps[parsed[2]]
         self.check_single_run(executor, run, step.speculative)
+        self.check_crashes(run.task)
         self.check_order(spec, run.task, step.after)
         self.check_start_time(spec, run.task)
         if self.failed_runs.get(self.failure_key(run.task), 0) >= self.max_attempts:
@@ -111,6 +135,30 @@
                         f"{run.task} on {executor.executor_id} and {other.executor_id}",
                     )
 
+    def record_crash(self, task: str) -> None:
+        """Record that an executor has crashed while the task ran there."""
+        self.crashes[task] = self.crashes.get(task, 0) + 1
+
+    def check_crashes(self, task: str) -> None:
+        """Check that a task is not started too often after its crashes."""
+        if self.crashes.get(task, 0) < MAX_CRASHES:
+            return
+        count = self.starts_after_crashes.get(task, 0) + 1
+        self.starts_after_crashes[task] = count
+        if count >= MAX_STARTS_AFTER_CRASHES:
+            self.violate("BUDGET", f"{task} after {self.crashes[task]} crashes")
+
+    def may_be_given_up(self, job_id: str) -> bool:
+        """Return whether enough executors have crashed under a task of the job."""
+        return any(
+            task.startswith(job_id) and count >= MIN_CRASHES_OF_GIVEN_UP
+            for task, count in self.crashes.items()
+        )
+
+    def is_deadly(self, job_id: str) -> bool:
+        """Return whether a task of the job has been started and is deadly."""
+        return any(task.startswith(job_id) for task in self.deadly)
+
     def check_order(
         self, spec: PipelineSpec, task: str, after: tuple[int, ...]
     ) -> None:
@@ -181,6 +229,15 @@
     return lambda task, attempt: TaskBehaviour(work_s)
 
 
+def deadly_behaviour(
+    work_s: float, crashes_after_s: dict[str, float]
+) -> BehaviourFactory:
+    """Return a behaviour in which the named tasks crash their executors."""
+    return lambda task, attempt: TaskBehaviour(
+        work_s, crashes_after_s=crashes_after_s.get(task)
+    )
+
+
 def random_behaviour(seed: int, mean_s: float, failing: float) -> BehaviourFactory:
     """Return a behaviour that is drawn from a seed for each task and attempt.
 
