Count crashes of executors against the tasks that ran there

Callers saw one task take down executor after executor: nothing counted a crash against a task, its attempts were released and started elsewhere for ever. An unanswered start was even sent again to the next incarnation of the same executor.

A new incarnation under the same id, or an executor that is gone without having drained, now counts against the attempts that may have run there (pipelines/crashes.py decides, cell/crashes.py acts). Their tasks are suspects and are kept apart (dispatch/isolation.py) for 2.5 s at most. A job is given up once one task was the only suspect in crashes of two executors and ran alone in one, and in any case after two starts that follow three crashes. An executor that only does not answer is recorded as unconfirmed until it answers or has left; crashes of three executors within a second name nobody. Counts are in the progress record before the task is placed again, and so is each placement of a suspect before its start, so that the next owner can count a crash that the owner did not outlive.

--- a/gypsumring/cell/executor_polling.py
+++ b/gypsumring/cell/executor_polling.py
@@ -76,6 +76,7 @@
             )
         if entry.draining and not executor.entry.draining:
             log.info("executor is draining", executor=entry.executor_id)
+        executor.record_draining(entry)
         if entry.draining:
             executor.may_leave_at = anyio.current_time() + entry.remaining_ms / 1000
         executor.entry = entry
@@ -140,6 +141,7 @@
     def evict(self, executor: ExecutorState) -> None:
         """Evict an executor and delete its record."""
         self.list_reader.release_all(executor, "executor has no directory entry")
+        self.list_reader.orders.crashes.record_departure(executor)
         executor_id = executor.executor_id
         if self.state.fleet.get(executor_id) is executor:
             del self.state.fleet[executor_id]
--- a/gypsumring/cell/lists.py
+++ b/gypsumring/cell/lists.py
@@ -46,6 +46,7 @@
             )
             self.state.metrics.count("cell.attempts.lost", len(runs))
         executor.runs_were_released = True
+        self.orders.crashes.record_loss(executor)
         for run in runs:
             self.orders.release(run)
             self.stop_remaining_members(run, reason)
@@ -74,6 +75,9 @@
         if has_restarted and not is_first_response:
             log.warning("executor has restarted", executor=executor.executor_id)
             self.state.metrics.count("cell.executors.reborn")
+            self.orders.crashes.record_restart(
+                executor, [(run.task, run.attempt) for run in task_lists.running]
+            )
             executor.start_incarnation(
                 task_lists.born_ms, task_lists.clock_ms + max_lease_ms
             )
@@ -96,6 +100,8 @@
         changed_jobs = self.apply_ended(executor, task_lists.ended, may_adopt)
         if len(task_lists.ended) < MAX_LISTED_ENDS:
             self.release_absent(executor, listed_keys, requested_at)
+        if is_first_response or has_restarted or runs_were_released:
+            self.orders.crashes.resolve(executor)
         executor.unknown_runs &= listed_keys
         if len(task_lists.ended) < MAX_LISTED_ENDS:
             self.mark_reconciled(executor)
@@ -155,6 +161,7 @@
                         self.orders.stop_unknown_run, executor, *key
                     )
                 continue
+            run.has_begun = True
             if run.state is RunState.STARTING:
                 run.state = RunState.RUNNING
                 run.answered_at = now
@@ -220,6 +227,7 @@
             outcome = self.state.table.end(
                 run, end.how, end.checkpoint, self.state.find_queue(job).max_attempts
             )
+            self.orders.crashes.record_end(run)
             self.state.metrics.count(f"cell.ends.{end.how}")
             log.info("attempt ended", **run.log_fields(), how=end.how, end=end.number)
             self.orders.stop_all(outcome.stop)
--- a/gypsumring/cell/orders.py
+++ b/gypsumring/cell/orders.py
@@ -2,6 +2,7 @@
 
 import anyio
 
+from gypsumring.cell.crashes import CrashAttribution
 from gypsumring.cell.exceptions import OwnershipLost
 from gypsumring.cell.state import CellState
 from gypsumring.fleet import MAX_ORDER_DELAY_S, ExecutorState
@@ -42,14 +43,17 @@
 class Orders:
     """Sender of start and stop orders, which are repeated until answered."""
 
-    __slots__ = ("state",)
+    __slots__ = ("crashes", "state")
 
     def __init__(self, state: CellState):
         self.state = state
+        self.crashes = CrashAttribution(state, self.stop_all)
 
     def start(self, run: Run, ticket: str) -> None:
         """Start an attempt in a background task."""
-        self.state.group.start_soon(self.start_run, run, ticket)
+        self.crashes.record_start(
+            run, lambda: self.state.group.start_soon(self.start_run, run, ticket)
+        )
 
     def stop(self, run: Run) -> None:
         """Stop an attempt in a background task, unless it is stopping already."""
@@ -75,6 +79,7 @@
         if executor is not None:
             self.state.release_capacity(executor, run)
         self.state.table.release(run)
+        self.crashes.record_end(run)
         self.state.wake()
 
     def abandon_late_start(self, run: Run, executor: ExecutorState) -> bool:
@@ -126,6 +131,7 @@
             sent_clock = self.state.clock()
             deadline = sent_at + ORDER_TIMEOUT_S
             run.start_sent_by = float("inf")
+            run.was_sent = True
             try:
                 await client.start(order, self.state.fence, deadline)
             except ExecutorSilent:
@@ -156,6 +162,7 @@
     def record_started(self, run: Run) -> None:
         """Record that the executor has confirmed the start of an attempt."""
         run.answered_at = anyio.current_time()
+        run.has_begun = True
         if run.state is RunState.STARTING:
             run.state = RunState.RUNNING
         self.state.metrics.count("cell.starts")
@@ -188,6 +195,7 @@
         )
         self.state.metrics.count(f"cell.starts.refused.{reason}")
         run.step.earliest_start_at = anyio.current_time() + START_REFUSED_BACKOFF_S
+        self.crashes.record_refusal(run)
         if reason == "ticket":
             run.step.tickets.pop(run.executor_id, None)
         if reason == "old" or run.unanswered_orders:
--- a/gypsumring/cell/owner.py
+++ b/gypsumring/cell/owner.py
@@ -173,6 +173,7 @@
             "cell.jobs.active": len(state.table.active),
             "cell.jobs.known": len(state.table.jobs),
             "cell.executors": len(fleet),
+            "cell.tasks.suspects": len(state.table.crashes.list_suspects()),
             "cell.executors.resting": sum(
                 executor.health.is_quarantined(now) for executor in fleet
             ),
@@ -268,6 +269,7 @@
         )
         if progress is not None:
             job.restore(progress)
+            self.state.table.crashes.add_job(job)
             self.state.table.mark_changed(job)
         if job.phase.is_final:
             job.ended_at = anyio.current_time()
--- a/gypsumring/cell/scheduling.py
+++ b/gypsumring/cell/scheduling.py
@@ -19,6 +19,7 @@
     reserve_executors,
 )
 from gypsumring.dispatch.backlog import EVALUATION_PERIOD_S
+from gypsumring.dispatch.isolation import Isolation
 from gypsumring.dispatch.placing import has_capacity, has_label
 from gypsumring.fleet import ExecutorState
 from gypsumring.pipelines import Queue, RunState, Step
@@ -138,6 +139,7 @@
     def evaluate_fleet(self, now: float) -> None:
         """Evacuate draining executors, and reserve others for large tasks."""
         self.accepting_executors = {}
+        self.orders.crashes.review_suspects()
         fleet = self.list_enrolled()
         for executor in fleet:
             if executor.entry.draining:
@@ -285,7 +287,11 @@
         """Return placements for the pending tasks of a step."""
         factor = self.state.timing.spread_factor
         deprioritized = self.reserved.keys() - step.reserved
-        return place_step(step, candidates, factor, anyio.current_time(), deprioritized)
+        now = anyio.current_time()
+        isolation = Isolation(self.state.table.crashes, len(self.state.fleet), now)
+        return place_step(
+            step, isolation.admit(candidates), factor, now, deprioritized, isolation
+        )
 
     def admits(self, executor: ExecutorState, step: Step, priority: int) -> bool:
         """Return whether the reservations let a step use an executor."""
--- a/gypsumring/cell/state.py
+++ b/gypsumring/cell/state.py
@@ -167,7 +167,10 @@
         return self.queues.find(job.spec)
 
     def write_progress(
-        self, job: Job, on_durable: Callable[[], None] | None = None
+        self,
+        job: Job,
+        on_durable: Callable[[], None] | None = None,
+        urgent: bool = False,
     ) -> None:
         """Queue the progress of a job; a final phase is visible once it is durable."""
         has_ended = job.phase.is_final and not job.final_since_ms
@@ -191,7 +194,7 @@
             PROGRESS_KEY + job.spec.job_id,
             encode(job.progress()),
             publish,
-            urgent=phase.is_final,
+            urgent=urgent or phase.is_final,
         )
 
     def log_ended(self, job: Job) -> None:
--- a/gypsumring/cell/tests/test_crashes.py
+++ b/gypsumring/cell/tests/test_crashes.py
@@ -1,11 +1,13 @@
 """Tasks that crash the executors on which they run."""
 
+import anyio
+
 from gypsumring.cell.messages import Outcome
 from gypsumring.cell.tests.test_recovery import running_cluster
 from gypsumring.pipelines import JobPhase, StepSpec
 from gypsumring.utils.testing import make_load_tests
 from stand_ins.platform.cluster import MemoryCluster, make_job
-from stand_ins.platform.world import deadly_behaviour
+from stand_ins.platform.world import deadly_behaviour, steady_behaviour
 
 DEADLY_JOB = "d" * 16
 OTHER_JOB = "a" * 16
@@ -39,4 +41,192 @@
         assert cluster.world.crashes[DEADLY_TASK] >= 2
 
 
+# Guards against a job given up because a task of it ran beside the deadly one. The
+# other tasks have to end, although the deadly one first starts among them.
+async def test_tasks_beside_a_deadly_one_complete():
+    behave = deadly_behaviour(4.0, {DEADLY_TASK: 1.5})
+    async with running_cluster(behave) as cluster:
+        await submit(cluster, OTHER_JOB, BATCH)
+        await submit(cluster, DEADLY_JOB, SINGLE)
+        await submit(cluster, "b" * 16, BATCH)
+        assert await cluster.wait_final(DEADLY_JOB) is JobPhase.FAILED
+        assert await cluster.wait_final(OTHER_JOB) is JobPhase.COMPLETED
+        assert await cluster.wait_final("b" * 16) is JobPhase.COMPLETED
+        assert cluster.metrics.counters["cell.jobs.given_up"] == 1
+
+
+# Guards against the same with two deadly tasks, each beside the other at first: a crash
+# with two suspects on the executor names neither.
+async def test_two_deadly_tasks_are_told_apart_from_the_others():
+    tasks = {DEADLY_TASK: 1.5, f"{'e' * 16}.0.0.0": 0.5}
+    async with running_cluster(deadly_behaviour(3.0, tasks)) as cluster:
+        await submit(cluster, OTHER_JOB, BATCH)
+        await submit(cluster, DEADLY_JOB, SINGLE)
+        await submit(cluster, "e" * 16, SINGLE)
+        assert await cluster.wait_final(DEADLY_JOB) is JobPhase.FAILED
+        assert await cluster.wait_final("e" * 16) is JobPhase.FAILED
+        assert await cluster.wait_final(OTHER_JOB) is JobPhase.COMPLETED
+        assert cluster.metrics.counters["cell.jobs.given_up"] == 2
+
+
+# Guards against crashes that are counted for a job and not for its task.
+async def test_job_with_one_deadly_task_of_several_is_given_up():
+    behave = deadly_behaviour(2.0, {f"{DEADLY_JOB}.0.0.5": 0.3})
+    async with running_cluster(behave) as cluster:
+        await submit(cluster, DEADLY_JOB, BATCH)
+        await submit(cluster, OTHER_JOB, BATCH)
+        assert await cluster.wait_final(DEADLY_JOB) is JobPhase.FAILED
+        assert await cluster.wait_final(OTHER_JOB) is JobPhase.COMPLETED
+
+
+# Guards against a crash that is counted against all members of a gang: only those on
+# the executor can have caused it.
+async def test_crash_counts_against_the_gang_members_on_the_executor():
+    behave = deadly_behaviour(4.0, {f"{DEADLY_JOB}.0.0.2": 1.0})
+    gang = StepSpec(task_count=4, cpu_millis=5000, estimated_ms=4000, gang=True)
+    async with running_cluster(behave, executors=6) as cluster:
+        await submit(cluster, DEADLY_JOB, gang)
+        assert await cluster.wait_final(DEADLY_JOB) is JobPhase.FAILED
+        (step,) = cluster.owner_node().owner().state.table.jobs[DEADLY_JOB].steps
+        assert set(step.suspects) == {2}
+
+
+# Guards against a count that is lost when the owner's machine dies with the executor.
+# The next owner can't know what ran there in the first crash; later it can.
+async def test_crashes_are_counted_when_the_owner_dies_with_the_executor():
+    behave = deadly_behaviour(3.0, {DEADLY_TASK: 1.0})
+    async with running_cluster(behave, nodes=3) as cluster:
+        await submit(cluster, DEADLY_JOB, SINGLE)
+        while cluster.world.starts.get(DEADLY_TASK, 0) < 2:
+            await anyio.sleep(0.02)
+        seen = 1
+        with anyio.fail_after(120.0):
+            while cluster.phase(DEADLY_JOB) is not JobPhase.FAILED:
+                await anyio.sleep(0.02)
+                crashes = cluster.world.crashes.get(DEADLY_TASK, 0)
+                if crashes > seen:
+                    seen = crashes
+                    await replace_owner(cluster)
+        assert 2 <= cluster.world.crashes[DEADLY_TASK] <= 5
+
+
+async def replace_owner(cluster: MemoryCluster) -> None:
+    """Kill the owner's node and start it again."""
+    node = cluster.owner_node()
+    if node is not None:
+        node.kill()
+        cluster.add_node(node.name)
+    while cluster.owner_node() is None:
+        await anyio.sleep(0.02)
+
+
+# Guards against a crash that is forgotten when the owner dies later.
+async def test_counts_outlive_the_owner():
+    behave = deadly_behaviour(3.0, {DEADLY_TASK: 1.0})
+    async with running_cluster(behave, nodes=3) as cluster:
+        await submit(cluster, DEADLY_JOB, SINGLE)
+        while DEADLY_JOB not in list_suspect_jobs(cluster):
+            await anyio.sleep(0.05)
+        await anyio.sleep(0.3)
+        await replace_owner(cluster)
+        assert DEADLY_JOB in list_suspect_jobs(cluster)
+        assert await cluster.wait_final(DEADLY_JOB) is JobPhase.FAILED
+
+
+def list_suspect_jobs(cluster: MemoryCluster) -> set[str]:
+    """Return the jobs with a task under which an executor has crashed."""
+    table = cluster.owner_node().owner().state.table
+    return {step.job.spec.job_id for step, _, _ in table.crashes.list_suspects()}
+
+
+# Guards against an executor that does not answer and is taken for a crashed one: it is
+# the same incarnation when it answers again.
+async def test_executor_that_is_cut_off_has_not_crashed():
+    async with running_cluster(steady_behaviour(15.0)) as cluster:
+        await submit(cluster, OTHER_JOB, SINGLE)
+        await anyio.sleep(1.0)
+        (name,) = [name for name, each in cluster.executors.items() if each.runs]
+        for _ in range(3):
+            cluster.owner_node().faults.cut_executors.add(name)
+            await anyio.sleep(7.0)
+            cluster.owner_node().faults.cut_executors.discard(name)
+            await anyio.sleep(2.0)
+        assert list_suspect_jobs(cluster) == set()
+        assert cluster.metrics.counters["cell.executors.crashed"] == 0
+        assert await cluster.wait_final(OTHER_JOB) is JobPhase.COMPLETED
+
+
+# Guards against a planned shutdown that is taken for a crash.
+async def test_executor_that_drains_and_leaves_has_not_crashed():
+    async with running_cluster(steady_behaviour(8.0)) as cluster:
+        await submit(cluster, OTHER_JOB, SINGLE)
+        await anyio.sleep(1.0)
+        (model,) = [each for each in cluster.executors.values() if each.runs]
+        cluster.register(model, draining=True)
+        await anyio.sleep(1.0)
+        cluster.remove_executor(model)
+        assert await cluster.wait_final(OTHER_JOB) is JobPhase.COMPLETED
+        assert cluster.metrics.counters["cell.tasks.suspected"] == 0
+
+
+# Guards against crashes that are counted only when the executor comes back.
+async def test_executor_that_is_gone_for_good_has_crashed():
+    behave = deadly_behaviour(1.0, {DEADLY_TASK: 0.0})
+    async with running_cluster(behave, executors=8) as cluster:
+        cluster.world.schedule_crash = lambda model, run, after_s: (
+            cluster.remove_executor(model)
+        )
+        await submit(cluster, DEADLY_JOB, SINGLE)
+        assert await cluster.wait_final(DEADLY_JOB) is JobPhase.FAILED
+        assert cluster.world.crashes[DEADLY_TASK] <= 3
+
+
+# Guards against a start before the crash is in the store: an owner that dies then would
+# leave no trace of it.
+async def test_task_is_not_started_again_before_its_crash_is_durable():
+    async with running_cluster(steady_behaviour(5.0), nodes=1) as cluster:
+        await submit(cluster, OTHER_JOB, SINGLE)
+        await anyio.sleep(1.0)
+        (model,) = [each for each in cluster.executors.values() if each.runs]
+        cluster.owner_node().faults.store_away = True
+        model.crash()
+        await anyio.sleep(1.0)
+        model.start_incarnation()
+        await anyio.sleep(4.0)
+        assert cluster.metrics.counters["cell.tasks.suspected"] == 1
+        assert cluster.world.starts[f"{OTHER_JOB}.0.0.0"] == 1
+        cluster.owner_node().faults.store_away = False
+        assert await cluster.wait_final(OTHER_JOB) is JobPhase.COMPLETED
+
+
+# Guards against jobs given up after two losses of a rack, in which each task ran alone
+# on its executor.
+async def test_crashes_of_many_executors_at_once_give_up_no_job():
+    async with running_cluster(steady_behaviour(9.0), executors=6) as cluster:
+        wide = StepSpec(task_count=6, cpu_millis=8000, estimated_ms=9000)
+        await submit(cluster, OTHER_JOB, wide)
+        for _ in range(2):
+            while not all(model.runs for model in cluster.executors.values()):
+                await anyio.sleep(0.1)
+            await anyio.sleep(2.0)
+            for model in cluster.executors.values():
+                model.crash()
+            await anyio.sleep(2.0)
+            for model in cluster.executors.values():
+                model.start_incarnation()
+                cluster.register(model)
+        assert await cluster.wait_final(OTHER_JOB) is JobPhase.COMPLETED
+        assert set(cluster.world.crashes.values()) == {2}
+
+
+# Guards against tasks that last: they have no limit of failures, but crash executors
+# like others.
+async def test_deadly_task_that_lasts_is_given_up():
+    behave = deadly_behaviour(float("inf"), {DEADLY_TASK: 2.0})
+    async with running_cluster(behave) as cluster:
+        lasting = StepSpec(task_count=1, cpu_millis=1000, long_running=True)
+        await submit(cluster, DEADLY_JOB, lasting)
+        assert await cluster.wait_final(DEADLY_JOB) is JobPhase.FAILED
+
+
 load_tests = make_load_tests(globals())
--- a/gypsumring/dispatch/placing.py
+++ b/gypsumring/dispatch/placing.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Collection, Iterable
 
+from gypsumring.dispatch.isolation import Isolation
 from gypsumring.fleet import ExecutorState
 from gypsumring.fleet.executor import count_fitting
 from gypsumring.pipelines.state import Step
@@ -62,12 +63,16 @@
 
 
 def sort_key(
-    step: Step, executor: ExecutorState, deprioritized: Collection[str]
+    step: Step,
+    executor: ExecutorState,
+    deprioritized: Collection[str],
+    occupied: Collection[str] = (),
 ) -> tuple:
     """Return the sort key of an executor for a step, most preferred first."""
     data_rack = step.spec.data_rack
     return (
         executor.executor_id in deprioritized,
+        executor.executor_id in occupied,
         executor.health.is_suspect(),
         bool(data_rack) and data_rack not in executor.entry.labels,
         round(executor.health.slowdown * 4),
@@ -82,10 +87,12 @@
     spread_factor: float,
     now: float,
     deprioritized: Collection[str] = (),
+    isolation: Isolation | None = None,
 ) -> list[Placement]:
     """Return placements for the pending tasks of a step; a gang is placed completely.
 
-    Executors in ``deprioritized`` are used last. Tasks that run away from their data,
+    Executors in ``deprioritized`` are used last. Without ``isolation``, suspects of
+    crashes are placed as other tasks are. Tasks that run away from their data,
     or are spread over racks although they prefer one, take ``spread_factor`` times as
     long. A step therefore waits for a better placement for the extra time of the worse
     one.
@@ -96,14 +103,14 @@
         near_data = [
             executor for executor in candidates if executor.rack == spec.data_rack
         ]
-        placements = pack_tasks(step, near_data, deprioritized)
+        placements = pack_tasks(step, near_data, deprioritized, isolation)
         if placements or (may_wait and near_data):
             return placements
     if spec.same_rack:
-        placements = pack_one_rack(step, candidates, deprioritized)
+        placements = pack_one_rack(step, candidates, deprioritized, isolation)
         if placements or may_wait:
             return placements
-    return pack_tasks(step, candidates, deprioritized)
+    return pack_tasks(step, candidates, deprioritized, isolation)
 
 
 def waits_for_locality(step: Step, spread_factor: float, now: float) -> bool:
@@ -115,7 +122,10 @@
 
 
 def pack_one_rack(
-    step: Step, candidates: list[ExecutorState], deprioritized: Collection[str]
+    step: Step,
+    candidates: list[ExecutorState],
+    deprioritized: Collection[str],
+    isolation: Isolation | None = None,
 ) -> list[Placement]:
     """Return placements on the rack that holds the most tasks.
 
@@ -128,14 +138,17 @@
     if used:
         racks = {rack: racks[rack] for rack in used if rack in racks}
     options = [
-        pack_tasks(step, executors, deprioritized)
+        pack_tasks(step, executors, deprioritized, isolation)
         for _, executors in sorted(racks.items())
     ]
     return max(options, key=len, default=[])
 
 
 def pack_tasks(
-    step: Step, candidates: list[ExecutorState], deprioritized: Collection[str]
+    step: Step,
+    candidates: list[ExecutorState],
+    deprioritized: Collection[str],
+    isolation: Isolation | None = None,
 ) -> list[Placement]:
     """Return placements on the candidates in order of preference.
 
@@ -152,14 +165,17 @@
     with_capacity = [
         executor for executor in candidates if capacity[executor.executor_id]
     ]
+    occupied = isolation.occupied if isolation is not None else ()
     ordered = sorted(
-        with_capacity, key=lambda executor: sort_key(step, executor, deprioritized)
+        with_capacity,
+        key=lambda executor: sort_key(step, executor, deprioritized, occupied),
     )
-    placements = assign(step, ordered, dict(capacity), step.avoided)
+    placements = assign(step, ordered, dict(capacity), step.avoided, isolation)
     if len(placements) == len(step.pending) or not step.avoided:
         return placements
     ordered = sorted(
-        candidates, key=lambda executor: sort_key(step, executor, deprioritized)
+        candidates,
+        key=lambda executor: sort_key(step, executor, deprioritized, occupied),
     )
     empty_capacity = {
         executor.executor_id: count_fitting_when_empty(step, executor)
@@ -167,7 +183,7 @@
     }
     if len(assign(step, ordered, empty_capacity, step.avoided)) == len(step.pending):
         return placements
-    return assign(step, ordered, capacity, {})
+    return assign(step, ordered, capacity, {}, isolation)
 
 
 def assign(
@@ -175,6 +191,7 @@
     ordered: list[ExecutorState],
     capacity: dict[str, int],
     avoided_by: dict[int, set[str]],
+    isolation: Isolation | None = None,
 ) -> list[Placement]:
     """Assign each pending task to the first executor with capacity.
 
@@ -183,19 +200,56 @@
     placements = []
     no_executors: set[str] = set()
     ordered = list(ordered)
-    for index in sorted(step.pending):
+    for index in list_placeable(step):
         while ordered and capacity[ordered[0].executor_id] <= 0:
             del ordered[0]
         avoided = avoided_by.get(index, no_executors)
-        for executor in ordered:
-            if (
-                capacity[executor.executor_id] > 0
-                and executor.executor_id not in avoided
-            ):
-                capacity[executor.executor_id] -= 1
-                placements.append(Placement(index, executor))
-                break
+        suspect = step.suspects.get(index) if isolation is not None else None
+        if suspect is None:
+            executor = find_first(ordered, capacity, avoided)
         else:
-            if step.spec.gang:
-                return []
+            possible = [
+                executor
+                for executor in ordered
+                if capacity[executor.executor_id] > 0
+                and executor.executor_id not in avoided
+            ]
+            assigned = {placement.executor.executor_id for placement in placements}
+            executor = isolation.choose(step, suspect, possible, assigned)
+        if executor is not None:
+            capacity[executor.executor_id] -= 1
+            if suspect is not None and suspect.must_run_alone:
+                capacity[executor.executor_id] = 0
+            placements.append(Placement(index, executor))
+        elif step.spec.gang:
+            return []
     return placements
+
+
+def list_placeable(step: Step) -> list[int]:
+    """Return the pending tasks that may be placed, suspects of crashes first.
+
+    A task waits until its latest crash is durable, and is not started too often.
+    """
+    if not step.suspects and not step.unrecorded:
+        return sorted(step.pending)
+    blocked = step.unrecorded | {
+        index for index, suspect in step.suspects.items() if suspect.is_exhausted
+    }
+    if step.spec.gang and blocked:
+        return []
+    return sorted(
+        step.pending - blocked,
+        key=lambda index: (index not in step.suspects, index),
+    )
+
+
+def find_first(
+    ordered: list[ExecutorState], capacity: dict[str, int], avoided: set[str]
+) -> ExecutorState | None:
+    """Return the first executor with capacity that is not avoided."""
+    for executor in ordered:
+        executor_id = executor.executor_id
+        if capacity[executor_id] > 0 and executor_id not in avoided:
+            return executor
+    return None
--- a/gypsumring/fleet/executor.py
+++ b/gypsumring/fleet/executor.py
@@ -47,6 +47,7 @@
         "born_ms",
         "clock_ms",
         "clock_read_at",
+        "drained_born_ms",
         "ends_became_durable",
         "entry",
         "first_response_at",
@@ -75,6 +76,8 @@
         self.listed = True
         # Earliest time at which a draining executor may leave.
         self.may_leave_at: float | None = None
+        # Incarnation that is draining.
+        self.drained_born_ms: int | None = None
         self.health = ExecutorHealth()
         self.tracked_since = now
         self.first_response_at: float | None = None
@@ -116,6 +119,19 @@
         self.last_durable_end = 0
         self.unknown_runs.clear()
 
+    def record_draining(self, entry: ExecutorEntry) -> None:
+        """Record which incarnation a new directory entry reports as draining."""
+        born_ms = entry.born_ms or self.born_ms
+        if entry.draining:
+            self.drained_born_ms = born_ms
+        elif self.drained_born_ms == born_ms:
+            self.drained_born_ms = None
+
+    @property
+    def is_leaving(self) -> bool:
+        """Return whether the incarnation has announced that it leaves."""
+        return self.drained_born_ms == self.born_ms
+
     def record_clock(self, clock_ms: int, now: float) -> None:
         """Record the executor's clock from a response that has just arrived."""
         if self.first_response_at is None:
--- a/gypsumring/pipelines/records.py
+++ b/gypsumring/pipelines/records.py
@@ -5,7 +5,14 @@
 from gypsumring.pipelines.exceptions import PipelineError
 from gypsumring.pipelines.model import JobPhase, PipelineSpec
 
-__all__ = ["Progress", "decode_progress", "decode_spec", "encode"]
+__all__ = [
+    "CrashRecord",
+    "Progress",
+    "SuspectRecord",
+    "decode_progress",
+    "decode_spec",
+    "encode",
+]
 
 # Records encode fields by name rather than by position so that nodes of different
 # versions can read each other's records.
@@ -15,7 +22,55 @@
     "occurrence": "k",
     "failures": "f",
     "checkpoints": "c",
+    "suspects": "s",
 }
+SUSPECT_NAMES = {
+    "crashes": "x",
+    "final_starts": "n",
+    "placed_on": "e",
+    "placed_born_ms": "b",
+}
+CRASH_NAMES = {
+    "executor_id": "e",
+    "born_ms": "b",
+    "sole": "s",
+    "alone": "a",
+    "begun": "g",
+    "confirmed": "c",
+}
+
+
+class CrashRecord(msgspec.Struct, frozen=True, omit_defaults=True, rename=CRASH_NAMES):
+    """Crash of one incarnation of an executor under a task.
+
+    ``sole``: no other suspect ran there; ``alone``: no other task at all. ``begun``:
+    the start is known to have been carried out. ``confirmed``: the executor has crashed
+    and is not only unresponsive.
+    """
+
+    executor_id: str
+    born_ms: int = 0
+    sole: bool = False
+    alone: bool = False
+    begun: bool = False
+    confirmed: bool = True
+
+    def confirm(self) -> "CrashRecord":
+        """Return the record of the same crash, confirmed."""
+        return msgspec.structs.replace(self, confirmed=True)
+
+
+class SuspectRecord(msgspec.Struct, omit_defaults=True, rename=SUSPECT_NAMES):
+    """Durable state of a task under which executors have crashed.
+
+    ``placed_on`` and ``placed_born_ms`` name the incarnation of the executor on which
+    its latest attempt may be running.
+    """
+
+    crashes: list[CrashRecord] = []
+    final_starts: int = 0
+    placed_on: str = ""
+    placed_born_ms: int = 0
 
 
 class StepProgress(msgspec.Struct, omit_defaults=True, rename=STEP_NAMES):
@@ -30,6 +85,7 @@
     occurrence: int = 0
     failures: dict[int, set[int]] = {}
     checkpoints: dict[int, str] = {}
+    suspects: dict[int, SuspectRecord] = {}
 
 
 class Progress(msgspec.Struct, omit_defaults=True):
--- a/gypsumring/pipelines/state.py
+++ b/gypsumring/pipelines/state.py
@@ -2,6 +2,7 @@
 
 import enum
 
+from gypsumring.pipelines.crashes import Suspect
 from gypsumring.pipelines.model import JobPhase, PipelineSpec, StepSpec, format_task
 from gypsumring.pipelines.records import Progress, StepProgress
 from gypsumring.ports.tasks import Ticket
@@ -38,6 +39,7 @@
         "answered_at",
         "attempt",
         "executor_id",
+        "has_begun",
         "index",
         "load",
         "pace",
@@ -51,6 +53,7 @@
         "step",
         "task",
         "unanswered_orders",
+        "was_sent",
     )
 
     def __init__(
@@ -66,6 +69,10 @@
         self.start_sent_by = now
         self.answered_at: float | None = None
         self.unanswered_orders = 0
+        # Whether a copy of the start was sent, and whether it is known to have been
+        # carried out.
+        self.was_sent = False
+        self.has_begun = False
         # If the attempt ran under this owner, no earlier owner has recorded its end.
         self.ran_under_this_owner = True
         self.percent = 0.0
@@ -116,8 +123,10 @@
         "runs",
         "spec",
         "states",
+        "suspects",
         "tickets",
         "uncertain",
+        "unrecorded",
         "waiting_since",
         "withheld",
     )
@@ -145,6 +154,10 @@
         self.checkpoints: dict[int, str] = {}
         # Executors on which a task failed or stalled, by task index.
         self.avoided: dict[int, set[str]] = {}
+        # Tasks under which executors have crashed, by task index, and those of them
+        # that are not placed because the crash is not durable yet.
+        self.suspects: dict[int, Suspect] = {}
+        self.unrecorded: set[int] = set()
         self.pending = set(range(spec.task_count))
         # ``uncertain``: tasks that an earlier owner may have started on an executor
         # that has not responded yet. ``withheld``: tasks without an attempt that are
@@ -208,6 +221,8 @@
         self.withheld.discard(index)
         self.uncertain.discard(index)
         self.checkpoints.pop(index, None)
+        self.suspects.pop(index, None)
+        self.unrecorded.discard(index)
         self.done_count += 1
         return True
 
@@ -373,6 +388,7 @@
                 step.occurrence,
                 step.failures,
                 step.checkpoints,
+                {index: suspect.record() for index, suspect in step.suspects.items()},
             )
             for step in self.steps
         ]
@@ -402,4 +418,9 @@
                 key: set(attempts) for key, attempts in saved.failures.items()
             }
             step.checkpoints = dict(saved.checkpoints)
+            step.suspects = {
+                index: Suspect(record)
+                for index, record in saved.suspects.items()
+                if index < step.spec.task_count and step.states[index] != TaskState.DONE
+            }
         self.close_done()
--- a/gypsumring/pipelines/table.py
+++ b/gypsumring/pipelines/table.py
@@ -1,5 +1,6 @@
 """Jobs of one cell owner and the state changes that ends of attempts cause."""
 
+from gypsumring.pipelines.crashes import CrashRegister
 from gypsumring.pipelines.model import JobPhase, PipelineSpec, parse_task
 from gypsumring.pipelines.state import Job, Run, RunState, Step, TaskState
 from gypsumring.utils.clock import WallClock, unix_ms
@@ -26,6 +27,7 @@
     __slots__ = (
         "active",
         "changed_steps",
+        "crashes",
         "first_attempt",
         "jobs",
         "scheduled",
@@ -42,6 +44,7 @@
         # Steps whose readiness may have changed since the last call of
         # ``pop_changed_steps``, in insertion order.
         self.changed_steps: dict[Step, None] = {}
+        self.crashes = CrashRegister()
 
     def mark_changed(self, job: Job) -> None:
         """Record that the readiness of a job's steps may have changed."""
@@ -125,6 +128,7 @@
         step, index = found
         run = self.place(step, index, attempt, executor_id, now)
         run.state = RunState.RUNNING
+        run.has_begun = True
         run.ran_under_this_owner = running
         if running:
             step.mark_found(index)
