Hold a suspect's start, not its placement, until its crashes are durable

The start of a suspect waits for its record anyway, so that a second set of withheld tasks did not add anything. The other members of its gang wait as well. Adds tests of executors that are cut off in turn, and of an unanswered start that must not reach the next incarnation: both fail with the guard removed.

--- a/gypsumring/cell/crashes.py
+++ b/gypsumring/cell/crashes.py
@@ -29,7 +29,8 @@
 class CrashAttribution:
     """Recorder of crashes against the tasks that may have run on the executor.
 
-    Counts are durable before the tasks are placed again.
+    A suspect is started only once its crashes and its placement are durable, so that
+    they outlive the owner.
     """
 
     __slots__ = ("recent", "state", "stop_all")
@@ -165,16 +166,8 @@
             jobs.setdefault(step.job, []).append((step, index))
         for job, tasks in jobs.items():
             for step, index in tasks:
-                step.unrecorded.add(index)
                 self.give_up_if_certain(step, index)
-            self.state.write_progress(job, make_callback(self.mark_recorded, tasks))
-
-    def mark_recorded(self, tasks: list[tuple[Step, int]]) -> None:
-        """Let tasks be placed again whose crashes are durable."""
-        for step, index in tasks:
-            step.unrecorded.discard(index)
-            self.state.table.changed_steps[step] = None
-        self.state.wake()
+            self.state.write_progress(job)
 
     def give_up_if_certain(self, step: Step, index: int) -> None:
         """Fail a job if one of its tasks crashes executors, or may not start again."""
@@ -200,10 +193,17 @@
         self.stop_all(job.active_runs())
 
     def record_start(self, run: Run, start: Callable[[], None]) -> None:
-        """Send the start of a task; that of a suspect once its placement is durable."""
-        suspect = run.step.suspects.get(run.index)
+        """Send the start of a task; that of a suspect once its placement is durable.
+
+        The other members of its gang wait as well, as all have to start together.
+        """
+        step = run.step
+        suspect = step.suspects.get(run.index)
         if suspect is None:
-            start()
+            if step.spec.gang and step.suspects:
+                self.state.write_progress(step.job, start, urgent=True)
+            else:
+                start()
             return
         executor = self.state.fleet[run.executor_id]
         suspect.record_start(run.executor_id, executor.born_ms)
@@ -214,7 +214,7 @@
             beside=len(executor.runs) - 1,
             final_starts=suspect.final_starts,
         )
-        self.state.write_progress(run.step.job, start, urgent=True)
+        self.state.write_progress(step.job, start, urgent=True)
 
     def record_refusal(self, run: Run) -> None:
         """Discount a start of a suspect that the executor has refused."""
@@ -255,10 +255,3 @@
                     task=step.task_name(index),
                 )
                 self.state.write_progress(step.job)
-
-
-def make_callback(
-    callback: Callable[[list[tuple[Step, int]]], None], tasks: list[tuple[Step, int]]
-) -> Callable[[], None]:
-    """Return a callback without arguments that passes the tasks."""
-    return lambda: callback(tasks)
--- a/gypsumring/cell/tests/test_crashes.py
+++ b/gypsumring/cell/tests/test_crashes.py
@@ -156,6 +156,34 @@
         assert await cluster.wait_final(OTHER_JOB) is JobPhase.COMPLETED
 
 
+# Guards against a job given up because two executors in turn do not answer while its
+# task runs there.
+async def test_task_of_executors_that_are_cut_off_is_not_given_up():
+    async with running_cluster(steady_behaviour(9.0)) as cluster:
+        await submit(cluster, OTHER_JOB, SINGLE)
+        for count in (1, 2, 3):
+            with anyio.fail_after(30.0):
+                while cluster.world.starts.get(f"{OTHER_JOB}.0.0.0", 0) < count:
+                    await anyio.sleep(0.1)
+            (name,) = [name for name, each in cluster.executors.items() if each.runs]
+            cluster.owner_node().faults.cut_executors.add(name)
+            await anyio.sleep(7.0)
+        assert cluster.phase(OTHER_JOB) is JobPhase.RUNNING
+        cluster.owner_node().faults.cut_executors.clear()
+        assert await cluster.wait_final(OTHER_JOB) is JobPhase.COMPLETED
+
+
+# Guards against an unanswered start that is sent again to the next incarnation of the
+# executor: each copy crashes it again, without a new attempt.
+async def test_unanswered_start_is_not_sent_to_the_next_incarnation():
+    behave = deadly_behaviour(1.0, {DEADLY_TASK: 0.0})
+    async with running_cluster(behave) as cluster:
+        cluster.restart_s = 0.8
+        await submit(cluster, DEADLY_JOB, SINGLE)
+        assert await cluster.wait_final(DEADLY_JOB) is JobPhase.FAILED
+        assert cluster.world.crashes[DEADLY_TASK] <= 3
+
+
 # Guards against a planned shutdown that is taken for a crash.
 async def test_executor_that_drains_and_leaves_has_not_crashed():
     async with running_cluster(steady_behaviour(8.0)) as cluster:
--- a/gypsumring/dispatch/placing.py
+++ b/gypsumring/dispatch/placing.py
@@ -227,19 +227,16 @@
 
 
 def list_placeable(step: Step) -> list[int]:
-    """Return the pending tasks that may be placed, suspects of crashes first.
-
-    A task waits until its latest crash is durable, and is not started too often.
-    """
-    if not step.suspects and not step.unrecorded:
+    """Return the pending tasks that may be started, suspects of crashes first."""
+    if not step.suspects:
         return sorted(step.pending)
-    blocked = step.unrecorded | {
+    exhausted = {
         index for index, suspect in step.suspects.items() if suspect.is_exhausted
     }
-    if step.spec.gang and blocked:
+    if step.spec.gang and exhausted:
         return []
     return sorted(
-        step.pending - blocked,
+        step.pending - exhausted,
         key=lambda index: (index not in step.suspects, index),
     )
 
--- a/gypsumring/pipelines/state.py
+++ b/gypsumring/pipelines/state.py
@@ -126,7 +126,6 @@
         "suspects",
         "tickets",
         "uncertain",
-        "unrecorded",
         "waiting_since",
         "withheld",
     )
@@ -154,10 +153,8 @@
         self.checkpoints: dict[int, str] = {}
         # Executors on which a task failed or stalled, by task index.
         self.avoided: dict[int, set[str]] = {}
-        # Tasks under which executors have crashed, by task index, and those of them
-        # that are not placed because the crash is not durable yet.
+        # Tasks under which executors have crashed, by task index.
         self.suspects: dict[int, Suspect] = {}
-        self.unrecorded: set[int] = set()
         self.pending = set(range(spec.task_count))
         # ``uncertain``: tasks that an earlier owner may have started on an executor
         # that has not responded yet. ``withheld``: tasks without an attempt that are
@@ -222,7 +219,6 @@
         self.uncertain.discard(index)
         self.checkpoints.pop(index, None)
         self.suspects.pop(index, None)
-        self.unrecorded.discard(index)
         self.done_count += 1
         return True
 
