--- a/gypsumring/dispatch/placing.py
+++ b/gypsumring/dispatch/placing.py
@@ -218,7 +218,7 @@
             executor = isolation.choose(step, suspect, possible, assigned)
         if executor is not None:
             capacity[executor.executor_id] -= 1
-            if suspect is not None and suspect.must_run_alone:
+            if suspect and suspect.must_run_alone and not step.spec.gang:
                 capacity[executor.executor_id] = 0
             placements.append(Placement(index, executor))
         elif step.spec.gang:
--- a/gypsumring/dispatch/tests/test_isolation.py
+++ b/gypsumring/dispatch/tests/test_isolation.py
@@ -89,6 +89,17 @@
     assert len(place(table, step, fleet, SEPARATION_WAIT_S)) == 3
 
 
+# Guards against a gang that never starts: a suspect of two crashes took all capacity of
+# an executor, so that the other members did not fit beside it.
+def test_gang_with_a_suspect_of_two_crashes_starts_on_one_executor():
+    table, fleet = JobTable(), make_fleet(1)
+    step = make_step(task_count=3, gang=True)
+    make_suspects(table, step, "i-8", "i-9")
+    del step.suspects[0], step.suspects[1]
+    place(table, step, fleet, 0.0)
+    assert len(place(table, step, fleet, SEPARATION_WAIT_S)) == 3
+
+
 # Guards against the next crash under a task on the executor that has crashed: one
 # faulty machine would then count as many.
 def test_suspect_avoids_executors_that_have_crashed_under_it():
--- a/gypsumring/pipelines/crashes.py
+++ b/gypsumring/pipelines/crashes.py
@@ -22,8 +22,9 @@
 MIN_UNANSWERED_SOLE_CRASHES = 3
 # From this many crashes on, a suspect runs alone on its executor if possible.
 ALONE_AFTER_CRASHES = 2
-# After this many crashes a task is started at most MAX_FINAL_STARTS times, whatever the
-# evidence, since each start may cost a further executor.
+# After this many crashes a task is started at most MAX_FINAL_STARTS times, and not
+# again after a further crash, whatever the evidence: each start may cost an executor,
+# and a crash that its owner did not outlive may not have been counted.
 MAX_CRASHES = 3
 MAX_FINAL_STARTS = 2
 
@@ -80,7 +81,9 @@
     def is_exhausted(self) -> bool:
         """Return whether the task may not be started again."""
         confirmed = sum(crash.confirmed for crash in self.crashes)
-        return self.final_starts >= MAX_FINAL_STARTS and confirmed >= MIN_SOLE_CRASHES
+        if confirmed < MIN_SOLE_CRASHES or not self.final_starts:
+            return False
+        return self.final_starts >= MAX_FINAL_STARTS or len(self.crashes) > MAX_CRASHES
 
     def has_crashed(self, executor_id: str) -> bool:
         """Return whether an executor has crashed under the task."""
--- a/gypsumring/pipelines/tests/test_crashes.py
+++ b/gypsumring/pipelines/tests/test_crashes.py
@@ -95,6 +95,17 @@
     assert not suspect.is_exhausted
 
 
+# Guards against three starts after three crashes of which one was not counted, since
+# its owner did not outlive it.
+def test_crash_after_the_first_final_start_is_the_last():
+    suspect = Suspect()
+    for number in range(MAX_CRASHES):
+        suspect.add_crash(make_crash(f"i-{number}", sole=False, alone=False))
+    suspect.record_start("i-8", 1)
+    suspect.add_crash(make_crash("i-8", sole=False, alone=False))
+    assert suspect.is_exhausted
+
+
 # A crash with one earlier suspect among the tasks names it; one with two names neither.
 def test_crash_names_the_only_earlier_suspect():
     table = JobTable()
