--- a/soak/cells.py
+++ b/soak/cells.py
@@ -16,7 +16,12 @@
 from gypsumring.utils.testing import run_on_mock_clock
 from stand_ins.platform.cluster import MemoryCluster, MemoryNode, make_job
 from stand_ins.platform.memory import ENTRIES_TOPIC
-from stand_ins.platform.world import World, random_behaviour
+from stand_ins.platform.world import (
+    BehaviourFactory,
+    TaskBehaviour,
+    World,
+    random_behaviour,
+)
 
 __all__ = ["CellSoak", "make_command", "run_cell_soak"]
 
@@ -27,6 +32,10 @@
 # may take more than half a minute, and a step may need several attempts of them.
 SETTLE_S = 240.0
 CANCEL_SHARE = 0.2
+# Share of jobs with a deadly task, in runs with such jobs, and the longest time that
+# it works before it crashes its executor.
+DEADLY_SHARE = 0.05
+MAX_DEADLY_S = 3.0
 CANCEL_S = 4.0
 # Cancelled tasks are gone after this time also while faults go on: an unresponsive
 # executor ends them with its lease.
@@ -230,7 +239,10 @@
             elif phase is JobPhase.CANCELLED and job_id not in world.cancelled:
                 continue
             elif phase is JobPhase.FAILED and not self.has_failed_task(job_id):
-                world.violate("LOST", f"{job_id} shown as failed without cause")
+                if not world.may_be_given_up(job_id):
+                    world.violate("LOST", f"{job_id} shown as failed without cause")
+                elif not world.is_deadly(job_id):
+                    world.violate("LOST", f"{job_id} failed by another's crashes")
         # A task may go on for a moment after its job's cancel.
         await anyio.sleep(CANCEL_S)
         for job_id in self.cluster.world.cancelled:
@@ -263,6 +275,8 @@
             "steps": self.steps,
             "accepted": len(self.accepted),
             "starts": sum(world.starts.values()),
+            "given_up": self.cluster.metrics.counters["cell.jobs.given_up"],
+            "deadly": len(world.deadly),
             "invariant_violations": len(world.violations),
             "trace": self.faults if world.violations else [],
             "violations": world.violations[:10],
@@ -276,9 +290,37 @@
         )
 
 
-async def run_cell_soak(seed: int, seconds: float) -> dict[str, object]:
+def draw_deadly_behaviour(seed: int, usual: BehaviourFactory) -> BehaviourFactory:
+    """Return a behaviour in which the first task of some jobs is deadly.
+
+    The draw has a source of its own, so that it changes no other draw of the seed.
+    """
+
+    def behave(task: str, attempt: int) -> TaskBehaviour:
+        behaviour = usual(task, attempt)
+        job_id, _, place = task.partition(".")
+        source = random.Random(f"deadly/{seed}/{job_id}")
+        if place == "0.0.0" and source.random() < DEADLY_SHARE:
+            after_s = source.choice((0.0, source.uniform(0.1, MAX_DEADLY_S)))
+            behaviour.crashes_after_s = after_s
+            behaviour.work_s = max(behaviour.work_s, after_s + 1.0)
+            behaviour.how = "done"
+        return behaviour
+
+    return behave
+
+
+async def run_deadly_soak(seed: int, seconds: float) -> dict[str, object]:
+    """Run one seed with jobs that crash executors, and return what was seen."""
+    behave = random_behaviour(seed, 0.8, 0.05)
+    return await run_cell_soak(seed, seconds, draw_deadly_behaviour(seed, behave))
+
+
+async def run_cell_soak(
+    seed: int, seconds: float, behave: BehaviourFactory | None = None
+) -> dict[str, object]:
     """Run one seed and return what was seen."""
-    world = World(random_behaviour(seed, 0.8, 0.05), MAX_ATTEMPTS)
+    world = World(behave or random_behaviour(seed, 0.8, 0.05), MAX_ATTEMPTS)
     async with anyio.create_task_group() as group:
         policy_share = 0.6 if seed % 2 else None
         cluster = MemoryCluster(
