--- a/gypsumring/cell/tests/test_crashes.py
+++ b/gypsumring/cell/tests/test_crashes.py
@@ -3,7 +3,9 @@
 import anyio
 
 from gypsumring.cell.messages import Outcome
+from gypsumring.cell.tests.test_log_lines import captured_lines, find_lines
 from gypsumring.cell.tests.test_recovery import running_cluster
+from gypsumring.cli.tracing import mentions_job
 from gypsumring.pipelines import JobPhase, StepSpec
 from gypsumring.utils.testing import make_load_tests
 from stand_ins.platform.cluster import MemoryCluster, make_job
@@ -31,7 +33,25 @@
         assert cluster.world.crashes[DEADLY_TASK] >= 2
 
 
-# Guards against the same with a task that works for a while, so that its starts are
+# Guards against a job shown as failed whose log lines don't say why: the command line
+# shows the lines that name the job or one of its tasks.
+async def test_log_lines_of_a_job_say_why_it_was_given_up():
+    behave = deadly_behaviour(3.0, {DEADLY_TASK: 1.0})
+    with captured_lines() as lines:
+        async with running_cluster(behave) as cluster:
+            await submit(cluster, DEADLY_JOB, SINGLE)
+            assert await cluster.wait_final(DEADLY_JOB) is JobPhase.FAILED
+    crashes = find_lines(lines, "executor has crashed")
+    assert len(crashes) == 2
+    assert all(mentions_job(crash, DEADLY_JOB) for crash in crashes)
+    (given_up,) = find_lines(lines, "job given up")
+    assert mentions_job(given_up, DEADLY_JOB)
+    assert given_up["task"] == DEADLY_TASK
+    assert given_up["reason"] == "executors crash while the task runs"
+    assert given_up["crashed"] == [crash["executor"] for crash in crashes]
+
+
+# Guards against endless crashes by a task that works for a while: its starts are
 # answered and its attempts are listed.
 async def test_task_that_crashes_executors_after_a_while_is_given_up():
     behave = deadly_behaviour(6.0, {DEADLY_TASK: 3.0})
