--- a/gypsumring/cell/owner.py
+++ b/gypsumring/cell/owner.py
@@ -184,6 +184,7 @@
             "cell.jobs.active": len(state.table.active),
             "cell.jobs.known": len(state.table.jobs),
             "cell.executors": len(fleet),
+            "cell.tasks.suspects": len(state.table.crashes.list_suspects()),
             "cell.executors.resting": sum(
                 executor.health.is_quarantined(now) for executor in fleet
             ),
@@ -316,6 +317,7 @@
         if progress is not None:
             opened = min(progress.opened, max(1, spec.repeats))
             job.restore(msgspec.structs.replace(progress, opened=opened))
+            self.state.table.crashes.add_job(job)
             self.state.table.mark_changed(job)
         if job.phase.is_final:
             job.ended_at = anyio.current_time()
--- a/stand_ins/platform/executor.py
+++ b/stand_ins/platform/executor.py
@@ -161,6 +161,8 @@
     def crash(self) -> None:
         """Stop the executor at once, with all its tasks."""
         self.is_up = False
+        for run in self.runs.values():
+            self.world.record_crash(run.task)
         self.runs = {}
 
     def resize(self, cpu_millis: int, memory_mb: int) -> None:
@@ -315,6 +317,11 @@
         self.world.check_start(
             self, run, run.started_at if sent_at is None else sent_at
         )
+        if behaviour.crashes_after_s is not None:
+            self.world.deadly.add(order.task)
+            self.world.schedule_crash(self, run, behaviour.crashes_after_s)
+            if not self.is_up:
+                return
         if not self.is_gang(order.task):
             run.ends_at = run.started_at + run.work_s
         elif self.gang_is_complete(run):
