--- a/Makefile
+++ b/Makefile
@@ -3,13 +3,15 @@
 SEED ?= 7
 SECONDS ?= 20
 SEEDS ?= 1
+NODES ?= 8
+SHARE ?= 1
 
 export PYTHONHASHSEED := 0
 
 PARAMETER ?= gypsumring.dispatch.reserving:MAX_RESERVED_SHARE
 VALUES ?= 0,0.15,0.3,0.45
 
-.PHONY: demo test bench soak cells liveness experiment ablation report format
+.PHONY: demo test bench soak cells liveness nodes experiment ablation report format
 
 $(STAMP): requirements.lock pyproject.toml
 	test -x $(PYTHON) || python3.11 -m venv .venv
@@ -37,6 +39,9 @@
 liveness: $(STAMP)
 	$(PYTHON) -m soak.liveness --seed $(SEED) --seeds $(SEEDS) --seconds $(SECONDS) 2>/dev/null
 
+nodes: $(STAMP)
+	$(PYTHON) -m soak.nodes --seed $(SEED) --seeds $(SEEDS) --nodes $(NODES) --seconds $(SECONDS) --share $(SHARE)
+
 experiment: $(STAMP)
 	$(PYTHON) -m experiments --parameter $(PARAMETER) --values $(VALUES) --seed $(SEED) --seeds $(SEEDS)
 
