--- a/soak/builds.py
+++ b/soak/builds.py
@@ -176,7 +176,9 @@
         with anyio.fail_after(START_LIMIT_S):
             while True:
                 for node in rig.nodes:
-                    if node.process.poll() is None and await owns_cell(rig, node):
+                    if node.process.poll() is None and await owns_cell(
+                        rig.client, node
+                    ):
                         return node
                 await anyio.sleep(0.1)
 
@@ -227,10 +229,10 @@
     return {message: sorted(names) for message, names in fields.items()}
 
 
-async def owns_cell(rig: ProgramRig, node: NodeProcess) -> bool:
+async def owns_cell(client: httpx.AsyncClient, node: NodeProcess) -> bool:
     """Tell whether a node reports that it owns the cell."""
     try:
-        response = await rig.client.get(f"http://{node.ready}/-/metrics")
+        response = await client.get(f"http://{node.ready}/-/metrics")
     except httpx.HTTPError:
         return False
     return OWNS_CELL.search(response.text) is not None
--- a/soak/nodes/plan.py
+++ b/soak/nodes/plan.py
@@ -71,7 +71,7 @@
                 amount = 0.0
         number = source.randrange(nodes)
         plan.append(Fault(kind, target, number, at, at + lasts_s, amount))
-        # Every third fault overlaps with the next one in most cases.
+        # A short gap makes faults overlap.
         at += source.expovariate(1 / MEAN_GAP_S) * source.choice((0.2, 1.0, 1.5))
     return plan
 
--- a/soak/nodes/trial.py
+++ b/soak/nodes/trial.py
@@ -134,7 +134,7 @@
         serving: list[str] = []
 
         async def ask(machine: Machine) -> None:
-            if await owns_cell(self, machine):
+            if await owns_cell(self.client, machine):
                 owners.append(machine.name)
             if await self.is_answered(machine):
                 serving.append(machine.name)
