--- a/soak/nodes/__main__.py
+++ b/soak/nodes/__main__.py
@@ -11,9 +11,11 @@
 
 from soak.nodes.trial import Trial, run_trial
 
+SIGNALS = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
+
 
 async def run_until_signal(*arguments: Any) -> Trial | None:
-    """Return the trial, None after SIGTERM or SIGINT; end its processes in any case.
+    """Return the trial, None after a signal; end its processes in any case.
 
     Without this, processes that are stopped at that moment would be left behind.
     """
@@ -21,7 +23,7 @@
     async with anyio.create_task_group() as group:
 
         async def cancel_on_signal() -> None:
-            with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
+            with anyio.open_signal_receiver(*SIGNALS) as signals:
                 async for _ in signals:
                     group.cancel_scope.cancel()
 
--- a/soak/nodes/fleet.py
+++ b/soak/nodes/fleet.py
@@ -107,6 +107,9 @@
                 stdout=output,
                 stderr=subprocess.STDOUT,
                 env={**os.environ, "PYTHONHASHSEED": "0"},
+                # The kernel sends SIGHUP to a process group with stopped members when
+                # the shell that has started it ends.
+                start_new_session=True,
             )
 
     def limit(self, now: float) -> None:
