--- a/Makefile
+++ b/Makefile
@@ -3,13 +3,15 @@
 SEED ?= 7
 SECONDS ?= 20
 SEEDS ?= 1
+NODES ?= 8
+SHARE ?= 1
 
 export PYTHONHASHSEED := 0
 
 PARAMETER ?= gypsumring.dispatch.reserving:MAX_RESERVED_SHARE
 VALUES ?= 0,0.15,0.3,0.45
 
-.PHONY: demo test bench soak cells deadly liveness ownership experiment ablation report format
+.PHONY: demo test bench soak cells deadly liveness ownership nodes experiment ablation report format
 
 $(STAMP): requirements.lock pyproject.toml
 	test -x $(PYTHON) || python3.11 -m venv .venv
@@ -43,6 +45,9 @@
 ownership: $(STAMP)
 	$(PYTHON) -m soak.ownership --seed $(SEED) --seeds $(SEEDS) 2>/dev/null
 
+nodes: $(STAMP)
+	$(PYTHON) -m soak.nodes --seed $(SEED) --seeds $(SEEDS) --nodes $(NODES) --seconds $(SECONDS) --share $(SHARE)
+
 experiment: $(STAMP)
 	$(PYTHON) -m experiments --parameter $(PARAMETER) --values $(VALUES) --seed $(SEED) --seeds $(SEEDS)
 
