Apply an end that arrives after the lease of its executor has expired

Callers saw work that was done run again, and an attempt that had failed was not counted.

Cause: the attempts of an executor are released once its lease has expired. When it answered again, the end of a released attempt matched no attempt: it was acknowledged, and so forgotten by the executor, without being applied.

Change: released attempts are remembered for the incarnation, and their ends done and failed are applied. Result: test_end_that_arrives_after_the_lease_has_expired_is_applied failed before (2 and 4 starts in place of 1 and 3) and passes.

--- a/gypsumring/cell/lists.py
+++ b/gypsumring/cell/lists.py
@@ -20,6 +20,8 @@
 # duration times FULL_PROGRESS_TIMEOUT_FACTOR.
 FULL_PROGRESS_TIMEOUT_S = 3.0
 FULL_PROGRESS_TIMEOUT_FACTOR = 2.0
+# Ends that tell how the work of a task went, whatever has happened to its lease since.
+RESULTS = ("done", "failed")
 # An executor reports at most this many ends in one answer.
 MAX_LISTED_ENDS = 500
 
@@ -46,6 +48,7 @@
             )
             self.state.metrics.count("cell.attempts.lost", len(runs))
         executor.runs_were_released = True
+        executor.released_runs.update(executor.runs)
         self.orders.crashes.record_loss(executor)
         for run in runs:
             self.orders.release(run)
@@ -216,7 +219,7 @@
                 continue
             executor.last_seen_end = end.number
             run = executor.runs.get((end.task, end.attempt))
-            if run is None and may_adopt:
+            if run is None and (may_adopt or self.is_late_result(executor, end)):
                 run = self.adopt(executor, end.task, end.attempt, False)
             if run is None:
                 continue
@@ -235,6 +238,14 @@
                 changed_jobs.add(job)
         return changed_jobs
 
+    def is_late_result(self, executor: ExecutorState, end: ListedEnd) -> bool:
+        """Return whether an end is the result of an attempt that was released."""
+        key = (end.task, end.attempt)
+        if key not in executor.released_runs:
+            return False
+        executor.released_runs.discard(key)
+        return end.how in RESULTS
+
     def update_health(self, executor: ExecutorState, run: Run, outcome: str) -> None:
         """Update the health of an executor after the end of an attempt."""
         now = anyio.current_time()
--- a/gypsumring/cell/tests/test_lists.py
+++ b/gypsumring/cell/tests/test_lists.py
@@ -1,5 +1,7 @@
 """Task lists that the owner receives late."""
 
+import functools
+
 import anyio
 
 from gypsumring.cell.lists import is_confirmed_absent
@@ -7,11 +9,11 @@
 from gypsumring.cell.tests.test_recovery import running_cluster
 from gypsumring.dispatch.tests.fleets import make_step
 from gypsumring.fleet import MAX_ORDER_DELAY_S
-from gypsumring.pipelines import JobTable, Run, RunState, StepSpec
+from gypsumring.pipelines import JobPhase, JobTable, Run, RunState, StepSpec
 from gypsumring.ports.tasks import ListedRun, TaskLists
 from gypsumring.utils.testing import make_load_tests
 from stand_ins.platform.cluster import make_job
-from stand_ins.platform.world import steady_behaviour
+from stand_ins.platform.world import TaskBehaviour, steady_behaviour
 
 LONG_STEP = StepSpec(task_count=1, cpu_millis=1000, estimated_ms=60_000)
 
@@ -71,4 +73,25 @@
     assert is_confirmed_absent(run, 1000.1)
 
 
+# An end was acknowledged and not applied if it arrived after the lease of its executor
+# had expired: work that was done ran again, and failures were not counted.
+async def test_end_that_arrives_after_the_lease_has_expired_is_applied():
+    step = StepSpec(task_count=1, cpu_millis=1000, estimated_ms=2_000)
+    for how, phase, starts in (
+        ("done", JobPhase.COMPLETED, 1),
+        ("failed", JobPhase.FAILED, 3),
+    ):
+        behaviour = TaskBehaviour(2.0, how)
+        behave = functools.partial(lambda result, *_: result, behaviour)
+        async with running_cluster(behave, executors=1) as cluster:
+            assert await cluster.submit(make_job("a" * 16, step)) is Outcome.OK
+            await anyio.sleep(1.0)
+            cluster.owner_node().faults.cut_executors.add("i-0")
+            await anyio.sleep(8.0)
+            assert not cluster.owner_node().owner().state.fleet["i-0"].runs
+            cluster.owner_node().faults.cut_executors.clear()
+            assert await cluster.wait_final("a" * 16, 30) is phase
+            assert sum(cluster.world.starts.values()) == starts, how
+
+
 load_tests = make_load_tests(globals())
