Give an executor that does not answer more time for its next answer

Cause: an answer to a long poll had 0.25 s; each poll without one was given up and sent again over a new connection with the same limit. On a congested link no answer ever came in time, and the executor counted as silent until its lease had expired and its tasks were started elsewhere.

Change: each poll in a row that is not answered gives the next one twice the time, to 1.6 s, but not beyond the end of the lease while tasks wait for it. Result: test_executor_whose_answers_are_late_is_not_silent failed before (answers after 1.5 s) and passes.

--- a/gypsumring/cell/executor_polling.py
+++ b/gypsumring/cell/executor_polling.py
@@ -28,8 +28,11 @@
 # idle value applies to executors without running attempts.
 LONG_POLL_S = 0.5
 IDLE_LONG_POLL_S = 1.0
+# Time for the answer itself; each further poll in a row that is not answered has twice
+# the time, since answers may be late on a congested link.
 LONG_POLL_MARGIN_S = 0.25
 FIRST_POLL_TIMEOUT_S = 0.4
+MAX_POLL_MARGIN_S = 1.6
 RETRY_PAUSE_S = 0.1
 # Pause between polls while ends of attempts wait to become durable in the store.
 NOT_DURABLE_PAUSE_S = 0.15
@@ -127,6 +130,7 @@
                 await self.poll(executor)
             except ExecutorSilent:
                 self.state.metrics.count("cell.holds.unanswered")
+                executor.unanswered_polls += 1
                 self.mark_unresponsive(executor)
                 await anyio.sleep(RETRY_PAUSE_S)
             except (ExecutorGone, StartRefused):
@@ -196,11 +200,7 @@
         # ends anew. An acknowledgement would make it discard ends that the owner has
         # not received.
         acknowledged_end = 0 if executor.is_unresponsive else executor.last_durable_end
-        time_limit_s = (
-            FIRST_POLL_TIMEOUT_S
-            if is_first_poll
-            else poll_duration_s + LONG_POLL_MARGIN_S
-        )
+        time_limit_s = poll_duration_s + self.answer_limit_s(executor)
         task_lists = await client.hold(
             self.state.fence,
             acknowledged_end,
@@ -208,9 +208,23 @@
             poll_duration_s,
             requested_at + time_limit_s,
         )
+        executor.unanswered_polls = max(0, executor.unanswered_polls - 1)
         self.list_reader.apply(executor, task_lists, requested_at)
         await self.wait_until_durable(executor)
 
+    def answer_limit_s(self, executor: ExecutorState) -> float:
+        """Return how long to wait for an answer that the executor does not delay.
+
+        If attempts wait for the end of the lease, no longer than until then.
+        """
+        is_first_poll = executor.first_response_at is None
+        shortest_s = FIRST_POLL_TIMEOUT_S if is_first_poll else LONG_POLL_MARGIN_S
+        limit_s = min(shortest_s * 2**executor.unanswered_polls, MAX_POLL_MARGIN_S)
+        if is_first_poll or not executor.runs or not executor.is_unresponsive:
+            return limit_s
+        remaining_s = executor.lease_remaining_s(self.state.clock())
+        return min(limit_s, max(shortest_s, remaining_s))
+
     async def wait_until_durable(self, executor: ExecutorState) -> None:
         """Wait for a limited time until the received ends are durable."""
         with anyio.move_on_after(DURABLE_TIMEOUT_S):
--- a/gypsumring/cell/tests/test_executor_polling.py
+++ b/gypsumring/cell/tests/test_executor_polling.py
@@ -1,5 +1,8 @@
 """Acknowledgement of ends after an executor was unresponsive."""
 
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+
 import anyio
 
 from gypsumring.cell.executor_polling import ExecutorPoller
@@ -15,9 +18,10 @@
 class ScriptedExecutor:
     """Executor that leaves the next ``unanswered_polls`` long polls unanswered."""
 
-    __slots__ = ("acknowledged", "unanswered_polls", "lists")
+    __slots__ = ("acknowledged", "answer_s", "unanswered_polls", "lists")
 
     def __init__(self):
+        self.answer_s = 0.01
         self.acknowledged: list[int] = []
         self.unanswered_polls = 0
         self.lists = TaskLists(1000, 7, [], [])
@@ -28,7 +32,10 @@
         if self.unanswered_polls:
             self.unanswered_polls -= 1
             raise ExecutorSilent("no answer")
-        await anyio.sleep(0.01)
+        answer_at = anyio.current_time() + self.answer_s
+        await anyio.sleep_until(min(answer_at, deadline))
+        if answer_at > deadline:
+            raise ExecutorSilent("no answer")
         return self.lists
 
 
@@ -40,10 +47,9 @@
         return 1
 
 
-async def test_long_poll_after_unanswered_ones_acknowledges_no_ends():
-    # Regression: a restarted executor discarded its first ends, which the owner had not
-    # received, because the owner acknowledged ends of the previous incarnation.
-    client = ScriptedExecutor()
+@asynccontextmanager
+async def running_poller(client) -> AsyncIterator[CellState]:
+    """Run the poller of one executor; yield the state of the cell."""
     journal = Journal(ImmediateStore(), "cells", 0, "cell-0", 1)
     timing = CellTiming(10.0, 0.9, 120.0, 5.0, 3.0)
     state = CellState(
@@ -64,6 +70,15 @@
         state.group = group
         group.start_soon(journal.run)
         executor_poller.update(entry)
+        yield state
+        group.cancel_scope.cancel()
+
+
+async def test_long_poll_after_unanswered_ones_acknowledges_no_ends():
+    # Regression: a restarted executor discarded its first ends, which the owner had not
+    # received, because the owner acknowledged ends of the previous incarnation.
+    client = ScriptedExecutor()
+    async with running_poller(client):
         client.lists = TaskLists(1000, 7, [], [ListedEnd(1, "x.0.0.0", 1, "done", "")])
         await anyio.sleep(0.3)
         assert client.acknowledged[-1] == 1
@@ -73,7 +88,22 @@
         await anyio.sleep(0.5)
         after = client.acknowledged[count:]
         assert after[:4] == [1, 0, 0, 1], after
-        group.cancel_scope.cancel()
+
+
+# On a congested link each poll was given up before its answer came. The executor
+# counted as silent until its lease had expired, and its work was started elsewhere.
+async def test_executor_whose_answers_are_late_is_not_silent():
+    lease_s = 5.0
+    for answer_s in (0.4, 0.9, 1.5):
+        client = ScriptedExecutor()
+        async with running_poller(client) as state:
+            await anyio.sleep(1.0)
+            client.answer_s = answer_s
+            executor = state.fleet["i-0"]
+            for _ in range(100):
+                await anyio.sleep(0.2)
+                silent_s = state.clock() - executor.last_response_at
+                assert silent_s < lease_s, answer_s
 
 
 load_tests = make_load_tests(globals())
--- a/gypsumring/fleet/executor.py
+++ b/gypsumring/fleet/executor.py
@@ -70,6 +70,7 @@
         "starts_to_block",
         "tracked_since",
         "unanswered_poll_at",
+        "unanswered_polls",
         "unconfirmed_starts",
         "unknown_runs",
         "used_accelerators",
@@ -106,6 +107,8 @@
         self.ends_became_durable: anyio.Event | None = None
         # Send time of the latest long poll that was not answered.
         self.unanswered_poll_at = float("-inf")
+        # Number of long polls that were not answered, less those answered since.
+        self.unanswered_polls = 0
         self.unknown_runs: set[tuple[str, int]] = set()
         self.used_cpu = 0
         self.used_memory = 0
@@ -185,6 +188,11 @@
             return now >= self.tracked_since + limit_s
         return self.min_clock_ms(now) > self.lease_until_ms + LEASE_MARGIN_MS
 
+    def lease_remaining_s(self, now: float) -> float:
+        """Return the time until ``is_lease_expired`` becomes true, 0 if it is."""
+        remaining_ms = self.lease_until_ms + LEASE_MARGIN_MS - self.min_clock_ms(now)
+        return max(0.0, remaining_ms / 1000 / (1 - CLOCK_DRIFT))
+
     def pop_unconfirmed_starts(self, now: float) -> list[tuple[str, int]]:
         """Remove and return the attempts to block, once the executor responds again.
 
