--- a/soak/tests/test_liveness_faults.py
+++ b/soak/tests/test_liveness_faults.py
@@ -77,7 +77,7 @@
             step.policy_calls_in_flight += 1
 
     assert_found(
-        "PROMPT", 2, lambda: mock.patch.object(PolicyClient, "call_policy", call_policy)
+        "PROMPT", 9, lambda: mock.patch.object(PolicyClient, "call_policy", call_policy)
     )
 
 
