Apply the answers to joins one after the other, and none after a leave

Answers that arrived together were applied side by side: an owner was dropped before its task had started, so that it ran on untracked, and a stop could wait for ever. A join that reached the store after the leave made the node a member again.

Change: answers, resignation and leave hold one lock; the scope of an owner exists before its task; an answer to a join from before a leave only repeats the leave. The membership of a takeover grows to 8 s at the most.

--- a/gypsumring/node/membership.py
+++ b/gypsumring/node/membership.py
@@ -33,7 +33,7 @@
 # messages on its link. A node that has lost the cell before it had taken it over
 # doubles the time for the next attempt.
 TAKEOVER_TTL_S = 4.0
-MAX_TAKEOVER_FACTOR = 8
+MAX_TAKEOVER_FACTOR = 2
 # Peers may remove an unresponsive owner from the group before its membership expires,
 # but no sooner than this time after its last response.
 CONFIRMATION_VALID_S = 0.35
@@ -91,11 +91,13 @@
         "group_name",
         "is_candidate",
         "is_member",
+        "left_at",
         "make_owner",
         "member",
         "owner",
         "owner_count",
         "owner_scope",
+        "ownership_lock",
         "paused",
         "paused_until",
         "response_times",
@@ -153,6 +155,10 @@
         # been applied, in ``clock`` time.
         self.response_times = ResponseTimes()
         self.applied_sent_at = float("-inf")
+        # Time of the last leave, in ``clock`` time.
+        self.left_at = float("-inf")
+        # Answers to joins, and leaves, change the owner one after the other.
+        self.ownership_lock = anyio.Lock()
 
     def is_recently_confirmed(self) -> bool:
         """Return whether the last confirmation still rules out another owner."""
@@ -195,12 +201,20 @@
         else:
             self.response_times.record(self.clock() - sent_at)
             self.detect_pause()
-            if not self.stopping and self.is_member and sent_at >= self.applied_sent_at:
-                self.applied_sent_at = sent_at
-                await self.apply(assignment, sent_at)
+            async with self.ownership_lock:
+                await self.apply_if_newest(assignment, sent_at)
         finally:
             answered.set()
 
+    async def apply_if_newest(self, assignment: Assignment, sent_at: float) -> None:
+        """Apply an answer, unless that to a later join or a leave came before it."""
+        if sent_at < self.left_at and not self.is_member:
+            # The join may have arrived after the leave.
+            await self.leave_group()
+        elif sent_at >= self.applied_sent_at and not self.stopping and self.is_member:
+            self.applied_sent_at = sent_at
+            await self.apply(assignment, sent_at)
+
     async def join(self) -> Assignment:
         """Join the group or renew the membership, for longer if answers are late."""
         return await self.store.join(
@@ -269,7 +283,8 @@
             self.paused = False
         if self.owner is None and (generation_unchanged or not self.is_starting()):
             self.owner = self.make_owner(self.next_fence(assignment.generation))
-            self.group.start_soon(self.run_owner, self.owner)
+            self.owner_scope = anyio.CancelScope()
+            self.group.start_soon(self.run_owner, self.owner, self.owner_scope)
 
     def adjust_takeover_factor(self, is_assigned: bool) -> None:
         """Grant the next takeover more time if the group has undone this one."""
@@ -290,10 +305,9 @@
         self.owner_count += 1
         return generation * FENCES_PER_GENERATION + self.owner_count
 
-    async def run_owner(self, owner: CellOwner) -> None:
+    async def run_owner(self, owner: CellOwner, scope: anyio.CancelScope) -> None:
         """Run an owner until it is stopped or loses the cell."""
-        with anyio.CancelScope() as scope:
-            self.owner_scope = scope
+        with scope:
             await owner.run()
 
     async def stop_owner(self, reason: str) -> None:
@@ -302,16 +316,16 @@
         if owner is None:
             return
         log.info("cell abandoned", cell=self.cell, reason=reason)
-        if self.owner_scope is not None:
-            self.owner_scope.cancel()
-            await owner.stopped.wait()
+        self.owner_scope.cancel()
+        await owner.stopped.wait()
         self.owner = None
 
     async def resign(self) -> None:
         """Stop the owner and leave the group while the node is not a candidate."""
-        if self.is_member:
-            await self.stop_owner("node is not a candidate")
-            await self.leave_group()
+        async with self.ownership_lock:
+            if self.is_member:
+                await self.stop_owner("node is not a candidate")
+                await self.leave_group()
 
     async def leave(self, handover_deadline: float = 0.0) -> None:
         """Stop the owner and leave the group so that another node takes over.
@@ -326,9 +340,10 @@
         ):
             await anyio.sleep(HANDOVER_POLL_S)
         self.stopping = True
-        await self.stop_owner("node is stopping")
-        if self.is_member:
-            await self.leave_group()
+        async with self.ownership_lock:
+            await self.stop_owner("node is stopping")
+            if self.is_member:
+                await self.leave_group()
 
     async def leave_group(self) -> None:
         """Leave the group; if the call fails, the membership expires."""
@@ -340,3 +355,4 @@
             log.warning("leaving the group failed", error=str(error))
         else:
             self.is_member = False
+            self.left_at = self.applied_sent_at = self.clock()
--- a/gypsumring/node/tests/test_membership.py
+++ b/gypsumring/node/tests/test_membership.py
@@ -4,7 +4,7 @@
 
 from gypsumring.node.membership import STARTUP_S, TAKEOVER_TTL_S, Membership
 from gypsumring.ports.store import Assignment, StoreUnavailable
-from gypsumring.utils.testing import make_load_tests
+from gypsumring.utils.testing import make_load_tests, run_on_mock_clock
 
 TTL_S = 1.0
 
@@ -34,9 +34,20 @@
 class ScriptedStore:
     """Store that assigns the cell to every member, unless it is unavailable."""
 
-    __slots__ = ("answer_s", "arrivals", "is_unavailable", "partitions", "ttls_s")
+    __slots__ = (
+        "answer_s",
+        "arrivals",
+        "is_unavailable",
+        "leave_count",
+        "next_partitions",
+        "partitions",
+        "ttls_s",
+    )
 
     def __init__(self):
+        self.leave_count = 0
+        # Partitions in the answers to the next joins.
+        self.next_partitions: list[frozenset[int]] = []
         self.is_unavailable = False
         # Time from the arrival of a join to its answer, and times of arrival.
         self.answer_s = 0.01
@@ -49,6 +60,8 @@
         """Return the assignment, or raise while the store is unavailable."""
         self.ttls_s.append(ttl_s)
         self.arrivals.append(anyio.current_time())
+        if self.next_partitions:
+            self.partitions = self.next_partitions.pop(0)
         assignment = Assignment(1, self.partitions)
         await anyio.sleep(self.answer_s)
         if self.is_unavailable:
@@ -57,6 +70,7 @@
 
     async def leave(self, group, member, deadline):
         """Answer that the member has left."""
+        self.leave_count += 1
 
 
 class PausableClock:
@@ -257,4 +271,47 @@
     await run_checks(check)
 
 
+# Answers that arrived together were applied side by side: an owner was started and
+# dropped without being stopped, and ran on under no one's control.
+def test_answers_that_arrive_together_leave_no_owner_behind():
+    async def check():
+        store = ScriptedStore()
+        store.next_partitions = [frozenset({0}), frozenset()] * 2
+        owners = []
+
+        def make_owner(fence):
+            owners.append(ScriptedOwner())
+            return owners[-1]
+
+        membership = Membership(store, "g", "cells", 0, "n0", TTL_S, make_owner)
+        async with anyio.create_task_group() as group:
+            membership.group = group
+            membership.is_member = True
+            membership.started_at -= STARTUP_S
+            for _ in range(4):
+                group.start_soon(membership.renew, anyio.Event())
+            await anyio.sleep(0.5)
+            with anyio.fail_after(1.0):
+                await membership.leave()
+            assert all(owner.stopped.is_set() for owner in owners)
+            group.cancel_scope.cancel()
+
+    for seed in range(10):
+        run_on_mock_clock(check, seed=seed)
+
+
+async def test_answer_to_a_join_from_before_a_leave_starts_no_owner():
+    async def check(membership, store, clock):
+        store.answer_s = 0.3
+        await anyio.sleep(0.15)
+        left_before = store.leave_count
+        await membership.leave()
+        await anyio.sleep(0.5)
+        assert membership.owner is None
+        # The join may have reached the store after the leave.
+        assert store.leave_count == left_before + 2
+
+    await run_checks(check)
+
+
 load_tests = make_load_tests(globals())
