Hand the cell over to a larger machine only once it is served

Change: a node that takes over stays a candidate, and the second counts from the end of the takeover, by when the other small machines are linked to it and have left the group. Result: test_small_machine_hands_over_only_once_it_serves failed before and passes (3 takeovers).

--- a/gypsumring/node/node.py
+++ b/gypsumring/node/node.py
@@ -160,6 +160,11 @@
 
     def is_candidate(self, owns: bool) -> bool:
         """Return whether this node should be in the group."""
+        if self.membership.is_taking_over():
+            # The smaller members leave the group only once they are linked, and would
+            # get the cell if it was handed over before.
+            self.candidacy.larger_linked_since = None
+            return True
         if owns:
             self.candidacy.record_linked_sizes(list(self.peer_sizes.values()))
         unlinked_s = anyio.current_time() - self.link.last_linked_at
--- a/gypsumring/node/tests/test_fleet.py
+++ b/gypsumring/node/tests/test_fleet.py
@@ -104,6 +104,25 @@
         assert fleet.count_takeovers() == 1
 
 
+# While a small machine took over, a larger one was linked to it for a second: it gave
+# the cell up before it had served, and the next small one got it.
+async def test_small_machine_hands_over_only_once_it_serves():
+    async with running_fleet(18, candidates=1) as fleet:
+        fleet.cell_read_s = 3.0
+        await anyio.sleep(5.0)
+        (large,) = [machine for machine in fleet.running() if machine is fleet.owner()]
+        large.kill()
+        await anyio.sleep(3.0)
+        large.start()
+        # A small machine and the large one read the cell one after the other, and the
+        # small one serves for a second in between.
+        limit_s = 2 * fleet.cell_read_s + 1.0 + SETTLING_S
+        await anyio.sleep(limit_s)
+        assert fleet.is_settled()
+        assert fleet.owner() is large
+        assert fleet.count_takeovers() == 3
+
+
 # A read of the records that took longer than 5 s was begun anew for ever.
 async def test_records_that_take_long_to_read_are_read_in_the_end():
     async with running_fleet(5) as fleet:
