Count the service of an owner by its answers, and end its term when it stops

Found by the review: a node that lost the cell and took it over again was reported under its earlier term, and the 3 s of service counted the time without an answer, so that a takeover could be undone after all.

Change: a node that says that it does not own the cell ends its term with the nodes that were linked to it; service is the time between the first and the last answer. A report counts for 1.3 s.

--- a/gypsumring/node/failure_detection.py
+++ b/gypsumring/node/failure_detection.py
@@ -18,8 +18,9 @@
 MONITOR_COUNT = 3
 # An owner that has served for less than this time is not reported.
 MIN_SERVICE_S = 3.0
-# A report counts for this time; a node that still gets no answer repeats it sooner.
-REPORT_VALID_S = 1.0
+# A report counts for this time; a node that still gets no answer repeats it sooner
+# unless its lookups in the store are slow.
+REPORT_VALID_S = 1.3
 
 
 class OwnerTerm:
@@ -32,7 +33,9 @@
         self.fence = fence
         self.served_since = served_since
 
-    def is_reportable(self, address: str, newest_fence: int, now: float) -> bool:
+    def is_reportable(
+        self, address: str, newest_fence: int, last_answer_at: float
+    ) -> bool:
         """Return whether a node may report that this owner does not answer.
 
         ``address`` is that of the owner that does not answer; a higher ``newest_fence``
@@ -41,7 +44,7 @@
         return (
             self.address == address
             and self.fence >= newest_fence
-            and now - self.served_since >= MIN_SERVICE_S
+            and last_answer_at - self.served_since >= MIN_SERVICE_S
         )
 
 
--- a/gypsumring/node/link.py
+++ b/gypsumring/node/link.py
@@ -286,7 +286,9 @@
         """Report an owner that does not answer to the monitors, if it has served."""
         now = anyio.current_time()
         term = self.term
-        if term is None or not term.is_reportable(address, self.fence, now):
+        if term is None:
+            return
+        if not term.is_reportable(address, self.fence, self.last_linked_at):
             return
         others = self.list_other_nodes(without=address)
         monitors = choose_monitors(term.fence, [*others, self.member.node])
@@ -447,6 +449,9 @@
         if not isinstance(pong, Pong):
             return False
         if not pong.owns:
+            if self.term is not None and self.term.address == address:
+                # The node may take over again, which is another term.
+                self.term = None
             return not is_linked
         self.response_times.record(anyio.current_time() - sent_at)
         self.record_owner(channel, address, pong)
--- a/gypsumring/node/tests/test_link.py
+++ b/gypsumring/node/tests/test_link.py
@@ -167,6 +167,18 @@
             assert rig.store.left == [], served_s
 
 
+async def test_owner_that_takes_over_again_has_to_serve_again():
+    async with running_link(SERVED_S) as rig:
+        rig.peers["a1"].pong = Pong(False, 7, "")
+        await anyio.sleep(0.5)
+        rig.peers["a1"].state = "dark"
+        await anyio.sleep(3.0)
+        await rig.report("n2")
+        await anyio.sleep(0.9)
+        assert rig.store.left == []
+        assert rig.link.metrics.counters["link.owners_reported"] == 0
+
+
 async def test_owner_is_not_removed_on_the_reports_of_a_minority():
     async with running_link(SERVED_S) as rig:
         rig.peers["a1"].state = "dark"
