--- a/gypsumring/cell/lists.py
+++ b/gypsumring/cell/lists.py
@@ -100,7 +100,9 @@
             self.block_late_start(executor)
         listed_keys = {(run.task, run.attempt) for run in task_lists.running}
         self.apply_running(executor, task_lists.running, may_adopt, requested_at)
-        changed_jobs = self.apply_ended(executor, task_lists.ended, may_adopt)
+        changed_jobs = self.apply_ended(
+            executor, task_lists.ended, may_adopt, is_first_response
+        )
         if len(task_lists.ended) < MAX_LISTED_ENDS:
             self.release_absent(executor, listed_keys, requested_at)
         if is_first_response or has_restarted or runs_were_released:
@@ -210,16 +212,27 @@
         return run
 
     def apply_ended(
-        self, executor: ExecutorState, ended: list[ListedEnd], may_adopt: bool
+        self,
+        executor: ExecutorState,
+        ended: list[ListedEnd],
+        may_adopt: bool,
+        may_adopt_results: bool,
     ) -> set[Job]:
-        """Apply the new ends and return the jobs whose progress is to be stored."""
+        """Apply the new ends and return the jobs whose progress is to be stored.
+
+        ``may_adopt_results``: an earlier owner may not have received these ends, also
+        if the lease of the executor has expired since.
+        """
         changed_jobs: set[Job] = set()
         for end in ended:
             if end.number <= executor.last_seen_end:
                 continue
             executor.last_seen_end = end.number
             run = executor.runs.get((end.task, end.attempt))
-            if run is None and (may_adopt or self.is_late_result(executor, end)):
+            is_result = end.how in RESULTS and (
+                may_adopt_results or self.is_released(executor, end)
+            )
+            if run is None and (may_adopt or is_result):
                 run = self.adopt(executor, end.task, end.attempt, False)
             if run is None:
                 continue
@@ -238,13 +251,12 @@
                 changed_jobs.add(job)
         return changed_jobs
 
-    def is_late_result(self, executor: ExecutorState, end: ListedEnd) -> bool:
-        """Return whether an end is the result of an attempt that was released."""
+    def is_released(self, executor: ExecutorState, end: ListedEnd) -> bool:
+        """Return whether the attempt of an end was released, and forget that."""
         key = (end.task, end.attempt)
-        if key not in executor.released_runs:
-            return False
+        is_released = key in executor.released_runs
         executor.released_runs.discard(key)
-        return end.how in RESULTS
+        return is_released
 
     def update_health(self, executor: ExecutorState, run: Run, outcome: str) -> None:
         """Update the health of an executor after the end of an attempt."""
--- a/gypsumring/cell/tests/test_lists.py
+++ b/gypsumring/cell/tests/test_lists.py
@@ -94,4 +94,19 @@
             assert sum(cluster.world.starts.values()) == starts, how
 
 
+async def test_end_of_an_earlier_owner_is_applied_after_the_lease_has_expired():
+    step = StepSpec(task_count=1, cpu_millis=1000, estimated_ms=2_000)
+    async with running_cluster(steady_behaviour(2.0), nodes=2, executors=1) as cluster:
+        assert await cluster.submit(make_job("a" * 16, step)) is Outcome.OK
+        await anyio.sleep(1.0)
+        for node in cluster.nodes.values():
+            node.faults.cut_executors.add("i-0")
+        cluster.owner_node().kill()
+        await anyio.sleep(10.0)
+        for node in cluster.nodes.values():
+            node.faults.cut_executors.clear()
+        assert await cluster.wait_final("a" * 16, 30) is JobPhase.COMPLETED
+        assert sum(cluster.world.starts.values()) == 1
+
+
 load_tests = make_load_tests(globals())
