Count no failure that is listed after the lease of its executor

By the platform's rules an end that is first read after the lease has lapsed is not taken note of, so that a late failure may not count as one of the attempts of a job; the work that was done still need not run again.

--- a/gypsumring/cell/lists.py
+++ b/gypsumring/cell/lists.py
@@ -20,8 +20,6 @@
 # duration times FULL_PROGRESS_TIMEOUT_FACTOR.
 FULL_PROGRESS_TIMEOUT_S = 3.0
 FULL_PROGRESS_TIMEOUT_FACTOR = 2.0
-# Ends that tell how the work of a task went, whatever has happened to its lease since.
-RESULTS = ("done", "failed")
 # An executor reports at most this many ends in one answer.
 MAX_LISTED_ENDS = 500
 
@@ -229,10 +227,11 @@
                 continue
             executor.last_seen_end = end.number
             run = executor.runs.get((end.task, end.attempt))
-            is_result = end.how in RESULTS and (
+            # A failure counts only if it was listed before the lease expired.
+            is_late_result = end.how == "done" and (
                 may_adopt_results or self.is_released(executor, end)
             )
-            if run is None and (may_adopt or is_result):
+            if run is None and (may_adopt or is_late_result):
                 run = self.adopt(executor, end.task, end.attempt, False)
             if run is None:
                 continue
