--- a/stand_ins/platform/fleet.py
+++ b/stand_ins/platform/fleet.py
@@ -414,14 +414,6 @@
         for machine in self.machines.values():
             machine.calls.clear()
 
-    def count_calls(self) -> Counter[str]:
-        """Return the largest number of calls of each kind that one machine has made."""
-        most: Counter[str] = Counter()
-        for machine in self.machines.values():
-            for kind, count in machine.calls.items():
-                most[kind] = max(most[kind], count)
-        return most
-
     async def wait_until_settled(self, limit_s: float) -> float | None:
         """Wait until all nodes are linked to one owner; return the time it took.
 
