--- a/review/lib/cluster.py
+++ b/review/lib/cluster.py
@@ -3,6 +3,7 @@
 import asyncio
 import json
 import os
+import secrets
 import shlex
 import signal
 import subprocess
@@ -13,7 +14,7 @@
 from pathlib import Path
 
 from lib.executor import Behaviour, Executor, World
-from lib.http import call, find_free_port
+from lib.http import Reply, Request, Server, call, find_free_port
 from lib.store import Store, encode
 
 REPOSITORY = Path(__file__).resolve().parents[2]
@@ -22,6 +23,9 @@
 # The platform restarts a process that has ended "after a short delay"; the days of the
 # site file keep killed machines down for up to 3.5 s (``node_kill``).
 RESTART_DELAY_S = 2.0
+# Time of one call to the policy service, and validity of its tickets.
+DECIDE_S = 0.01
+VALID_S = 2.0
 HELD, BROKEN, NOT_RUN = 0, 1, 2
 
 
@@ -30,7 +34,7 @@
 
     __slots__ = ("front", "log", "name", "process", "ready", "settings")
 
-    def __init__(self, name: str, store_address: str, folder: Path):
+    def __init__(self, name: str, store_address: str, policy: str, folder: Path):
         self.name = name
         self.front = f"127.0.0.1:{find_free_port()}"
         self.ready = f"127.0.0.1:{find_free_port()}"
@@ -53,7 +57,7 @@
                 "shortest_membership_ms": 1000,
             },
             "processor": {"share": 0.537, "speed": 2},
-            "policy_address": "",
+            "policy_address": policy,
             "bounds": {
                 "longest_lease_ms": 10_000,
                 "stop_ms": 900,
@@ -101,7 +105,16 @@
 class Cluster:
     """All processes and stand-ins of one case, and its record."""
 
-    __slots__ = ("began", "executors", "folder", "lines", "nodes", "store", "world")
+    __slots__ = (
+        "began",
+        "executors",
+        "folder",
+        "lines",
+        "nodes",
+        "policy",
+        "store",
+        "world",
+    )
 
     def __init__(self, folder: Path, behave: Behaviour):
         self.began = time.monotonic()
@@ -111,6 +124,7 @@
         self.world = World(self.store, self.note, behave)
         self.nodes: list[Node] = []
         self.executors: list[Executor] = []
+        self.policy = Server(self.advise)
 
     def note(self, text: str) -> None:
         """Add a line to the record."""
@@ -121,19 +135,19 @@
     ) -> None:
         """Start the store, the executors and the nodes, and wait until all serve."""
         await self.store.server.start()
-        desired = {
-            "version": 1,
-            "routes": routes,
-            "services": [{"name": "work", "admissionCheck": False}],
-            "limits": {"maxBodyBytes": 262_144},
-        }
-        self.store.write("keyed.op", "config", encode(desired))
+        await self.policy.start()
+        self.publish(1, routes)
         self.executors = executors
         for executor in executors:
             await executor.start()
         for number in range(node_count):
             self.nodes.append(
-                Node(f"edge-{number + 1}", self.store.server.address, self.folder)
+                Node(
+                    f"edge-{number + 1}",
+                    self.store.server.address,
+                    self.policy.address,
+                    self.folder,
+                )
             )
             self.nodes[-1].start()
         await self.wait_ready()
@@ -148,6 +162,31 @@
                 await asyncio.sleep(0.05)
         self.note("all nodes are ready")
 
+    def publish(self, version: int, routes: list[dict]) -> None:
+        """Write a desired state, as the operator does."""
+        desired = {
+            "version": version,
+            "routes": routes,
+            "services": [{"name": "work", "admissionCheck": False}],
+            "limits": {"maxBodyBytes": 262_144},
+        }
+        self.store.write("keyed.op", "config", encode(desired))
+        names = " ".join(each["name"] for each in routes)
+        self.note(f"operator: version {version} with the queues {names}")
+
+    async def advise(self, request: Request) -> Reply:
+        """Allow a step on all executors, with a ticket for each."""
+        body = request.json()
+        await asyncio.sleep(DECIDE_S)
+        rows = []
+        for worker in body["workers"]:
+            ticket = secrets.token_hex(4)
+            rows.append([worker, ticket])
+            if self.world.tickets is not None:
+                key = body["step"], worker, ticket
+                self.world.tickets[key] = time.monotonic() + VALID_S
+        return 200, {"allowed": rows}
+
     async def check_ready(self, node: Node) -> int:
         """Return the status of a readiness check."""
         headers = {"Host": node.ready}
@@ -211,6 +250,7 @@
         for executor in self.executors:
             if executor.is_up:
                 await executor.crash()
+        await self.policy.stop()
         await self.store.server.stop()
 
 
--- a/review/lib/executor.py
+++ b/review/lib/executor.py
@@ -61,13 +61,15 @@
 class World:
     """All that executors have seen."""
 
-    __slots__ = ("behave", "note", "noted_done", "runs", "store")
+    __slots__ = ("behave", "note", "noted_done", "runs", "store", "tickets")
 
     def __init__(self, store: Store, note: Callable[[str], None], behave: Behaviour):
         self.store = store
         self.note = note
         self.behave = behave
         self.runs: list[Run] = []
+        # Ends of the tickets by step, executor and ticket; None if none are needed.
+        self.tickets: dict[tuple[str, str, str], float] | None = None
         # Tasks whose end ``done`` was taken note of, with the time.
         self.noted_done: dict[str, float] = {}
 
@@ -258,6 +260,11 @@
             return self.refuse("old")
         if order["deadlineMs"] <= self.clock_ms:
             return self.refuse("late")
+        if self.world.tickets is not None:
+            key = task.rpartition(".")[0], self.executor_id, order.get("ticket", "")
+            if self.world.tickets.get(key, 0.0) < time.monotonic():
+                self.world.note(f"{self.executor_id} {task} is refused: no ticket")
+                return self.refuse("ticket")
         self.extend(order["deadlineMs"])
         run = Run(self, task, attempt)
         work_s, run.how = self.world.behave(task, attempt, self)
