--- a/gypsumring/cell/lists.py
+++ b/gypsumring/cell/lists.py
@@ -46,7 +46,7 @@
             )
             self.state.metrics.count("cell.attempts.lost", len(runs))
         executor.runs_were_released = True
-        executor.released_runs.update(executor.runs)
+        executor.may_list_lapsed_ends = True
         self.orders.crashes.record_loss(executor)
         for run in runs:
             self.orders.release(run)
@@ -91,22 +91,21 @@
             # The previous owner may have extended the lease just before the takeover.
             inherited_ms = int(self.state.inherited_lease_s * 1000)
             executor.lease_until_ms = task_lists.clock_ms + inherited_ms
-        may_adopt = (
-            is_first_response and executor.executor_id in self.state.unreconciled
-        )
+        # The ends of an earlier owner may take several answers.
+        may_adopt = executor.executor_id in self.state.unreconciled
         if has_restarted or runs_were_released:
             self.block_late_start(executor)
         listed_keys = {(run.task, run.attempt) for run in task_lists.running}
         self.apply_running(executor, task_lists.running, may_adopt, requested_at)
-        changed_jobs = self.apply_ended(
-            executor, task_lists.ended, may_adopt, is_first_response
-        )
-        if len(task_lists.ended) < MAX_LISTED_ENDS:
+        changed_jobs = self.apply_ended(executor, task_lists.ended, may_adopt)
+        lists_all_ends = len(task_lists.ended) < MAX_LISTED_ENDS
+        if lists_all_ends:
             self.release_absent(executor, listed_keys, requested_at)
         if is_first_response or has_restarted or runs_were_released:
             self.orders.crashes.resolve(executor)
         executor.unknown_runs &= listed_keys
-        if len(task_lists.ended) < MAX_LISTED_ENDS:
+        if lists_all_ends:
+            executor.may_list_lapsed_ends = False
             self.mark_reconciled(executor)
         self.acknowledge(executor, changed_jobs)
         if changed_jobs or task_lists.ended or is_first_response:
@@ -210,16 +209,12 @@
         return run
 
     def apply_ended(
-        self,
-        executor: ExecutorState,
-        ended: list[ListedEnd],
-        may_adopt: bool,
-        may_adopt_results: bool,
+        self, executor: ExecutorState, ended: list[ListedEnd], may_adopt: bool
     ) -> set[Job]:
         """Apply the new ends and return the jobs whose progress is to be stored.
 
-        ``may_adopt_results``: an earlier owner may not have received these ends, also
-        if the lease of the executor has expired since.
+        The executor discards an end once it is acknowledged, so that a result is also
+        applied if the cell has no record of the attempt.
         """
         changed_jobs: set[Job] = set()
         for end in ended:
@@ -227,11 +222,7 @@
                 continue
             executor.last_seen_end = end.number
             run = executor.runs.get((end.task, end.attempt))
-            # A failure counts only if it was listed before the lease expired.
-            is_late_result = end.how == "done" and (
-                may_adopt_results or self.is_released(executor, end)
-            )
-            if run is None and (may_adopt or is_late_result):
+            if run is None and (may_adopt or is_result(executor, end)):
                 run = self.adopt(executor, end.task, end.attempt, False)
             if run is None:
                 continue
@@ -250,13 +241,6 @@
                 changed_jobs.add(job)
         return changed_jobs
 
-    def is_released(self, executor: ExecutorState, end: ListedEnd) -> bool:
-        """Return whether the attempt of an end was released, and forget that."""
-        key = (end.task, end.attempt)
-        is_released = key in executor.released_runs
-        executor.released_runs.discard(key)
-        return is_released
-
     def update_health(self, executor: ExecutorState, run: Run, outcome: str) -> None:
         """Update the health of an executor after the end of an attempt."""
         now = anyio.current_time()
@@ -318,6 +302,17 @@
         self.state.write_progress(jobs[-1], mark_durable)
 
 
+def is_result(executor: ExecutorState, end: ListedEnd) -> bool:
+    """Return whether an end counts for its task, whoever started the attempt.
+
+    A failure does not count if the lease may have expired between it and its
+    acknowledgement.
+    """
+    if end.how == "failed":
+        return not executor.may_list_lapsed_ends
+    return end.how == "done"
+
+
 def is_confirmed_absent(run: Run, requested_at: float) -> bool:
     """Return whether an attempt that is not listed neither runs nor can start later.
 
--- a/gypsumring/cell/tests/test_lists.py
+++ b/gypsumring/cell/tests/test_lists.py
@@ -1,18 +1,20 @@
 """Task lists that the owner receives late."""
 
 import functools
+from collections.abc import Callable
 
 import anyio
 
-from gypsumring.cell.lists import is_confirmed_absent
+from gypsumring.cell import CellOwner
+from gypsumring.cell.lists import MAX_LISTED_ENDS, is_confirmed_absent
 from gypsumring.cell.messages import Outcome
 from gypsumring.cell.tests.test_recovery import running_cluster
 from gypsumring.dispatch.tests.fleets import make_step
 from gypsumring.fleet import MAX_ORDER_DELAY_S
 from gypsumring.pipelines import JobPhase, JobTable, Run, RunState, StepSpec
-from gypsumring.ports.tasks import ListedRun, TaskLists
+from gypsumring.ports.tasks import ListedEnd, ListedRun, TaskLists
 from gypsumring.utils.testing import make_load_tests
-from stand_ins.platform.cluster import make_job
+from stand_ins.platform.cluster import MemoryCluster, make_job
 from stand_ins.platform.world import TaskBehaviour, steady_behaviour
 
 LONG_STEP = StepSpec(task_count=1, cpu_millis=1000, estimated_ms=60_000)
@@ -118,4 +120,94 @@
         assert sum(cluster.world.starts.values()) == 1
 
 
+# A new owner applied the ends of its predecessor only from the first answer of an
+# executor, which lists 500, and acknowledged the others: work that was done ran again.
+async def test_done_work_beyond_the_first_listed_ends_is_not_done_again():
+    step = StepSpec(task_count=MAX_LISTED_ENDS + 200, cpu_millis=1, estimated_ms=5_000)
+    async with running_cluster(steady_behaviour(5.0), executors=1) as cluster:
+        assert await cluster.submit(make_job("a" * 16, step)) is Outcome.OK
+        await anyio.sleep(4.5)
+        await restart_all_nodes(cluster)
+        assert await cluster.wait_final("a" * 16, 30) is JobPhase.COMPLETED
+        assert set(cluster.world.starts.values()) == {1}
+
+
+# Failures beyond the first answer were dropped likewise, and their tasks had more
+# attempts than the queue permits.
+async def test_failures_beyond_the_first_listed_ends_count():
+    step = StepSpec(task_count=1, cpu_millis=1, estimated_ms=5_000)
+    behave = functools.partial(lambda result, *_: result, TaskBehaviour(5.0, "failed"))
+    async with running_cluster(behave, executors=1) as cluster:
+        job_ids = [f"{number:016x}" for number in range(MAX_LISTED_ENDS + 100)]
+        async with anyio.create_task_group() as group:
+            for job_id in job_ids:
+                group.start_soon(cluster.submit, make_job(job_id, step), 10.0)
+        runs = cluster.executors["i-0"].runs
+        while len(runs) < len(job_ids):
+            await anyio.sleep(0.1)
+        last_start_at = max(run.started_at for run in runs.values())
+        await anyio.sleep_until(last_start_at + 4.0)
+        await restart_all_nodes(cluster)
+        for job_id in job_ids:
+            assert await cluster.wait_final(job_id, 60) is JobPhase.FAILED
+        assert set(cluster.world.starts.values()) == {cluster.world.max_attempts}
+
+
+async def restart_all_nodes(cluster: MemoryCluster) -> None:
+    """Kill all nodes and start them again after a delay."""
+    for node in list(cluster.nodes.values()):
+        node.kill()
+    await anyio.sleep(2.0)
+    for name in list(cluster.nodes):
+        cluster.add_node(name)
+
+
+def refuse_start(owner: CellOwner, run: Run) -> None:
+    """Release an attempt because its executor has refused the start."""
+    executor = owner.state.fleet[run.executor_id]
+    owner.orders.handle_refusal(run, executor, "room")
+
+
+def withdraw_start(owner: CellOwner, run: Run) -> None:
+    """Release an attempt because its executor has shrunk."""
+    owner.orders.withdraw_start(run, owner.state.fleet[run.executor_id])
+
+
+def omit_from_list(owner: CellOwner, run: Run) -> None:
+    """Release an attempt because its executor does not list it."""
+    reader = owner.executor_poller.list_reader
+    executor = owner.state.fleet[run.executor_id]
+    reader.release_absent(executor, set(), anyio.current_time() + 1.0)
+
+
+# An attempt whose start was refused or withdrawn, or that was not listed, may have run
+# all the same: a copy of the order may have been carried out. Its result was dropped.
+async def test_result_of_a_released_attempt_is_applied():
+    for release in (refuse_start, withdraw_start, omit_from_list):
+        for how in ("done", "failed"):
+            await check_result_of_released_attempt(release, how)
+
+
+async def check_result_of_released_attempt(
+    release: Callable[[CellOwner, Run], None], how: str
+) -> None:
+    """Release an attempt and check that a result which is listed later is applied."""
+    async with running_cluster(steady_behaviour(60.0), executors=1) as cluster:
+        assert await cluster.submit(make_job("a" * 16, LONG_STEP)) is Outcome.OK
+        await anyio.sleep(1.0)
+        owner = cluster.owner_node().owner()
+        executor = owner.state.fleet["i-0"]
+        ((key, run),) = executor.runs.items()
+        release(owner, run)
+        assert key not in executor.runs
+        now = anyio.current_time()
+        end = ListedEnd(executor.last_seen_end + 1, *key, how, "")
+        lists = TaskLists(executor.min_clock_ms(now), executor.born_ms, [], [end])
+        owner.executor_poller.list_reader.apply(executor, lists, now)
+        if how == "done":
+            assert run.step.is_done
+        else:
+            assert run.step.failures == {0: {run.attempt}}
+
+
 load_tests = make_load_tests(globals())
--- a/gypsumring/fleet/executor.py
+++ b/gypsumring/fleet/executor.py
@@ -64,7 +64,7 @@
         "lease_until_ms",
         "listed",
         "may_leave_at",
-        "released_runs",
+        "may_list_lapsed_ends",
         "runs",
         "runs_were_released",
         "starts_to_block",
@@ -92,9 +92,6 @@
         # Set if the latest order or long poll was not answered.
         self.is_unresponsive = False
         self.runs: dict[tuple[str, int], Run] = {}
-        # Attempts of this incarnation that were released because its lease had expired.
-        # They may have ended before, and the executor still lists that end.
-        self.released_runs: set[tuple[str, int]] = set()
         # Send times of start orders that were not answered, by attempt. The executor
         # may still carry such an order out.
         self.unconfirmed_starts: dict[tuple[str, int], float] = {}
@@ -130,7 +127,8 @@
         self.last_seen_end = 0
         self.last_durable_end = 0
         self.unknown_runs.clear()
-        self.released_runs.clear()
+        # Set if ends may be listed that date from before an expiry of the lease.
+        self.may_list_lapsed_ends = False
 
     def record_draining(self, entry: ExecutorEntry) -> None:
         """Record which incarnation a new directory entry reports as draining."""
