--- a/gypsumring/cell/state.py
+++ b/gypsumring/cell/state.py
@@ -104,7 +104,8 @@
         self.clock = clock
         self.wall_clock = wall_clock
         # Returns whether leases may be extended. They may not be after a pause of this
-        # process, since the next owner relies on the expiry of the granted leases.
+        # process or while it is cut off, since the next owner relies on the expiry of
+        # the granted leases.
         self.may_extend_leases = may_extend_leases
         # Leases of the previous owner expire within this time after the takeover.
         self.inherited_lease_s = timing.max_lease_s
--- /dev/null
+++ b/gypsumring/cell/tests/test_isolated_owner.py
@@ -0,0 +1,94 @@
+"""An owner that is cut off from the store, the other nodes and most executors.
+
+The pattern: a partition leaves the owner with a few executors, which the next owner
+does not reach. Neither of them gets the refusal of a lower fence number.
+"""
+
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+
+import anyio
+
+from gypsumring.cell.messages import Outcome
+from gypsumring.cell.tests.test_recovery import running_cluster
+from gypsumring.pipelines import JobPhase, StepSpec
+from gypsumring.utils.testing import make_load_tests
+from stand_ins.platform.cluster import MemoryCluster, make_job
+from stand_ins.platform.world import steady_behaviour
+
+PARTITION_S = 14.0
+JOB = "a" * 16
+
+
+@asynccontextmanager
+async def cluster_with_long_tasks() -> AsyncIterator[MemoryCluster]:
+    """Run a cluster with tasks on some executors; check that their job completes."""
+    step = StepSpec(task_count=6, cpu_millis=2000, estimated_ms=20_000)
+    behave = steady_behaviour(20.0)
+    async with running_cluster(behave, nodes=3, cpu_millis=4000) as cluster:
+        assert await cluster.submit(make_job(JOB, step)) is Outcome.OK
+        await anyio.sleep(0.5)
+        yield cluster
+        assert await cluster.wait_final(JOB) is JobPhase.COMPLETED
+
+
+def find_executor(cluster: MemoryCluster, has_tasks: bool) -> str:
+    """Return the id of the first executor that runs tasks, or that runs none."""
+    return next(
+        name
+        for name, model in cluster.executors.items()
+        if bool(model.runs) is has_tasks
+    )
+
+
+async def drain_busy_executors(cluster: MemoryCluster) -> None:
+    """Let the executors with tasks drain.
+
+    The end of their leases then counts as no crash, after which a task would start
+    only once this is recorded in the store.
+    """
+    for model in cluster.executors.values():
+        cluster.register(model, draining=bool(model.runs))
+    await anyio.sleep(0.5)
+
+
+# The owner went on extending the lease of the executor that it still reached. The next
+# owner presumed that this lease had expired and started the tasks a second time.
+async def test_owner_that_is_cut_off_extends_no_leases():
+    async with cluster_with_long_tasks() as cluster:
+        reached = find_executor(cluster, has_tasks=True)
+        rejoin = cluster.isolate(cluster.owner_node().name, {reached})
+        await anyio.sleep(PARTITION_S)
+        rejoin()
+
+
+# The owner took leases for expired that the next owner extended, and started the tasks
+# again on the executor that it still reached.
+async def test_owner_that_is_cut_off_does_not_start_lost_tasks_again():
+    async with cluster_with_long_tasks() as cluster:
+        await drain_busy_executors(cluster)
+        reached = find_executor(cluster, has_tasks=False)
+        rejoin = cluster.isolate(cluster.owner_node().name, {reached})
+        await anyio.sleep(PARTITION_S)
+        rejoin()
+        for model in cluster.executors.values():
+            cluster.register(model)
+
+
+# Guards against an owner that gives up the leases in an outage of the store, in which
+# no other node can take over.
+async def test_leases_are_extended_while_the_store_answers_no_node():
+    step = StepSpec(task_count=8, cpu_millis=2000, estimated_ms=20_000)
+    async with running_cluster(steady_behaviour(20.0), nodes=3) as cluster:
+        assert await cluster.submit(make_job(JOB, step)) is Outcome.OK
+        await anyio.sleep(1.0)
+        for node in cluster.nodes.values():
+            node.faults.store_away = True
+        await anyio.sleep(PARTITION_S)
+        for node in cluster.nodes.values():
+            node.faults.store_away = False
+        assert await cluster.wait_final(JOB) is JobPhase.COMPLETED
+        assert set(cluster.world.starts.values()) == {1}
+
+
+load_tests = make_load_tests(globals())
--- a/gypsumring/node/link.py
+++ b/gypsumring/node/link.py
@@ -72,6 +72,7 @@
         "fence",
         "group_name",
         "has_announced",
+        "has_other_members",
         "largest_member",
         "last_linked_at",
         "linked_since",
@@ -117,6 +118,8 @@
         self.calls = NodeCalls(connect, handler, self.metrics)
         # Size of the largest machine in the group, None if the last lookup failed.
         self.largest_member: int | None = None
+        # Whether the group had other members at the last lookup.
+        self.has_other_members = False
         # Size of this machine, 0 once the node is stopping.
         self.size = size
         self.channel: Channel | None = None
@@ -226,8 +229,11 @@
             log.debug("owner not found in the store", error=str(error))
             self.largest_member = None
             return await self.query_nodes()
-        members = map(Member.parse, owners.values())
+        members = [Member.parse(name) for name in owners.values()]
         self.largest_member = max((member.size for member in members), default=0)
+        self.has_other_members = any(
+            member.node != self.member.node for member in members
+        )
         name = owners.get(self.cell)
         if name is None:
             return None
@@ -249,6 +255,10 @@
             if name != self.member.node and address != without
         }
 
+    def knows_other_nodes(self) -> bool:
+        """Return whether the installation has other nodes, as far as is known."""
+        return self.has_other_members or bool(self.list_other_nodes())
+
     async def query_nodes(self) -> str | None:
         """Return the owner's address as recorded by a few other nodes, or None.
 
--- a/gypsumring/node/membership.py
+++ b/gypsumring/node/membership.py
@@ -37,6 +37,9 @@
 # Peers may remove an unresponsive owner from the group before its membership expires,
 # but no sooner than this time after its last response.
 CONFIRMATION_VALID_S = 0.35
+# Leases are extended for this time after the last confirmation, also if no other node
+# follows this one. The next owner adds ``cell.owner.MAX_EXTENSION_DELAY_S`` to them.
+MAX_UNCONFIRMED_S = 1.0
 LEAVE_TIMEOUT_S = 0.5
 # How often a stopping owner checks whether the store has recovered.
 HANDOVER_POLL_S = 0.05
@@ -77,6 +80,8 @@
     ``make_owner`` returns a new owner for a fence number, which is derived from the
     generation in which the cell was assigned to this node. ``is_candidate`` receives
     whether the node owns the cell and returns whether it should be in the group.
+    ``is_followed`` receives a time in ``clock`` time and returns whether all nodes that
+    followed this one then still do.
     """
 
     __slots__ = (
@@ -90,6 +95,7 @@
         "group",
         "group_name",
         "is_candidate",
+        "is_followed",
         "is_member",
         "left_at",
         "make_owner",
@@ -120,6 +126,7 @@
         make_owner: Callable[[int], CellOwner],
         clock: Clock = anyio.current_time,
         is_candidate: Callable[[bool], bool] = lambda owns: True,
+        is_followed: Callable[[float], bool] = lambda since: True,
     ):
         self.store = store
         self.group_name = group_name
@@ -129,6 +136,7 @@
         self.ttl_s = ttl_s
         self.make_owner = make_owner
         self.is_candidate = is_candidate
+        self.is_followed = is_followed
         # Whether the process has tried to join and has not left since.
         self.is_member = False
         self.generation = 0
@@ -261,10 +269,18 @@
     def may_extend_leases(self) -> bool:
         """Return whether task leases may be extended.
 
-        After a pause, the group has to confirm the cell first. An owner that cannot
-        reach the store continues, since no other node can take over without the store.
+        After a pause, the group has to confirm the cell first. An owner that gets no
+        answer from the store continues while all nodes follow it: a node that the store
+        answers would relay its joins, so none can take over. An owner that is cut off
+        from the other nodes stops before the next owner presumes that the leases have
+        expired.
         """
-        return not self.paused and self.clock() - self.checked_at <= self.ttl_s
+        now = self.clock()
+        if self.paused or now - self.checked_at > self.ttl_s:
+            return False
+        if now - self.confirmed_at <= MAX_UNCONFIRMED_S:
+            return True
+        return self.is_followed(self.confirmed_at)
 
     async def apply(self, assignment: Assignment, sent_at: float) -> None:
         """Start or stop the owner as assigned; ``sent_at`` is in ``clock`` time."""
--- a/gypsumring/node/node.py
+++ b/gypsumring/node/node.py
@@ -28,6 +28,7 @@
 from gypsumring.metrics import Metrics
 from gypsumring.node.candidacy import Candidacy
 from gypsumring.node.desired import DesiredStateWatch
+from gypsumring.node.follower_contacts import FollowerContacts
 from gypsumring.node.forwarding import Command, Forwarder
 from gypsumring.node.link import OwnerLink
 from gypsumring.node.membership import Member, Membership
@@ -79,6 +80,7 @@
         "cell",
         "clock",
         "desired",
+        "follower_contacts",
         "forwarder",
         "link",
         "membership",
@@ -119,6 +121,7 @@
         self.peer_addresses: dict[str, str] = {}
         # Machine sizes of those nodes, by node name.
         self.peer_sizes: dict[str, int] = {}
+        self.follower_contacts = FollowerContacts()
         self.nodes_version = unix_ms()
         self.desired = DesiredStateWatch(
             store, DESIRED_STATE_TOPIC, DESIRED_STATE_KEY, decode_desired_state
@@ -138,6 +141,7 @@
             self.make_owner,
             clock,
             self.is_candidate,
+            self.is_followed,
         )
         self.link = OwnerLink(
             store,
@@ -170,6 +174,16 @@
         unlinked_s = anyio.current_time() - self.link.last_linked_at
         return self.candidacy.is_candidate(owns, unlinked_s, self.link.largest_member)
 
+    def is_followed(self, since: float) -> bool:
+        """Return whether all nodes that followed this one at a time still do.
+
+        The only node of an installation needs no followers.
+        """
+        contacts = self.follower_contacts
+        if not contacts.last_message_at and not self.link.knows_other_nodes():
+            return True
+        return contacts.are_kept(since, self.clock())
+
     def is_ready(self) -> bool:
         """Return whether the load balancer should send requests to this node."""
         if self.stopping or self.desired.current is None:
@@ -283,12 +297,15 @@
             case Hello(node=node, address=address, size=size):
                 self.metrics.count("node.hellos")
                 channel.peer = node
+                self.follower_contacts.record(node, self.clock())
                 self.peer_sizes[node] = size
                 self.peers[node] = channel
                 self.peer_addresses[node] = address
                 self.nodes_version += 1
                 return self.make_pong(self.nodes_version)
             case Ping(nodes_version=version):
+                if channel.peer in self.peers:
+                    self.follower_contacts.record(channel.peer, self.clock())
                 return self.make_pong(version)
             case Announce():
                 await self.link.record_announced_owner(message)
--- a/gypsumring/node/tests/test_fleet.py
+++ b/gypsumring/node/tests/test_fleet.py
@@ -2,6 +2,7 @@
 
 import anyio
 
+from gypsumring.cell.owner import MAX_EXTENSION_DELAY_S
 from gypsumring.utils.testing import make_load_tests
 from stand_ins.platform.fleet import FleetModel, running_fleet
 
@@ -132,4 +133,54 @@
         assert await fleet.wait_until_settled(limit_s) is not None
 
 
+# The owner went on extending leases for as long as it was cut off, and the next owner
+# presumed that they had expired: tasks ran twice.
+async def test_owner_that_is_cut_off_extends_no_leases():
+    for size in (2, 7, 18):
+        async with running_fleet(size) as fleet:
+            await anyio.sleep(5.0)
+            owner = fleet.owner()
+            membership = owner.node.membership
+            assert membership.may_extend_leases()
+            owner.is_dark = True
+            while any(fleet.owner() is each for each in (None, owner)):
+                await anyio.sleep(0.01)
+            await anyio.sleep(MAX_EXTENSION_DELAY_S)
+            for _ in range(100):
+                assert membership.active_owner() is not None
+                assert not membership.may_extend_leases(), size
+                await anyio.sleep(0.1)
+
+
+# Guards against the loss of all running work in an outage of the store.
+async def test_leases_are_extended_while_the_store_answers_no_node():
+    for size in (1, 2, 7, 18):
+        async with running_fleet(size) as fleet:
+            await anyio.sleep(5.0)
+            membership = fleet.owner().node.membership
+            for machine in fleet.running():
+                machine.faults.store_away = True
+            for _ in range(100):
+                await anyio.sleep(0.1)
+                assert membership.may_extend_leases(), size
+
+
+# Guards against one node that is killed in such an outage, unknown to the owner whether
+# it has taken over: once the store answers, leases are extended again.
+async def test_leases_are_extended_again_once_the_store_answers():
+    async with running_fleet(7) as fleet:
+        await anyio.sleep(5.0)
+        owner = fleet.owner()
+        for machine in fleet.running():
+            machine.faults.store_away = True
+        await anyio.sleep(2.0)
+        next(each for each in fleet.running() if each is not owner).kill()
+        await anyio.sleep(2.0)
+        assert not owner.node.membership.may_extend_leases()
+        for machine in fleet.running():
+            machine.faults.store_away = False
+        await anyio.sleep(0.5)
+        assert fleet.owner().node.membership.may_extend_leases()
+
+
 load_tests = make_load_tests(globals())
--- a/stand_ins/platform/cluster.py
+++ b/stand_ins/platform/cluster.py
@@ -1,6 +1,7 @@
 """Cluster of nodes that share one cell on the in-process platform."""
 
 import random
+from collections.abc import Callable
 
 import anyio
 import anyio.abc
@@ -86,7 +87,14 @@
         cluster.node_start_count += 1
         member = f"{name}/{cluster.node_start_count}"
         self.membership = Membership(
-            self.store, GROUP, CELL_TOPIC, 0, member, MEMBERSHIP_TTL_S, self.make_owner
+            self.store,
+            GROUP,
+            CELL_TOPIC,
+            0,
+            member,
+            MEMBERSHIP_TTL_S,
+            self.make_owner,
+            is_followed=self.is_followed,
         )
 
     def make_owner(self, fence: int) -> CellOwner:
@@ -109,6 +117,19 @@
             lambda: self.membership.may_extend_leases(),
         )
 
+    def is_followed(self, since: float) -> bool:
+        """Return whether all other nodes that run follow this one."""
+        others = [
+            node
+            for node in self.cluster.nodes.values()
+            if node is not self and not node.killed.is_set()
+        ]
+        if self.faults.is_isolated and others:
+            return False
+        return all(
+            node.owner() is None and not node.faults.is_isolated for node in others
+        )
+
     def connect(self, executor_id: str, address: str) -> TaskExecutor:
         """Return the port to an executor."""
         model = self.cluster.executors[executor_id]
@@ -249,6 +270,26 @@
         self.group.start_soon(node.run)
         return node
 
+    def isolate(self, name: str, reached: set[str]) -> Callable[[], None]:
+        """Cut a node off from the store and all nodes; return a call that undoes it.
+
+        The node reaches only the executors ``reached``, which no other node reaches.
+        """
+        cuts: list[tuple[Faults, set[str]]] = []
+        for other, node in self.nodes.items():
+            cut = set(self.executors) - reached if other == name else reached
+            cuts.append((node.faults, cut - node.faults.cut_executors))
+            node.faults.cut_executors |= cut
+        faults = self.nodes[name].faults
+        faults.is_isolated = faults.store_away = True
+
+        def rejoin() -> None:
+            faults.is_isolated = faults.store_away = False
+            for node_faults, cut in cuts:
+                node_faults.cut_executors -= cut
+
+        return rejoin
+
     def add_executor(self, model: ExecutorModel) -> None:
         """Add an executor to the cluster and register it in the store."""
         self.executors[model.executor_id] = model
