--- a/soak/cells.py
+++ b/soak/cells.py
@@ -32,6 +32,8 @@
 # may take more than half a minute, and a step may need several attempts of them.
 SETTLE_S = 240.0
 CANCEL_SHARE = 0.2
+# Some owners are cut off for this multiple of the usual length of a fault.
+MAX_ISOLATION_FACTOR = 2
 # Share of jobs with a deadly task, in runs with such jobs, and the longest time that
 # it works before it crashes its executor.
 DEADLY_SHARE = 0.05
@@ -54,6 +56,7 @@
     "deal_anew",
     "forget_history",
     "hang_tasks",
+    "isolate_owner",
 )
 # Field of the faults of a node, value, usual value.
 NODE_FAULTS = {
@@ -171,6 +174,8 @@
             group = cluster.store.group("cells")
             if group.members:
                 group.deal(shift=source.randint(0, 2))
+        elif fault == "isolate_owner":
+            await self.isolate_owner(lasts)
         elif fault == "forget_history":
             cluster.store.forget_history(ENTRIES_TOPIC)
         elif fault == "hang_tasks":
@@ -191,6 +196,19 @@
         for node in nodes:
             setattr(node.faults, field, usual)
 
+    async def isolate_owner(self, lasts: float) -> None:
+        """Cut the owner off with some executors, at times for longer than a lease."""
+        owner = self.cluster.owner_node()
+        if owner is None:
+            return
+        models = self.cluster.list_staying()
+        reached = self.random_source.sample(models, self.random_source.randint(1, 2))
+        rejoin = self.cluster.isolate(
+            owner.name, {model.executor_id for model in reached}
+        )
+        await anyio.sleep(lasts * self.random_source.choice((1, MAX_ISOLATION_FACTOR)))
+        rejoin()
+
     async def restart(self, names: list[str], pause_s: float) -> None:
         """Kill nodes and start them again."""
         for name in names:
--- a/soak/tests/test_cell_faults.py
+++ b/soak/tests/test_cell_faults.py
@@ -8,6 +8,7 @@
 from gypsumring.cell.messages import JobAnswer, Outcome
 from gypsumring.cell.orders import Orders
 from gypsumring.fleet import ExecutorState
+from gypsumring.node.membership import Membership
 from gypsumring.pipelines.state import Step
 from gypsumring.utils.testing import make_load_tests, run_on_mock_clock
 from soak.cells import run_cell_soak
@@ -41,6 +42,13 @@
     )
 
 
+def test_leases_that_an_owner_extends_while_it_is_cut_off_are_found():
+    assert_found(
+        "TWICE",
+        lambda: mock.patch.object(Membership, "may_extend_leases", lambda self: True),
+    )
+
+
 def test_rooms_that_are_filled_without_counting_are_found():
     assert_found(
         "LIMIT",
