--- a/gypsumring/pipelines/state.py
+++ b/gypsumring/pipelines/state.py
@@ -366,6 +366,21 @@
                 step.opened_at = now - (now_ms - due_ms) / 1000
         return self.opened > opened
 
+    def open_through(self, occurrence: int, now: float) -> None:
+        """Open the occurrences up to one that an earlier owner has started.
+
+        The clock of that owner may have been ahead of this one's. Nothing is opened if
+        the job has no such occurrence, or if ``MAX_OPEN_TASKS`` do not reach up to it.
+        """
+        missing = occurrence + 1 - self.opened
+        occurrence_tasks = sum(step.task_count for step in self.spec.steps)
+        is_scheduled = occurrence < self.spec.repeats
+        if not is_scheduled or missing * occurrence_tasks > MAX_OPEN_TASKS:
+            return
+        for _ in range(missing):
+            for step in self.open_next():
+                step.opened_at = now
+
     def close_done(self) -> None:
         """Discard the steps of scheduled occurrences that are done."""
         if not self.spec.repeats:
--- a/gypsumring/pipelines/table.py
+++ b/gypsumring/pipelines/table.py
@@ -72,7 +72,10 @@
         job = self.jobs.get(parsed[0]) if parsed else None
         if job is None:
             return None
-        if job.open_due_occurrences(self.wall_clock(), now):
+        opened = job.opened
+        job.open_due_occurrences(self.wall_clock(), now)
+        job.open_through(parsed[1], now)
+        if job.opened > opened:
             self.mark_changed(job)
         step = job.find_step(parsed[1], parsed[2])
         if step is None or parsed[3] >= step.spec.task_count:
--- a/gypsumring/pipelines/tests/test_table.py
+++ b/gypsumring/pipelines/tests/test_table.py
@@ -142,6 +142,21 @@
     assert job.phase is JobPhase.COMPLETED
 
 
+# An owner whose clock is behind that of the owner before it dropped the end of a task
+# that was not due yet, and ran the task again when it was.
+def test_end_of_an_occurrence_that_is_not_due_yet_is_applied():
+    table = JobTable(lambda: 900)
+    spec = make_spec(
+        StepSpec(task_count=1), start_at_ms=1000, interval_ms=500, repeats=3
+    )
+    job = table.add(spec, 0.0, inherited=True)
+    run = table.adopt(f"{spec.job_id}.0.0.0", 1, "i-0", 0.0, False)
+    assert table.end(run, "done", "", 3).changed
+    assert job.opened == 1 and run.step.is_done
+    assert table.adopt(f"{spec.job_id}.3.0.0", 1, "i-0", 0.0, False) is None
+    assert job.opened == 1
+
+
 def test_progress_of_another_version_can_be_read():
     # A record with unknown or missing fields must not make the job unreadable.
     step = {"n": 0, "d": b"\1\0", "later": 5}
