--- a/stand_ins/platform/executor.py
+++ b/stand_ins/platform/executor.py
@@ -69,6 +69,7 @@
         "done_here",
         "end_number",
         "ended",
+        "ended_at",
         "executor_id",
         "fence",
         "gang_timeout_s",
@@ -134,6 +135,8 @@
         self.last_void_end = 0
         self.runs: dict[tuple[str, int], TaskRun] = {}
         self.ended: list[ListedEnd] = []
+        # Times of the ends, by their numbers.
+        self.ended_at: dict[int, float] = {}
         # Capacities that this incarnation had: end, millicores and memory in MB.
         self.past_capacities: list[tuple[float, int, int]] = []
         # The highest attempt of each task that was stopped or has ended.
@@ -221,6 +224,9 @@
         if self.runs and self.clock_ms > self.lease_until_ms:
             for run in list(self.runs.values()):
                 self.end(run, "lapsed")
+        if self.clock_ms > self.lease_until_ms:
+            # Ends that were unconfirmed when the lease expired do not count.
+            self.last_void_end = self.end_number
         for run in list(self.runs.values()):
             waits = run.ends_at == float("inf") and self.is_gang(run.task)
             if waits and not self.gang_is_complete(run):
@@ -233,6 +239,7 @@
         self.highest[run.task] = max(self.highest.get(run.task, 0), run.attempt)
         self.end_number += 1
         self.ended.append(ListedEnd(self.end_number, run.task, run.attempt, how, ""))
+        self.ended_at[self.end_number] = min(run.ends_at, anyio.current_time())
         if how == "done":
             self.done_here.add(run.task)
         if self.is_gang(run.task):
@@ -361,12 +368,10 @@
         """Extend the lease and discard the ends that the owner has confirmed."""
         self.advance()
         self.check_fence(fence)
-        if self.clock_ms > self.lease_until_ms:
-            # Ends that were unconfirmed when the lease expired do not count.
-            self.last_void_end = self.end_number
         for end in self.ended:
             if self.last_void_end < end.number <= last_seen:
-                self.world.record_confirmed_end(self, end.task, end.how)
+                ended_at = self.ended_at[end.number]
+                self.world.record_confirmed_end(end.task, end.how, ended_at)
         self.ended = [end for end in self.ended if end.number > last_seen]
         self.extend_lease(lease_until_ms)
 
--- a/stand_ins/platform/world.py
+++ b/stand_ins/platform/world.py
@@ -63,6 +63,7 @@
         "executors",
         "failed_runs",
         "jobs",
+        "last_started_at",
         "max_attempts",
         "refused",
         "schedule_crash",
@@ -83,6 +84,7 @@
         self.done: dict[str, float] = {}
         self.failed_runs: dict[str, int] = {}
         self.starts: dict[str, int] = {}
+        self.last_started_at: dict[str, float] = {}
         # Crashes of executors on which a task ran, and starts after MAX_CRASHES.
         self.crashes: dict[str, int] = {}
         self.starts_after_crashes: dict[str, int] = {}
@@ -105,6 +107,7 @@
         executor had when it was sent.
         """
         self.starts[run.task] = self.starts.get(run.task, 0) + 1
+        self.last_started_at[run.task] = anyio.current_time()
         parsed = parse_task(run.task)
         spec = self.jobs.get(parsed[0]) if parsed else None
         if spec is None or parsed[2] >= len(spec.steps):
@@ -150,6 +153,14 @@
                         f"{run.task} on {executor.executor_id} and {other.executor_id}",
                     )
 
+    def check_no_later_start(
+        self, task: str, ended_at: float, speculative: bool
+    ) -> None:
+        """Check that a task has not started since an end that is confirmed only now."""
+        started_at = self.last_started_at.get(task, float("-inf"))
+        if started_at > ended_at and not speculative:
+            self.violate("TWICE", f"{task} started after an end confirmed later")
+
     def record_crash(self, task: str) -> None:
         """Record that an executor has crashed while the task ran there."""
         self.crashes[task] = self.crashes.get(task, 0) + 1
@@ -197,18 +208,20 @@
             return task.rpartition(".")[0]
         return task
 
-    def record_confirmed_end(
-        self, executor: "ExecutorModel", task: str, how: str
-    ) -> None:
+    def record_confirmed_end(self, task: str, how: str, ended_at: float) -> None:
         """Record an end that was confirmed, so that the executor discards it."""
         if how == "done":
-            parsed = parse_task(task)
-            spec = self.jobs[parsed[0]]
-            if spec.steps[parsed[2]].gang:
-                for index in range(spec.steps[parsed[2]].task_count):
-                    name = f"{parsed[0]}.{parsed[1]}.{parsed[2]}.{index}"
-                    self.done.setdefault(name, anyio.current_time())
-            self.done.setdefault(task, anyio.current_time())
+            job_id, occurrence, number, _ = parse_task(task)
+            step = self.jobs[job_id].steps[number]
+            names = [task]
+            if step.gang:
+                names = [
+                    f"{job_id}.{occurrence}.{number}.{index}"
+                    for index in range(step.task_count)
+                ]
+            for name in names:
+                self.done.setdefault(name, anyio.current_time())
+                self.check_no_later_start(name, ended_at, step.speculative)
         elif how == "failed":
             key = self.failure_key(task)
             self.failed_runs[key] = self.failed_runs.get(key, 0) + 1
