--- a/Makefile
+++ b/Makefile
@@ -11,7 +11,7 @@
 PARAMETER ?= gypsumring.dispatch.reserving:MAX_RESERVED_SHARE
 VALUES ?= 0,0.15,0.3,0.45
 
-.PHONY: demo test bench soak cells deadly liveness ownership nodes experiment ablation report format
+.PHONY: demo test bench soak cells deadly liveness ownership nodes partitions experiment ablation report format
 
 $(STAMP): requirements.lock pyproject.toml
 	test -x $(PYTHON) || python3.11 -m venv .venv
@@ -48,6 +48,9 @@
 nodes: $(STAMP)
 	$(PYTHON) -m soak.nodes --seed $(SEED) --seeds $(SEEDS) --nodes $(NODES) --seconds $(SECONDS) --share $(SHARE)
 
+partitions: $(STAMP)
+	$(PYTHON) -m soak.partitions --seed $(SEED) --seeds $(SEEDS) --seconds $(SECONDS)
+
 experiment: $(STAMP)
 	$(PYTHON) -m experiments --parameter $(PARAMETER) --values $(VALUES) --seed $(SEED) --seeds $(SEEDS)
 
--- a/soak/nodes/fleet.py
+++ b/soak/nodes/fleet.py
@@ -86,15 +86,20 @@
         temporary.write_text(json.dumps(content))
         temporary.replace(self.settings)
 
+    @property
+    def peer_address(self) -> str:
+        """Address at which the node listens for its peers."""
+        content = json.loads(self.settings.read_text())
+        return f"{content['peer_host']}:{content['peer_ports'][0]}"
+
     def start(self) -> None:
         """Start the process and append its output to the log file."""
         if not self.reserved:
             self.write_settings(
                 bounds=BOUNDS, log_output={"level": "INFO", "json": True}
             )
-            content = json.loads(self.settings.read_text())
-            peer = f"{content['peer_host']}:{content['peer_ports'][0]}"
-            self.reserved = [reserve_port(a) for a in (self.caller, self.ready, peer)]
+            addresses = (self.caller, self.ready, self.peer_address)
+            self.reserved = [reserve_port(address) for address in addresses]
         self.is_stopped = False
         # Whether the process has served, and whether it was told to end.
         self.has_served = False
--- /dev/null
+++ b/soak/partitions/__main__.py
@@ -0,0 +1,36 @@
+"""Command line of the soak of partitions."""
+
+import json
+import sys
+from pathlib import Path
+
+import anyio
+import click
+
+from soak.partitions.trial import run_trial
+
+
+@click.command()
+@click.option("--seed", default=1, help="First seed.")
+@click.option("--seeds", default=1, help="Number of seeds.")
+@click.option("--nodes", default=5, help="Number of node processes.")
+@click.option("--seconds", default=30.0, help="Time in which owners are cut off.")
+@click.option("--keep", default="", help="Keep the logs of each seed in this folder.")
+def main(seed: int, seeds: int, nodes: int, seconds: float, keep: str) -> None:
+    """Print one JSON object a seed; exit with 1 if a check has failed."""
+    failed = False
+    for each in range(seed, seed + seeds):
+        folder = str(Path(keep) / f"seed-{each}") if keep else ""
+        trial = anyio.run(run_trial, each, nodes, seconds, folder)
+        if trial.problems:
+            failed = True
+            print(f"seed {each} failed; faults:")
+            print("\n".join(trial.faults))
+            print("lines about ownership:")
+            print("\n".join(trial.ownership.format()))
+        print(json.dumps({"seed": each, "nodes": nodes} | trial.summary), flush=True)
+    sys.exit(1 if failed else 0)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/soak/partitions/network.py
@@ -0,0 +1,220 @@
+"""Network between node processes and stand-ins that can be cut for one node.
+
+Each node has a store, executors and peers at addresses of its own, so that the calls of
+one node can be held back. A call that is held back is carried out once the cut ends, as
+bytes that TCP delivers late. All addresses have the same length.
+"""
+
+import base64
+from typing import Any
+
+import anyio
+import anyio.abc
+
+from gypsumring.platform.tests.rig import find_free_port
+from stand_ins.platform.executor import ExecutorModel
+from stand_ins.platform.servers import ExecutorApp, StoreApp
+from stand_ins.platform.store import StoreModel
+
+__all__ = ["Cut", "Network", "PeerLink"]
+
+HOST = "127.0.0.1"
+READ_BYTES = 65_536
+
+
+def find_address() -> str:
+    """Return an unused loopback address with a port of five digits."""
+    while (port := find_free_port()) < 10_000:
+        pass
+    return f"{HOST}:{port}"
+
+
+def replace_addresses(data: bytes, addresses: dict[str, str]) -> bytes:
+    """Replace addresses in a message."""
+    for old, new in addresses.items():
+        data = data.replace(old.encode(), new.encode())
+    return data
+
+
+class Cut:
+    """Path that is open, or held back while at least one fault cuts it."""
+
+    __slots__ = ("count", "opened")
+
+    def __init__(self):
+        self.count = 0
+        self.opened = anyio.Event()
+
+    def begin(self) -> None:
+        """Cut the path."""
+        self.count += 1
+
+    def end(self) -> None:
+        """End one cut of the path."""
+        self.count -= 1
+        if not self.count:
+            self.opened.set()
+            self.opened = anyio.Event()
+
+    async def wait_until_open(self) -> None:
+        """Wait until the path is not cut."""
+        while self.count:
+            await self.opened.wait()
+
+
+class CutApp:
+    """ASGI app whose calls are held back while a path is cut."""
+
+    __slots__ = ("app", "cut")
+
+    def __init__(self, app: Any, cut: Cut):
+        self.app = app
+        self.cut = cut
+
+    async def __call__(self, scope: dict[str, Any], receive: Any, send: Any) -> None:
+        """Handle a call and send its response once the path is open."""
+
+        async def send_when_open(message: dict[str, Any]) -> None:
+            await self.cut.wait_until_open()
+            await send(message)
+
+        if scope["type"] == "http":
+            await self.cut.wait_until_open()
+        await self.app(scope, receive, send_when_open)
+
+
+class ViewedStoreApp(StoreApp):
+    """App of the store for one node, with the addresses that this node sees.
+
+    ``seen`` maps the stored addresses to those of the node.
+    """
+
+    __slots__ = ("seen",)
+
+    def __init__(self, model: StoreModel):
+        super().__init__(model)
+        self.seen: dict[str, str] = {}
+
+    async def handle(
+        self, path: str, query: dict[str, str], body: bytes
+    ) -> tuple[int, Any]:
+        """Return the status and the body of the response."""
+        stored = {seen: stored for stored, seen in self.seen.items()}
+        body = replace_addresses(body, stored)
+        status, reply = await super().handle(path, query, body)
+        if isinstance(reply, bytes):
+            return status, replace_addresses(reply, self.seen)
+        for item in reply.get("items", ()):
+            value = replace_addresses(base64.b64decode(item["value"]), self.seen)
+            item["value"] = base64.b64encode(value).decode()
+        for row in reply.get("parts", ()):
+            if isinstance(row[2], str):
+                row[2] = replace_addresses(row[2].encode(), self.seen).decode()
+        return status, reply
+
+
+class PeerLink:
+    """Proxy through which the other nodes reach a node."""
+
+    __slots__ = ("address", "cut", "incoming", "outgoing", "target")
+
+    def __init__(self, target: str):
+        self.target = target
+        self.address = find_address()
+        self.cut = Cut()
+        # Replaced addresses in the messages to the node and in its replies.
+        self.incoming: dict[str, str] = {}
+        self.outgoing: dict[str, str] = {target: self.address}
+
+    async def run(self) -> None:
+        """Serve connections until cancelled."""
+        host, _, port = self.address.rpartition(":")
+        listener = await anyio.create_tcp_listener(
+            local_host=host, local_port=int(port)
+        )
+        async with listener:
+            await listener.serve(self.serve)
+
+    async def serve(self, stream: anyio.abc.SocketStream) -> None:
+        """Forward the bytes of one connection in both directions."""
+        async with stream:
+            await self.cut.wait_until_open()
+            host, _, port = self.target.rpartition(":")
+            try:
+                target = await anyio.connect_tcp(host, int(port))
+            except OSError:
+                return
+            async with target, anyio.create_task_group() as group:
+                group.start_soon(self.forward, target, stream, self.outgoing, group)
+                await self.forward(stream, target, self.incoming, group)
+
+    async def forward(
+        self,
+        source: anyio.abc.SocketStream,
+        target: anyio.abc.SocketStream,
+        addresses: dict[str, str],
+        group: anyio.abc.TaskGroup,
+    ) -> None:
+        """Forward bytes in one direction until a side closes the connection."""
+        try:
+            while True:
+                data = await source.receive(READ_BYTES)
+                await self.cut.wait_until_open()
+                await target.send(replace_addresses(data, addresses))
+        except (anyio.EndOfStream, anyio.BrokenResourceError):
+            await self.cut.wait_until_open()
+            group.cancel_scope.cancel()
+
+
+class Network:
+    """Paths of each node to the store, to the executors and from the other nodes."""
+
+    __slots__ = ("executor_cuts", "links", "models", "store_apps", "store_cuts")
+
+    def __init__(
+        self, names: list[str], store: StoreModel, models: list[ExecutorModel]
+    ):
+        self.models = models
+        self.store_apps = {name: ViewedStoreApp(store) for name in names}
+        self.store_cuts = {name: Cut() for name in names}
+        self.executor_cuts = {
+            (name, model.executor_id): Cut() for name in names for model in models
+        }
+        self.links: dict[str, PeerLink] = {}
+
+    def make_apps(self) -> dict[str, CutApp]:
+        """Return the apps of all nodes by name."""
+        apps = {}
+        for name, cut in self.store_cuts.items():
+            apps[f"store-{name}"] = CutApp(self.store_apps[name], cut)
+        models = {model.executor_id: model for model in self.models}
+        for (name, executor_id), cut in self.executor_cuts.items():
+            app = ExecutorApp(models[executor_id])
+            apps[f"{executor_id}-{name}"] = CutApp(app, cut)
+        return apps
+
+    def add_executor(self, stored: str, addresses: dict[str, str], model_id: str):
+        """Let each node see its own address of an executor, given all apps' ones."""
+        for name, app in self.store_apps.items():
+            app.seen[stored] = addresses[f"{model_id}-{name}"]
+
+    def add_links(self, targets: dict[str, str]) -> None:
+        """Add the links to the peer addresses of the nodes, by name."""
+        self.links = {name: PeerLink(target) for name, target in targets.items()}
+        for name, link in self.links.items():
+            for other, far in self.links.items():
+                if other != name:
+                    self.store_apps[name].seen[far.target] = far.address
+                    link.incoming[far.target] = far.address
+            link.incoming[link.address] = link.target
+
+    def find_cuts(self, name: str, reached: set[str]) -> list[Cut]:
+        """Return the paths to cut so that only one node reaches some executors.
+
+        That node reaches nothing else.
+        """
+        cuts = [self.store_cuts[name], self.links[name].cut]
+        for (node, executor_id), cut in self.executor_cuts.items():
+            if (node == name) != (executor_id in reached):
+                cuts.append(cut)
+        return cuts
--- /dev/null
+++ b/soak/partitions/tests/test_network.py
@@ -0,0 +1,65 @@
+"""Tests of the network that can be cut for one node."""
+
+import anyio
+
+from gypsumring.utils.testing import make_load_tests
+from soak.partitions.network import Network, PeerLink, ViewedStoreApp
+from stand_ins.platform.executor import ExecutorModel
+from stand_ins.platform.store import StoreModel
+from stand_ins.platform.world import World, steady_behaviour
+
+STORED = "127.0.0.1:10001"
+SEEN = "127.0.0.1:20002"
+
+
+def make_network() -> Network:
+    """Return the network of three nodes and two executors."""
+    world = World(steady_behaviour(1.0))
+    models = [ExecutorModel(world, f"i-{number}") for number in range(2)]
+    network = Network(["n0", "n1", "n2"], StoreModel(), models)
+    network.add_links({name: f"127.0.0.1:3000{name[1]}" for name in network.store_cuts})
+    return network
+
+
+async def read_newest(app: ViewedStoreApp) -> bytes:
+    """Return the value of the only record that a node reads."""
+    reply = await app.handle("/-/log-newest", {"topic": "t", "part": "0"}, b"")
+    return reply[1]["items"][0]["value"]
+
+
+async def test_nodes_see_addresses_of_their_own():
+    store = StoreModel()
+    store.append("t", 0, [("k", f"at {STORED}".encode())], None)
+    app, other = ViewedStoreApp(store), ViewedStoreApp(store)
+    app.seen[STORED] = SEEN
+    assert await read_newest(app) != await read_newest(other)
+    body = b'{"group": "g", "member": "n1@' + SEEN.encode() + b'/1/0"}'
+    store.join("g", f"n1@{STORED}/1/0", 1.0, 0)
+    await app.handle("/-/log-leave", {}, body)
+    assert not store.group("g").members
+
+
+# Guards against a cut that leaves the owner a path on which it would be refused.
+async def test_executors_are_reached_on_one_side_of_a_partition_only():
+    network = make_network()
+    for cut in network.find_cuts("n1", {"i-0"}):
+        cut.begin()
+    reached = {pair for pair, cut in network.executor_cuts.items() if not cut.count}
+    assert reached == {("n1", "i-0"), ("n0", "i-1"), ("n2", "i-1")}
+    assert [name for name, cut in network.store_cuts.items() if cut.count] == ["n1"]
+    assert [name for name, link in network.links.items() if link.cut.count] == ["n1"]
+
+
+async def test_overlapping_cuts_end_one_after_the_other():
+    link = PeerLink(STORED)
+    link.cut.begin()
+    link.cut.begin()
+    link.cut.end()
+    with anyio.move_on_after(1.0) as scope:
+        await link.cut.wait_until_open()
+    assert scope.cancelled_caught
+    link.cut.end()
+    await link.cut.wait_until_open()
+
+
+load_tests = make_load_tests(globals())
--- /dev/null
+++ b/soak/partitions/trial.py
@@ -0,0 +1,199 @@
+"""One run: the owners are cut off one after the other, under load and with kills."""
+
+import json
+import random
+import signal
+import tempfile
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from pathlib import Path
+from typing import Any
+
+import anyio
+import httpx
+
+from gypsumring.platform.tests.rig import ROUTE, register_executor
+from soak.nodes.clients import Clients
+from soak.nodes.faults import PROCESS_LIMIT_S, is_serving
+from soak.nodes.fleet import Machine
+from soak.nodes.ownership import TAKEOVER, OwnershipLog
+from soak.partitions.network import Network, find_address
+from stand_ins.platform.executor import ExecutorModel
+from stand_ins.platform.policy import PolicyModel
+from stand_ins.platform.servers import PolicyApp
+from stand_ins.platform.store import StoreModel
+from stand_ins.platform.world import TaskBehaviour, World
+from stand_ins.servers.serving import serve_apps
+
+__all__ = ["PartitionTrial", "run_trial"]
+
+EXECUTORS = 8
+CPU_MILLIS = 4_000
+WORK_RANGE_S = (0.3, 4.0)
+# A partition ends before or after the next owner takes the leases of 5 s for expired.
+PARTITION_RANGE_S = (4.0, 12.0)
+# The load of more clients would end too early.
+MAX_CLIENTS = 3
+PAUSE_RANGE_S = (0.5, 2.0)
+KILL_SHARE = 0.3
+RESTART_S = 1.0
+# Bound on the end of all accepted jobs. A lost attempt waits for leases of 5 s.
+JOBS_BOUND_S = 90.0
+POLL_S = 0.1
+
+
+class PartitionTrial:
+    """Run of one seed; ``problems`` lists what broke a check."""
+
+    __slots__ = (
+        "client",
+        "clients",
+        "faults",
+        "machines",
+        "network",
+        "ownership",
+        "problems",
+        "source",
+        "summary",
+        "world",
+    )
+
+    def __init__(
+        self,
+        world: World,
+        machines: list[Machine],
+        network: Network,
+        client: httpx.AsyncClient,
+        source: random.Random,
+    ):
+        self.world = world
+        self.machines = machines
+        self.network = network
+        self.client = client
+        self.source = source
+        self.problems: list[str] = []
+        self.faults: list[str] = []
+        self.clients = Clients(world, self.problems.append)
+        self.ownership = OwnershipLog(machines)
+        self.summary: dict[str, Any] = {}
+
+    async def run(self, seconds: float) -> None:
+        """Cut owners off until the time is over, then check what is left."""
+        with anyio.fail_after(PROCESS_LIMIT_S):
+            for machine in self.machines:
+                while not await is_serving(self.client, machine):
+                    await anyio.sleep(POLL_S)
+        async with anyio.create_task_group() as group:
+            for machine in self.machines[:MAX_CLIENTS]:
+                source = random.Random(self.source.getrandbits(64))
+                group.start_soon(self.clients.run, machine, source)
+            await self.cut_owners_off(anyio.current_time() + seconds)
+            deadline = anyio.current_time() + JOBS_BOUND_S
+            await self.clients.check_ends(self.client, self.machines, deadline)
+            group.cancel_scope.cancel()
+        self.clients.check_refused()
+        self.problems += map(str, self.world.violations)
+
+    async def cut_owners_off(self, end: float) -> None:
+        """Cut each owner off in turn; other nodes are killed at times meanwhile."""
+        while anyio.current_time() < end:
+            await anyio.sleep(self.source.uniform(*PAUSE_RANGE_S))
+            self.ownership.read()
+            name = self.ownership.owner_name
+            models = self.network.models
+            reached = self.source.sample(models, self.source.randint(1, EXECUTORS // 2))
+            async with anyio.create_task_group() as group:
+                if self.source.random() < KILL_SHARE:
+                    others = [each for each in self.machines if each.name != name]
+                    group.start_soon(self.kill, self.source.choice(others))
+                await self.isolate(name, {model.executor_id for model in reached})
+
+    async def isolate(self, name: str, reached: set[str]) -> None:
+        """Cut a node off with some executors for a while."""
+        lasts_s = self.source.uniform(*PARTITION_RANGE_S)
+        self.faults.append(f"{name} is cut off with {sorted(reached)}, {lasts_s:.1f} s")
+        cuts = self.network.find_cuts(name, reached)
+        for cut in cuts:
+            cut.begin()
+        await anyio.sleep(lasts_s)
+        for cut in cuts:
+            cut.end()
+
+    async def kill(self, machine: Machine) -> None:
+        """Kill a process and start it again."""
+        self.faults.append(f"{machine.name} is killed")
+        machine.end(signal.SIGKILL)
+        await anyio.sleep(RESTART_S)
+        machine.process.wait()
+        machine.start()
+
+    def summarize(self) -> dict[str, Any]:
+        """Return the figures of the run."""
+        self.ownership.read()
+        return {
+            "faults": len(self.faults),
+            "takeovers": self.ownership.count()[TAKEOVER],
+            "accepted": len(self.clients.accepted),
+            "starts": sum(self.world.starts.values()),
+            "problems": self.problems[:10],
+        }
+
+
+@asynccontextmanager
+async def running_trial(
+    source: random.Random, count: int, folder: Path
+) -> AsyncIterator[PartitionTrial]:
+    """Run the stand-ins and ``count`` nodes, whose logs are kept in a folder."""
+    seed = source.getrandbits(32)
+
+    def behave(task: str, attempt: int) -> TaskBehaviour:
+        draw = random.Random(f"{seed}/{task}/{attempt}")
+        return TaskBehaviour(draw.uniform(*WORK_RANGE_S))
+
+    world, store = World(behave), StoreModel()
+    models = [
+        ExecutorModel(world, f"i-{number}", CPU_MILLIS) for number in range(EXECUTORS)
+    ]
+    names = [f"n{number:02}" for number in range(count)]
+    network = Network(names, store, models)
+    apps = network.make_apps() | {"policy": PolicyApp(PolicyModel(models, 1.0, 2.0))}
+    async with (
+        serve_apps(apps) as addresses,
+        httpx.AsyncClient(timeout=10.0) as client,
+        anyio.create_task_group() as group,
+    ):
+        for model in models:
+            stored = find_address()
+            network.add_executor(stored, addresses, model.executor_id)
+            register_executor(store, model, stored)
+        config = json.dumps({"version": 1, "routes": [ROUTE]}).encode()
+        store.append("keyed.op", 0, [("config", config)], None)
+        machines: list[Machine] = []
+        try:
+            for name in names:
+                machines.append(Machine(name, addresses, folder))
+            network.add_links({each.name: each.peer_address for each in machines})
+            for link in network.links.values():
+                group.start_soon(link.run)
+            yield PartitionTrial(world, machines, network, client, source)
+        finally:
+            group.cancel_scope.cancel()
+            for machine in machines:
+                machine.end(signal.SIGKILL)
+                machine.process.wait()
+                for held in machine.reserved:
+                    held.close()
+
+
+async def run_trial(
+    seed: int, nodes: int, seconds: float, keep: str = ""
+) -> PartitionTrial:
+    """Run one seed and return the trial; the logs stay in the folder ``keep``."""
+    source = random.Random(seed)
+    with tempfile.TemporaryDirectory() as temporary:
+        folder = Path(keep or temporary)
+        folder.mkdir(parents=True, exist_ok=True)
+        async with running_trial(source, nodes, folder) as trial:
+            await trial.run(seconds)
+            trial.summary = trial.summarize()
+    return trial
