--- a/gypsumring/node/membership.py
+++ b/gypsumring/node/membership.py
@@ -90,6 +90,7 @@
         "checked_at",
         "clock",
         "confirmed_at",
+        "extends_leases",
         "fence_generation",
         "generation",
         "group",
@@ -148,6 +149,8 @@
         # Time, including suspended time, when the last join that confirmed the cell
         # for this node was sent.
         self.confirmed_at = float("-inf")
+        # Whether leases could be extended at the last check.
+        self.extends_leases = True
         self.stopping = False
         # Includes the time while the process or the machine is suspended.
         self.clock = clock
@@ -187,6 +190,7 @@
             self.group = group
             while not self.stopping:
                 self.detect_pause()
+                self.log_lease_changes()
                 had_owner = self.owner is not None
                 if not self.is_candidate(self.owner is not None):
                     await self.resign()
@@ -282,6 +286,21 @@
             return True
         return self.is_followed(self.confirmed_at)
 
+    def log_lease_changes(self) -> None:
+        """Log when the owner stops or resumes to extend leases."""
+        extends_leases = self.owner is None or self.may_extend_leases()
+        if extends_leases is self.extends_leases:
+            return
+        self.extends_leases = extends_leases
+        if extends_leases:
+            log.info("leases are extended again", cell=self.cell)
+            return
+        log.warning(
+            "leases are not extended: another node may own the cell",
+            cell=self.cell,
+            unconfirmed_s=round(self.clock() - self.confirmed_at, 3),
+        )
+
     async def apply(self, assignment: Assignment, sent_at: float) -> None:
         """Start or stop the owner as assigned; ``sent_at`` is in ``clock`` time."""
         generation_unchanged = assignment.generation == self.generation
--- a/gypsumring/node/tests/test_fleet.py
+++ b/gypsumring/node/tests/test_fleet.py
@@ -150,6 +150,7 @@
                 assert membership.active_owner() is not None
                 assert not membership.may_extend_leases(), size
                 await anyio.sleep(0.1)
+            assert not membership.extends_leases
 
 
 # Guards against the loss of all running work in an outage of the store.
