--- a/soak/partitions/network.py
+++ b/soak/partitions/network.py
@@ -193,10 +193,15 @@
             apps[f"{executor_id}-{name}"] = CutApp(app, cut)
         return apps
 
-    def add_executor(self, stored: str, addresses: dict[str, str], model_id: str):
-        """Let each node see its own address of an executor, given all apps' ones."""
+    def add_executor(
+        self, executor_id: str, stored: str, addresses: dict[str, str]
+    ) -> None:
+        """Let each node see its own address of an executor in place of the stored one.
+
+        ``addresses`` holds the addresses of all apps by name.
+        """
         for name, app in self.store_apps.items():
-            app.seen[stored] = addresses[f"{model_id}-{name}"]
+            app.seen[stored] = addresses[f"{executor_id}-{name}"]
 
     def add_links(self, targets: dict[str, str]) -> None:
         """Add the links to the peer addresses of the nodes, by name."""
--- a/soak/partitions/trial.py
+++ b/soak/partitions/trial.py
@@ -164,7 +164,7 @@
     ):
         for model in models:
             stored = find_address()
-            network.add_executor(stored, addresses, model.executor_id)
+            network.add_executor(model.executor_id, stored, addresses)
             register_executor(store, model, stored)
         config = json.dumps({"version": 1, "routes": [ROUTE]}).encode()
         store.append("keyed.op", 0, [("config", config)], None)
