--- a/soak/partitions/trial.py
+++ b/soak/partitions/trial.py
@@ -100,6 +100,8 @@
             await anyio.sleep(self.source.uniform(*PAUSE_RANGE_S))
             self.ownership.read()
             name = self.ownership.owner_name
+            if not name:
+                continue
             models = self.network.models
             reached = self.source.sample(models, self.source.randint(1, EXECUTORS // 2))
             async with anyio.create_task_group() as group:
