--- a/gypsumring/platform/tests/rig.py
+++ b/gypsumring/platform/tests/rig.py
@@ -161,6 +161,12 @@
     store.append("keyed.servers", 0, [entry], None)
 
 
+def write_desired_state(store: StoreModel) -> None:
+    """Append a desired state with the route to the store, as the operator does."""
+    config = json.dumps({"version": 1, "routes": [ROUTE]}).encode()
+    store.append("keyed.op", 0, [("config", config)], None)
+
+
 @asynccontextmanager
 async def running_programs(nodes: int = 2) -> AsyncIterator[ProgramRig]:
     """Run the stand-ins and ``nodes`` node processes."""
@@ -177,8 +183,7 @@
             for model in models:
                 model.labels = ("a", "r1")
                 register_executor(store, model, addresses[model.executor_id])
-            config = json.dumps({"version": 1, "routes": [ROUTE]}).encode()
-            store.append("keyed.op", 0, [("config", config)], None)
+            write_desired_state(store)
             rig = ProgramRig(world, store, store_apps, client)
             try:
                 for name in names:
--- a/soak/nodes/__main__.py
+++ b/soak/nodes/__main__.py
@@ -1,36 +1,14 @@
 """Command line of the soak of node processes."""
 
 import json
-import signal
 import sys
 from pathlib import Path
-from typing import Any
 
 import anyio
 import click
 
-from soak.nodes.trial import Trial, run_trial
-
-SIGNALS = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
-
-
-async def run_until_signal(*arguments: Any) -> Trial | None:
-    """Return the trial, None after a signal; end its processes in any case.
-
-    Without this, processes that are stopped at that moment would be left behind.
-    """
-    trial = None
-    async with anyio.create_task_group() as group:
-
-        async def cancel_on_signal() -> None:
-            with anyio.open_signal_receiver(*SIGNALS) as signals:
-                async for _ in signals:
-                    group.cancel_scope.cancel()
-
-        group.start_soon(cancel_on_signal)
-        trial = await run_trial(*arguments)
-        group.cancel_scope.cancel()
-    return trial
+from soak.nodes.signals import run_until_signal
+from soak.nodes.trial import run_trial
 
 
 @click.command()
@@ -47,7 +25,9 @@
     failed = False
     for each in range(seed, seed + seeds):
         folder = str(Path(keep) / f"seed-{each}") if keep else ""
-        trial = anyio.run(run_until_signal, each, nodes, seconds, share, folder)
+        trial = anyio.run(
+            run_until_signal, run_trial, each, nodes, seconds, share, folder
+        )
         if trial is None:
             sys.exit(1)
         if trial.problems:
--- a/soak/nodes/faults.py
+++ b/soak/nodes/faults.py
@@ -11,7 +11,7 @@
 from soak.nodes.ownership import OwnershipLog
 from soak.nodes.plan import MAX_SERIES, Fault
 
-__all__ = ["FaultPlayer", "is_serving"]
+__all__ = ["FaultPlayer", "wait_all_serve"]
 
 # Only a process that never ends or never serves reaches this.
 PROCESS_LIMIT_S = 60.0
@@ -28,6 +28,15 @@
     return True
 
 
+async def wait_all_serve(client: httpx.AsyncClient, machines: list[Machine]) -> None:
+    """Wait until all processes have served; raise TimeoutError after a while."""
+    with anyio.fail_after(PROCESS_LIMIT_S):
+        for machine in machines:
+            while not await is_serving(client, machine):
+                await anyio.sleep(POLL_S)
+            machine.has_served = True
+
+
 class FaultPlayer:
     """Play faults; a fault has ended once the processes that it hit serve again."""
 
--- a/soak/nodes/fleet.py
+++ b/soak/nodes/fleet.py
@@ -13,7 +13,11 @@
 
 import anyio
 
-from gypsumring.platform.tests.rig import ROUTE, NodeProcess, register_executor
+from gypsumring.platform.tests.rig import (
+    NodeProcess,
+    register_executor,
+    write_desired_state,
+)
 from stand_ins.platform.executor import ExecutorModel
 from stand_ins.platform.policy import PolicyModel
 from stand_ins.platform.servers import ExecutorApp, PolicyApp, StoreApp
@@ -21,7 +25,7 @@
 from stand_ins.platform.world import World, steady_behaviour
 from stand_ins.servers.serving import serve_apps
 
-__all__ = ["Fleet", "Machine", "running_fleet"]
+__all__ = ["Fleet", "Machine", "end_machines", "running_fleet"]
 
 EXECUTORS = 6
 WORK_S = 0.2
@@ -195,6 +199,15 @@
             await anyio.sleep(SLICE_S)
 
 
+def end_machines(machines: list[Machine]) -> None:
+    """Kill the processes and release the ports that were kept for them."""
+    for machine in machines:
+        machine.end(signal.SIGKILL)
+        machine.process.wait()
+        for held in machine.reserved:
+            held.close()
+
+
 @asynccontextmanager
 async def running_fleet(
     count: int, folder: Path, store: StoreModel, read_delay_s: float
@@ -210,16 +223,11 @@
     async with serve_apps(apps) as addresses:
         for model in models:
             register_executor(store, model, addresses[model.executor_id])
-        config = json.dumps({"version": 1, "routes": [ROUTE]}).encode()
-        store.append("keyed.op", 0, [("config", config)], None)
+        write_desired_state(store)
         fleet = Fleet(world, store_apps)
         try:
             for name in names:
                 fleet.machines.append(Machine(name, addresses, folder))
             yield fleet
         finally:
-            for machine in fleet.machines:
-                machine.end(signal.SIGKILL)
-                machine.process.wait()
-                for held in machine.reserved:
-                    held.close()
+            end_machines(fleet.machines)
--- a/soak/nodes/trial.py
+++ b/soak/nodes/trial.py
@@ -10,7 +10,7 @@
 
 from soak.builds import owns_cell
 from soak.nodes.clients import Clients, make_headers
-from soak.nodes.faults import PROCESS_LIMIT_S, FaultPlayer, is_serving
+from soak.nodes.faults import FaultPlayer, wait_all_serve
 from soak.nodes.fleet import Fleet, Machine, running_fleet
 from soak.nodes.ownership import LOSS, REMOVAL, TAKEOVER, OwnershipLog
 from soak.nodes.plan import Fault, draw_plan, max_takeovers
@@ -72,11 +72,7 @@
         async with anyio.create_task_group() as group:
             group.start_soon(self.fleet.limit_machines)
             group.start_soon(self.measure_lag)
-            with anyio.fail_after(PROCESS_LIMIT_S):
-                for machine in machines:
-                    while not await is_serving(self.client, machine):
-                        await anyio.sleep(POLL_S)
-                    machine.has_served = True
+            await wait_all_serve(self.client, machines)
             if await self.settle() is None:
                 self.report(f"START: no owner serves within {SETTLE_BOUND_S} s")
             self.ownership.read()
--- a/soak/partitions/__main__.py
+++ b/soak/partitions/__main__.py
@@ -7,6 +7,7 @@
 import anyio
 import click
 
+from soak.nodes.signals import run_until_signal
 from soak.partitions.trial import run_trial
 
 
@@ -21,14 +22,17 @@
     failed = False
     for each in range(seed, seed + seeds):
         folder = str(Path(keep) / f"seed-{each}") if keep else ""
-        trial = anyio.run(run_trial, each, nodes, seconds, folder)
+        trial = anyio.run(run_until_signal, run_trial, each, nodes, seconds, folder)
+        if trial is None:
+            sys.exit(1)
         if trial.problems:
             failed = True
             print(f"seed {each} failed; faults:")
             print("\n".join(trial.faults))
             print("lines about ownership:")
             print("\n".join(trial.ownership.format()))
-        print(json.dumps({"seed": each, "nodes": nodes} | trial.summary), flush=True)
+        result = {"seed": each, "nodes": nodes}
+        print(json.dumps(result | trial.summarize()), flush=True)
     sys.exit(1 if failed else 0)
 
 
--- a/soak/partitions/network.py
+++ b/soak/partitions/network.py
@@ -12,6 +12,7 @@
 import anyio.abc
 
 from gypsumring.platform.tests.rig import find_free_port
+from gypsumring.utils.addresses import split_address
 from stand_ins.platform.executor import ExecutorModel
 from stand_ins.platform.servers import ExecutorApp, StoreApp
 from stand_ins.platform.store import StoreModel
@@ -128,10 +129,8 @@
 
     async def run(self) -> None:
         """Serve connections until cancelled."""
-        host, _, port = self.address.rpartition(":")
-        listener = await anyio.create_tcp_listener(
-            local_host=host, local_port=int(port)
-        )
+        host, port = split_address(self.address)
+        listener = await anyio.create_tcp_listener(local_host=host, local_port=port)
         async with listener:
             await listener.serve(self.serve)
 
@@ -139,9 +138,9 @@
         """Forward the bytes of one connection in both directions."""
         async with stream:
             await self.cut.wait_until_open()
-            host, _, port = self.target.rpartition(":")
+            host, port = split_address(self.target)
             try:
-                target = await anyio.connect_tcp(host, int(port))
+                target = await anyio.connect_tcp(host, port)
             except OSError:
                 return
             async with target, anyio.create_task_group() as group:
--- a/soak/partitions/trial.py
+++ b/soak/partitions/trial.py
@@ -1,6 +1,5 @@
 """One run: the owners are cut off one after the other, under load and with kills."""
 
-import json
 import random
 import signal
 import tempfile
@@ -12,10 +11,10 @@
 import anyio
 import httpx
 
-from gypsumring.platform.tests.rig import ROUTE, register_executor
+from gypsumring.platform.tests.rig import register_executor, write_desired_state
 from soak.nodes.clients import Clients
-from soak.nodes.faults import PROCESS_LIMIT_S, is_serving
-from soak.nodes.fleet import Machine
+from soak.nodes.faults import wait_all_serve
+from soak.nodes.fleet import Machine, end_machines
 from soak.nodes.ownership import TAKEOVER, OwnershipLog
 from soak.partitions.network import Network, find_address
 from stand_ins.platform.executor import ExecutorModel
@@ -39,7 +38,6 @@
 RESTART_S = 1.0
 # Bound on the end of all accepted jobs. A lost attempt waits for leases of 5 s.
 JOBS_BOUND_S = 90.0
-POLL_S = 0.1
 
 
 class PartitionTrial:
@@ -54,7 +52,6 @@
         "ownership",
         "problems",
         "source",
-        "summary",
         "world",
     )
 
@@ -75,14 +72,10 @@
         self.faults: list[str] = []
         self.clients = Clients(world, self.problems.append)
         self.ownership = OwnershipLog(machines)
-        self.summary: dict[str, Any] = {}
 
     async def run(self, seconds: float) -> None:
         """Cut owners off until the time is over, then check what is left."""
-        with anyio.fail_after(PROCESS_LIMIT_S):
-            for machine in self.machines:
-                while not await is_serving(self.client, machine):
-                    await anyio.sleep(POLL_S)
+        await wait_all_serve(self.client, self.machines)
         async with anyio.create_task_group() as group:
             for machine in self.machines[:MAX_CLIENTS]:
                 source = random.Random(self.source.getrandbits(64))
@@ -93,6 +86,7 @@
             group.cancel_scope.cancel()
         self.clients.check_refused()
         self.problems += map(str, self.world.violations)
+        self.ownership.read()
 
     async def cut_owners_off(self, end: float) -> None:
         """Cut each owner off in turn; other nodes are killed at times meanwhile."""
@@ -131,7 +125,6 @@
 
     def summarize(self) -> dict[str, Any]:
         """Return the figures of the run."""
-        self.ownership.read()
         return {
             "faults": len(self.faults),
             "takeovers": self.ownership.count()[TAKEOVER],
@@ -168,8 +161,7 @@
             stored = find_address()
             network.add_executor(model.executor_id, stored, addresses)
             register_executor(store, model, stored)
-        config = json.dumps({"version": 1, "routes": [ROUTE]}).encode()
-        store.append("keyed.op", 0, [("config", config)], None)
+        write_desired_state(store)
         machines: list[Machine] = []
         try:
             for name in names:
@@ -180,11 +172,7 @@
             yield PartitionTrial(world, machines, network, client, source)
         finally:
             group.cancel_scope.cancel()
-            for machine in machines:
-                machine.end(signal.SIGKILL)
-                machine.process.wait()
-                for held in machine.reserved:
-                    held.close()
+            end_machines(machines)
 
 
 async def run_trial(
@@ -197,5 +185,4 @@
         folder.mkdir(parents=True, exist_ok=True)
         async with running_trial(source, nodes, folder) as trial:
             await trial.run(seconds)
-            trial.summary = trial.summarize()
     return trial
