--- a/gypsumring/cell/tests/test_departed.py
+++ b/gypsumring/cell/tests/test_departed.py
@@ -12,11 +12,7 @@
 
 async def restart_all(cluster) -> None:
     """Kill all nodes and start them again."""
-    names = sorted(cluster.nodes)
-    for name in names:
-        cluster.nodes[name].kill()
-    for name in names:
-        cluster.add_node(name)
+    await cluster.restart_nodes(sorted(cluster.nodes), 0.0)
     while cluster.owner_node() is None:
         await anyio.sleep(0.05)
 
--- a/gypsumring/cell/tests/test_lists.py
+++ b/gypsumring/cell/tests/test_lists.py
@@ -14,7 +14,7 @@
 from gypsumring.pipelines import JobPhase, JobTable, Run, RunState, StepSpec
 from gypsumring.ports.tasks import ListedEnd, ListedRun, TaskLists
 from gypsumring.utils.testing import make_load_tests
-from stand_ins.platform.cluster import MemoryCluster, make_job
+from stand_ins.platform.cluster import RESTART_S, make_job
 from stand_ins.platform.world import TaskBehaviour, steady_behaviour
 
 LONG_STEP = StepSpec(task_count=1, cpu_millis=1000, estimated_ms=60_000)
@@ -127,7 +127,7 @@
     async with running_cluster(steady_behaviour(5.0), executors=1) as cluster:
         assert await cluster.submit(make_job("a" * 16, step)) is Outcome.OK
         await anyio.sleep(4.5)
-        await restart_all_nodes(cluster)
+        await cluster.restart_nodes(list(cluster.nodes), RESTART_S)
         assert await cluster.wait_final("a" * 16, 30) is JobPhase.COMPLETED
         assert set(cluster.world.starts.values()) == {1}
 
@@ -147,21 +147,12 @@
             await anyio.sleep(0.1)
         last_start_at = max(run.started_at for run in runs.values())
         await anyio.sleep_until(last_start_at + 4.0)
-        await restart_all_nodes(cluster)
+        await cluster.restart_nodes(list(cluster.nodes), RESTART_S)
         for job_id in job_ids:
             assert await cluster.wait_final(job_id, 60) is JobPhase.FAILED
         assert set(cluster.world.starts.values()) == {cluster.world.max_attempts}
 
 
-async def restart_all_nodes(cluster: MemoryCluster) -> None:
-    """Kill all nodes and start them again after a delay."""
-    for node in list(cluster.nodes.values()):
-        node.kill()
-    await anyio.sleep(2.0)
-    for name in list(cluster.nodes):
-        cluster.add_node(name)
-
-
 def refuse_start(owner: CellOwner, run: Run) -> None:
     """Release an attempt because its executor has refused the start."""
     executor = owner.state.fleet[run.executor_id]
--- a/gypsumring/cell/tests/test_recovery.py
+++ b/gypsumring/cell/tests/test_recovery.py
@@ -90,11 +90,7 @@
         for number in range(8):
             job = make_job(f"{number:016x}", BATCH, DEPENDENT)
             assert await cluster.submit(job) is Outcome.OK
-        for node in list(cluster.nodes.values()):
-            node.kill()
-        await anyio.sleep(1.5)
-        for name in list(cluster.nodes):
-            cluster.add_node(name)
+        await cluster.restart_nodes(list(cluster.nodes), 1.5)
         for number in range(8):
             assert await cluster.wait_final(f"{number:016x}") is JobPhase.COMPLETED
 
--- a/soak/cells.py
+++ b/soak/cells.py
@@ -154,9 +154,10 @@
         name = source.choice(sorted(cluster.nodes))
         if fault == "kill_node":
             owner = cluster.owner_node()
-            await self.restart([owner.name if owner else name], lasts / 3)
+            names = [owner.name if owner else name]
+            await cluster.restart_nodes(names, lasts / 3)
         elif fault == "kill_all_nodes":
-            await self.restart(sorted(cluster.nodes), lasts / 3)
+            await cluster.restart_nodes(sorted(cluster.nodes), lasts / 3)
         elif fault == "crash_executor":
             await self.crash(self.draw_executor(), lasts)
         elif fault == "cut_executor":
@@ -209,15 +210,6 @@
         await anyio.sleep(lasts * self.random_source.choice((1, MAX_ISOLATION_FACTOR)))
         rejoin()
 
-    async def restart(self, names: list[str], pause_s: float) -> None:
-        """Kill nodes and start them again."""
-        for name in names:
-            self.cluster.nodes[name].kill()
-        await anyio.sleep(pause_s)
-        for name in names:
-            if self.cluster.nodes[name].scope.cancel_called:
-                self.cluster.add_node(name)
-
     async def crash(self, model, lasts: float) -> None:
         """Crash an executor; it starts again under the same id."""
         if not model.is_up:
--- a/stand_ins/platform/cluster.py
+++ b/stand_ins/platform/cluster.py
@@ -270,6 +270,15 @@
         self.group.start_soon(node.run)
         return node
 
+    async def restart_nodes(self, names: list[str], pause_s: float) -> None:
+        """Kill nodes, and start after a pause those that nobody else has started."""
+        for name in names:
+            self.nodes[name].kill()
+        await anyio.sleep(pause_s)
+        for name in names:
+            if self.nodes[name].scope.cancel_called:
+                self.add_node(name)
+
     def isolate(self, name: str, reached: set[str]) -> Callable[[], None]:
         """Cut a node off from the store and all nodes; return a call that undoes it.
 
