--- a/gypsumring/node/membership.py
+++ b/gypsumring/node/membership.py
@@ -6,6 +6,7 @@
 import anyio.abc
 
 from gypsumring.cell import CellOwner
+from gypsumring.cell.owner import MAX_EXTENSION_DELAY_S
 from gypsumring.node.response_times import ResponseTimes
 from gypsumring.ports.store import Assignment, Store, StoreRefused, StoreUnavailable
 from gypsumring.utils.clock import Clock
@@ -38,8 +39,8 @@
 # but no sooner than this time after its last response.
 CONFIRMATION_VALID_S = 0.35
 # Leases are extended for this time after the last confirmation, also if no other node
-# follows this one. The next owner adds ``cell.owner.MAX_EXTENSION_DELAY_S`` to them.
-MAX_UNCONFIRMED_S = 1.0
+# follows this one. The next owner adds it to the leases that it waits for.
+MAX_UNCONFIRMED_S = MAX_EXTENSION_DELAY_S
 LEAVE_TIMEOUT_S = 0.5
 # How often a stopping owner checks whether the store has recovered.
 HANDOVER_POLL_S = 0.05
--- a/gypsumring/pipelines/state.py
+++ b/gypsumring/pipelines/state.py
@@ -372,10 +372,11 @@
         The clock of that owner may have been ahead of this one's. Nothing is opened if
         the job has no such occurrence, or if ``MAX_OPEN_TASKS`` do not reach up to it.
         """
+        if not self.opened <= occurrence < self.spec.repeats:
+            return
         missing = occurrence + 1 - self.opened
         occurrence_tasks = sum(step.task_count for step in self.spec.steps)
-        is_scheduled = occurrence < self.spec.repeats
-        if not is_scheduled or missing * occurrence_tasks > MAX_OPEN_TASKS:
+        if missing * occurrence_tasks > MAX_OPEN_TASKS:
             return
         for _ in range(missing):
             for step in self.open_next():
