Log on which evidence an owner extends leases again

They name both now: the age of the confirmation, and the time since the last message of each follower was read.

--- a/gypsumring/node/follower_contacts.py
+++ b/gypsumring/node/follower_contacts.py
@@ -23,6 +23,10 @@
         """Record a message of a node that follows this one."""
         self.last_message_at[node] = now
 
+    def ages_s(self, now: float) -> dict[str, float]:
+        """Return the times since the last messages were read, by node name."""
+        return {node: round(now - at, 3) for node, at in self.last_message_at.items()}
+
     def are_kept(self, since: float, now: float) -> bool:
         """Return whether all nodes that were in contact at a time still are.
 
--- a/gypsumring/node/membership.py
+++ b/gypsumring/node/membership.py
@@ -82,7 +82,8 @@
     generation in which the cell was assigned to this node. ``is_candidate`` receives
     whether the node owns the cell and returns whether it should be in the group.
     ``is_followed`` receives a time in ``clock`` time and returns whether all nodes that
-    followed this one then still do.
+    followed this one then still do. ``contact_ages`` returns how long ago their last
+    messages were read, for the logs.
     """
 
     __slots__ = (
@@ -91,6 +92,7 @@
         "checked_at",
         "clock",
         "confirmed_at",
+        "contact_ages",
         "extends_leases",
         "fence_generation",
         "generation",
@@ -129,6 +131,7 @@
         clock: Clock = anyio.current_time,
         is_candidate: Callable[[bool], bool] = lambda owns: True,
         is_followed: Callable[[float], bool] = lambda since: True,
+        contact_ages: Callable[[], dict[str, float]] = dict,
     ):
         self.store = store
         self.group_name = group_name
@@ -139,6 +142,7 @@
         self.make_owner = make_owner
         self.is_candidate = is_candidate
         self.is_followed = is_followed
+        self.contact_ages = contact_ages
         # Whether the process has tried to join and has not left since.
         self.is_member = False
         self.generation = 0
@@ -293,13 +297,16 @@
         if extends_leases is self.extends_leases:
             return
         self.extends_leases = extends_leases
+        evidence = {
+            "cell": self.cell,
+            "unconfirmed_s": round(self.clock() - self.confirmed_at, 3),
+            "read_s": self.contact_ages(),
+        }
         if extends_leases:
-            log.info("leases are extended again", cell=self.cell)
+            log.info("leases are extended again", **evidence)
             return
         log.warning(
-            "leases are not extended: another node may own the cell",
-            cell=self.cell,
-            unconfirmed_s=round(self.clock() - self.confirmed_at, 3),
+            "leases are not extended: another node may own the cell", **evidence
         )
 
     async def apply(self, assignment: Assignment, sent_at: float) -> None:
--- a/gypsumring/node/node.py
+++ b/gypsumring/node/node.py
@@ -142,6 +142,7 @@
             clock,
             self.is_candidate,
             self.is_followed,
+            lambda: self.follower_contacts.ages_s(self.clock()),
         )
         self.link = OwnerLink(
             store,
