--- a/gypsumring/node/node.py
+++ b/gypsumring/node/node.py
@@ -185,6 +185,10 @@
             return True
         return contacts.are_kept(since, self.clock())
 
+    def may_extend_leases(self) -> bool:
+        """Return whether this node, as the owner, may extend leases and start tasks."""
+        return self.membership.may_extend_leases()
+
     def is_ready(self) -> bool:
         """Return whether the load balancer should send requests to this node."""
         if self.stopping or self.desired.current is None:
@@ -210,7 +214,7 @@
             self.metrics,
             self.clock,
             unix_ms,
-            lambda: self.membership.may_extend_leases(),
+            self.may_extend_leases,
         )
 
     def apply_settings(self, settings: NodeSettings) -> list[str]:
--- a/gypsumring/node/tests/test_fleet.py
+++ b/gypsumring/node/tests/test_fleet.py
@@ -140,17 +140,17 @@
         async with running_fleet(size) as fleet:
             await anyio.sleep(5.0)
             owner = fleet.owner()
-            membership = owner.node.membership
-            assert membership.may_extend_leases()
+            node = owner.node
+            assert node.may_extend_leases()
             owner.is_dark = True
             while any(fleet.owner() is each for each in (None, owner)):
                 await anyio.sleep(0.01)
             await anyio.sleep(MAX_EXTENSION_DELAY_S)
             for _ in range(100):
-                assert membership.active_owner() is not None
-                assert not membership.may_extend_leases(), size
+                assert node.own_fence() is not None
+                assert not node.may_extend_leases(), size
                 await anyio.sleep(0.1)
-            assert not membership.extends_leases
+            assert not node.membership.extends_leases
 
 
 # Guards against the loss of all running work in an outage of the store.
@@ -158,12 +158,12 @@
     for size in (1, 2, 7, 18):
         async with running_fleet(size) as fleet:
             await anyio.sleep(5.0)
-            membership = fleet.owner().node.membership
+            node = fleet.owner().node
             for machine in fleet.running():
                 machine.faults.store_away = True
             for _ in range(100):
                 await anyio.sleep(0.1)
-                assert membership.may_extend_leases(), size
+                assert node.may_extend_leases(), size
 
 
 # Guards against one node that is killed in such an outage, unknown to the owner whether
@@ -177,11 +177,11 @@
         await anyio.sleep(2.0)
         next(each for each in fleet.running() if each is not owner).kill()
         await anyio.sleep(2.0)
-        assert not owner.node.membership.may_extend_leases()
+        assert not owner.node.may_extend_leases()
         for machine in fleet.running():
             machine.faults.store_away = False
         await anyio.sleep(0.5)
-        assert fleet.owner().node.membership.may_extend_leases()
+        assert fleet.owner().node.may_extend_leases()
 
 
 load_tests = make_load_tests(globals())
