Hold messages between the machines of the fleet model

Seen: the model could only lose messages of a pair of machines, so that no test showed what an owner concludes from pings that arrive seconds after they were sent. Change: a machine holds the messages of others, by sender, and receives them in their order once they are released; a channel that is closed meanwhile ends on the far side only after what was sent before. A machine may have late messages in one direction, the membership of a fleet is a parameter, and a machine says since when its owner counts the leases of earlier ones.

--- a/stand_ins/platform/fleet.py
+++ b/stand_ins/platform/fleet.py
@@ -135,6 +135,7 @@
         "far_end",
         "is_silent",
         "machine",
+        "order",
         "peer",
         "pending",
     )
@@ -148,6 +149,8 @@
         self.closed = False
         self.ended = anyio.Event()
         self.pending: set[anyio.Event] = set()
+        # Held messages of one sender arrive in the order in which they were sent.
+        self.order = anyio.Lock()
 
     async def run(self) -> None:
         """Run until the channel ends."""
@@ -175,20 +178,37 @@
         """Let the peer handle a message, also if the caller does not wait any more."""
         near, far, far_end = self.machine, self.far_end.machine, self.far_end
         fleet = near.fleet
-        await anyio.sleep(LATENCY_S + fleet.draw_delay_s())
+        await anyio.sleep(LATENCY_S + fleet.draw_delay_s(far))
         if near.is_lost(far) or self.is_silent or fleet.draw_loss():
             return
+        await self.wait_while_held()
         await far.processor.work(MESSAGE_WORK_S)
         if far_end.closed or far.node is None:
             return
         reply = await far.node.handle(far_end, message)
-        await anyio.sleep(LATENCY_S + fleet.draw_delay_s())
+        await anyio.sleep(LATENCY_S + fleet.draw_delay_s(near))
         if reply is None or far.is_lost(near):
             return
+        await far_end.wait_while_held()
         await near.processor.work(MESSAGE_WORK_S)
         replies.append(reply)
         finished.set()
 
+    async def wait_while_held(self) -> None:
+        """Wait while messages from this machine to the other one are held."""
+        near, far = self.machine, self.far_end.machine
+        if not far.holds(near) and not self.order.locked():
+            return
+        async with self.order:
+            while far.holds(near):
+                await far.released.wait()
+
+    async def deliver_end(self) -> None:
+        """End the other side after it has read the messages sent before."""
+        await self.wait_while_held()
+        await self.far_end.machine.processor.work(0.0)
+        self.far_end.end()
+
     def end(self) -> None:
         """End this side of the channel; calls in flight fail."""
         if self.closed:
@@ -202,9 +222,12 @@
         self.machine.channels.discard(self)
 
     async def aclose(self) -> None:
-        """Close both sides of the channel."""
+        """Close both sides of the channel, the other one without a loss of messages."""
         self.end()
-        self.far_end.end()
+        if self.machine.is_lost(self.far_end.machine):
+            self.far_end.end()
+        else:
+            self.machine.fleet.group.start_soon(self.deliver_end)
 
 
 class Machine:
@@ -217,10 +240,13 @@
         "cut_from",
         "faults",
         "fleet",
+        "held_from",
         "is_dark",
+        "longest_delay_s",
         "name",
         "node",
         "processor",
+        "released",
         "scope",
         "size",
     )
@@ -236,6 +262,11 @@
         self.channels: set[ModelChannel] = set()
         # Machines whose packets to and from this one are lost.
         self.cut_from: set[str] = set()
+        # Machines whose messages to this one wait, and the event of their release.
+        self.held_from: set[str] = set()
+        self.released = anyio.Event()
+        # Longest delay of messages to this machine, beside that of all messages.
+        self.longest_delay_s = 0.0
         # Whether the machine has no power or no network.
         self.is_dark = False
         self.node: Node | None = None
@@ -245,6 +276,34 @@
         """Return whether packets between two machines are lost."""
         return self.is_dark or other.is_dark or other.name in self.cut_from
 
+    def hold_from(self, machines: list["Machine"]) -> None:
+        """Hold the messages of other machines to this one until they are released."""
+        self.held_from.update(each.name for each in machines if each is not self)
+
+    def release_from(self, machines: list["Machine"]) -> None:
+        """Deliver the messages of other machines that were held."""
+        self.held_from.difference_update(each.name for each in machines)
+        self.released.set()
+        self.released = anyio.Event()
+
+    def holds(self, other: "Machine") -> bool:
+        """Return whether messages of another machine to this one are held."""
+        return other.name in self.held_from
+
+    def counts_since(self) -> float:
+        """Return since when this owner counts the leases of earlier owners.
+
+        From then on it presumes that they expire, ``MAX_EXTENSION_DELAY_S`` later than
+        if they had been extended just then. Return inf if it presumes nothing.
+        """
+        owner = self.node.membership.active_owner()
+        if owner is None:
+            return float("inf")
+        authority = getattr(owner, "authority", None)
+        if authority is None:
+            return owner.state.owned_since
+        return authority.exclusive_since
+
     async def wait_until_reachable(self, deadline: float) -> None:
         """Wait until the machine has a network, at most until the deadline."""
         while self.is_dark and anyio.current_time() < deadline:
@@ -261,7 +320,10 @@
                 "readiness_address": "127.0.0.1:81",
                 "peer_host": self.name,
                 "peer_ports": [1],
-                "store": {"address": "127.0.0.1:82"},
+                "store": {
+                    "address": "127.0.0.1:82",
+                    "shortest_membership_ms": self.fleet.membership_ms,
+                },
                 "bounds": {"longest_lease_ms": 6_000},
                 "processor": {"share": self.size / 1000},
             },
@@ -315,7 +377,7 @@
         self.calls["connect"] += 1
         with anyio.move_on_after(max(0.0, deadline - anyio.current_time())):
             await self.processor.work(CONNECT_WORK_S)
-            while self.is_lost(far):
+            while self.is_lost(far) or self.holds(far) or far.holds(self):
                 await anyio.sleep(0.05)
             await anyio.sleep(2 * LATENCY_S)
             if far.node is None:
@@ -342,6 +404,7 @@
         "longest_delay_s",
         "lost_share",
         "machines",
+        "membership_ms",
         "random_source",
         "store",
     )
@@ -353,9 +416,11 @@
         size: int,
         share: float,
         candidates: int,
+        membership_ms: int = 1_000,
     ):
         self.group = group
         self.random_source = random_source
+        self.membership_ms = membership_ms
         self.store = StoreModel(parts=1)
         self.store.groups[GROUP] = StickyGroupModel(1)
         # Time for which the records of the cell occupy the link of a new owner.
@@ -375,9 +440,10 @@
         for machine in self.machines.values():
             machine.start()
 
-    def draw_delay_s(self) -> float:
+    def draw_delay_s(self, receiver: Machine) -> float:
         """Draw by how long a message is delayed beside the latency."""
-        return self.random_source.uniform(0.0, self.longest_delay_s)
+        longest_s = self.longest_delay_s + receiver.longest_delay_s
+        return self.random_source.uniform(0.0, longest_s)
 
     def draw_loss(self) -> bool:
         """Draw whether a message is lost."""
@@ -429,12 +495,16 @@
 
 @asynccontextmanager
 async def running_fleet(
-    size: int, share: float = 1.0, candidates: int = 9, seed: int = 0
+    size: int,
+    share: float = 1.0,
+    candidates: int = 9,
+    seed: int = 0,
+    membership_ms: int = 1_000,
 ) -> AsyncIterator[FleetModel]:
     """Run a fleet that has settled on its first owner."""
     async with anyio.create_task_group() as group:
         source = random.Random(seed)
-        fleet = FleetModel(group, source, size, share, candidates)
+        fleet = FleetModel(group, source, size, share, candidates, membership_ms)
         fleet.start()
         assert await fleet.wait_until_settled(FIRST_OWNER_LIMIT_S) is not None
         yield fleet
