Give each pair of nodes a link of its own in soak.partitions

One link a node could cut a node off from all others only, in both directions at once. Late messages and nodes that lose only the owner were out of reach. Each pair has a link now, each direction a path that is cut on its own, and the end of a connection passes a cut no sooner than its bytes. Each node sees the others at addresses of its own; the links translate them.

--- a/soak/partitions/network.py
+++ b/soak/partitions/network.py
@@ -1,11 +1,14 @@
-"""Network between node processes and stand-ins that can be cut for one node.
+"""Network between node processes and stand-ins that can be cut for each node.
 
 Each node has a store, executors and peers at addresses of its own, so that the calls of
 one node can be held back. A call that is held back is carried out once the cut ends, as
-bytes that TCP delivers late. All addresses have the same length.
+bytes that TCP delivers late; each direction between two nodes is held back on its own.
+All addresses have the same length.
 """
 
 import base64
+from contextlib import suppress
+from itertools import permutations
 from typing import Any
 
 import anyio
@@ -115,17 +118,22 @@
 
 
 class PeerLink:
-    """Proxy through which the other nodes reach a node."""
+    """Proxy through which one node reaches another.
 
-    __slots__ = ("address", "cut", "incoming", "outgoing", "target")
+    Bytes in one direction are held back while ``sent`` is cut, in the other while
+    ``returned`` is.
+    """
+
+    __slots__ = ("address", "incoming", "outgoing", "returned", "sent", "target")
 
-    def __init__(self, target: str):
+    def __init__(self, target: str, sent: Cut, returned: Cut):
         self.target = target
         self.address = find_address()
-        self.cut = Cut()
-        # Replaced addresses in the messages to the node and in its replies.
+        self.sent = sent
+        self.returned = returned
+        # Replaced addresses in the messages to the target and in its replies.
         self.incoming: dict[str, str] = {}
-        self.outgoing: dict[str, str] = {target: self.address}
+        self.outgoing: dict[str, str] = {}
 
     async def run(self) -> None:
         """Serve connections until cancelled."""
@@ -137,38 +145,46 @@
     async def serve(self, stream: anyio.abc.SocketStream) -> None:
         """Forward the bytes of one connection in both directions."""
         async with stream:
-            await self.cut.wait_until_open()
+            await self.sent.wait_until_open()
             host, port = split_address(self.target)
             try:
                 target = await anyio.connect_tcp(host, port)
             except OSError:
                 return
             async with target, anyio.create_task_group() as group:
-                group.start_soon(self.forward, target, stream, self.outgoing, group)
-                await self.forward(stream, target, self.incoming, group)
-
-    async def forward(
-        self,
-        source: anyio.abc.SocketStream,
-        target: anyio.abc.SocketStream,
-        addresses: dict[str, str],
-        group: anyio.abc.TaskGroup,
-    ) -> None:
-        """Forward bytes in one direction until a side closes the connection."""
-        try:
-            while True:
-                data = await source.receive(READ_BYTES)
-                await self.cut.wait_until_open()
-                await target.send(replace_addresses(data, addresses))
-        except (anyio.EndOfStream, anyio.BrokenResourceError):
-            await self.cut.wait_until_open()
-            group.cancel_scope.cancel()
+                group.start_soon(forward, target, stream, self.returned, self.outgoing)
+                await forward(stream, target, self.sent, self.incoming)
+
+
+async def forward(
+    source: anyio.abc.SocketStream,
+    target: anyio.abc.SocketStream,
+    cut: Cut,
+    addresses: dict[str, str],
+) -> None:
+    """Forward bytes in one direction, and its end once the path is open."""
+    try:
+        while True:
+            data = await source.receive(READ_BYTES)
+            await cut.wait_until_open()
+            await target.send(replace_addresses(data, addresses))
+    except (anyio.EndOfStream, anyio.BrokenResourceError):
+        await cut.wait_until_open()
+        with suppress(OSError, anyio.BrokenResourceError):
+            await target.send_eof()
 
 
 class Network:
-    """Paths of each node to the store, to the executors and from the other nodes."""
+    """Paths of each node to the store, to the executors and to the other nodes."""
 
-    __slots__ = ("executor_cuts", "links", "models", "store_apps", "store_cuts")
+    __slots__ = (
+        "executor_cuts",
+        "links",
+        "models",
+        "paths",
+        "store_apps",
+        "store_cuts",
+    )
 
     def __init__(
         self, names: list[str], store: StoreModel, models: list[ExecutorModel]
@@ -179,7 +195,9 @@
         self.executor_cuts = {
             (name, model.executor_id): Cut() for name in names for model in models
         }
-        self.links: dict[str, PeerLink] = {}
+        # Paths and links by the names of the sender and the receiver.
+        self.paths = {pair: Cut() for pair in permutations(names, 2)}
+        self.links: dict[tuple[str, str], PeerLink] = {}
 
     def make_apps(self) -> dict[str, CutApp]:
         """Return the apps of all nodes by name."""
@@ -204,21 +222,34 @@
 
     def add_links(self, targets: dict[str, str]) -> None:
         """Add the links to the peer addresses of the nodes, by name."""
-        self.links = {name: PeerLink(target) for name, target in targets.items()}
-        for name, link in self.links.items():
-            for other, far in self.links.items():
-                if other != name:
-                    self.store_apps[name].seen[far.target] = far.address
-                    link.incoming[far.target] = far.address
-            link.incoming[link.address] = link.target
-
-    def find_cuts(self, name: str, reached: set[str]) -> list[Cut]:
-        """Return the paths to cut so that only one node reaches some executors.
-
-        That node reaches nothing else.
+        for pair, path in self.paths.items():
+            returned = self.paths[pair[::-1]]
+            self.links[pair] = PeerLink(targets[pair[1]], path, returned)
+            app = self.store_apps[pair[0]]
+            app.seen[targets[pair[1]]] = self.links[pair].address
+        # All addresses of a node, by the names of those who see and who have them.
+        seen = {pair: link.address for pair, link in self.links.items()}
+        seen |= {(name, name): target for name, target in targets.items()}
+        for (sender, receiver), link in self.links.items():
+            for name in targets:
+                near, far = seen[sender, name], seen[receiver, name]
+                link.incoming[near], link.outgoing[far] = far, near
+
+    def find_paths(self, senders: set[str], receivers: set[str]) -> list[Cut]:
+        """Return the paths of messages from some nodes to others."""
+        return [
+            path
+            for (sender, receiver), path in self.paths.items()
+            if sender in senders and receiver in receivers
+        ]
+
+    def find_cuts(self, names: set[str], reached: set[str]) -> list[Cut]:
+        """Return the paths to cut so that only some nodes reach some executors.
+
+        These nodes reach neither the store nor other executors.
         """
-        cuts = [self.store_cuts[name], self.links[name].cut]
+        cuts = [self.store_cuts[name] for name in names]
         for (node, executor_id), cut in self.executor_cuts.items():
-            if (node == name) != (executor_id in reached):
+            if (node in names) != (executor_id in reached):
                 cuts.append(cut)
         return cuts
--- a/soak/partitions/tests/test_network.py
+++ b/soak/partitions/tests/test_network.py
@@ -3,7 +3,7 @@
 import anyio
 
 from gypsumring.utils.testing import make_load_tests
-from soak.partitions.network import Network, PeerLink, ViewedStoreApp
+from soak.partitions.network import Network, ViewedStoreApp
 from stand_ins.platform.executor import ExecutorModel
 from stand_ins.platform.store import StoreModel
 from stand_ins.platform.world import World, steady_behaviour
@@ -42,24 +42,44 @@
 # Guards against a cut that leaves the owner a path on which it would be refused.
 async def test_executors_are_reached_on_one_side_of_a_partition_only():
     network = make_network()
-    for cut in network.find_cuts("n1", {"i-0"}):
+    for cut in network.find_cuts({"n1"}, {"i-0"}):
         cut.begin()
     reached = {pair for pair, cut in network.executor_cuts.items() if not cut.count}
     assert reached == {("n1", "i-0"), ("n0", "i-1"), ("n2", "i-1")}
     assert [name for name, cut in network.store_cuts.items() if cut.count] == ["n1"]
-    assert [name for name, link in network.links.items() if link.cut.count] == ["n1"]
+
+
+# Guards against a partition that leaves the owner a path to or from another node.
+async def test_each_direction_between_two_nodes_is_cut_on_its_own():
+    network = make_network()
+    for cut in network.find_paths({"n1"}, {"n0", "n2"}):
+        cut.begin()
+    pairs = {pair for pair, path in network.paths.items() if path.count}
+    assert pairs == {("n1", "n0"), ("n1", "n2")}
+
+
+# Guards against addresses in messages that lead past the links of the receiver.
+async def test_receivers_read_addresses_of_their_own():
+    links = make_network().links
+    link = links["n0", "n1"]
+    assert link.incoming == {
+        link.address: "127.0.0.1:30001",
+        "127.0.0.1:30000": links["n1", "n0"].address,
+        links["n0", "n2"].address: links["n1", "n2"].address,
+    }
+    assert link.outgoing == {far: near for near, far in link.incoming.items()}
 
 
 async def test_overlapping_cuts_end_one_after_the_other():
-    link = PeerLink(STORED)
-    link.cut.begin()
-    link.cut.begin()
-    link.cut.end()
+    cut = make_network().paths["n0", "n1"]
+    cut.begin()
+    cut.begin()
+    cut.end()
     with anyio.move_on_after(1.0) as scope:
-        await link.cut.wait_until_open()
+        await cut.wait_until_open()
     assert scope.cancelled_caught
-    link.cut.end()
-    await link.cut.wait_until_open()
+    cut.end()
+    await cut.wait_until_open()
 
 
 load_tests = make_load_tests(globals())
--- a/soak/partitions/trial.py
+++ b/soak/partitions/trial.py
@@ -108,7 +108,10 @@
         """Cut a node off with some executors for a while."""
         lasts_s = self.source.uniform(*PARTITION_RANGE_S)
         self.faults.append(f"{name} is cut off with {sorted(reached)}, {lasts_s:.1f} s")
-        cuts = self.network.find_cuts(name, reached)
+        others = {each.name for each in self.machines} - {name}
+        cuts = self.network.find_cuts({name}, reached)
+        cuts += self.network.find_paths({name}, others)
+        cuts += self.network.find_paths(others, {name})
         for cut in cuts:
             cut.begin()
         await anyio.sleep(lasts_s)
