Play late messages, strangers, starts and outages in soak.partitions

Both are kinds of faults now, besides nodes that start during a partition and outages of the store, in which no run may lapse or be stopped.

--- a/Makefile
+++ b/Makefile
@@ -5,6 +5,7 @@
 SEEDS ?= 1
 NODES ?= 8
 SHARE ?= 1
+KIND ?= all
 
 export PYTHONHASHSEED := 0
 
@@ -49,7 +50,7 @@
 	$(PYTHON) -m soak.nodes --seed $(SEED) --seeds $(SEEDS) --nodes $(NODES) --seconds $(SECONDS) --share $(SHARE)
 
 partitions: $(STAMP)
-	$(PYTHON) -m soak.partitions --seed $(SEED) --seeds $(SEEDS) --seconds $(SECONDS)
+	$(PYTHON) -m soak.partitions --seed $(SEED) --seeds $(SEEDS) --seconds $(SECONDS) --kind $(KIND)
 
 experiment: $(STAMP)
 	$(PYTHON) -m experiments --parameter $(PARAMETER) --values $(VALUES) --seed $(SEED) --seeds $(SEEDS)
--- a/soak/partitions/__init__.py
+++ b/soak/partitions/__init__.py
@@ -1,1 +1,1 @@
-"""Soak of real node processes whose owner is cut off with a few executors."""
+"""Soak of real node processes between which and the store paths are cut."""
--- a/soak/partitions/trial.py
+++ b/soak/partitions/trial.py
@@ -1,7 +1,6 @@
-"""One run: the owners are cut off one after the other, under load and with kills."""
+"""One run: faults on the owners one after the other, under load."""
 
 import random
-import signal
 import tempfile
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
@@ -16,8 +15,8 @@
 from soak.nodes.faults import wait_all_serve
 from soak.nodes.fleet import Machine, end_machines
 from soak.nodes.ownership import TAKEOVER, OwnershipLog
+from soak.partitions.faults import FaultPlayer, Kind, RecordingExecutor
 from soak.partitions.network import Network, find_address
-from stand_ins.platform.executor import ExecutorModel
 from stand_ins.platform.policy import PolicyModel
 from stand_ins.platform.servers import PolicyApp
 from stand_ins.platform.store import StoreModel
@@ -29,13 +28,11 @@
 EXECUTORS = 8
 CPU_MILLIS = 4_000
 WORK_RANGE_S = (0.3, 4.0)
-# A partition ends before or after the next owner takes the leases of 5 s for expired.
-PARTITION_RANGE_S = (4.0, 12.0)
+# Work of this length still runs once the next owner takes its lease for expired.
+LONG_WORK_RANGE_S = (0.3, 9.0)
 # The load of more clients would end too early.
 MAX_CLIENTS = 3
 PAUSE_RANGE_S = (0.5, 2.0)
-KILL_SHARE = 0.3
-RESTART_S = 1.0
 # Bound on the end of all accepted jobs. A lost attempt waits for leases of 5 s.
 JOBS_BOUND_S = 90.0
 
@@ -48,7 +45,6 @@
         "clients",
         "faults",
         "machines",
-        "network",
         "ownership",
         "problems",
         "source",
@@ -62,25 +58,27 @@
         network: Network,
         client: httpx.AsyncClient,
         source: random.Random,
+        kinds: list[Kind],
     ):
         self.world = world
         self.machines = machines
-        self.network = network
         self.client = client
         self.source = source
         self.problems: list[str] = []
-        self.faults: list[str] = []
+        self.faults = FaultPlayer(
+            machines, network, source, kinds, self.problems.append
+        )
         self.clients = Clients(world, self.problems.append)
         self.ownership = OwnershipLog(machines)
 
     async def run(self, seconds: float) -> None:
-        """Cut owners off until the time is over, then check what is left."""
+        """Play faults until the time is over, then check what is left."""
         await wait_all_serve(self.client, self.machines)
         async with anyio.create_task_group() as group:
             for machine in self.machines[:MAX_CLIENTS]:
                 source = random.Random(self.source.getrandbits(64))
                 group.start_soon(self.clients.run, machine, source)
-            await self.cut_owners_off(anyio.current_time() + seconds)
+            await self.play_faults(anyio.current_time() + seconds)
             deadline = anyio.current_time() + JOBS_BOUND_S
             await self.clients.check_ends(self.client, self.machines, deadline)
             group.cancel_scope.cancel()
@@ -88,48 +86,18 @@
         self.problems += map(str, self.world.violations)
         self.ownership.read()
 
-    async def cut_owners_off(self, end: float) -> None:
-        """Cut each owner off in turn; other nodes are killed at times meanwhile."""
+    async def play_faults(self, end: float) -> None:
+        """Play faults on each owner in turn."""
         while anyio.current_time() < end:
             await anyio.sleep(self.source.uniform(*PAUSE_RANGE_S))
             self.ownership.read()
-            name = self.ownership.owner_name
-            if not name:
-                continue
-            models = self.network.models
-            reached = self.source.sample(models, self.source.randint(1, EXECUTORS // 2))
-            async with anyio.create_task_group() as group:
-                if self.source.random() < KILL_SHARE:
-                    others = [each for each in self.machines if each.name != name]
-                    group.start_soon(self.kill, self.source.choice(others))
-                await self.isolate(name, {model.executor_id for model in reached})
-
-    async def isolate(self, name: str, reached: set[str]) -> None:
-        """Cut a node off with some executors for a while."""
-        lasts_s = self.source.uniform(*PARTITION_RANGE_S)
-        self.faults.append(f"{name} is cut off with {sorted(reached)}, {lasts_s:.1f} s")
-        others = {each.name for each in self.machines} - {name}
-        cuts = self.network.find_cuts({name}, reached)
-        cuts += self.network.find_paths({name}, others)
-        cuts += self.network.find_paths(others, {name})
-        for cut in cuts:
-            cut.begin()
-        await anyio.sleep(lasts_s)
-        for cut in cuts:
-            cut.end()
-
-    async def kill(self, machine: Machine) -> None:
-        """Kill a process and start it again."""
-        self.faults.append(f"{machine.name} is killed")
-        machine.end(signal.SIGKILL)
-        await anyio.sleep(RESTART_S)
-        machine.process.wait()
-        machine.start()
+            if self.ownership.owner_name:
+                await self.faults.play(self.ownership.owner_name)
 
     def summarize(self) -> dict[str, Any]:
         """Return the figures of the run."""
         return {
-            "faults": len(self.faults),
+            "faults": len(self.faults.played),
             "takeovers": self.ownership.count()[TAKEOVER],
             "accepted": len(self.clients.accepted),
             "starts": sum(self.world.starts.values()),
@@ -139,18 +107,20 @@
 
 @asynccontextmanager
 async def running_trial(
-    source: random.Random, count: int, folder: Path
+    source: random.Random, count: int, folder: Path, kinds: list[Kind]
 ) -> AsyncIterator[PartitionTrial]:
     """Run the stand-ins and ``count`` nodes, whose logs are kept in a folder."""
     seed = source.getrandbits(32)
+    work_range_s = LONG_WORK_RANGE_S if Kind.LATE in kinds else WORK_RANGE_S
 
     def behave(task: str, attempt: int) -> TaskBehaviour:
         draw = random.Random(f"{seed}/{task}/{attempt}")
-        return TaskBehaviour(draw.uniform(*WORK_RANGE_S))
+        return TaskBehaviour(draw.uniform(*work_range_s))
 
     world, store = World(behave), StoreModel()
     models = [
-        ExecutorModel(world, f"i-{number}", CPU_MILLIS) for number in range(EXECUTORS)
+        RecordingExecutor(world, f"i-{number}", CPU_MILLIS)
+        for number in range(EXECUTORS)
     ]
     names = [f"n{number:02}" for number in range(count)]
     network = Network(names, store, models)
@@ -172,20 +142,20 @@
             network.add_links({each.name: each.peer_address for each in machines})
             for link in network.links.values():
                 group.start_soon(link.run)
-            yield PartitionTrial(world, machines, network, client, source)
+            yield PartitionTrial(world, machines, network, client, source, kinds)
         finally:
             group.cancel_scope.cancel()
             end_machines(machines)
 
 
 async def run_trial(
-    seed: int, nodes: int, seconds: float, keep: str = ""
+    seed: int, nodes: int, seconds: float, kinds: list[Kind], keep: str = ""
 ) -> PartitionTrial:
     """Run one seed and return the trial; the logs stay in the folder ``keep``."""
     source = random.Random(seed)
     with tempfile.TemporaryDirectory() as temporary:
         folder = Path(keep or temporary)
         folder.mkdir(parents=True, exist_ok=True)
-        async with running_trial(source, nodes, folder) as trial:
+        async with running_trial(source, nodes, folder, kinds) as trial:
             await trial.run(seconds)
     return trial
