--- a/soak/nodes/fleet.py
+++ b/soak/nodes/fleet.py
@@ -25,7 +25,7 @@
 from stand_ins.platform.world import World, steady_behaviour
 from stand_ins.servers.serving import serve_apps
 
-__all__ = ["Fleet", "Machine", "end_machines", "running_fleet"]
+__all__ = ["Fleet", "Machine", "end_machines", "reserve_port", "running_fleet"]
 
 EXECUTORS = 6
 WORK_S = 0.2
--- a/soak/partitions/network.py
+++ b/soak/partitions/network.py
@@ -16,6 +16,7 @@
 
 from gypsumring.platform.tests.rig import find_free_port
 from gypsumring.utils.addresses import split_address
+from soak.nodes.fleet import reserve_port
 from stand_ins.platform.executor import ExecutorModel
 from stand_ins.platform.servers import ExecutorApp, StoreApp
 from stand_ins.platform.store import StoreModel
@@ -124,11 +125,21 @@
     ``returned`` is.
     """
 
-    __slots__ = ("address", "incoming", "outgoing", "returned", "sent", "target")
+    __slots__ = (
+        "address",
+        "incoming",
+        "outgoing",
+        "reserved",
+        "returned",
+        "sent",
+        "target",
+    )
 
     def __init__(self, target: str, sent: Cut, returned: Cut):
         self.target = target
-        self.address = find_address()
+        # Keeps the port from being chosen for another link or connection.
+        self.reserved = reserve_port(f"{HOST}:0")
+        self.address = f"{HOST}:{self.reserved.getsockname()[1]}"
         self.sent = sent
         self.returned = returned
         # Replaced addresses in the messages to the target and in its replies.
@@ -138,9 +149,10 @@
     async def run(self) -> None:
         """Serve connections until cancelled."""
         host, port = split_address(self.address)
-        listener = await anyio.create_tcp_listener(local_host=host, local_port=port)
-        async with listener:
-            await listener.serve(self.serve)
+        with self.reserved:
+            listener = await anyio.create_tcp_listener(local_host=host, local_port=port)
+            async with listener:
+                await listener.serve(self.serve)
 
     async def serve(self, stream: anyio.abc.SocketStream) -> None:
         """Forward the bytes of one connection in both directions."""
--- a/soak/partitions/tests/test_network.py
+++ b/soak/partitions/tests/test_network.py
@@ -1,7 +1,11 @@
 """Tests of the network that can be cut for one node."""
 
+import socket
+from contextlib import suppress
+
 import anyio
 
+from gypsumring.utils.addresses import split_address
 from gypsumring.utils.testing import make_load_tests
 from soak.partitions.network import Network, ViewedStoreApp
 from stand_ins.platform.executor import ExecutorModel
@@ -18,6 +22,8 @@
     models = [ExecutorModel(world, f"i-{number}") for number in range(2)]
     network = Network(["n0", "n1", "n2"], StoreModel(), models)
     network.add_links({name: f"127.0.0.1:3000{name[1]}" for name in network.store_cuts})
+    for link in network.links.values():
+        link.reserved.close()
     return network
 
 
@@ -70,6 +76,19 @@
     assert link.outgoing == {far: near for near, far in link.incoming.items()}
 
 
+# Guards against a link whose port another connection takes before it listens.
+async def test_port_of_a_link_is_kept():
+    network = Network(["n0", "n1"], StoreModel(), [])
+    network.add_links({"n0": STORED, "n1": SEEN})
+    for link in network.links.values():
+        host, port = split_address(link.address)
+        with link.reserved, socket.socket() as other:
+            assert link.reserved.getsockname() == (host, port)
+            with suppress(OSError):
+                other.bind((host, port))
+                raise AssertionError("the port is free")
+
+
 async def test_overlapping_cuts_end_one_after_the_other():
     cut = make_network().paths["n0", "n1"]
     cut.begin()
