--- a/Makefile
+++ b/Makefile
@@ -5,6 +5,7 @@
 SEEDS ?= 1
 NODES ?= 8
 SHARE ?= 1
+OPTIONS ?=
 
 export PYTHONHASHSEED := 0
 
@@ -43,7 +44,7 @@
 	$(PYTHON) -m soak.liveness --seed $(SEED) --seeds $(SEEDS) --seconds $(SECONDS) 2>/dev/null
 
 ownership: $(STAMP)
-	$(PYTHON) -m soak.ownership --seed $(SEED) --seeds $(SEEDS) 2>/dev/null
+	$(PYTHON) -m soak.ownership --seed $(SEED) --seeds $(SEEDS) $(OPTIONS) 2>/dev/null
 
 nodes: $(STAMP)
 	$(PYTHON) -m soak.nodes --seed $(SEED) --seeds $(SEEDS) --nodes $(NODES) --seconds $(SECONDS) --share $(SHARE)
--- a/stand_ins/platform/fleet.py
+++ b/stand_ins/platform/fleet.py
@@ -290,6 +290,10 @@
         """Return whether messages of another machine to this one are held."""
         return other.name in self.held_from
 
+    def owns(self) -> bool:
+        """Return whether this machine owns the cell, for all it knows."""
+        return self.node is not None and self.node.own_fence() is not None
+
     def counts_since(self) -> float:
         """Return since when this owner counts the leases of earlier owners.
 
@@ -455,11 +459,7 @@
 
     def owner(self) -> Machine | None:
         """Return the machine that owns the cell with the highest fence number."""
-        owners = [
-            machine
-            for machine in self.running()
-            if machine.node.own_fence() is not None
-        ]
+        owners = [machine for machine in self.running() if machine.owns()]
         return max(owners, key=lambda owner: owner.node.own_fence(), default=None)
 
     def is_settled(self) -> bool:
