--- a/Makefile
+++ b/Makefile
@@ -6,6 +6,7 @@
 NODES ?= 8
 SHARE ?= 1
 KIND ?= all
+OPTIONS ?=
 
 export PYTHONHASHSEED := 0
 
@@ -44,7 +45,7 @@
 	$(PYTHON) -m soak.liveness --seed $(SEED) --seeds $(SEEDS) --seconds $(SECONDS) 2>/dev/null
 
 ownership: $(STAMP)
-	$(PYTHON) -m soak.ownership --seed $(SEED) --seeds $(SEEDS) 2>/dev/null
+	$(PYTHON) -m soak.ownership --seed $(SEED) --seeds $(SEEDS) $(OPTIONS) 2>/dev/null
 
 nodes: $(STAMP)
 	$(PYTHON) -m soak.nodes --seed $(SEED) --seeds $(SEEDS) --nodes $(NODES) --seconds $(SECONDS) --share $(SHARE)
