--- a/benchmarks/decisions.py
+++ b/benchmarks/decisions.py
@@ -30,6 +30,7 @@
 )
 from gypsumring.ports.tasks import Ticket
 from gypsumring.utils.testing import run_on_mock_clock
+from stand_ins.platform.peers import make_lone_authority
 
 __all__ = ["run"]
 
@@ -86,15 +87,16 @@
             policy=PolicyTiming(0.02, 0.0003, 2.0),
         )
         desired = DesiredState(version=1, queues=(self.queue,))
+        journal = Journal(None, "cells", 0, "cell", 1)
         self.state = CellState(
             1,
-            Journal(None, "cells", 0, "cell", 1),
+            journal,
             lambda: desired,
             CellTiming(10.0, 0.9, 120.0, 5.0, 3.0),
             Metrics(),
             anyio.current_time,
             lambda: int(anyio.current_time() * 1000),
-            lambda: True,
+            make_lone_authority(1, journal),
         )
         self.state.group = IgnoredTasks()
         self.orders = NotedOrders()
--- a/gypsumring/cell/executor_polling.py
+++ b/gypsumring/cell/executor_polling.py
@@ -136,7 +136,7 @@
                 self.mark_unresponsive(executor)
                 await anyio.sleep(RETRY_PAUSE_S)
             except (ExecutorGone, StartRefused):
-                self.list_reader.release_all(executor, "another incarnation answered")
+                self.request_release(executor, "another incarnation answered")
                 await anyio.sleep(LONG_POLL_S)
             except FenceRefused as error:
                 raise OwnershipLost(
@@ -156,15 +156,12 @@
 
     def may_evict(self, executor: ExecutorState) -> bool:
         """Return whether an executor without a directory entry can be evicted."""
-        now = self.state.clock()
-        if executor.is_lease_expired(now, self.state.inherited_lease_s):
+        if self.has_unreleased_attempts(executor):
+            return False
+        if self.state.is_lease_expired(executor):
             return True
-        has_responded_recently = now - executor.last_response_at < LONG_POLL_S * 2
-        return (
-            executor.first_response_at is not None
-            and not has_responded_recently
-            and not executor.runs
-        )
+        silent_s = self.state.clock() - executor.last_response_at
+        return executor.first_response_at is not None and silent_s >= LONG_POLL_S * 2
 
     def evict(self, executor: ExecutorState) -> None:
         """Evict an executor and delete its record."""
@@ -189,13 +186,13 @@
         long_poll_s = LONG_POLL_S if executor.runs else IDLE_LONG_POLL_S
         poll_duration_s = 0.0 if expects_immediate_answer else long_poll_s
         lease_until = None
+        now = self.state.clock()
         if (
             not is_first_poll
             and not executor.is_unresponsive
-            and self.state.may_extend_leases()
+            and self.state.authority.may_extend_leases(now)
         ):
-            lease_ms = int(self.state.timing.lease_s * 1000)
-            lease_until = executor.extend_lease(lease_ms, self.state.clock())
+            lease_until = executor.extend_lease(self.state.lease_ms(), now)
         requested_at = anyio.current_time()
         client = self.state.clients[executor.executor_id]
         # After an unanswered poll another incarnation may answer, which numbers its
@@ -222,10 +219,9 @@
         is_first_poll = executor.first_response_at is None
         shortest_s = FIRST_POLL_TIMEOUT_S if is_first_poll else LONG_POLL_MARGIN_S
         limit_s = min(shortest_s * 2**executor.unanswered_polls, MAX_POLL_MARGIN_S)
-        if is_first_poll or not executor.runs or not executor.is_unresponsive:
+        if not executor.is_unresponsive or not self.has_unreleased_attempts(executor):
             return limit_s
-        remaining_s = executor.lease_remaining_s(self.state.clock())
-        return min(limit_s, max(shortest_s, remaining_s))
+        return min(limit_s, max(shortest_s, self.state.lease_remaining_s(executor)))
 
     async def wait_until_durable(self, executor: ExecutorState) -> None:
         """Wait for a limited time until the received ends are durable."""
@@ -245,6 +241,32 @@
 
     def check_lease(self, executor: ExecutorState) -> None:
         """Release the tasks of an unresponsive executor whose lease has expired."""
-        now = self.state.clock()
-        if executor.is_lease_expired(now, self.state.inherited_lease_s):
-            self.list_reader.release_all(executor, "lease has expired")
+        if self.state.is_lease_expired(executor):
+            self.request_release(executor, "lease has expired")
+
+    def request_release(self, executor: ExecutorState, reason: str) -> None:
+        """Release the tasks of an executor once the store confirms the owner.
+
+        Another owner may have taken the tasks over and extended their lease. If the
+        executor responds meanwhile, its task lists tell what has ended.
+        """
+        if executor.is_release_pending:
+            return
+        if not self.has_unreleased_attempts(executor):
+            self.list_reader.release_all(executor, reason)
+            return
+        executor.is_release_pending = True
+        requested_at = self.state.clock()
+
+        def release() -> None:
+            executor.is_release_pending = False
+            if executor.last_response_at < requested_at:
+                self.list_reader.release_all(executor, reason)
+
+        self.state.authority.confirm(release)
+
+    def has_unreleased_attempts(self, executor: ExecutorState) -> bool:
+        """Return whether attempts are recorded, or may be, on an executor."""
+        if executor.executor_id in self.state.unreconciled:
+            return True
+        return bool(executor.runs)
--- a/gypsumring/cell/journal.py
+++ b/gypsumring/cell/journal.py
@@ -13,6 +13,7 @@
     StoreRefused,
     StoreUnavailable,
 )
+from gypsumring.utils.clock import Clock
 from gypsumring.utils.logs import EventLogger
 
 __all__ = ["Journal"]
@@ -84,6 +85,8 @@
     __slots__ = (
         "appended",
         "answered_at",
+        "clock",
+        "confirmed_at",
         "next_append_at",
         "epoch",
         "unanswered_since",
@@ -99,7 +102,13 @@
     )
 
     def __init__(
-        self, store: Store, topic: str, partition: int, producer: str, epoch: int
+        self,
+        store: Store,
+        topic: str,
+        partition: int,
+        producer: str,
+        epoch: int,
+        clock: Clock = anyio.current_time,
     ):
         self.store = store
         self.topic = topic
@@ -117,6 +126,11 @@
         self.appended = 0
         self.answered_at = anyio.current_time()
         self.unanswered_since: float | None = None
+        self.clock = clock
+        # When the newest executed append was sent, in ``clock`` time: no later producer
+        # had fenced the log before. The answer to a repeated append does not show that
+        # for the time of the repetition.
+        self.confirmed_at = float("-inf")
 
     def put(
         self,
@@ -228,6 +242,7 @@
         """
         attempt = AppendAttempt()
         began_at = anyio.current_time()
+        sent_at = self.clock()
         interval_s = max(
             MIN_COPY_INTERVAL_S, self.average_latency_s * COPY_INTERVAL_FACTOR
         )
@@ -249,6 +264,7 @@
             raise attempt.error
         self.average_latency_s += 0.2 * (attempt.latency_s - self.average_latency_s)
         self.answered_at = attempt.answered_at
+        self.confirmed_at = sent_at
         self.unanswered_since = None
         self.sequence += 1
 
--- a/gypsumring/cell/lists.py
+++ b/gypsumring/cell/lists.py
@@ -99,18 +99,45 @@
         self.apply_running(executor, task_lists.running, may_adopt, requested_at)
         changed_jobs = self.apply_ended(executor, task_lists.ended, may_adopt)
         lists_all_ends = len(task_lists.ended) < MAX_LISTED_ENDS
-        if lists_all_ends:
+        if is_first_response or has_restarted:
+            self.confirm_incarnation(
+                executor, listed_keys, requested_at, lists_all_ends
+            )
+        if lists_all_ends and not executor.is_unconfirmed:
             self.release_absent(executor, listed_keys, requested_at)
         if is_first_response or has_restarted or runs_were_released:
             self.orders.crashes.resolve(executor)
         executor.unknown_runs &= listed_keys
         if lists_all_ends:
             executor.may_list_lapsed_ends = False
-            self.mark_reconciled(executor)
+            if not executor.is_unconfirmed:
+                self.mark_reconciled(executor)
         self.acknowledge(executor, changed_jobs)
         if changed_jobs or task_lists.ended or is_first_response:
             self.state.wake()
 
+    def confirm_incarnation(
+        self,
+        executor: ExecutorState,
+        listed_keys: set[tuple[str, int]],
+        requested_at: float,
+        lists_all_ends: bool,
+    ) -> None:
+        """Let the store confirm the owner before it relies on what is not listed."""
+        incarnation = executor.born_ms
+        executor.is_unconfirmed = True
+
+        def apply_confirmation() -> None:
+            if executor.born_ms != incarnation:
+                return
+            executor.is_unconfirmed = False
+            if lists_all_ends:
+                self.release_absent(executor, listed_keys, requested_at)
+                self.mark_reconciled(executor)
+            self.state.wake()
+
+        self.state.authority.confirm(apply_confirmation)
+
     def back_off_after_restart(self, executor: ExecutorState) -> None:
         """Assign no work to a new incarnation while an old long poll may reach it.
 
--- a/gypsumring/cell/messages.py
+++ b/gypsumring/cell/messages.py
@@ -13,6 +13,7 @@
     Number,
     Quantity,
     SignedMeasure,
+    Text,
 )
 
 __all__ = [
@@ -32,6 +33,7 @@
     "RelayCall",
     "ReportOwner",
     "SubmitJob",
+    "VoteMessage",
     "decoder",
 ]
 
@@ -55,29 +57,47 @@
     """First message on a channel: name and address of the node that opened it.
 
     ``size`` is the size of its VM in thousandths of a core of normal speed, or 0 if the
-    node is no candidate for the ownership of the cell.
+    node is no candidate for the ownership of the cell. ``incarnation`` names its
+    process; it is empty if the process does not vote.
     """
 
     node: str
     address: str
     size: MachineSize = 0
+    incarnation: Text = ""
+    data_centre: Text = ""
+
+
+class VoteMessage(msgspec.Struct, array_like=True):
+    """Vote of a process for the owners up to a fence number.
+
+    ``fence`` is the highest fence number of an owner that the process has seen.
+    ``answers_sent_at`` is the ``sent_at`` of the newest answer of the receiver.
+    """
+
+    node: Text
+    incarnation: Text
+    fence: Fence
+    answers_sent_at: Measure
 
 
 class Ping(msgspec.Struct, tag=True, array_like=True):
     """Query whether the peer owns the cell.
 
     ``nodes_version`` is the version of the owner's list of nodes that the sender has
-    recorded.
+    recorded. ``vote`` is present once the receiver has answered on this channel.
     """
 
     nodes_version: Number = 0
+    vote: VoteMessage | None = None
 
 
 class Pong(msgspec.Struct, tag=True, array_like=True):
     """Answer to ``Ping``: whether the sender owns the cell, its fence and the owner.
 
     ``nodes`` contains the addresses of the owner's peers by name if ``nodes_version``
-    of the ping was a different one.
+    of the ping was a different one. ``sent_at`` is in seconds of the sender's clock,
+    which has a meaning only for the sender.
     """
 
     owns: bool
@@ -85,6 +105,7 @@
     owner_address: str = ""
     nodes_version: Number = 0
     nodes: dict[str, str] | None = None
+    sent_at: Measure | None = None
 
 
 class Announce(msgspec.Struct, tag=True, array_like=True):
--- a/gypsumring/cell/orders.py
+++ b/gypsumring/cell/orders.py
@@ -102,14 +102,18 @@
             return True
         return False
 
-    def make_start(self, run: Run, executor: ExecutorState, ticket: str) -> TaskStart:
-        """Return a start order, which also extends the lease of the executor."""
-        lease_ms = int(self.state.timing.lease_s * 1000)
+    def make_start(
+        self, run: Run, executor: ExecutorState, ticket: str, now: float
+    ) -> TaskStart:
+        """Return a start order, which also extends the lease of the executor.
+
+        The lease counts from ``now``, a reading of the cell's clock.
+        """
         return TaskStart(
             run.task,
             run.attempt,
             run.step.job.spec.payload,
-            executor.extend_lease(lease_ms, self.state.clock()),
+            executor.extend_lease(self.state.lease_ms(), now),
             run.step.checkpoint_of(run.index),
             ticket,
         )
@@ -125,16 +129,18 @@
             if executor.is_overfull():
                 self.withdraw_start(run, executor)
                 return
+            now = self.state.clock()
             if (
                 executor.is_unresponsive
+                or executor.is_unconfirmed
                 or not executor.has_current_entry()
                 or not self.state.knows_capacities()
-                or not self.state.may_extend_leases()
+                or not self.state.authority.may_extend_leases(now)
             ):
                 await anyio.sleep(RETRY_PAUSE_S)
                 continue
             client = self.state.clients[run.executor_id]
-            order = self.make_start(run, executor, ticket)
+            order = self.make_start(run, executor, ticket, now)
             sent_at = anyio.current_time()
             sent_clock = self.state.clock()
             deadline = sent_at + ORDER_TIMEOUT_S
@@ -200,7 +206,10 @@
         waited_s = run.started_at - run.step.job.accepted_at
         self.state.metrics.record_seconds("cell.wait", max(0.0, waited_s))
         log.info(
-            "attempt started", **run.log_fields(), unanswered=run.unanswered_orders
+            "attempt started",
+            **run.log_fields(),
+            unanswered=run.unanswered_orders,
+            **self.state.authority.describe(),
         )
 
     def handle_refusal(self, run: Run, executor: ExecutorState, reason: str) -> None:
--- a/gypsumring/cell/owner.py
+++ b/gypsumring/cell/owner.py
@@ -6,6 +6,13 @@
 import anyio
 import msgspec
 
+from gypsumring.cell.authority import (
+    MAX_EXTENSION_DELAY_S,
+    OWNER_KEY,
+    VOTERS_KEY,
+    Authority,
+    Peers,
+)
 from gypsumring.cell.commands import Commands
 from gypsumring.cell.discovery import DecodeEntry, ExecutorDirectory
 from gypsumring.cell.exceptions import OwnershipLost
@@ -19,12 +26,12 @@
     EXECUTOR_KEY,
     JOB_KEY,
     LEASE_KEY,
-    OWNER_KEY,
     PROGRESS_KEY,
     TERM_KEY,
     CellState,
     CellTiming,
 )
+from gypsumring.cell.voters import Electorate
 from gypsumring.cell.wait_monitor import WaitMonitor
 from gypsumring.fleet import ExecutorEntry
 from gypsumring.metrics import Metrics
@@ -51,9 +58,6 @@
 
 # Attempt numbers of a term are lower than those of the next term.
 ATTEMPTS_PER_TERM = 100_000
-# An owner that has lost the cell is notified within this time, and extends no lease
-# from then on.
-MAX_EXTENSION_DELAY_S = 1.0
 # Time limit of the first attempt to read the records; each further one has twice the
 # time, as many records on a slow link may need it.
 READ_TIMEOUT_S = 5.0
@@ -67,6 +71,7 @@
 
 decode_queue = msgspec.msgpack.Decoder(Queue).decode
 decode_entry = msgspec.msgpack.Decoder(ExecutorEntry).decode
+decode_electorate = msgspec.json.Decoder(Electorate).decode
 decode_lease = msgspec.json.Decoder(Quantity).decode
 decode_term = msgspec.json.Decoder(
     Annotated[int, msgspec.Meta(ge=0, le=MAX_NUMBER // ATTEMPTS_PER_TERM)]
@@ -77,6 +82,7 @@
     """Owner of one cell under one fence number."""
 
     __slots__ = (
+        "authority",
         "executor_poller",
         "commands",
         "directory",
@@ -108,13 +114,14 @@
         metrics: Metrics,
         clock: Clock,
         wall_clock: WallClock,
-        may_extend_leases: Callable[[], bool] = lambda: True,
+        peers: Peers,
     ):
         self.store = store
         self.topic = topic
         self.partition = partition
         self.fence = fence
-        journal = Journal(store, topic, partition, f"cell-{partition}", fence)
+        journal = Journal(store, topic, partition, f"cell-{partition}", fence, clock)
+        self.authority = Authority(fence, journal, peers, clock)
         self.state = CellState(
             fence,
             journal,
@@ -123,7 +130,7 @@
             metrics,
             clock,
             wall_clock,
-            may_extend_leases,
+            self.authority,
         )
         self.orders = Orders(self.state)
         self.executor_poller = ExecutorPoller(self.state, self.orders, connect)
@@ -147,6 +154,7 @@
                 await self.load()
                 self.loaded = True
                 group.start_soon(self.state.journal.run)
+                group.start_soon(self.authority.run)
                 group.start_soon(self.directory.run)
                 group.start_soon(self.scheduler.run)
                 group.start_soon(self.evict_ended_jobs)
@@ -219,6 +227,7 @@
         self.state.table = JobTable(self.state.wall_clock, term * ATTEMPTS_PER_TERM + 1)
         self.state.journal.put(TERM_KEY, msgspec.json.encode(term + 1))
         self.restore_lease(by_key.get(LEASE_KEY))
+        self.restore_voters(by_key.get(VOTERS_KEY))
         for key, value in by_key.items():
             if key.startswith(JOB_KEY):
                 self.restore_job(key[len(JOB_KEY) :], value, by_key)
@@ -275,6 +284,20 @@
         if value is None or recorded_ms < own_ms:
             self.state.journal.put(LEASE_KEY, msgspec.json.encode(own_ms))
 
+    def restore_voters(self, value: bytes | None) -> None:
+        """Set the voters of earlier owners.
+
+        Without a record of them, earlier owners have had no votes.
+        """
+        electorate = None
+        if value is not None:
+            try:
+                electorate = decode_electorate(value)
+            except DECODE_ERRORS as error:
+                self.skip_record("voters", VOTERS_KEY, error)
+        has_voters = electorate is not None and electorate.voters
+        self.authority.restore(electorate if has_voters else None)
+
     def read_term(self, value: bytes | None) -> int:
         """Return the number of earlier terms.
 
--- a/gypsumring/cell/state.py
+++ b/gypsumring/cell/state.py
@@ -5,6 +5,7 @@
 import anyio
 import anyio.abc
 
+from gypsumring.cell.authority import Authority
 from gypsumring.cell.journal import Journal
 from gypsumring.cell.queues import QueueRegistry
 from gypsumring.fleet import ExecutorState
@@ -23,8 +24,6 @@
 PROGRESS_KEY = "p/"
 EXECUTOR_KEY = "e/"
 TERM_KEY = "term"
-# The fence number of the newest owner.
-OWNER_KEY = "owner"
 # The longest lease that any owner has requested, in milliseconds.
 LEASE_KEY = "lease"
 # Capacities are unknown once the entries have not been read for this time, if they
@@ -62,6 +61,7 @@
     """Jobs and executors of a cell, with the journal that stores their records."""
 
     __slots__ = (
+        "authority",
         "capacities_vary",
         "changed",
         "clients",
@@ -75,7 +75,6 @@
         "group",
         "inherited_lease_s",
         "journal",
-        "may_extend_leases",
         "metrics",
         "owned_since",
         "queues",
@@ -94,7 +93,7 @@
         metrics: Metrics,
         clock: Clock,
         wall_clock: WallClock,
-        may_extend_leases: Callable[[], bool],
+        authority: Authority,
     ):
         self.fence = fence
         self.journal = journal
@@ -103,11 +102,9 @@
         self.metrics = metrics
         self.clock = clock
         self.wall_clock = wall_clock
-        # Returns whether leases may be extended. They may not be after a pause of this
-        # process or while it is cut off, since the next owner relies on the expiry of
-        # the granted leases.
-        self.may_extend_leases = may_extend_leases
-        # Leases of the previous owner expire within this time after the takeover.
+        self.authority = authority
+        # Leases of the previous owner expire within this time after the last evidence
+        # by which it may have extended them.
         self.inherited_lease_s = timing.max_lease_s
         self.table = JobTable(wall_clock)
         self.fleet: dict[str, ExecutorState] = {}
@@ -128,6 +125,22 @@
         self.group: anyio.abc.TaskGroup | None = None
         self.queues = QueueRegistry(journal, desired_state, self.list_used_queues)
 
+    def lease_ms(self) -> int:
+        """Return the lease to request, in milliseconds."""
+        return int(self.timing.lease_s * 1000)
+
+    def is_lease_expired(self, executor: ExecutorState) -> bool:
+        """Return whether the lease of an executor has expired, as this owner knows."""
+        return executor.is_lease_expired(
+            self.clock(), self.inherited_lease_s, self.authority.exclusive_since
+        )
+
+    def lease_remaining_s(self, executor: ExecutorState) -> float:
+        """Return the time until ``is_lease_expired`` becomes true, 0 if it is."""
+        return executor.lease_remaining_s(
+            self.clock(), self.inherited_lease_s, self.authority.exclusive_since
+        )
+
     def wake(self) -> None:
         """Wake the scheduler to evaluate the ready steps."""
         self.changed.set()
--- a/gypsumring/cell/tests/test_executor_polling.py
+++ b/gypsumring/cell/tests/test_executor_polling.py
@@ -1,4 +1,4 @@
-"""Acknowledgement of ends after an executor was unresponsive."""
+"""Acknowledgement of ends, and release of attempts, of unresponsive executors."""
 
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
@@ -13,6 +13,7 @@
 from gypsumring.metrics import Metrics
 from gypsumring.ports.tasks import ExecutorSilent, ListedEnd, TaskLists
 from gypsumring.utils.testing import make_load_tests
+from stand_ins.platform.peers import make_lone_authority
 
 
 class ScriptedExecutor:
@@ -39,18 +40,25 @@
         return self.lists
 
 
-class ImmediateStore:
-    """Store that answers each append immediately."""
+class HeldStore:
+    """Store that executes appends immediately, or once it is available again."""
+
+    __slots__ = ("available",)
+
+    def __init__(self):
+        self.available = anyio.Event()
+        self.available.set()
 
     async def append(self, topic, partition, records, producer, deadline):
-        """Return an offset immediately."""
+        """Return an offset."""
+        await self.available.wait()
         return 1
 
 
 @asynccontextmanager
-async def running_poller(client) -> AsyncIterator[CellState]:
+async def running_poller(client, store=None) -> AsyncIterator[CellState]:
     """Run the poller of one executor; yield the state of the cell."""
-    journal = Journal(ImmediateStore(), "cells", 0, "cell-0", 1)
+    journal = Journal(store or HeldStore(), "cells", 0, "cell-0", 1)
     timing = CellTiming(10.0, 0.9, 120.0, 5.0, 3.0)
     state = CellState(
         1,
@@ -60,7 +68,7 @@
         Metrics(),
         anyio.current_time,
         lambda: 0,
-        lambda: True,
+        make_lone_authority(1, journal),
     )
     executor_poller = ExecutorPoller(
         state, Orders(state), lambda executor_id, address: client
@@ -106,4 +114,45 @@
                 assert silent_s < lease_s, answer_s
 
 
+async def fall_silent(client: ScriptedExecutor, state: CellState) -> None:
+    """Let the executor, which may run tasks of an earlier owner, answer no more."""
+    client.unanswered_polls = 1_000_000
+    await anyio.sleep(0.1)
+    state.unreconciled.add("i-0")
+
+
+# The owner took a lease for expired that the next owner had extended meanwhile, and
+# started the tasks again on an executor that only it reached.
+async def test_attempts_are_released_only_once_the_store_confirms_the_owner():
+    client, store = ScriptedExecutor(), HeldStore()
+    async with running_poller(client, store) as state:
+        await anyio.sleep(1.0)
+        store.available = anyio.Event()
+        await fall_silent(client, state)
+        await anyio.sleep(20.0)
+        assert state.unreconciled == {"i-0"}
+        store.available.set()
+        await anyio.sleep(0.1)
+        assert not state.unreconciled
+
+
+# Guards against a confirmation from before the executor's lease was extended again.
+async def test_confirmation_from_before_a_response_releases_nothing():
+    client, store = ScriptedExecutor(), HeldStore()
+    async with running_poller(client, store) as state:
+        await anyio.sleep(1.0)
+        store.available = anyio.Event()
+        await fall_silent(client, state)
+        await anyio.sleep(8.0)
+        client.unanswered_polls = 0
+        await anyio.sleep(2.0)
+        await fall_silent(client, state)
+        await anyio.sleep(2.0)
+        store.available.set()
+        await anyio.sleep(1.0)
+        assert state.unreconciled == {"i-0"}
+        await anyio.sleep(6.0)
+        assert not state.unreconciled
+
+
 load_tests = make_load_tests(globals())
--- a/gypsumring/cell/tests/test_waiting.py
+++ b/gypsumring/cell/tests/test_waiting.py
@@ -42,6 +42,7 @@
 from gypsumring.utils.logs import encode_record
 from gypsumring.utils.testing import make_load_tests, run_on_mock_clock
 from stand_ins.platform.cluster import make_job
+from stand_ins.platform.peers import make_lone_authority
 from stand_ins.platform.world import steady_behaviour
 
 POLICY = PolicyTiming(0.02, 0.001, 2.0)
@@ -64,15 +65,16 @@
             name="q", host="h", path_prefix="/q/", service="svc", policy=policy
         )
         desired = DesiredState(version=1, queues=(self.queue,))
+        journal = Journal(None, "cells", 0, "cell", 1)
         self.state = CellState(
             7,
-            Journal(None, "cells", 0, "cell", 1),
+            journal,
             lambda: desired,
             CellTiming(10.0, 0.9, 120.0, 5.0, 3.0),
             Metrics(),
             anyio.current_time,
             lambda: 0,
-            lambda: True,
+            make_lone_authority(7, journal),
         )
         self.state.group = IdleTaskGroup()
         self.scheduler = CellScheduler(
@@ -232,6 +234,11 @@
     del fixture.state.fleet[executor.executor_id]
 
 
+def await_confirmation(fixture: CellFixture, executor) -> None:
+    """Let the executor be an incarnation that has responded just now."""
+    executor.is_unconfirmed = True
+
+
 CHANGES_BY_CAUSE = {
     "not listed": expire_registration,
     "draining": drain,
@@ -241,6 +248,7 @@
     "starts being shut out": block_late_start,
     "not enrolled": remove_durable_entry,
     "never heard": clear_first_response,
+    "not confirmed": await_confirmation,
 }
 
 
--- a/gypsumring/cell/waiting.py
+++ b/gypsumring/cell/waiting.py
@@ -200,6 +200,8 @@
         return "starts being shut out"
     if not executor.has_current_entry():
         return "entry of another incarnation"
+    if executor.is_unconfirmed:
+        return "not confirmed"
     if not enrolled:
         return "not enrolled"
     return "other"
--- a/gypsumring/fleet/executor.py
+++ b/gypsumring/fleet/executor.py
@@ -63,6 +63,8 @@
         "last_seen_end",
         "lease_until_ms",
         "listed",
+        "is_release_pending",
+        "is_unconfirmed",
         "may_leave_at",
         "may_list_lapsed_ends",
         "runs",
@@ -91,6 +93,12 @@
         self.last_response_at = 0.0
         # Set if the latest order or long poll was not answered.
         self.is_unresponsive = False
+        # Set while the release of its attempts waits for a confirmation by the store.
+        self.is_release_pending = False
+        # Set while the store has not confirmed the owner since this incarnation has
+        # responded first. An executor that restarts forgets the fence number of a later
+        # owner, which may have started or ended its tasks.
+        self.is_unconfirmed = False
         self.runs: dict[tuple[str, int], Run] = {}
         # Send times of start orders that were not answered, by attempt. The executor
         # may still carry such an order out.
@@ -175,19 +183,33 @@
         self.lease_until_ms = max(self.lease_until_ms, lease_end_ms)
         return lease_end_ms
 
-    def is_lease_expired(self, now: float, inherited_lease_s: float) -> bool:
+    def is_lease_expired(
+        self, now: float, inherited_lease_s: float, exclusive_since: float = 0.0
+    ) -> bool:
         """Return whether all tasks on the executor are certain to have ended.
 
         An executor that has never responded to this owner may hold a lease from the
-        previous owner, which expires within ``inherited_lease_s`` of the takeover.
+        previous owner, which expires within ``inherited_lease_s`` of
+        ``exclusive_since``.
         """
         if self.first_response_at is None:
-            limit_s = inherited_lease_s * (1 + 2 * CLOCK_DRIFT) + LEASE_MARGIN_MS / 1000
-            return now >= self.tracked_since + limit_s
+            return now >= self.inherited_until(inherited_lease_s, exclusive_since)
         return self.min_clock_ms(now) > self.lease_until_ms + LEASE_MARGIN_MS
 
-    def lease_remaining_s(self, now: float) -> float:
+    def inherited_until(
+        self, inherited_lease_s: float, exclusive_since: float
+    ) -> float:
+        """Return when a lease from the previous owner is certain to have expired."""
+        limit_s = inherited_lease_s * (1 + 2 * CLOCK_DRIFT) + LEASE_MARGIN_MS / 1000
+        return max(self.tracked_since, exclusive_since) + limit_s
+
+    def lease_remaining_s(
+        self, now: float, inherited_lease_s: float, exclusive_since: float = 0.0
+    ) -> float:
         """Return the time until ``is_lease_expired`` becomes true, 0 if it is."""
+        if self.first_response_at is None:
+            expires_at = self.inherited_until(inherited_lease_s, exclusive_since)
+            return max(0.0, expires_at - now)
         remaining_ms = self.lease_until_ms + LEASE_MARGIN_MS - self.min_clock_ms(now)
         return max(0.0, remaining_ms / 1000 / (1 - CLOCK_DRIFT))
 
@@ -235,6 +257,7 @@
             and now - self.last_response_at <= CONTACT_TIMEOUT_S
             and not self.unknown_runs
             and not self.starts_to_block
+            and not self.is_unconfirmed
             and self.has_current_entry()
             and not self.health.is_quarantined(now)
         )
--- a/gypsumring/node/link.py
+++ b/gypsumring/node/link.py
@@ -10,6 +10,7 @@
     Ping,
     Pong,
     ReportOwner,
+    VoteMessage,
     decoder,
 )
 from gypsumring.metrics import Metrics
@@ -40,6 +41,8 @@
 log = EventLogger("link")
 
 PING_PERIOD_S = 0.15
+# Period of the announcements to voters that have not answered this owner.
+VOTER_ANNOUNCEMENT_PERIOD_S = 0.5
 # A ping to the owner is overdue after a time between these, according to how long the
 # owner takes to answer.
 SHORTEST_PING_TIMEOUT_S = 0.2
@@ -69,6 +72,7 @@
         "calls",
         "cell",
         "channel",
+        "data_centre",
         "fence",
         "group_name",
         "has_announced",
@@ -76,9 +80,11 @@
         "largest_member",
         "last_linked_at",
         "linked_since",
+        "list_missing_voters",
         "list_peers",
         "member",
         "metrics",
+        "next_announcement_at",
         "next_queried",
         "node_addresses",
         "nodes_version",
@@ -86,6 +92,8 @@
         "owner_address",
         "owner_changed",
         "owner_member",
+        "owner_sent_at",
+        "promised_fence",
         "reports",
         "response_times",
         "size",
@@ -103,8 +111,10 @@
         handler: Handler,
         connect: Connect = Channel.connect,
         size: int = 0,
+        data_centre: str = "",
         metrics: Metrics | None = None,
         list_peers: Callable[[], dict[str, Channel]] = dict,
+        list_missing_voters: Callable[[], dict[str, str]] = dict,
     ):
         self.metrics = metrics or Metrics()
         self.store = store
@@ -115,6 +125,10 @@
         self.own_fence = own_fence
         # Returns the channels that other nodes have opened to this one, by node name.
         self.list_peers = list_peers
+        # Returns the addresses of voters of earlier owners that have not answered this
+        # owner, by node name.
+        self.list_missing_voters = list_missing_voters
+        self.next_announcement_at = 0.0
         self.calls = NodeCalls(connect, handler, self.metrics)
         # Size of the largest machine in the group, None if the last lookup failed.
         self.largest_member: int | None = None
@@ -122,6 +136,7 @@
         self.has_other_members = False
         # Size of this machine, 0 once the node is stopping.
         self.size = size
+        self.data_centre = data_centre
         self.channel: Channel | None = None
         self.owner_changed = anyio.Event()
         self.last_linked_at = anyio.current_time()
@@ -136,6 +151,10 @@
         # Highest fence number of an owner seen so far; address that an owner announced
         # and that has not been tried yet.
         self.fence = 0
+        # Fence number under which this node has begun to take over.
+        self.promised_fence = 0
+        # ``sent_at`` of the newest answer on the channel to the owner.
+        self.owner_sent_at: float | None = None
         self.announced_address = ""
         self.announced = anyio.Event()
         # Whether this node has announced its ownership to the other nodes.
@@ -177,12 +196,19 @@
         self.size = 0
         if self.channel is None:
             return
-        hello = Hello(self.member.node, self.member.address)
+        hello = self.make_hello()
         try:
             await self.channel.call(hello, anyio.current_time() + HELLO_TIMEOUT_S)
         except ChannelClosed as error:
             log.debug("owner could not be notified of the withdrawal", error=str(error))
 
+    def make_hello(self) -> Hello:
+        """Return the first message on a channel to an owner."""
+        member = self.member
+        return Hello(
+            member.node, member.address, self.size, member.incarnation, self.data_centre
+        )
+
     async def announce_ownership(self, fence: int) -> None:
         """Announce once that this node owns the cell, then wait one ping period."""
         self.last_linked_at = anyio.current_time()
@@ -193,6 +219,7 @@
             # only after a timeout.
             self.has_announced = True
             await self.announce_to_all(Announce(self.member.address, fence))
+        await self.announce_to_voters(Announce(self.member.address, fence))
         await anyio.sleep(PING_PERIOD_S)
 
     async def announce_to_all(self, message: Announce) -> None:
@@ -211,6 +238,15 @@
                 group.start_soon(announce_over, channel, message)
             group.start_soon(self.calls.call_all, addresses, message)
 
+    async def announce_to_voters(self, message: Announce) -> None:
+        """Announce the ownership again to voters that may follow an earlier owner."""
+        now = anyio.current_time()
+        if now < self.next_announcement_at:
+            return
+        self.next_announcement_at = now + VOTER_ANNOUNCEMENT_PERIOD_S
+        addresses = list(self.list_missing_voters().values())
+        await self.calls.call_all(addresses, message)
+
     async def find_owner(self) -> str | None:
         """Return the announced address of the owner, or else look it up."""
         announced_address, self.announced_address = self.announced_address, ""
@@ -255,6 +291,21 @@
             if name != self.member.node and address != without
         }
 
+    def highest_fence(self) -> int:
+        """Return the highest fence number of an owner that this process has seen."""
+        return max(self.fence, self.promised_fence)
+
+    def make_vote(self) -> VoteMessage | None:
+        """Return the vote for the owner on the channel, None before it has answered."""
+        if self.owner_sent_at is None:
+            return None
+        return VoteMessage(
+            self.member.node,
+            self.member.incarnation,
+            self.highest_fence(),
+            self.owner_sent_at,
+        )
+
     def knows_other_nodes(self) -> bool:
         """Return whether the installation has other nodes, as far as is known."""
         return self.has_other_members or bool(self.list_other_nodes())
@@ -428,9 +479,11 @@
         )
         async with anyio.create_task_group() as group:
             group.start_soon(channel.run)
-            hello = Hello(self.member.node, self.member.address, self.size)
+            hello = self.make_hello()
+            self.owner_sent_at = None
             try:
-                await channel.call(hello, anyio.current_time() + hello_s)
+                pong = await channel.call(hello, anyio.current_time() + hello_s)
+                self.owner_sent_at = pong.sent_at if isinstance(pong, Pong) else None
                 has_answered = True
                 while await self.is_owner_or_candidate(channel, address):
                     await self.wait_for_announcement(PING_PERIOD_S)
@@ -455,9 +508,11 @@
                 SHORTEST_PING_TIMEOUT_S, LONGEST_PING_TIMEOUT_S
             )
         sent_at = anyio.current_time()
-        pong = await channel.call(Ping(self.nodes_version), sent_at + timeout_s)
+        ping = Ping(self.nodes_version, self.make_vote())
+        pong = await channel.call(ping, sent_at + timeout_s)
         if not isinstance(pong, Pong):
             return False
+        self.owner_sent_at = pong.sent_at
         if not pong.owns:
             if self.term is not None and self.term.address == address:
                 # The node may take over again, which is another term.
--- a/gypsumring/node/membership.py
+++ b/gypsumring/node/membership.py
@@ -6,7 +6,6 @@
 import anyio.abc
 
 from gypsumring.cell import CellOwner
-from gypsumring.cell.owner import MAX_EXTENSION_DELAY_S
 from gypsumring.node.response_times import ResponseTimes
 from gypsumring.ports.store import Assignment, Store, StoreRefused, StoreUnavailable
 from gypsumring.utils.clock import Clock
@@ -38,9 +37,6 @@
 # Peers may remove an unresponsive owner from the group before its membership expires,
 # but no sooner than this time after its last response.
 CONFIRMATION_VALID_S = 0.35
-# Leases are extended for this time after the last confirmation, also if no other node
-# follows this one. The next owner adds it to the leases that it waits for.
-MAX_UNCONFIRMED_S = MAX_EXTENSION_DELAY_S
 LEAVE_TIMEOUT_S = 0.5
 # How often a stopping owner checks whether the store has recovered.
 HANDOVER_POLL_S = 0.05
@@ -81,25 +77,18 @@
     ``make_owner`` returns a new owner for a fence number, which is derived from the
     generation in which the cell was assigned to this node. ``is_candidate`` receives
     whether the node owns the cell and returns whether it should be in the group.
-    ``is_followed`` receives a time in ``clock`` time and returns whether all nodes that
-    followed this one then still do. ``contact_ages`` returns how long ago their last
-    messages were read, for the logs.
     """
 
     __slots__ = (
         "applied_sent_at",
         "cell",
-        "checked_at",
         "clock",
         "confirmed_at",
-        "contact_ages",
-        "extends_leases",
         "fence_generation",
         "generation",
         "group",
         "group_name",
         "is_candidate",
-        "is_followed",
         "is_member",
         "left_at",
         "make_owner",
@@ -108,8 +97,6 @@
         "owner_count",
         "owner_scope",
         "ownership_lock",
-        "paused",
-        "paused_until",
         "response_times",
         "started_at",
         "stopping",
@@ -130,8 +117,6 @@
         make_owner: Callable[[int], CellOwner],
         clock: Clock = anyio.current_time,
         is_candidate: Callable[[bool], bool] = lambda owns: True,
-        is_followed: Callable[[float], bool] = lambda since: True,
-        contact_ages: Callable[[], dict[str, float]] = dict,
     ):
         self.store = store
         self.group_name = group_name
@@ -141,8 +126,6 @@
         self.ttl_s = ttl_s
         self.make_owner = make_owner
         self.is_candidate = is_candidate
-        self.is_followed = is_followed
-        self.contact_ages = contact_ages
         # Whether the process has tried to join and has not left since.
         self.is_member = False
         self.generation = 0
@@ -154,16 +137,9 @@
         # Time, including suspended time, when the last join that confirmed the cell
         # for this node was sent.
         self.confirmed_at = float("-inf")
-        # Whether leases could be extended at the last check.
-        self.extends_leases = True
         self.stopping = False
         # Includes the time while the process or the machine is suspended.
         self.clock = clock
-        self.checked_at = clock()
-        # Set if the process was paused for so long that another node may own the cell.
-        self.paused = False
-        # End of the last pause, in ``clock`` time.
-        self.paused_until = float("-inf")
         self.started_at = anyio.current_time()
         # Factor of the membership during the next takeover.
         self.takeover_factor = 1
@@ -194,8 +170,6 @@
         async with anyio.create_task_group() as group:
             self.group = group
             while not self.stopping:
-                self.detect_pause()
-                self.log_lease_changes()
                 had_owner = self.owner is not None
                 if not self.is_candidate(self.owner is not None):
                     await self.resign()
@@ -217,7 +191,6 @@
             log.debug("joining the group failed", error=str(error))
         else:
             self.response_times.record(self.clock() - sent_at)
-            self.detect_pause()
             async with self.ownership_lock:
                 await self.apply_if_newest(assignment, sent_at)
         finally:
@@ -267,48 +240,6 @@
             return 0.0
         return JOIN_PERIOD_S
 
-    def detect_pause(self) -> None:
-        """Detect that the process was paused for longer than a membership lasts."""
-        now = self.clock()
-        if now - self.checked_at > self.ttl_s:
-            self.paused = True
-            self.paused_until = now
-        self.checked_at = now
-
-    def may_extend_leases(self) -> bool:
-        """Return whether task leases may be extended.
-
-        After a pause, the group has to confirm the cell first. An owner that gets no
-        answer from the store continues while all nodes follow it: a node that the store
-        answers would relay its joins, so none can take over. An owner that is cut off
-        from the other nodes stops before the next owner presumes that the leases have
-        expired.
-        """
-        now = self.clock()
-        if self.paused or now - self.checked_at > self.ttl_s:
-            return False
-        if now - self.confirmed_at <= MAX_UNCONFIRMED_S:
-            return True
-        return self.is_followed(self.confirmed_at)
-
-    def log_lease_changes(self) -> None:
-        """Log when the owner stops or resumes to extend leases."""
-        extends_leases = self.owner is None or self.may_extend_leases()
-        if extends_leases is self.extends_leases:
-            return
-        self.extends_leases = extends_leases
-        evidence = {
-            "cell": self.cell,
-            "unconfirmed_s": round(self.clock() - self.confirmed_at, 3),
-            "read_s": self.contact_ages(),
-        }
-        if extends_leases:
-            log.info("leases are extended again", **evidence)
-            return
-        log.warning(
-            "leases are not extended: another node may own the cell", **evidence
-        )
-
     async def apply(self, assignment: Assignment, sent_at: float) -> None:
         """Start or stop the owner as assigned; ``sent_at`` is in ``clock`` time."""
         generation_unchanged = assignment.generation == self.generation
@@ -321,9 +252,6 @@
             await self.stop_owner("assigned to another node")
             return
         self.confirmed_at = sent_at
-        # An answer to a join from before a pause may have waited in a socket buffer.
-        if sent_at >= self.paused_until:
-            self.paused = False
         if self.owner is None and (generation_unchanged or not self.is_starting()):
             self.owner = self.make_owner(self.next_fence(assignment.generation))
             self.owner_scope = anyio.CancelScope()
--- a/gypsumring/node/node.py
+++ b/gypsumring/node/node.py
@@ -7,6 +7,7 @@
 import anyio
 
 from gypsumring.cell import CellOwner
+from gypsumring.cell.authority import Peers
 from gypsumring.cell.messages import (
     Announce,
     AskPolicy,
@@ -25,10 +26,10 @@
     decoder,
 )
 from gypsumring.cell.state import CellTiming
+from gypsumring.cell.voters import Voter, VoteRegister
 from gypsumring.metrics import Metrics
 from gypsumring.node.candidacy import Candidacy
 from gypsumring.node.desired import DesiredStateWatch
-from gypsumring.node.follower_contacts import FollowerContacts
 from gypsumring.node.forwarding import Command, Forwarder
 from gypsumring.node.link import OwnerLink
 from gypsumring.node.membership import Member, Membership
@@ -80,7 +81,6 @@
         "cell",
         "clock",
         "desired",
-        "follower_contacts",
         "forwarder",
         "link",
         "membership",
@@ -88,12 +88,15 @@
         "nodes_version",
         "peer_addresses",
         "peer_sizes",
+        "peer_voters",
         "peers",
         "policy",
         "relay",
         "settings",
         "stopping",
         "store",
+        "voter",
+        "votes",
     )
 
     def __init__(
@@ -121,7 +124,9 @@
         self.peer_addresses: dict[str, str] = {}
         # Machine sizes of those nodes, by node name.
         self.peer_sizes: dict[str, int] = {}
-        self.follower_contacts = FollowerContacts()
+        # Processes of those nodes that vote, by node name.
+        self.peer_voters: dict[str, Voter] = {}
+        self.votes = VoteRegister()
         self.nodes_version = unix_ms()
         self.desired = DesiredStateWatch(
             store, DESIRED_STATE_TOPIC, DESIRED_STATE_KEY, decode_desired_state
@@ -129,6 +134,9 @@
         size = settings.processor.size
         incarnation = uuid.uuid4().hex[:8]
         member = Member(settings.node, settings.peer_address, incarnation, size)
+        self.voter = Voter(
+            settings.node, incarnation, settings.peer_address, settings.data_centre
+        )
         self.candidacy = Candidacy(store, NODES_TOPIC, size)
         ttl_s = max(MIN_MEMBERSHIP_S, settings.store.shortest_membership_ms / 1000)
         self.membership = Membership(
@@ -141,8 +149,6 @@
             self.make_owner,
             clock,
             self.is_candidate,
-            self.is_followed,
-            lambda: self.follower_contacts.ages_s(self.clock()),
         )
         self.link = OwnerLink(
             store,
@@ -152,8 +158,10 @@
             self.own_fence,
             self.handle,
             size=size,
+            data_centre=settings.data_centre,
             metrics=metrics,
             list_peers=lambda: dict(self.peers),
+            list_missing_voters=self.list_missing_voters,
         )
         self.forwarder = Forwarder(self.link, self.execute, metrics)
         self.relay = StoreRelay(store_path, self.list_channels, metrics)
@@ -175,19 +183,20 @@
         unlinked_s = anyio.current_time() - self.link.last_linked_at
         return self.candidacy.is_candidate(owns, unlinked_s, self.link.largest_member)
 
-    def is_followed(self, since: float) -> bool:
-        """Return whether all nodes that followed this one at a time still do.
-
-        The only node of an installation needs no followers.
-        """
-        contacts = self.follower_contacts
-        if not contacts.last_message_at and not self.link.knows_other_nodes():
-            return True
-        return contacts.are_kept(since, self.clock())
+    def list_missing_voters(self) -> dict[str, str]:
+        """Return the addresses of voters that may vote for an earlier owner."""
+        owner = self.membership.active_owner()
+        if owner is None:
+            return {}
+        missing = owner.authority.list_missing_voters()
+        return {voter.node: voter.address for voter in missing if voter.address}
 
     def may_extend_leases(self) -> bool:
         """Return whether this node, as the owner, may extend leases and start tasks."""
-        return self.membership.may_extend_leases()
+        owner = self.membership.active_owner()
+        if owner is None:
+            return False
+        return owner.authority.may_extend_leases(self.clock())
 
     def is_ready(self) -> bool:
         """Return whether the load balancer should send requests to this node."""
@@ -198,7 +207,11 @@
         )
 
     def make_owner(self, fence: int) -> CellOwner:
-        """Return a new owner of the cell with this fence number."""
+        """Return a new owner of the cell with this fence number.
+
+        From now on this node votes for no earlier owner.
+        """
+        self.link.promised_fence = max(self.link.promised_fence, fence)
         return CellOwner(
             self.store,
             CELL_TOPIC,
@@ -214,7 +227,13 @@
             self.metrics,
             self.clock,
             unix_ms,
-            self.may_extend_leases,
+            Peers(
+                self.voter,
+                self.votes,
+                self.link.highest_fence,
+                lambda: list(self.peer_voters.values()),
+                self.link.knows_other_nodes,
+            ),
         )
 
     def apply_settings(self, settings: NodeSettings) -> list[str]:
@@ -294,6 +313,7 @@
             del self.peers[channel.peer]
             del self.peer_addresses[channel.peer]
             del self.peer_sizes[channel.peer]
+            self.peer_voters.pop(channel.peer, None)
             self.nodes_version += 1
 
     async def handle(self, channel: Channel, message: Any) -> Any:
@@ -302,15 +322,20 @@
             case Hello(node=node, address=address, size=size):
                 self.metrics.count("node.hellos")
                 channel.peer = node
-                self.follower_contacts.record(node, self.clock())
                 self.peer_sizes[node] = size
+                if message.incarnation:
+                    self.peer_voters[node] = Voter(
+                        node, message.incarnation, address, message.data_centre
+                    )
                 self.peers[node] = channel
                 self.peer_addresses[node] = address
                 self.nodes_version += 1
                 return self.make_pong(self.nodes_version)
-            case Ping(nodes_version=version):
-                if channel.peer in self.peers:
-                    self.follower_contacts.record(channel.peer, self.clock())
+            case Ping(nodes_version=version, vote=vote):
+                if vote is not None:
+                    self.votes.record(
+                        vote.node, vote.incarnation, vote.fence, vote.answers_sent_at
+                    )
                 return self.make_pong(version)
             case Announce():
                 await self.link.record_announced_owner(message)
@@ -331,13 +356,19 @@
         """Return a reply that states the owner and, if changed, its list of nodes."""
         owner = self.membership.active_owner()
         if owner is None:
-            return Pong(False, self.link.fence, self.link.owner_address)
+            return Pong(
+                False,
+                self.link.fence,
+                self.link.owner_address,
+                sent_at=self.clock(),
+            )
         return Pong(
             True,
             owner.fence,
             self.settings.peer_address,
             self.nodes_version,
             None if known_version == self.nodes_version else self.peer_addresses,
+            self.clock(),
         )
 
     async def execute(self, message: Command) -> JobAnswer:
--- a/gypsumring/node/tests/test_fleet.py
+++ b/gypsumring/node/tests/test_fleet.py
@@ -2,7 +2,7 @@
 
 import anyio
 
-from gypsumring.cell.owner import MAX_EXTENSION_DELAY_S
+from gypsumring.cell.authority import MAX_EXTENSION_DELAY_S
 from gypsumring.utils.testing import make_load_tests
 from stand_ins.platform.fleet import FleetModel, running_fleet
 
@@ -150,7 +150,7 @@
                 assert node.own_fence() is not None
                 assert not node.may_extend_leases(), size
                 await anyio.sleep(0.1)
-            assert not node.membership.extends_leases
+            assert not node.membership.active_owner().authority.extends_leases
 
 
 # Guards against the loss of all running work in an outage of the store.
@@ -166,8 +166,24 @@
                 assert node.may_extend_leases(), size
 
 
-# Guards against one node that is killed in such an outage, unknown to the owner whether
-# it has taken over: once the store answers, leases are extended again.
+# Guards against the loss of all running work because one more node is killed in such an
+# outage: no node can take over without a vote of the others.
+async def test_leases_are_extended_while_one_node_is_killed_in_such_an_outage():
+    for size in (4, 7, 18):
+        async with running_fleet(size) as fleet:
+            await anyio.sleep(5.0)
+            owner = fleet.owner()
+            for machine in fleet.running():
+                machine.faults.store_away = True
+            await anyio.sleep(2.0)
+            next(each for each in fleet.running() if each is not owner).kill()
+            for _ in range(50):
+                await anyio.sleep(0.1)
+                assert owner.node.may_extend_leases(), size
+
+
+# Guards against two nodes that are killed in such an outage, unknown to the owner if
+# they have taken over: once the store answers, leases are extended again.
 async def test_leases_are_extended_again_once_the_store_answers():
     async with running_fleet(7) as fleet:
         await anyio.sleep(5.0)
@@ -175,7 +191,9 @@
         for machine in fleet.running():
             machine.faults.store_away = True
         await anyio.sleep(2.0)
-        next(each for each in fleet.running() if each is not owner).kill()
+        others = [machine for machine in fleet.running() if machine is not owner]
+        for machine in others[:2]:
+            machine.kill()
         await anyio.sleep(2.0)
         assert not owner.node.may_extend_leases()
         for machine in fleet.running():
--- a/gypsumring/node/tests/test_membership.py
+++ b/gypsumring/node/tests/test_membership.py
@@ -12,9 +12,10 @@
 class ScriptedOwner:
     """Owner that runs until it is stopped."""
 
-    __slots__ = ("loaded", "stopped", "store_is_slow")
+    __slots__ = ("fence", "loaded", "stopped", "store_is_slow")
 
-    def __init__(self):
+    def __init__(self, fence: int = 0):
+        self.fence = fence
         self.loaded = True
         self.store_is_slow = False
         self.stopped = anyio.Event()
@@ -37,6 +38,7 @@
     __slots__ = (
         "answer_s",
         "arrivals",
+        "generation",
         "is_unavailable",
         "leave_count",
         "next_partitions",
@@ -45,6 +47,7 @@
     )
 
     def __init__(self):
+        self.generation = 1
         self.leave_count = 0
         # Partitions in the answers to the next joins.
         self.next_partitions: list[frozenset[int]] = []
@@ -62,7 +65,7 @@
         self.arrivals.append(anyio.current_time())
         if self.next_partitions:
             self.partitions = self.next_partitions.pop(0)
-        assignment = Assignment(1, self.partitions)
+        assignment = Assignment(self.generation, self.partitions)
         await anyio.sleep(self.answer_s)
         if self.is_unavailable:
             raise StoreUnavailable("unavailable")
@@ -88,42 +91,15 @@
 async def run_checks(check) -> None:
     """Run a check concurrently with a membership that owns the cell."""
     store, clock = ScriptedStore(), PausableClock()
-    membership = Membership(
-        store, "g", "cells", 0, "n0", TTL_S, lambda fence: ScriptedOwner(), clock
-    )
+    membership = Membership(store, "g", "cells", 0, "n0", TTL_S, ScriptedOwner, clock)
     async with anyio.create_task_group() as group:
         group.start_soon(membership.run)
         await anyio.sleep(0.5)
-        assert membership.may_extend_leases()
+        assert membership.is_recently_confirmed()
         await check(membership, store, clock)
         group.cancel_scope.cancel()
 
 
-async def test_no_lease_is_extended_after_a_pause_until_the_cell_is_confirmed():
-    # Another node may own the cell by then and rely on the expiry of the leases.
-    async def check(membership, store, clock):
-        store.is_unavailable = True
-        clock.paused_s += 4.0
-        assert not membership.may_extend_leases()
-        await anyio.sleep(2.0)
-        assert not membership.may_extend_leases()
-        store.is_unavailable = False
-        await anyio.sleep(0.2)
-        assert membership.may_extend_leases()
-
-    await run_checks(check)
-
-
-async def test_leases_are_extended_while_the_store_is_unavailable():
-    async def check(membership, store, clock):
-        store.is_unavailable = True
-        for _ in range(50):
-            await anyio.sleep(0.1)
-            assert membership.may_extend_leases()
-
-    await run_checks(check)
-
-
 async def test_paused_owner_does_not_report_a_job_as_unknown():
     # Peers remove an unresponsive owner from the group before its membership expires.
     # The next owner may have accepted a job that the resumed owner has not recorded.
@@ -257,20 +233,6 @@
     await run_checks(check)
 
 
-async def test_answer_from_before_a_pause_does_not_confirm_the_cell():
-    # Another node may own the cell by then and rely on the expiry of the leases.
-    async def check(membership, store, clock):
-        store.answer_s = 0.3
-        await anyio.sleep(0.15)
-        clock.paused_s += 4.0
-        await anyio.sleep(0.25)
-        assert not membership.may_extend_leases()
-        await anyio.sleep(0.5)
-        assert membership.may_extend_leases()
-
-    await run_checks(check)
-
-
 # Answers that arrived together were applied side by side: an owner was started and
 # dropped without being stopped, and ran on under no one's control.
 def test_answers_that_arrive_together_leave_no_owner_behind():
--- a/gypsumring/node/tests/test_stale_evidence.py
+++ b/gypsumring/node/tests/test_stale_evidence.py
@@ -4,7 +4,7 @@
 
 import anyio
 
-from gypsumring.cell.owner import MAX_EXTENSION_DELAY_S
+from gypsumring.cell.authority import MAX_EXTENSION_DELAY_S
 from gypsumring.utils.testing import make_load_tests
 from stand_ins.platform.fleet import FleetModel, Machine, running_fleet
 
--- a/soak/ownership.py
+++ b/soak/ownership.py
@@ -15,7 +15,7 @@
 import anyio
 import click
 
-from gypsumring.cell.owner import MAX_EXTENSION_DELAY_S
+from gypsumring.cell.authority import MAX_EXTENSION_DELAY_S
 from gypsumring.node.membership import TAKEOVER_TTL_S
 from gypsumring.utils.testing import run_on_mock_clock
 from stand_ins.platform.fleet import FleetModel, Machine, running_fleet
--- a/soak/partitions/network.py
+++ b/soak/partitions/network.py
@@ -18,10 +18,11 @@
 from gypsumring.utils.addresses import split_address
 from soak.nodes.fleet import reserve_port
 from stand_ins.platform.executor import ExecutorModel
+from stand_ins.platform.peers import Cut
 from stand_ins.platform.servers import ExecutorApp, StoreApp
 from stand_ins.platform.store import StoreModel
 
-__all__ = ["Cut", "Network", "PeerLink"]
+__all__ = ["Network", "PeerLink"]
 
 HOST = "127.0.0.1"
 READ_BYTES = 65_536
@@ -41,32 +42,6 @@
     return data
 
 
-class Cut:
-    """Path that is open, or held back while at least one fault cuts it."""
-
-    __slots__ = ("count", "opened")
-
-    def __init__(self):
-        self.count = 0
-        self.opened = anyio.Event()
-
-    def begin(self) -> None:
-        """Cut the path."""
-        self.count += 1
-
-    def end(self) -> None:
-        """End one cut of the path."""
-        self.count -= 1
-        if not self.count:
-            self.opened.set()
-            self.opened = anyio.Event()
-
-    async def wait_until_open(self) -> None:
-        """Wait until the path is not cut."""
-        while self.count:
-            await self.opened.wait()
-
-
 class CutApp:
     """ASGI app whose calls are held back while a path is cut."""
 
--- a/soak/tests/test_cell_faults.py
+++ b/soak/tests/test_cell_faults.py
@@ -3,12 +3,12 @@
 from collections.abc import Callable
 from unittest import mock
 
+from gypsumring.cell.authority import Authority
 from gypsumring.cell.commands import Commands
 from gypsumring.cell.journal import Journal
 from gypsumring.cell.messages import JobAnswer, Outcome
 from gypsumring.cell.orders import Orders
 from gypsumring.fleet import ExecutorState
-from gypsumring.node.membership import Membership
 from gypsumring.pipelines.state import Step
 from gypsumring.utils.testing import make_load_tests, run_on_mock_clock
 from soak.cells import run_cell_soak
@@ -37,7 +37,9 @@
     assert_found(
         "TWICE",
         lambda: mock.patch.object(
-            ExecutorState, "is_lease_expired", lambda self, now, longest: True
+            ExecutorState,
+            "is_lease_expired",
+            lambda self, now, longest, exclusive_since=0.0: True,
         ),
     )
 
@@ -45,7 +47,9 @@
 def test_leases_that_an_owner_extends_while_it_is_cut_off_are_found():
     assert_found(
         "TWICE",
-        lambda: mock.patch.object(Membership, "may_extend_leases", lambda self: True),
+        lambda: mock.patch.object(
+            Authority, "may_extend_leases", lambda self, now: True
+        ),
     )
 
 
--- a/stand_ins/platform/cluster.py
+++ b/stand_ins/platform/cluster.py
@@ -7,8 +7,10 @@
 import anyio.abc
 
 from gypsumring.cell import CellOwner
+from gypsumring.cell.authority import Peers
 from gypsumring.cell.messages import JobAnswer, Outcome
 from gypsumring.cell.state import CellTiming
+from gypsumring.cell.voters import Voter, VoteRegister
 from gypsumring.metrics import Metrics
 from gypsumring.node.membership import Membership
 from gypsumring.pipelines import (
@@ -30,6 +32,7 @@
     MemoryPolicy,
     MemoryStore,
 )
+from stand_ins.platform.peers import PeerNetwork
 from stand_ins.platform.policy import PolicyModel
 from stand_ins.platform.store import StoreModel
 from stand_ins.platform.world import World
@@ -41,6 +44,8 @@
 QUEUE = "batch"
 MEMBERSHIP_TTL_S = 1.0
 RETRY_INTERVAL_S = 0.05
+PING_PERIOD_S = 0.15
+PING_TIMEOUT_S = 0.5
 # An executor that a task has crashed starts again after this time.
 RESTART_S = 2.0
 
@@ -60,18 +65,36 @@
     )
 
 
+class PingAnswer:
+    """Answer of an owner to a ping, once it has arrived."""
+
+    __slots__ = ("received", "sent_at")
+
+    def __init__(self):
+        self.received = anyio.Event()
+        self.sent_at: float | None = None
+
+
 class MemoryNode:
-    """Node with its ports to the platform and its membership in the cell's group."""
+    """Node with its ports to the platform and its membership in the cell's group.
+
+    A node that does not own the cell follows the owner with the highest fence number
+    that it reaches, and votes for it.
+    """
 
     __slots__ = (
         "cluster",
         "faults",
+        "followers",
+        "highest_fence",
         "killed",
         "membership",
         "name",
         "policy",
         "scope",
         "store",
+        "voter",
+        "votes",
     )
 
     def __init__(self, cluster: "MemoryCluster", name: str):
@@ -86,6 +109,11 @@
         self.scope = anyio.CancelScope()
         cluster.node_start_count += 1
         member = f"{name}/{cluster.node_start_count}"
+        self.voter = Voter(name, str(cluster.node_start_count))
+        self.votes = VoteRegister()
+        # Processes that have sent pings, by node name.
+        self.followers: dict[str, Voter] = {}
+        self.highest_fence = 0
         self.membership = Membership(
             self.store,
             GROUP,
@@ -94,11 +122,11 @@
             member,
             MEMBERSHIP_TTL_S,
             self.make_owner,
-            is_followed=self.is_followed,
         )
 
     def make_owner(self, fence: int) -> CellOwner:
         """Return an owner of the cell that runs on this node."""
+        self.highest_fence = max(self.highest_fence, fence)
         return CellOwner(
             self.store,
             CELL_TOPIC,
@@ -114,21 +142,66 @@
             self.cluster.metrics,
             anyio.current_time,
             lambda: int(anyio.current_time() * 1000),
-            lambda: self.membership.may_extend_leases(),
+            Peers(
+                self.voter,
+                self.votes,
+                lambda: self.highest_fence,
+                lambda: list(self.followers.values()),
+                lambda: len(self.cluster.nodes) > 1,
+            ),
         )
 
-    def is_followed(self, since: float) -> bool:
-        """Return whether all other nodes that run follow this one."""
-        others = [
-            node
+    def find_owner(self) -> "MemoryNode | None":
+        """Return the owner with the highest fence number among those it reaches."""
+        owners = {
+            node.owner().fence: node
             for node in self.cluster.nodes.values()
-            if node is not self and not node.killed.is_set()
-        ]
-        if self.faults.is_isolated and others:
-            return False
-        return all(
-            node.owner() is None and not node.faults.is_isolated for node in others
-        )
+            if node is not self
+            and node.owner() is not None
+            and self.cluster.peers.is_open(self.name, node.name)
+        }
+        return owners[max(owners)] if owners else None
+
+    async def follow_owners(self) -> None:
+        """Follow one owner after the other while this node does not own the cell."""
+        while True:
+            owner_node = None if self.owner() is not None else self.find_owner()
+            if owner_node is not None:
+                await self.follow(owner_node)
+            await anyio.sleep(PING_PERIOD_S)
+
+    async def follow(self, node: "MemoryNode") -> None:
+        """Ping an owner until it does not answer or a later one is reached."""
+        answers_sent_at: float | None = None
+        while self.owner() is None and self.find_owner() in (None, node):
+            answer = PingAnswer()
+            self.cluster.group.start_soon(self.ping, node, answers_sent_at, answer)
+            with anyio.move_on_after(PING_TIMEOUT_S):
+                await answer.received.wait()
+            if answer.sent_at is None:
+                return
+            answers_sent_at = answer.sent_at
+            await anyio.sleep(PING_PERIOD_S)
+
+    async def ping(
+        self, node: "MemoryNode", answers_sent_at: float | None, answer: PingAnswer
+    ) -> None:
+        """Send one ping with a vote, which may arrive late, and receive its answer."""
+        fence = self.highest_fence
+        await self.cluster.peers.carry(self.name, node.name)
+        if node.killed.is_set():
+            return
+        node.followers[self.name] = self.voter
+        if answers_sent_at is not None:
+            node.votes.record(*self.voter.key, fence, answers_sent_at)
+        owner, sent_at = node.owner(), anyio.current_time()
+        if owner is None:
+            return
+        await self.cluster.peers.carry(node.name, self.name)
+        if not self.killed.is_set():
+            self.highest_fence = max(self.highest_fence, owner.fence)
+            answer.sent_at = sent_at
+            answer.received.set()
 
     def connect(self, executor_id: str, address: str) -> TaskExecutor:
         """Return the port to an executor."""
@@ -177,7 +250,10 @@
     async def run(self) -> None:
         """Run the membership until the node is killed."""
         with self.scope:
-            await self.membership.run()
+            async with anyio.create_task_group() as group:
+                group.start_soon(self.follow_owners)
+                await self.membership.run()
+                group.cancel_scope.cancel()
 
     def kill(self) -> None:
         """Stop the node at once.
@@ -203,6 +279,7 @@
         "metrics",
         "node_start_count",
         "nodes",
+        "peers",
         "policy",
         "random_source",
         "restart_s",
@@ -235,6 +312,7 @@
         # Whether an owner also queries the policy service through other nodes.
         self.shares_advice = False
         self.nodes: dict[str, MemoryNode] = {}
+        self.peers = PeerNetwork()
         self.policy: PolicyModel | None = None
         for number in range(executors):
             clock_drift = (number % 3) * 0.01
@@ -290,10 +368,15 @@
             cuts.append((node.faults, cut - node.faults.cut_executors))
             node.faults.cut_executors |= cut
         faults = self.nodes[name].faults
-        faults.is_isolated = faults.store_away = True
+        faults.store_away = True
+        paths = self.peers.paths_of(name, self.nodes)
+        for path in paths:
+            path.begin()
 
         def rejoin() -> None:
-            faults.is_isolated = faults.store_away = False
+            faults.store_away = False
+            for path in paths:
+                path.end()
             for node_faults, cut in cuts:
                 node_faults.cut_executors -= cut
 
--- a/stand_ins/platform/faults.py
+++ b/stand_ins/platform/faults.py
@@ -14,7 +14,6 @@
         "advice_late_s",
         "advice_lost_share",
         "cut_executors",
-        "is_isolated",
         "late_s",
         "late_share",
         "lost_share",
@@ -33,8 +32,6 @@
         # from the range ``late_s``, in seconds.
         self.late_share = 0.0
         self.late_s = (2.0, 6.0)
-        # Set if the node is cut off from all other nodes.
-        self.is_isolated = False
         self.store_away = False
         self.store_refuses = False
         self.store_slow_s = 0.0
