Stop an owner once a later one has announced itself

It did not vote for the later one, which with few nodes waited for that vote before it counted the leases of executors that it did not reach.

Change: the announcement of a higher fence number stops the owner. The later one has fenced the log before it announces itself, so that nothing that the owner still does can become durable.

Result: test_owner_stops_once_a_later_one_has_announced_itself, which needs the new method; test_membership passes.

--- a/gypsumring/node/membership.py
+++ b/gypsumring/node/membership.py
@@ -291,6 +291,18 @@
         await owner.stopped.wait()
         self.owner = None
 
+    async def stop_superseded(self, fence: int) -> None:
+        """Stop the owner if another one has fenced it under a higher fence number.
+
+        As long as this node answers as the owner, it votes for no other one.
+        """
+        owner = self.owner
+        if owner is None or owner.fence >= fence:
+            return
+        async with self.ownership_lock:
+            if self.owner is owner:
+                await self.stop_owner("a later owner has announced itself")
+
     async def resign(self) -> None:
         """Stop the owner and leave the group while the node is not a candidate."""
         async with self.ownership_lock:
--- a/gypsumring/node/node.py
+++ b/gypsumring/node/node.py
@@ -339,6 +339,7 @@
                 return self.make_pong(version)
             case Announce():
                 await self.link.record_announced_owner(message)
+                await self.membership.stop_superseded(message.fence)
                 return self.make_pong(self.nodes_version)
             case ReportOwner():
                 await self.link.record_report(message)
--- a/gypsumring/node/tests/test_membership.py
+++ b/gypsumring/node/tests/test_membership.py
@@ -100,6 +100,21 @@
         group.cancel_scope.cancel()
 
 
+# An owner that is cut off from the store alone went on answering as the owner, so that
+# it did not vote for the next one.
+async def test_owner_stops_once_a_later_one_has_announced_itself():
+    async def check(membership, store, clock):
+        owner = membership.active_owner()
+        store.is_unavailable = True
+        await membership.stop_superseded(owner.fence)
+        assert membership.active_owner() is owner
+        await membership.stop_superseded(owner.fence + 1)
+        assert owner.stopped.is_set()
+        assert membership.active_owner() is None
+
+    await run_checks(check)
+
+
 async def test_paused_owner_does_not_report_a_job_as_unknown():
     # Peers remove an unresponsive owner from the group before its membership expires.
     # The next owner may have accepted a job that the resumed owner has not recorded.
