Let the store confirm an owner when the assignment has changed

Change: an owner that finds another generation in the answer to a join sends an append; if it is fenced, it loses the cell and takes it over again.

Result: test_owner_is_confirmed_by_the_store_when_the_assignment_has_changed fails without the call.

--- a/gypsumring/cell/owner.py
+++ b/gypsumring/cell/owner.py
@@ -284,6 +284,10 @@
         if value is None or recorded_ms < own_ms:
             self.state.journal.put(LEASE_KEY, msgspec.json.encode(own_ms))
 
+    def confirm(self) -> None:
+        """Let the store confirm that no later owner has fenced the log."""
+        self.authority.confirm()
+
     def restore_voters(self, value: bytes | None) -> None:
         """Set the voters of earlier owners.
 
--- a/gypsumring/node/membership.py
+++ b/gypsumring/node/membership.py
@@ -252,6 +252,10 @@
             await self.stop_owner("assigned to another node")
             return
         self.confirmed_at = sent_at
+        if self.owner is not None and not generation_unchanged:
+            # The cell may have been assigned to another node in between, which has
+            # fenced the log and accepted jobs. An idle owner would not notice.
+            self.owner.confirm()
         if self.owner is None and (generation_unchanged or not self.is_starting()):
             self.owner = self.make_owner(self.next_fence(assignment.generation))
             self.owner_scope = anyio.CancelScope()
--- a/gypsumring/node/tests/test_membership.py
+++ b/gypsumring/node/tests/test_membership.py
@@ -12,13 +12,18 @@
 class ScriptedOwner:
     """Owner that runs until it is stopped."""
 
-    __slots__ = ("fence", "loaded", "stopped", "store_is_slow")
+    __slots__ = ("confirmations", "fence", "loaded", "stopped", "store_is_slow")
 
     def __init__(self, fence: int = 0):
         self.fence = fence
         self.loaded = True
         self.store_is_slow = False
         self.stopped = anyio.Event()
+        self.confirmations = 0
+
+    def confirm(self) -> None:
+        """Count the confirmations that are asked for."""
+        self.confirmations += 1
 
     def is_store_slow(self) -> bool:
         """Return whether the store is slow."""
@@ -100,6 +105,19 @@
         group.cancel_scope.cancel()
 
 
+# An owner that had lost the cell and received it again, without work in between, did
+# not notice that the log was fenced, and reported jobs of the other owner as unknown.
+async def test_owner_is_confirmed_by_the_store_when_the_assignment_has_changed():
+    async def check(membership, store, clock):
+        owner = membership.active_owner()
+        assert not owner.confirmations
+        store.generation += 2
+        await anyio.sleep(0.3)
+        assert owner.confirmations == 1
+
+    await run_checks(check)
+
+
 # An owner that is cut off from the store alone went on answering as the owner, so that
 # it did not vote for the next one.
 async def test_owner_stops_once_a_later_one_has_announced_itself():
