Ask for a longer lease only once it is in the log

Cause: the longest lease was recorded only at a takeover, and used before the record was durable.

Change: an owner asks for at most the lease that is durable in the log, and records a longer one when its settings change.

--- a/gypsumring/cell/owner.py
+++ b/gypsumring/cell/owner.py
@@ -281,13 +281,21 @@
                 self.skip_record("lease", LEASE_KEY, error)
         inherited_ms = min(max(recorded_ms, own_ms), max_lease_ms)
         self.state.inherited_lease_s = inherited_ms / 1000 + MAX_EXTENSION_DELAY_S
-        if value is None or recorded_ms < own_ms:
+        self.state.longest_durable_lease_ms = recorded_ms
+        if value is None:
             self.state.journal.put(LEASE_KEY, msgspec.json.encode(own_ms))
+            self.state.longest_durable_lease_ms = own_ms
+        self.state.record_lease()
 
     def confirm(self) -> None:
         """Let the store confirm that no later owner has fenced the log."""
         self.authority.confirm()
 
+    def apply_timing(self, timing: CellTiming) -> None:
+        """Use changed time limits; a longer lease once it is durable."""
+        self.state.timing = timing
+        self.state.record_lease()
+
     def restore_voters(self, value: bytes | None) -> None:
         """Set the voters of earlier owners.
 
--- a/gypsumring/cell/state.py
+++ b/gypsumring/cell/state.py
@@ -4,6 +4,7 @@
 
 import anyio
 import anyio.abc
+import msgspec
 
 from gypsumring.cell.authority import Authority
 from gypsumring.cell.journal import Journal
@@ -75,6 +76,7 @@
         "group",
         "inherited_lease_s",
         "journal",
+        "longest_durable_lease_ms",
         "metrics",
         "owned_since",
         "queues",
@@ -106,6 +108,9 @@
         # Leases of the previous owner expire within this time after the last evidence
         # by which it may have extended them.
         self.inherited_lease_s = timing.max_lease_s
+        # The longest lease that the next owner finds in the log; without a record it
+        # assumes the longest that executors grant.
+        self.longest_durable_lease_ms = int(timing.max_lease_s * 1000)
         self.table = JobTable(wall_clock)
         self.fleet: dict[str, ExecutorState] = {}
         self.clients: dict[str, TaskExecutor] = {}
@@ -127,7 +132,18 @@
 
     def lease_ms(self) -> int:
         """Return the lease to request, in milliseconds."""
-        return int(self.timing.lease_s * 1000)
+        return min(int(self.timing.lease_s * 1000), self.longest_durable_lease_ms)
+
+    def record_lease(self) -> None:
+        """Record a longer lease than before, which is requested once it is durable."""
+        lease_ms = int(self.timing.lease_s * 1000)
+        if lease_ms <= self.longest_durable_lease_ms:
+            return
+
+        def use_lease() -> None:
+            self.longest_durable_lease_ms = max(self.longest_durable_lease_ms, lease_ms)
+
+        self.journal.put(LEASE_KEY, msgspec.json.encode(lease_ms), use_lease)
 
     def is_lease_expired(self, executor: ExecutorState) -> bool:
         """Return whether the lease of an executor has expired, as this owner knows."""
--- a/gypsumring/cell/tests/test_contradicted_owner.py
+++ b/gypsumring/cell/tests/test_contradicted_owner.py
@@ -7,9 +7,12 @@
 import anyio
 
 from gypsumring.cell.messages import Outcome
+from gypsumring.cell.state import CellTiming
 from gypsumring.cell.tests.test_executor_polling import ScriptedExecutor, running_poller
 from gypsumring.cell.tests.test_isolated_owner import (
+    cluster_with_long_tasks,
     drain_busy_executors,
+    find_executor,
 )
 from gypsumring.cell.tests.test_recovery import running_cluster
 from gypsumring.pipelines import JobPhase, StepSpec
@@ -138,6 +141,19 @@
         assert latest <= limit_ms, (latest, limit_ms)
 
 
+# An owner whose settings changed asked for longer leases than the log said. The next
+# owner waited for the shorter ones.
+async def test_longer_leases_after_a_reload_are_recorded():
+    async with cluster_with_long_tasks() as cluster:
+        reached = find_executor(cluster, has_tasks=True)
+        owner = cluster.owner_node().owner()
+        owner.apply_timing(CellTiming(10.0, 0.9, 120.0, 9.0, 3.0))
+        await anyio.sleep(2.0)
+        rejoin = cluster.isolate(cluster.owner_node().name, {reached})
+        await anyio.sleep(14.0)
+        rejoin()
+
+
 # Guards against withheld tasks that wait for ever because voters are lost for good
 # together with an executor.
 async def test_withheld_tasks_start_after_the_loss_of_most_voters():
--- a/gypsumring/node/node.py
+++ b/gypsumring/node/node.py
@@ -247,7 +247,7 @@
         self.settings.task_lease_ms = settings.task_lease_ms
         owner = self.membership.owner
         if owner is not None:
-            owner.state.timing = self.make_timing()
+            owner.apply_timing(self.make_timing())
         return need_restart
 
     def make_timing(self) -> CellTiming:
