Let a membership expire after the partitions of soak.ownership before it is checked

By the trace the store, which the owner did not reach for 0.71 s, gives the cell to another node 0.07 s after all nodes were found linked, as the membership of the owner expires then, 1 s after its last join: a takeover because of the trouble. Change: beside partitions the check begins one membership later; its bounds are the same.

--- a/soak/ownership.py
+++ b/soak/ownership.py
@@ -51,6 +51,8 @@
 PARTITIONS = ("held messages", "stranger", "node that starts during a cut")
 # A partition has to last longer than a takeover, which includes reading the cell.
 PARTITION_FACTOR = 2
+# An owner without the store still loses the cell this time after it reaches it again.
+MEMBERSHIP_S = 1.0
 LONGEST_READ_BESIDE_PARTITIONS_S = 1.0
 
 
@@ -213,6 +215,8 @@
         async with anyio.create_task_group() as group:
             for _ in range(count):
                 group.start_soon(self.cause_trouble)
+        if self.has_partitions:
+            await anyio.sleep(MEMBERSHIP_S)
         await self.check_settled(count)
 
     async def watch_extensions(self) -> None:
