Act on the records only once the store confirms the owner after reading them

Cause: evidence from before the reading says nothing about whose records were read.

Change: an owner extends leases, starts tasks and counts the leases of earlier owners only after an append that it has sent after the reading.

--- a/gypsumring/cell/authority.py
+++ b/gypsumring/cell/authority.py
@@ -121,17 +121,28 @@
         self.extends_leases = True
 
     def restore(self, recorded: Electorate | None) -> None:
-        """Set the voters that the log names, after this owner has fenced it."""
+        """Set the voters that the log names, after this owner has fenced it.
+
+        The records may be those of a later owner that has fenced the log before they
+        were read. An append after the reading shows that they are not.
+        """
         self.inherited = self.durable = recorded
         self.taken_over_at = self.clock()
+        self.confirm()
         self.update()
 
+    def has_confirmed_records(self) -> bool:
+        """Return whether the store has confirmed the owner since it read the records."""
+        return self.journal.confirmed_at >= self.taken_over_at
+
     def may_extend_leases(self, now: float) -> bool:
         """Return whether leases may be extended, and tasks started, as of ``now``.
 
         The leases have to be counted from the same reading of the clock, since the
         process may be paused after it.
         """
+        if not self.has_confirmed_records():
+            return False
         return now - self.confirmed_at() <= MAX_EXTENSION_DELAY_S
 
     def confirmed_at(self) -> float:
@@ -213,6 +224,8 @@
 
     def has_taken_over_votes(self) -> bool:
         """Return whether the voters left to earlier owners are no quorum."""
+        if not self.has_confirmed_records():
+            return False
         if self.inherited is None:
             return True
         left = len(self.list_missing_voters())
--- a/gypsumring/cell/tests/test_authority.py
+++ b/gypsumring/cell/tests/test_authority.py
@@ -77,6 +77,8 @@
         )
         self.authority = Authority(FENCE, self.journal, peers, lambda: self.now)
         self.authority.restore(None if recorded is None else Electorate(recorded))
+        self.journal.execute(self.now)
+        self.authority.update()
 
     def vote(self, *voters: Voter, age_s: float = 0.0, fence: int = FENCE) -> None:
         """Receive votes that answer messages sent some seconds ago."""
@@ -347,6 +349,19 @@
         assert rig.may_extend()
 
 
+# An owner whose reading of the records was late received those of a later owner, took
+# them for inherited, and started tasks that the later owner had started.
+def test_records_count_only_once_the_store_has_confirmed_the_owner_since():
+    rig = Rig()
+    rig.journal.confirmed_at = rig.now
+    rig.now += 0.1
+    rig.authority.restore(None)
+    assert not rig.may_extend()
+    assert rig.journal.waiting
+    rig.journal.execute(rig.now)
+    assert rig.may_extend()
+
+
 # One data centre that fails must not take most of the voters with it.
 def test_voters_are_spread_over_the_data_centres():
     rig = Rig()
