--- a/gypsumring/cell/authority.py
+++ b/gypsumring/cell/authority.py
@@ -132,7 +132,7 @@
         self.update()
 
     def has_confirmed_records(self) -> bool:
-        """Return whether the store has confirmed the owner since it read the records."""
+        """Return whether the store has confirmed the owner after it read the log."""
         return self.journal.confirmed_at >= self.taken_over_at
 
     def may_extend_leases(self, now: float) -> bool:
