--- a/gypsumring/cell/tests/lease_model.py
+++ b/gypsumring/cell/tests/lease_model.py
@@ -29,7 +29,15 @@
 )
 from gypsumring.cell.voters import Electorate, Voter, VoteRegister
 
-__all__ = ["Faults", "Part", "World", "find_breaking_seed", "play"]
+__all__ = [
+    "STORE",
+    "Faults",
+    "Part",
+    "World",
+    "begin_takeover",
+    "find_breaking_seed",
+    "play",
+]
 
 LEASE_S = 2.0
 CLOCK_DRIFT = 0.02
@@ -75,14 +83,14 @@
     RELEASE_APPEND = enum.auto()
     # The same for leases that earlier owners granted.
     INHERITED_RELEASE_APPEND = enum.auto()
+    # The same for attempts on an executor that has ended.
+    CRASH_APPEND = enum.auto()
     # The evidence is checked at the time from which the lease is counted.
     ONE_CLOCK_READING = enum.auto()
     # A task that may run on an executor that was not reached waits for that one.
     WITHHELD_TASKS = enum.auto()
     # Voters are recorded only once the earlier owners have no majority.
     EXCLUSIVE_RECORD = enum.auto()
-    # A node votes for no earlier owner once it begins to take over.
-    PROMISE = enum.auto()
 
 
 class Faults:
@@ -176,6 +184,7 @@
         faults: Faults,
         omitted: Part | None = None,
         is_earlier_rule: bool = False,
+        node_count: int = 0,
     ):
         self.now = 0.0
         self.random = random.Random(seed)
@@ -193,7 +202,7 @@
         self.trace: list[str] | None = None
         self.store = StoreModel(self)
         self.executors = {name: Executor(self, name) for name in ("e0", "e1", "e2")}
-        count = self.random.randint(3, 5)
+        count = node_count or self.random.randint(3, 5)
         self.nodes = {f"n{number}": Node(self, f"n{number}") for number in range(count)}
 
     def at(self, time: float, call: Callable[..., None], *args: Any) -> None:
@@ -691,15 +700,11 @@
     def handle_assigned(self, fence: int) -> None:
         """Take the cell over."""
         is_later = self.owner is None or fence > self.owner.fence
-        if (
-            fence <= self.seen
-            and self.world.omitted is not Part.PROMISE
-            or not is_later
-        ):
+        if fence <= self.seen or not is_later:
             return
-        if self.world.omitted is not Part.PROMISE:
-            self.seen = fence
-            self.leader = None
+        # From now on this node votes for no earlier owner.
+        self.seen = fence
+        self.leader = None
         self.world.note(self, "takes over with", fence)
         self.owner = Owner(self, fence)
 
@@ -915,7 +920,14 @@
 class Attempt:
     """Attempt of a task on an executor, as its owner knows it."""
 
-    __slots__ = ("answered_at", "executor", "is_stopping", "number", "sent_at")
+    __slots__ = (
+        "answered_at",
+        "executor",
+        "is_lost",
+        "is_stopping",
+        "number",
+        "sent_at",
+    )
 
     def __init__(self, executor: str, number: int):
         self.executor = executor
@@ -923,6 +935,8 @@
         self.sent_at = float("-inf")
         self.answered_at: float | None = None
         self.is_stopping = False
+        # Set if the executor has started again since.
+        self.is_lost = False
 
 
 class View:
@@ -932,6 +946,7 @@
         "born",
         "clock",
         "clock_read_at",
+        "has_ended",
         "identity",
         "is_enrolled",
         "is_reached",
@@ -951,6 +966,7 @@
         self.is_reached = False
         self.is_silent = False
         self.is_release_pending = False
+        self.has_ended = False
         self.clock = 0.0
         self.clock_read_at = 0.0
         self.lease_until = 0.0
@@ -1219,7 +1235,7 @@
 
     def repeat_order(self, task: str, attempt: Attempt, now: float) -> None:
         """Send a start or a stop again that is not answered."""
-        if now - attempt.sent_at <= POLL_TIMEOUT_S:
+        if now - attempt.sent_at <= POLL_TIMEOUT_S or attempt.is_lost:
             return
         executor = self.world.executors[attempt.executor]
         view = self.views[attempt.executor]
@@ -1250,11 +1266,28 @@
     def handle_gone(self, name: str, identity: int) -> None:
         """Release the attempts of an executor that has ended; use its successor."""
         view = self.views[name]
-        if identity > view.identity:
-            self.world.note(self.process, "finds that", name, "has ended")
+        if identity <= view.identity or view.has_ended:
+            return
+        self.world.note(self.process, "finds that", name, "has ended")
+        view.has_ended = True
+
+        def replace() -> None:
             self.release_all(name)
             self.enroll(name, identity)
 
+        self.confirm_end(replace)
+
+    def confirm_end(self, release: Callable[[], None]) -> None:
+        """Release attempts that have ended with their executor.
+
+        The executor may have ended, and the attempts started elsewhere, under another
+        owner.
+        """
+        if self.world.omitted is Part.CRASH_APPEND:
+            release()
+        else:
+            self.authority.confirm(release)
+
     def handle_start_answer(
         self, name: str, outcome: str, run: tuple[str, int]
     ) -> None:
@@ -1289,6 +1322,7 @@
         if view.born is not None and born > view.born:
             view.clock = 0.0
             view.lease_until = clock + LEASE_S
+            self.release_lost(name, requested_at, running)
         elif view.born is not None and born < view.born:
             return
         view.born = born
@@ -1308,7 +1342,7 @@
                 self.order(name, stop, task, number)
         for task, attempt in list(self.attempts.items()):
             run = (task, attempt.number)
-            if attempt.executor != name or run in running:
+            if attempt.executor != name or run in running or attempt.is_lost:
                 continue
             answered_at = attempt.answered_at
             is_absent = answered_at is not None and answered_at < requested_at
@@ -1316,6 +1350,28 @@
                 self.release(task)
         self.reconcile(name)
 
+    def release_lost(
+        self, name: str, requested_at: float, running: list[tuple[str, int]]
+    ) -> None:
+        """Release the attempts that an executor had before it started again."""
+        lost = {
+            task: attempt
+            for task, attempt in self.attempts.items()
+            if attempt.executor == name
+            and attempt.answered_at is not None
+            and attempt.answered_at < requested_at
+            and (task, attempt.number) not in running
+        }
+        for attempt in lost.values():
+            attempt.is_lost = True
+
+        def release() -> None:
+            for task, attempt in lost.items():
+                if self.attempts.get(task) is attempt:
+                    self.release(task)
+
+        self.confirm_end(release)
+
     def adopt(self, task: str, name: str, number: int) -> None:
         """Adopt an attempt of an earlier owner."""
         self.world.note(self.process, "adopts", task, number, "on", name)
@@ -1467,27 +1523,31 @@
     omitted: Part | None = None,
     is_earlier_rule: bool = False,
     is_traced: bool = False,
+    node_count: int = 0,
+    schedule: Callable[[World], None] = plan,
 ) -> World:
-    """Return the world at the end of a run or at its first violation."""
+    """Return the world at the end of a run or at its first violation.
+
+    ``schedule`` schedules the starts of the nodes and the faults. The number of nodes
+    is random if it is 0.
+    """
     with (
         logbook.NullHandler(),
         mock.patch.object(authority_module, "LOST_VOTER_S", LOST_VOTER_S),
     ):
-        world = World(seed, faults, omitted, is_earlier_rule)
+        world = World(seed, faults, omitted, is_earlier_rule, node_count)
         world.trace = [] if is_traced else None
-        plan(world)
+        schedule(world)
         world.run(RUN_S)
     return world
 
 
-def find_breaking_seed(
-    seeds: range,
-    faults: Faults,
-    omitted: Part | None = None,
-    is_earlier_rule: bool = False,
-) -> int | None:
-    """Return the first seed by which a task runs twice at once, None without one."""
+def find_breaking_seed(seeds: range, faults: Faults, **options: Any) -> int | None:
+    """Return the first seed by which a task runs twice at once, None without one.
+
+    ``options`` are those of ``play``.
+    """
     for seed in seeds:
-        if play(seed, faults, omitted, is_earlier_rule).violations:
+        if play(seed, faults, **options).violations:
             return seed
     return None
