--- a/gypsumring/cell/tests/test_lease_model.py
+++ b/gypsumring/cell/tests/test_lease_model.py
@@ -188,6 +188,22 @@
     world.at(CUT_AT_S + 0.05, begin_takeover, world, "n1")
 
 
+def read_late(world: World) -> None:
+    """Let n0 read the records after n1 has fenced the log and accepted tasks.
+
+    Then the appends of n0 are lost. It reaches the executors before n1 does, which
+    reaches e0 last.
+    """
+    for name in world.nodes:
+        world.at(0.0, world.nodes[name].start)
+    world.at(0.05, begin_takeover, world, "n0")
+    world.at(0.12, world.cut, "n0", STORE, 0.45, True)
+    world.at(0.46, world.cut, "n0", STORE, 3.0)
+    world.at(0.15, begin_takeover, world, "n1")
+    cut_off(world, ["n1"], world.executors, 0.65)
+    cut_off(world, ["n1"], ["e0"], 2.0)
+
+
 def lose_store(world: World, killed: int) -> None:
     """Let the store answer no node, and kill some voters other than the owner."""
     start_nodes(world)
@@ -251,6 +267,14 @@
     assert world.lapses
 
 
+# Guards against an owner that starts tasks which it has read in the records of a later
+# owner: its own evidence is older than the records.
+def test_no_task_runs_twice_if_records_are_read_after_the_next_owner_has_fenced():
+    faults = only(partition=False)
+    options = {"schedule": read_late, "node_count": 2}
+    assert find_breaking_seed(SEARCHED_SEEDS, faults, **options) is None
+
+
 def test_rule_breaks_if_votes_are_dated_by_their_arrival():
     seeds = range(180, 280)
     assert find_breaking_seed(seeds, Faults(), omitted=Part.VOTE_DATE) is not None
