Cut nodes of the in-process cluster off by name

A partition of the in-process cluster was kept in the nodes that ran when it began, so that a node that started or was restarted during it reached everything. Partitions are now kept by the names of the nodes, also for those that start later; their two directions between nodes end separately, and messages and commands wait while a process is paused.

--- a/gypsumring/cell/tests/test_isolated_owner.py
+++ b/gypsumring/cell/tests/test_isolated_owner.py
@@ -57,9 +57,8 @@
 async def test_owner_that_is_cut_off_extends_no_leases():
     async with cluster_with_long_tasks() as cluster:
         reached = find_executor(cluster, has_tasks=True)
-        rejoin = cluster.isolate(cluster.owner_node().name, {reached})
-        await anyio.sleep(PARTITION_S)
-        rejoin()
+        with cluster.partitioned({cluster.owner_node().name}, {reached}):
+            await anyio.sleep(PARTITION_S)
 
 
 # The owner took leases for expired that the next owner extended, and started the tasks
@@ -68,9 +67,8 @@
     async with cluster_with_long_tasks() as cluster:
         await drain_busy_executors(cluster)
         reached = find_executor(cluster, has_tasks=False)
-        rejoin = cluster.isolate(cluster.owner_node().name, {reached})
-        await anyio.sleep(PARTITION_S)
-        rejoin()
+        with cluster.partitioned({cluster.owner_node().name}, {reached}):
+            await anyio.sleep(PARTITION_S)
         for model in cluster.executors.values():
             cluster.register(model)
 
--- a/stand_ins/platform/cluster.py
+++ b/stand_ins/platform/cluster.py
@@ -1,7 +1,9 @@
 """Cluster of nodes that share one cell on the in-process platform."""
 
 import random
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
+from contextlib import contextmanager
+from typing import Any
 
 import anyio
 import anyio.abc
@@ -32,7 +34,7 @@
     MemoryPolicy,
     MemoryStore,
 )
-from stand_ins.platform.peers import PeerNetwork
+from stand_ins.platform.peers import Cut, Partition, PeerNetwork
 from stand_ins.platform.policy import PolicyModel
 from stand_ins.platform.store import StoreModel
 from stand_ins.platform.world import World
@@ -90,7 +92,9 @@
         "killed",
         "membership",
         "name",
+        "pause",
         "policy",
+        "process",
         "scope",
         "store",
         "voter",
@@ -100,7 +104,11 @@
     def __init__(self, cluster: "MemoryCluster", name: str):
         self.cluster = cluster
         self.name = name
-        self.faults = Faults(cluster.random_source)
+        self.faults = Faults(cluster.random_source, name, cluster.peers.partitions)
+        # Messages and commands wait while the process is paused.
+        self.pause = Cut()
+        # What ``register_process`` of the cluster has returned for this process.
+        self.process: Any = None
         self.store = MemoryStore(cluster.store, self.faults, cluster.group)
         self.policy = None
         if cluster.policy is not None:
@@ -189,6 +197,7 @@
         """Send one ping with a vote, which may arrive late, and receive its answer."""
         fence = self.highest_fence
         await self.cluster.peers.carry(self.name, node.name)
+        await node.pause.wait_until_open()
         if node.killed.is_set():
             return
         node.followers[self.name] = self.voter
@@ -198,6 +207,7 @@
         if owner is None:
             return
         await self.cluster.peers.carry(node.name, self.name)
+        await self.pause.wait_until_open()
         if not self.killed.is_set():
             self.highest_fence = max(self.highest_fence, owner.fence)
             answer.sent_at = sent_at
@@ -249,6 +259,7 @@
 
     async def run(self) -> None:
         """Run the membership until the node is killed."""
+        self.process = self.cluster.register_process()
         with self.scope:
             async with anyio.create_task_group() as group:
                 group.start_soon(self.follow_owners)
@@ -282,6 +293,7 @@
         "peers",
         "policy",
         "random_source",
+        "register_process",
         "restart_s",
         "shares_advice",
         "store",
@@ -302,6 +314,8 @@
         world.schedule_crash = self.schedule_crash
         self.restart_s = RESTART_S
         self.group = group
+        # Called by each node in the task of which all its other tasks descend.
+        self.register_process: Callable[[], Any] = lambda: None
         self.random_source = random.Random(seed)
         self.metrics = Metrics()
         self.node_start_count = 0
@@ -357,30 +371,20 @@
             if self.nodes[name].scope.cancel_called:
                 self.add_node(name)
 
-    def isolate(self, name: str, reached: set[str]) -> Callable[[], None]:
-        """Cut a node off from the store and all nodes; return a call that undoes it.
-
-        The node reaches only the executors ``reached``, which no other node reaches.
-        """
-        cuts: list[tuple[Faults, set[str]]] = []
-        for other, node in self.nodes.items():
-            cut = set(self.executors) - reached if other == name else reached
-            cuts.append((node.faults, cut - node.faults.cut_executors))
-            node.faults.cut_executors |= cut
-        faults = self.nodes[name].faults
-        faults.store_away = True
-        paths = self.peers.paths_of(name, self.nodes)
-        for path in paths:
-            path.begin()
-
-        def rejoin() -> None:
-            faults.store_away = False
-            for path in paths:
-                path.end()
-            for node_faults, cut in cuts:
-                node_faults.cut_executors -= cut
-
-        return rejoin
+    @contextmanager
+    def partitioned(
+        self,
+        inside: set[str],
+        reached: set[str] | None = None,
+        cuts_peers: bool = True,
+    ) -> Iterator[Partition]:
+        """Cut some nodes off from the others; see ``Partition``."""
+        partition = Partition(inside, reached, cuts_peers)
+        self.peers.begin(partition)
+        try:
+            yield partition
+        finally:
+            self.peers.end(partition)
 
     def add_executor(self, model: ExecutorModel) -> None:
         """Add an executor to the cluster and register it in the store."""
@@ -447,7 +451,7 @@
         deadline = anyio.current_time() + limit_s
         while anyio.current_time() < deadline:
             node = self.owner_node()
-            if node is not None:
+            if node is not None and not node.pause.count:
                 answer = await self.command(
                     node, lambda owner: owner.commands.submit(spec, limit_s)
                 )
@@ -474,7 +478,7 @@
     async def cancel(self, job_id: str, limit_s: float = 3.0) -> bool:
         """Cancel a job and return whether the cancellation was confirmed."""
         node = self.owner_node()
-        if node is None:
+        if node is None or node.pause.count:
             return False
         answer = await self.command(
             node,
@@ -489,7 +493,7 @@
     def phase(self, job_id: str) -> JobPhase | None:
         """Return the phase of a job that the owner reports, or None."""
         node = self.owner_node()
-        if node is None:
+        if node is None or node.pause.count:
             return None
         answer = node.owner().commands.query(
             job_id, node.membership.is_recently_confirmed()
--- a/stand_ins/platform/faults.py
+++ b/stand_ins/platform/faults.py
@@ -1,14 +1,20 @@
 """Fault injection for the calls between nodes and the platform."""
 
 import random
+from collections.abc import Sequence
 
 import anyio
 
+from stand_ins.platform.peers import Partition
+
 __all__ = ["Faults"]
 
 
 class Faults:
-    """Faults of the calls of one node; shares lie between 0 and 1."""
+    """Faults of the calls of one node, its partitions included.
+
+    Shares lie between 0 and 1.
+    """
 
     __slots__ = (
         "advice_late_s",
@@ -17,6 +23,8 @@
         "late_s",
         "late_share",
         "lost_share",
+        "name",
+        "partitions",
         "policy_busy",
         "random_source",
         "store_away",
@@ -24,8 +32,15 @@
         "store_slow_s",
     )
 
-    def __init__(self, random_source: random.Random):
+    def __init__(
+        self,
+        random_source: random.Random,
+        name: str = "",
+        partitions: Sequence[Partition] = (),
+    ):
         self.random_source = random_source
+        self.name = name
+        self.partitions = partitions
         # Share of calls that are carried out but not answered.
         self.lost_share = 0.0
         # Share of calls that get no answer and are carried out after a delay drawn
@@ -41,6 +56,18 @@
         self.advice_lost_share = 0.0
         self.advice_late_s = 0.0
 
+    def cuts_store(self) -> bool:
+        """Return whether the node does not reach the store."""
+        return self.store_away or any(
+            each.cuts_store(self.name) for each in self.partitions
+        )
+
+    def cuts_executor(self, executor_id: str) -> bool:
+        """Return whether the node does not reach an executor."""
+        return executor_id in self.cut_executors or any(
+            each.cuts_executor(self.name, executor_id) for each in self.partitions
+        )
+
     def draw(self) -> str:
         """Draw how the next call ends: ``answered``, ``lost`` or ``late``."""
         value = self.random_source.random()
--- a/stand_ins/platform/memory.py
+++ b/stand_ins/platform/memory.py
@@ -62,7 +62,7 @@
             await anyio.sleep(NETWORK_LATENCY_S)
             raise StoreRefused("refused")
         delay = NETWORK_LATENCY_S + self.faults.store_slow_s
-        if self.faults.store_away or anyio.current_time() + delay > deadline:
+        if self.faults.cuts_store() or anyio.current_time() + delay > deadline:
             await self.faults.wait_without_answer(deadline)
             raise StoreUnavailable("no answer")
         await anyio.sleep(delay)
@@ -163,7 +163,7 @@
         An executor with the fault ``trouble`` carries the order out late and does
         not answer.
         """
-        cut = self.model.executor_id in self.faults.cut_executors
+        cut = self.faults.cuts_executor(self.model.executor_id)
         if cut or self.model.trouble is Trouble.SILENT or not self.model.is_up:
             await self.faults.wait_without_answer(deadline)
             raise ExecutorSilent(self.model.executor_id)
--- a/stand_ins/platform/peers.py
+++ b/stand_ins/platform/peers.py
@@ -1,14 +1,12 @@
 """Messages between the nodes of a cluster, which may be held back and arrive late."""
 
-from collections.abc import Iterable
-
 import anyio
 
 from gypsumring.cell.authority import Authority, Peers
 from gypsumring.cell.journal import Journal
 from gypsumring.cell.voters import Electorate, Voter, VoteRegister
 
-__all__ = ["Cut", "PeerNetwork", "make_lone_authority"]
+__all__ = ["Cut", "Partition", "PeerNetwork", "make_lone_authority"]
 
 LATENCY_S = 0.001
 
@@ -39,35 +37,86 @@
             await self.opened.wait()
 
 
+class Partition:
+    """Cut between some nodes, ``inside``, and all others, by their names.
+
+    Nodes that start meanwhile are outside, unless they have a name that is inside. With
+    ``reached``, the nodes inside reach only these executors and not the store, and the
+    other nodes reach only the other executors. Paths between the nodes are cut if
+    ``cuts_inward`` or ``cuts_outward`` is set, each for one direction.
+    """
+
+    __slots__ = ("cuts_inward", "cuts_outward", "inside", "reached")
+
+    def __init__(
+        self,
+        inside: set[str],
+        reached: set[str] | None = None,
+        cuts_peers: bool = True,
+    ):
+        self.inside = inside
+        self.reached = reached
+        self.cuts_inward = self.cuts_outward = cuts_peers
+
+    def cuts_path(self, sender: str, receiver: str) -> bool:
+        """Return whether messages from one node to another are held back."""
+        is_inward = receiver in self.inside
+        if (sender in self.inside) is is_inward:
+            return False
+        return self.cuts_inward if is_inward else self.cuts_outward
+
+    def cuts_store(self, name: str) -> bool:
+        """Return whether a node does not reach the store."""
+        return self.reached is not None and name in self.inside
+
+    def cuts_executor(self, name: str, executor_id: str) -> bool:
+        """Return whether a node does not reach an executor."""
+        if self.reached is None:
+            return False
+        return (name in self.inside) is not (executor_id in self.reached)
+
+
 class PeerNetwork:
-    """Paths between nodes, by the names of the sender and the receiver."""
+    """Paths between nodes, cut by the partitions that last."""
 
-    __slots__ = ("cuts",)
+    __slots__ = ("changed", "partitions")
 
     def __init__(self):
-        self.cuts: dict[tuple[str, str], Cut] = {}
+        self.partitions: list[Partition] = []
+        self.changed = anyio.Event()
+
+    def begin(self, partition: Partition) -> None:
+        """Begin a partition."""
+        self.partitions.append(partition)
+
+    def end(self, partition: Partition) -> None:
+        """End a partition; what it has held back arrives."""
+        self.partitions.remove(partition)
+        self.deliver()
+
+    def open_inward(self, partition: Partition) -> None:
+        """Open the paths to the nodes inside; their own messages are still held."""
+        partition.cuts_inward = False
+        self.deliver()
 
-    def path(self, sender: str, receiver: str) -> Cut:
-        """Return the path of the messages from one node to another."""
-        return self.cuts.setdefault((sender, receiver), Cut())
+    def deliver(self) -> None:
+        """Deliver the messages whose paths are open now."""
+        self.changed.set()
+        self.changed = anyio.Event()
 
-    def paths_of(self, name: str, others: Iterable[str]) -> list[Cut]:
-        """Return the paths between a node and others, in both directions."""
-        return [
-            self.path(*pair)
-            for other in others
-            if other != name
-            for pair in ((name, other), (other, name))
-        ]
+    def cuts_path(self, sender: str, receiver: str) -> bool:
+        """Return whether messages from one node to another are held back."""
+        return any(each.cuts_path(sender, receiver) for each in self.partitions)
 
     def is_open(self, name: str, other: str) -> bool:
         """Return whether messages pass between two nodes in both directions."""
-        return not (self.path(name, other).count or self.path(other, name).count)
+        return not (self.cuts_path(name, other) or self.cuts_path(other, name))
 
     async def carry(self, sender: str, receiver: str) -> None:
         """Wait until a message arrives, which is after the end of a cut."""
         await anyio.sleep(LATENCY_S)
-        await self.path(sender, receiver).wait_until_open()
+        while self.cuts_path(sender, receiver):
+            await self.changed.wait()
 
 
 def make_lone_authority(fence: int, journal: Journal) -> Authority:
