Let the cell soaks deliver messages late, pause owners and admit strangers

The soak had one kind of partition, in which the owner is cut off from all nodes at once and nothing arrives late, so that neither way by which two owners ran tasks at once was met. New kinds: messages of the other nodes reach an owner that is cut off after a part of the time; a node that lost the owner for 3 s reaches the store alone, with and without links; a node starts during a partition, on either side; the owner's tasks stand still for 0.3 to 3 s.

--- a/gypsumring/cell/tests/test_isolated_owner.py
+++ b/gypsumring/cell/tests/test_isolated_owner.py
@@ -17,6 +17,10 @@
 from stand_ins.platform.world import steady_behaviour
 
 PARTITION_S = 14.0
+# Messages are held back for a time after which leases have not expired yet.
+LATE_S = 4.0
+# For this time, one node has not followed the owner.
+STRANGER_S = 3.0
 JOB = "a" * 16
 
 
@@ -73,6 +77,31 @@
             cluster.register(model)
 
 
+# The owner took the arrival of messages that had been held back for their sending, and
+# extended leases that the next owner presumed to have expired.
+async def test_owner_that_is_cut_off_gains_nothing_from_late_messages():
+    async with cluster_with_long_tasks() as cluster:
+        owner = cluster.owner_node().name
+        reached = find_executor(cluster, has_tasks=True)
+        with cluster.partitioned({owner}, {reached}) as partition:
+            await anyio.sleep(LATE_S)
+            cluster.peers.open_inward(partition)
+            await anyio.sleep(PARTITION_S - LATE_S)
+
+
+# A node that had not followed the owner took over and presumed that its leases had
+# expired, while the nodes that followed it let the owner extend them.
+async def test_node_that_reaches_the_store_alone_starts_no_tasks_again():
+    async with cluster_with_long_tasks() as cluster:
+        owner = cluster.owner_node().name
+        stranger = max(set(cluster.nodes) - {owner})
+        reached = find_executor(cluster, has_tasks=True)
+        with cluster.partitioned({stranger}):
+            await anyio.sleep(STRANGER_S)
+        with cluster.partitioned(set(cluster.nodes) - {stranger}, {reached}):
+            await anyio.sleep(PARTITION_S)
+
+
 # Guards against an owner that gives up the leases in an outage of the store, in which
 # no other node can take over.
 async def test_leases_are_extended_while_the_store_answers_no_node():
--- a/soak/cells.py
+++ b/soak/cells.py
@@ -6,7 +6,8 @@
 import json
 import random
 import sys
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Iterator
+from contextlib import contextmanager
 
 import anyio
 import click
@@ -14,8 +15,10 @@
 from gypsumring.cell.messages import Outcome
 from gypsumring.pipelines import JobPhase, PipelineSpec, StepSpec
 from gypsumring.utils.testing import run_on_mock_clock
+from soak.freezing import Freezer
 from stand_ins.platform.cluster import MemoryCluster, MemoryNode, make_job
 from stand_ins.platform.memory import ENTRIES_TOPIC
+from stand_ins.platform.peers import Partition
 from stand_ins.platform.world import (
     BehaviourFactory,
     TaskBehaviour,
@@ -32,16 +35,31 @@
 # may take more than half a minute, and a step may need several attempts of them.
 SETTLE_S = 240.0
 CANCEL_SHARE = 0.2
-# Some owners are cut off for this multiple of the usual length of a fault.
-MAX_ISOLATION_FACTOR = 2
+# Long partitions last for this time and that of a usual fault. The next owner waits
+# for about as long until the leases of executors that it does not reach have expired.
+LONG_PARTITION_S = 6.0
+# A node that reaches the store alone has lost the owner for this time before.
+STRANGER_S = 3.0
+# Rate of faults in runs with few of them, as a share of the usual one.
+FEW_FAULTS_SHARE = 0.3
+PAUSE_S = (0.3, 3.0)
 # Share of jobs with a deadly task, in runs with such jobs, and the longest time that
 # it works before it crashes its executor.
 DEADLY_SHARE = 0.05
+# Share of tasks that outlast the leases of an owner that is cut off, and their work.
+LONG_SHARE, LONG_S = 0.1, (4.0, 12.0)
 MAX_DEADLY_S = 3.0
 CANCEL_S = 4.0
 # Cancelled tasks are gone after this time also while faults go on: an unresponsive
 # executor ends them with its lease.
 WATCH_S = 12.0
+PARTITIONS = (
+    "isolate_owner",
+    "late_messages",
+    "stranger",
+    "start_in_partition",
+    "pause_owner",
+)
 FAULTS = (
     "kill_node",
     "kill_all_nodes",
@@ -56,7 +74,7 @@
     "deal_anew",
     "forget_history",
     "hang_tasks",
-    "isolate_owner",
+    *PARTITIONS,
 )
 # Field of the faults of a node, value, usual value.
 NODE_FAULTS = {
@@ -74,7 +92,14 @@
 class CellSoak:
     """Drive load and faults from one seed."""
 
-    __slots__ = ("accepted", "cluster", "faults", "random_source", "steps")
+    __slots__ = (
+        "accepted",
+        "cluster",
+        "faults",
+        "freezer",
+        "random_source",
+        "steps",
+    )
 
     # Jobs and faults a second, and the kinds of faults.
     job_rate = 2.0
@@ -87,6 +112,8 @@
         self.accepted: list[str] = []
         self.faults: list[str] = []
         self.steps = 0
+        self.freezer = Freezer()
+        cluster.register_process = self.freezer.add_root
 
     def draw_steps(self) -> list[StepSpec]:
         """Return the steps of a new job."""
@@ -135,13 +162,31 @@
     async def inject(self, seconds: float) -> None:
         """Inject faults until the time is over; they come in series and overlap."""
         end = anyio.current_time() + seconds
+        with self.freezer.installed():
+            await self.inject_until(end)
+
+    async def inject_until(self, end: float) -> None:
+        """Inject faults and wait until they are over.
+
+        Half of the runs have few faults, most of them partitions: a partition in which
+        another fault stops all nodes shows little.
+        """
+        source, names, rate = self.random_source, self.fault_names, self.fault_rate
+        if source.random() < 0.5:
+            names = [*source.sample(PARTITIONS, 2), source.choice(names)]
+            rate *= FEW_FAULTS_SHARE
+            self.note(f"only {names}")
         async with anyio.create_task_group() as group:
             while anyio.current_time() < end:
-                fault = self.random_source.choice(self.fault_names)
-                lasts = self.random_source.uniform(0.3, 6.0)
-                self.faults.append(f"{anyio.current_time():.2f} {fault} {lasts:.2f}")
+                await anyio.sleep(source.expovariate(rate))
+                fault = source.choice(names)
+                lasts = source.uniform(0.3, 6.0)
+                self.note(f"{fault} {lasts:.2f}")
                 group.start_soon(self.play, fault, lasts)
-                await anyio.sleep(self.random_source.expovariate(self.fault_rate))
+
+    def note(self, text: str) -> None:
+        """Note an event."""
+        self.faults.append(f"{anyio.current_time():.2f} {text}")
 
     def draw_executor(self):
         """Return one of the executors."""
@@ -175,8 +220,12 @@
             group = cluster.store.group("cells")
             if group.members:
                 group.deal(shift=source.randint(0, 2))
-        elif fault == "isolate_owner":
-            await self.isolate_owner(lasts)
+        elif fault in ("isolate_owner", "late_messages", "start_in_partition"):
+            await self.isolate_owner(fault, lasts)
+        elif fault == "stranger":
+            await self.isolate_others(lasts)
+        elif fault == "pause_owner":
+            await self.pause_owner()
         elif fault == "forget_history":
             cluster.store.forget_history(ENTRIES_TOPIC)
         elif fault == "hang_tasks":
@@ -197,18 +246,72 @@
         for node in nodes:
             setattr(node.faults, field, usual)
 
-    async def isolate_owner(self, lasts: float) -> None:
-        """Cut the owner off with some executors, at times for longer than a lease."""
+    @contextmanager
+    def partitioned(self, inside: set[str], links: bool = False) -> Iterator[Partition]:
+        """Cut nodes off from the store and from most executors; see ``Partition``."""
+        models = self.cluster.list_staying()
+        chosen = self.random_source.sample(models, self.random_source.randint(1, 2))
+        reached = {model.executor_id for model in chosen}
+        self.note(f"cut off {sorted(inside)}, reach {sorted(reached)}, links {links}")
+        with self.cluster.partitioned(inside, reached, not links) as partition:
+            yield partition
+            self.note("rejoined")
+
+    async def isolate_owner(self, fault: str, lasts: float) -> None:
+        """Cut the owner off; it gets messages late, or a node starts meanwhile."""
         owner = self.cluster.owner_node()
         if owner is None:
             return
-        models = self.cluster.list_staying()
-        reached = self.random_source.sample(models, self.random_source.randint(1, 2))
-        rejoin = self.cluster.isolate(
-            owner.name, {model.executor_id for model in reached}
-        )
-        await anyio.sleep(lasts * self.random_source.choice((1, MAX_ISOLATION_FACTOR)))
-        rejoin()
+        if fault == "late_messages" or self.random_source.random() < 0.5:
+            lasts += LONG_PARTITION_S
+        before_s = lasts * self.random_source.uniform(0.1, 0.9)
+        with self.partitioned({owner.name}) as partition:
+            await anyio.sleep(before_s)
+            if fault == "late_messages":
+                self.note(f"{owner.name} receives")
+                self.cluster.peers.open_inward(partition)
+            elif fault == "start_in_partition":
+                self.start_node(partition)
+            await anyio.sleep(lasts - before_s)
+
+    def start_node(self, partition: Partition) -> None:
+        """Start a new node on a side of a partition, or restart another."""
+        source, nodes = self.random_source, self.cluster.nodes
+        name = source.choice([*sorted(nodes), f"new{len(nodes)}"])
+        if name in nodes:
+            nodes[name].kill()
+        elif source.random() < 0.5:
+            partition.inside.add(name)
+        self.note(f"start {name}, cut off: {name in partition.inside}")
+        self.cluster.add_node(name)
+
+    async def isolate_others(self, lasts: float) -> None:
+        """Let a node lose the owner and be the only one that reaches the store."""
+        owner, names = self.cluster.owner_node(), set(self.cluster.nodes)
+        others = sorted(names - {owner.name} if owner is not None else names)
+        if not others:
+            return
+        name = self.random_source.choice(others)
+        links = self.random_source.random() < 0.5
+        with self.cluster.partitioned({name}):
+            await anyio.sleep(STRANGER_S)
+        with self.partitioned(set(self.cluster.nodes) - {name}, links):
+            await anyio.sleep(LONG_PARTITION_S + lasts)
+
+    async def pause_owner(self) -> None:
+        """Let all tasks of the owner's process stand still."""
+        owner = self.cluster.owner_node()
+        if owner is None or owner.pause.count:
+            return
+        lasts = self.random_source.uniform(*PAUSE_S)
+        self.note(f"pause {owner.name} {lasts:.2f}")
+        owner.pause.begin()
+        self.freezer.freeze(owner.process)
+        try:
+            await anyio.sleep(lasts)
+        finally:
+            self.freezer.thaw(owner.process)
+            owner.pause.end()
 
     async def crash(self, model, lasts: float) -> None:
         """Crash an executor; it starts again under the same id."""
@@ -320,6 +423,19 @@
     return behave
 
 
+def draw_long_behaviour(seed: int, usual: BehaviourFactory) -> BehaviourFactory:
+    """Return a behaviour in which some attempts work for longer than a lease lasts."""
+
+    def behave(task: str, attempt: int) -> TaskBehaviour:
+        behaviour = usual(task, attempt)
+        source = random.Random(f"long/{seed}/{task}/{attempt}")
+        if source.random() < LONG_SHARE:
+            behaviour.work_s += source.uniform(*LONG_S)
+        return behaviour
+
+    return behave
+
+
 async def run_deadly_soak(seed: int, seconds: float) -> dict[str, object]:
     """Run one seed with jobs that crash executors, and return what was seen."""
     behave = random_behaviour(seed, 0.8, 0.05)
@@ -334,7 +450,8 @@
     behave: BehaviourFactory | None = None,
 ) -> dict[str, object]:
     """Run one seed and return what was seen."""
-    world = World(behave or random_behaviour(seed, 0.8, 0.05), MAX_ATTEMPTS)
+    usual = draw_long_behaviour(seed, random_behaviour(seed, 0.8, 0.05))
+    world = World(behave or usual, MAX_ATTEMPTS)
     async with anyio.create_task_group() as group:
         policy_share = 0.6 if seed % 2 else None
         cluster = MemoryCluster(
--- a/soak/liveness.py
+++ b/soak/liveness.py
@@ -135,10 +135,6 @@
                 model.trouble = source.choice(LASTING_TROUBLES)
                 self.note(f"stays {model.trouble.value} {model.executor_id}")
 
-    def note(self, text: str) -> None:
-        """Note an event."""
-        self.faults.append(f"{anyio.current_time():.2f} {text}")
-
     async def play(self, fault: str, lasts: float) -> None:
         """Play one fault and undo it."""
         cluster, source = self.cluster, self.random_source
--- a/soak/tests/test_cell_faults.py
+++ b/soak/tests/test_cell_faults.py
@@ -3,11 +3,14 @@
 from collections.abc import Callable
 from unittest import mock
 
+import anyio
+
 from gypsumring.cell.authority import Authority
 from gypsumring.cell.commands import Commands
 from gypsumring.cell.journal import Journal
 from gypsumring.cell.messages import JobAnswer, Outcome
 from gypsumring.cell.orders import Orders
+from gypsumring.cell.voters import VoteRegister
 from gypsumring.fleet import ExecutorState
 from gypsumring.pipelines.state import Step
 from gypsumring.utils.testing import make_load_tests, run_on_mock_clock
@@ -47,12 +50,29 @@
 def test_leases_that_an_owner_extends_while_it_is_cut_off_are_found():
     assert_found(
         "TWICE",
-        lambda: mock.patch.object(
-            Authority, "may_extend_leases", lambda self, now: True
-        ),
+        lambda: mock.patch.object(Authority, "may_extend_leases", lambda self: True),
     )
 
 
+def test_votes_dated_by_their_arrival_are_found():
+    sound_record = VoteRegister.record
+
+    def record(self, node, incarnation, fence, answers_sent_at):
+        sound_record(self, node, incarnation, fence, anyio.current_time())
+
+    assert_found("TWICE", lambda: mock.patch.object(VoteRegister, "record", record))
+
+
+def test_leases_presumed_expired_from_the_takeover_on_are_found():
+    sound_restore = Authority.restore
+
+    def restore(self, recorded):
+        sound_restore(self, recorded)
+        self.exclusive_since = self.taken_over_at
+
+    assert_found("TWICE", lambda: mock.patch.object(Authority, "restore", restore))
+
+
 def test_rooms_that_are_filled_without_counting_are_found():
     assert_found(
         "LIMIT",
