--- a/soak/tests/test_cell_faults.py
+++ b/soak/tests/test_cell_faults.py
@@ -17,7 +17,7 @@
 from soak.cells import run_cell_soak
 
 SEEDS = range(1, 41)
-SECONDS = 20.0
+SECONDS = 30.0
 
 
 def assert_found(rule: str, plant: Callable[[], mock._patch]) -> None:
