--- a/gypsumring/cell/tests/test_isolated_owner.py
+++ b/gypsumring/cell/tests/test_isolated_owner.py
@@ -19,7 +19,7 @@
 PARTITION_S = 14.0
 # Messages are held back for a time after which leases have not expired yet.
 LATE_S = 4.0
-# For this time, one node has not followed the owner.
+# For this time, one node has not followed the owner, or has not been started.
 STRANGER_S = 3.0
 JOB = "a" * 16
 
@@ -102,6 +102,17 @@
             await anyio.sleep(PARTITION_S)
 
 
+# The same with a node that started when no other one reached the store any more.
+async def test_node_that_starts_during_a_partition_starts_no_tasks_again():
+    async with cluster_with_long_tasks() as cluster:
+        reached = find_executor(cluster, has_tasks=True)
+        with cluster.partitioned(set(cluster.nodes), {reached}):
+            await anyio.sleep(STRANGER_S)
+            stranger = cluster.add_node("n9")
+            await anyio.sleep(PARTITION_S)
+            assert stranger.owner() is not None
+
+
 # Guards against an owner that gives up the leases in an outage of the store, in which
 # no other node can take over.
 async def test_leases_are_extended_while_the_store_answers_no_node():
