--- a/soak/tests/test_cell_faults.py
+++ b/soak/tests/test_cell_faults.py
@@ -50,7 +50,9 @@
 def test_leases_that_an_owner_extends_while_it_is_cut_off_are_found():
     assert_found(
         "TWICE",
-        lambda: mock.patch.object(Authority, "may_extend_leases", lambda self: True),
+        lambda: mock.patch.object(
+            Authority, "may_extend_leases", lambda self, now=0.0: True
+        ),
     )
 
 
