--- a/stand_ins/platform/cluster.py
+++ b/stand_ins/platform/cluster.py
@@ -386,6 +386,12 @@
         finally:
             self.peers.end(partition)
 
+    def isolate(self, name: str, reached: set[str]) -> Callable[[], None]:
+        """Cut a node off as in ``partitioned``; return a call that undoes it."""
+        partition = Partition({name}, reached)
+        self.peers.begin(partition)
+        return lambda: self.peers.end(partition)
+
     def add_executor(self, model: ExecutorModel) -> None:
         """Add an executor to the cluster and register it in the store."""
         self.executors[model.executor_id] = model
