--- a/gypsumring/cell/tests/test_isolated_owner.py
+++ b/gypsumring/cell/tests/test_isolated_owner.py
@@ -14,9 +14,11 @@
 from gypsumring.pipelines import JobPhase, StepSpec
 from gypsumring.utils.testing import make_load_tests
 from stand_ins.platform.cluster import MemoryCluster, make_job
-from stand_ins.platform.world import steady_behaviour
+from stand_ins.platform.world import TaskBehaviour, steady_behaviour
 
 PARTITION_S = 14.0
+# The owner's leases expire within this time.
+LAPSED_S = 6.8
 # Messages are held back for a time after which leases have not expired yet.
 LATE_S = 4.0
 # For this time, one node has not followed the owner, or has not been started.
@@ -113,6 +115,26 @@
             assert stranger.owner() is not None
 
 
+# A failure was listed, and its lease expired, before any owner confirmed it. The first
+# owner that reached the executor afterwards counted it: the job was given up early.
+async def test_failures_listed_after_the_lease_do_not_count_for_a_later_owner():
+    def behave(task: str, attempt: int) -> TaskBehaviour:
+        return TaskBehaviour(2.0, "failed")
+
+    async with running_cluster(behave, nodes=3) as cluster:
+        assert await cluster.submit(make_job(JOB)) is Outcome.OK
+        await anyio.sleep(0.5)
+        reached = find_executor(cluster, has_tasks=True)
+        with cluster.partitioned({cluster.owner_node().name}, {reached}):
+            # Shorter than the next owner waits until the lease has expired.
+            await anyio.sleep(LAPSED_S)
+            await cluster.restart_nodes(sorted(cluster.nodes), 0.1)
+        assert await cluster.wait_final(JOB) is JobPhase.FAILED
+        assert list(cluster.world.failed_runs.values()) == [3], (
+            cluster.world.failed_runs
+        )
+
+
 # Guards against an owner that gives up the leases in an outage of the store, in which
 # no other node can take over.
 async def test_leases_are_extended_while_the_store_answers_no_node():
