Take a job for refused only if each attempt to submit it was

By the trace the first owner's append was executed and its answers were lost; the owner stopped, and a second attempt met an owner that was cut off, which withdrew the job truthfully. The rule speaks of jobs of which all attempts were rejected, so that this case is allowed: the in-process caller now reports such a job as uncertain. The check itself is unchanged.

--- a/gypsumring/cell/tests/test_store_outage.py
+++ b/gypsumring/cell/tests/test_store_outage.py
@@ -7,11 +7,12 @@
 
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
+from unittest import mock
 
 import anyio
 
 from gypsumring.cell.commands import STORE_WAIT_SHARE
-from gypsumring.cell.messages import Outcome
+from gypsumring.cell.messages import JobAnswer, Outcome
 from gypsumring.cell.state import JOB_KEY
 from gypsumring.pipelines import JobPhase
 from gypsumring.utils.testing import make_load_tests
@@ -166,4 +167,19 @@
     assert 0 < STORE_WAIT_SHARE < 0.5
 
 
+# Guards against a check that takes a job for refused although the first owner, which
+# stopped before it answered, may have stored it.
+async def test_refusal_after_an_attempt_without_an_answer_is_uncertain():
+    answers = [JobAnswer(Outcome.NOT_OWNER), JobAnswer(Outcome.REFUSED)]
+
+    async def command(self, node, call):
+        return answers.pop(0)
+
+    async with cluster_without_store() as cluster:
+        with mock.patch.object(MemoryCluster, "command", command):
+            job = make_job("c" * 16)
+            assert await cluster.submit(job) is Outcome.UNCERTAIN
+        assert not answers
+
+
 load_tests = make_load_tests(globals())
--- a/stand_ins/platform/cluster.py
+++ b/stand_ins/platform/cluster.py
@@ -452,17 +452,25 @@
         return self.nodes[max(rows)[1]] if rows else None
 
     async def submit(self, spec: PipelineSpec, limit_s: float = 3.0) -> Outcome:
-        """Submit a job with retries, as a caller does, and return the outcome."""
+        """Submit a job with retries, as a caller does, and return the outcome.
+
+        A job is refused only if each attempt was: an owner that stops may have stored
+        it.
+        """
         self.world.jobs[spec.job_id] = spec
         deadline = anyio.current_time() + limit_s
+        was_unanswered = False
         while anyio.current_time() < deadline:
             node = self.owner_node()
             if node is not None and not node.pause.count:
                 answer = await self.command(
                     node, lambda owner: owner.commands.submit(spec, limit_s)
                 )
+                if answer.outcome is Outcome.REFUSED and was_unanswered:
+                    return Outcome.UNCERTAIN
                 if answer.outcome is not Outcome.NOT_OWNER:
                     return answer.outcome
+                was_unanswered = True
             await anyio.sleep(RETRY_INTERVAL_S)
         return Outcome.UNCERTAIN
 
