--- a/gypsumring/cell/tests/test_contradicted_owner.py
+++ b/gypsumring/cell/tests/test_contradicted_owner.py
@@ -18,6 +18,7 @@
 from gypsumring.pipelines import JobPhase, StepSpec
 from gypsumring.utils.testing import make_load_tests
 from stand_ins.platform.cluster import MemoryCluster, make_job
+from stand_ins.platform.peers import Partition
 from stand_ins.platform.world import TaskBehaviour, steady_behaviour
 
 JOB = "a" * 16
@@ -44,23 +45,13 @@
 
 def split_nodes(cluster: MemoryCluster, cut_off: set[str], reached: set[str]) -> None:
     """Cut some nodes off from the store and the others; they reach ``reached``."""
-    for name, node in cluster.nodes.items():
-        is_cut_off = name in cut_off
-        cut = set(cluster.executors) - reached if is_cut_off else reached
-        node.faults.cut_executors |= cut
-        node.faults.store_away = is_cut_off
-        for other in cluster.nodes:
-            if (other in cut_off) != is_cut_off:
-                cluster.peers.path(name, other).begin()
+    cluster.peers.begin(Partition(cut_off, reached))
 
 
-def move_executor(cluster: MemoryCluster, name: str, cut_off: set[str]) -> None:
+def move_executor(cluster: MemoryCluster, name: str) -> None:
     """Let only the nodes that are cut off reach an executor from now on."""
-    for node_name, node in cluster.nodes.items():
-        if node_name in cut_off:
-            node.faults.cut_executors.discard(name)
-        else:
-            node.faults.cut_executors.add(name)
+    for partition in cluster.peers.partitions:
+        partition.reached.add(name)
 
 
 async def owner_on(cluster: MemoryCluster, names: set[str]):
@@ -98,7 +89,7 @@
         assert old.owner().authority.may_extend_leases(anyio.current_time())
         assert cluster.world.done, "the next owner has noted the ends"
         cluster.executors[busy].crash()
-        move_executor(cluster, busy, cut_off)
+        move_executor(cluster, busy)
         await anyio.sleep(0.2)
         cluster.executors[busy].start_incarnation()
         await anyio.sleep(3.0)
