--- a/gypsumring/cell/tests/test_isolated_owner.py
+++ b/gypsumring/cell/tests/test_isolated_owner.py
@@ -14,18 +14,24 @@
 from gypsumring.pipelines import JobPhase, StepSpec
 from gypsumring.utils.testing import make_load_tests
 from stand_ins.platform.cluster import MemoryCluster, make_job
-from stand_ins.platform.world import steady_behaviour
+from stand_ins.platform.world import TaskBehaviour, steady_behaviour
 
 PARTITION_S = 14.0
+# The owner's leases expire within this time.
+LAPSED_S = 6.8
+# Messages are held back for a time after which leases have not expired yet.
+LATE_S = 4.0
+# For this time, one node has not followed the owner, or has not been started.
+STRANGER_S = 3.0
 JOB = "a" * 16
 
 
 @asynccontextmanager
-async def cluster_with_long_tasks() -> AsyncIterator[MemoryCluster]:
+async def cluster_with_long_tasks(nodes: int = 3) -> AsyncIterator[MemoryCluster]:
     """Run a cluster with tasks on some executors; check that their job completes."""
     step = StepSpec(task_count=6, cpu_millis=2000, estimated_ms=20_000)
     behave = steady_behaviour(20.0)
-    async with running_cluster(behave, nodes=3, cpu_millis=4000) as cluster:
+    async with running_cluster(behave, nodes=nodes, cpu_millis=4000) as cluster:
         assert await cluster.submit(make_job(JOB, step)) is Outcome.OK
         await anyio.sleep(0.5)
         yield cluster
@@ -57,9 +63,8 @@
 async def test_owner_that_is_cut_off_extends_no_leases():
     async with cluster_with_long_tasks() as cluster:
         reached = find_executor(cluster, has_tasks=True)
-        rejoin = cluster.isolate(cluster.owner_node().name, {reached})
-        await anyio.sleep(PARTITION_S)
-        rejoin()
+        with cluster.partitioned({cluster.owner_node().name}, {reached}):
+            await anyio.sleep(PARTITION_S)
 
 
 # The owner took leases for expired that the next owner extended, and started the tasks
@@ -68,13 +73,68 @@
     async with cluster_with_long_tasks() as cluster:
         await drain_busy_executors(cluster)
         reached = find_executor(cluster, has_tasks=False)
-        rejoin = cluster.isolate(cluster.owner_node().name, {reached})
-        await anyio.sleep(PARTITION_S)
-        rejoin()
+        with cluster.partitioned({cluster.owner_node().name}, {reached}):
+            await anyio.sleep(PARTITION_S)
         for model in cluster.executors.values():
             cluster.register(model)
 
 
+# The owner took the arrival of messages that had been held back for their sending, and
+# extended leases that the next owner presumed to have expired.
+async def test_owner_that_is_cut_off_gains_nothing_from_late_messages():
+    async with cluster_with_long_tasks() as cluster:
+        owner = cluster.owner_node().name
+        reached = find_executor(cluster, has_tasks=True)
+        with cluster.partitioned({owner}, {reached}) as partition:
+            await anyio.sleep(LATE_S)
+            cluster.peers.open_inward(partition)
+            await anyio.sleep(PARTITION_S - LATE_S)
+
+
+# A node that had not followed the owner took over and presumed that its leases had
+# expired, while the nodes that followed it let the owner extend them.
+async def test_node_that_reaches_the_store_alone_starts_no_tasks_again():
+    async with cluster_with_long_tasks(nodes=5) as cluster:
+        owner = cluster.owner_node().name
+        stranger = max(set(cluster.nodes) - {owner})
+        reached = find_executor(cluster, has_tasks=True)
+        with cluster.partitioned({stranger}):
+            await anyio.sleep(STRANGER_S)
+        with cluster.partitioned(set(cluster.nodes) - {stranger}, {reached}):
+            await anyio.sleep(PARTITION_S)
+
+
+# The same with a node that started when no other one reached the store any more.
+async def test_node_that_starts_during_a_partition_starts_no_tasks_again():
+    async with cluster_with_long_tasks() as cluster:
+        reached = find_executor(cluster, has_tasks=True)
+        with cluster.partitioned(set(cluster.nodes), {reached}):
+            await anyio.sleep(STRANGER_S)
+            stranger = cluster.add_node("n9")
+            await anyio.sleep(PARTITION_S)
+            assert stranger.owner() is not None
+
+
+# A failure was listed, and its lease expired, before any owner confirmed it. The first
+# owner that reached the executor afterwards counted it: the job was given up early.
+async def test_failures_listed_after_the_lease_do_not_count_for_a_later_owner():
+    def behave(task: str, attempt: int) -> TaskBehaviour:
+        return TaskBehaviour(2.0, "failed")
+
+    async with running_cluster(behave, nodes=3) as cluster:
+        assert await cluster.submit(make_job(JOB)) is Outcome.OK
+        await anyio.sleep(0.5)
+        reached = find_executor(cluster, has_tasks=True)
+        with cluster.partitioned({cluster.owner_node().name}, {reached}):
+            # Shorter than the next owner waits until the lease has expired.
+            await anyio.sleep(LAPSED_S)
+            await cluster.restart_nodes(sorted(cluster.nodes), 0.1)
+        assert await cluster.wait_final(JOB) is JobPhase.FAILED
+        assert list(cluster.world.failed_runs.values()) == [3], (
+            cluster.world.failed_runs
+        )
+
+
 # Guards against an owner that gives up the leases in an outage of the store, in which
 # no other node can take over.
 async def test_leases_are_extended_while_the_store_answers_no_node():
