--- a/soak/ownership.py
+++ b/soak/ownership.py
@@ -68,7 +68,12 @@
         "violations",
     )
 
-    def __init__(self, fleet: FleetModel, source: random.Random, has_partitions: bool):
+    def __init__(
+        self,
+        fleet: FleetModel,
+        source: random.Random,
+        has_partitions: bool = False,
+    ):
         self.fleet = fleet
         self.has_partitions = has_partitions
         # Fence numbers of owners that extended leases and of those that counted them.
