--- a/gypsumring/pipelines/model.py
+++ b/gypsumring/pipelines/model.py
@@ -5,6 +5,7 @@
 
 import msgspec
 
+from gypsumring.accounts import ClientAccount
 from gypsumring.pipelines.exceptions import PipelineError
 
 __all__ = [
@@ -88,6 +89,8 @@
     start_at_ms: int = 0
     interval_ms: int = 0
     repeats: int = 0
+    # Name of the client account that submitted the job; empty without accounts.
+    account: str = ""
 
 
 class PolicyTiming(msgspec.Struct, frozen=True):
@@ -114,6 +117,8 @@
     stretch: float = 1.0
     latency_target_s: float = 1.0
     policy: PolicyTiming | None = None
+    # Whether requests need no key of a client account.
+    public: bool = False
 
 
 class ServicePool(msgspec.Struct, frozen=True, kw_only=True):
@@ -125,11 +130,15 @@
 
 
 class DesiredState(msgspec.Struct, frozen=True, kw_only=True):
-    """Versioned configuration of queues and services."""
+    """Versioned configuration of queues, services and client accounts.
+
+    ``accounts`` is None where the deployment has no accounts.
+    """
 
     version: int
     queues: tuple[Queue, ...] = ()
     services: tuple[ServicePool, ...] = ()
+    accounts: tuple[ClientAccount, ...] | None = None
     max_body_bytes: int = 262_144
 
     def match_queue(self, host: str, path: str) -> Queue | None:
