Count what each client account has running where attempts are accounted

Cause: caps and shares need one place that counts placed and unanswered starts, inherited runs and those that are being stopped.

--- a/gypsumring/cell/executor_polling.py
+++ b/gypsumring/cell/executor_polling.py
@@ -56,7 +56,7 @@
 
     def add(self, entry: ExecutorEntry, inherited: bool) -> ExecutorState:
         """Start polling an executor; an inherited one may already run tasks."""
-        executor = ExecutorState(entry, self.state.clock())
+        executor = ExecutorState(entry, self.state.clock(), self.state.usage)
         # An evicted executor that returns still lists its ends.
         executor.may_list_lapsed_ends = not inherited
         self.state.fleet[entry.executor_id] = executor
--- a/gypsumring/cell/state.py
+++ b/gypsumring/cell/state.py
@@ -6,6 +6,7 @@
 import anyio.abc
 import msgspec
 
+from gypsumring.accounts import AccountUsage
 from gypsumring.cell.authority import Authority
 from gypsumring.cell.journal import Journal
 from gypsumring.cell.queues import QueueRegistry
@@ -83,6 +84,7 @@
         "table",
         "timing",
         "unreconciled",
+        "usage",
         "wall_clock",
     )
 
@@ -113,6 +115,8 @@
         self.longest_durable_lease_ms = int(timing.max_lease_s * 1000)
         self.table = JobTable(wall_clock)
         self.fleet: dict[str, ExecutorState] = {}
+        # What each client account has running on all executors.
+        self.usage = AccountUsage()
         self.clients: dict[str, TaskExecutor] = {}
         # Executors with capacity that was released since the last evaluation.
         self.freed_executors: set[str] = set()
--- a/gypsumring/fleet/executor.py
+++ b/gypsumring/fleet/executor.py
@@ -3,6 +3,7 @@
 import anyio
 import msgspec
 
+from gypsumring.accounts import AccountUsage, Resources
 from gypsumring.fleet.health import ExecutorHealth
 from gypsumring.pipelines.model import StepSpec
 from gypsumring.pipelines.state import Run
@@ -75,13 +76,18 @@
         "unanswered_polls",
         "unconfirmed_starts",
         "unknown_runs",
+        "usage",
         "used_accelerators",
         "used_cpu",
         "used_memory",
     )
 
-    def __init__(self, entry: ExecutorEntry, now: float):
+    def __init__(
+        self, entry: ExecutorEntry, now: float, usage: AccountUsage | None = None
+    ):
         self.entry = entry
+        # Count of what client accounts have running, shared by all executors.
+        self.usage = AccountUsage() if usage is None else usage
         self.listed = True
         # Earliest time at which a draining executor may leave.
         self.may_leave_at: float | None = None
@@ -310,6 +316,7 @@
         self.used_cpu += accounted_cpu_millis(run.step.spec)
         self.used_memory += run.step.spec.memory_mb
         self.used_accelerators += run.step.spec.accelerators
+        self.usage.add(run.step.job.spec.account, task_demand(run.step.spec))
 
     def remove_run(self, run: Run) -> bool:
         """Release the capacity of an attempt; return whether it was accounted."""
@@ -318,6 +325,7 @@
         self.used_cpu -= accounted_cpu_millis(run.step.spec)
         self.used_memory -= run.step.spec.memory_mb
         self.used_accelerators -= run.step.spec.accelerators
+        self.usage.remove(run.step.job.spec.account, task_demand(run.step.spec))
         return True
 
 
@@ -340,6 +348,14 @@
     return count
 
 
+def task_demand(spec: StepSpec) -> Resources:
+    """Return what one task of a step counts for its account.
+
+    A task that fills counts with its CPU, although its executor does not account it.
+    """
+    return Resources(spec.cpu_millis, spec.memory_mb, spec.accelerators)
+
+
 def accounted_cpu_millis(spec: StepSpec) -> int:
     """Return the CPU accounted for a task, in thousandths of a core."""
     return 0 if spec.fills else spec.cpu_millis
