Rank waiting steps by the shares and rates of client accounts

Change: steps of accounts above their weighted dominant share follow those within theirs of the same priority; work that was submitted beyond an account's rate follows all other work and is not taken for starving. Without accounts the order is unchanged.

--- a/gypsumring/cell/scheduling.py
+++ b/gypsumring/cell/scheduling.py
@@ -4,6 +4,7 @@
 
 import anyio
 
+from gypsumring.accounts import Resources
 from gypsumring.cell.orders import Orders
 from gypsumring.cell.policy_client import (
     TICKET_MARGIN_S,
@@ -19,6 +20,7 @@
     reserve_executors,
 )
 from gypsumring.dispatch.backlog import EVALUATION_PERIOD_S
+from gypsumring.dispatch.fairness import FairShares, find_above_share
 from gypsumring.dispatch.isolation import Isolation
 from gypsumring.dispatch.placing import has_capacity, has_label
 from gypsumring.fleet import ExecutorState
@@ -144,6 +146,7 @@
         for executor in fleet:
             if executor.entry.draining:
                 self.evacuate(executor, now)
+        self.update_shares(fleet)
         starving = self.backlog.list_starving(now)
         steps = self.backlog.order(self.backlog.waiting, now)
         factor = self.state.timing.spread_factor
@@ -151,6 +154,22 @@
             steps, fleet, now, self.state.clock(), starving, factor
         )
 
+    def update_shares(self, fleet: list[ExecutorState]) -> None:
+        """Compute which client accounts hold more than their share of the capacity."""
+        desired = self.state.desired_state()
+        if desired is None or desired.accounts is None:
+            self.backlog.shares = FairShares()
+            return
+        capacities = [executor.entry.capacity for executor in fleet]
+        self.backlog.shares = FairShares(
+            find_above_share(
+                {account.name: account for account in desired.accounts},
+                self.backlog.list_accounts(),
+                self.state.usage,
+                Resources(*map(sum, zip(*capacities))),
+            )
+        )
+
     def list_enrolled(self) -> list[ExecutorState]:
         """Return the executors whose entries are durable.
 
--- a/gypsumring/dispatch/backlog.py
+++ b/gypsumring/dispatch/backlog.py
@@ -9,6 +9,7 @@
 import itertools
 from collections.abc import Callable, Iterable
 
+from gypsumring.dispatch.fairness import FairShares
 from gypsumring.dispatch.ordering import job_target_s, step_due_at
 from gypsumring.fleet import ExecutorState
 from gypsumring.pipelines.model import Queue
@@ -50,20 +51,21 @@
         self.evaluated_at: float | None = None
 
     def rank(
-        self, now: float, first_starving: Step | None
-    ) -> tuple[int, bool, float, str]:
+        self, now: float, first_starving: Step | None, shares: FairShares
+    ) -> tuple[tuple[bool, int, bool], bool, float, str]:
         """Return the sort key of the order of service.
 
-        Within a priority, steps are ordered by the target time of their jobs. Jobs that
-        have missed their target follow those that can still meet it, unless the step
-        has reserved executors or is ``first_starving``.
+        Within a priority and standing of the account, steps are ordered by the target
+        time of their jobs. Jobs that have missed their target follow those that can
+        still meet it, unless the step has reserved executors or is ``first_starving``.
         """
         missed = (
             self.due_at < now
             and not self.step.reserved
             and self.step is not first_starving
         )
-        return (self.queue.priority, missed, self.due_at, self.step.name)
+        standing = shares.rank(self.step.job.spec, self.queue.priority)
+        return (standing, missed, self.due_at, self.step.name)
 
 
 class Backlog:
@@ -74,6 +76,7 @@
         "find_queue",
         "first_starving",
         "sequence_numbers",
+        "shares",
         "steps_by_executor",
         "waiting",
     )
@@ -81,6 +84,8 @@
     def __init__(self, find_queue: Callable[[Job], Queue]):
         self.find_queue = find_queue
         self.waiting: dict[Step, WaitingStep] = {}
+        # Standing of the client accounts in the order of service.
+        self.shares = FairShares()
         # The oldest starving step of each priority that is not a gang.
         self.first_starving: dict[int, Step] = {}
         # Heap of scheduled evaluations; entries of rescheduled steps are skipped.
@@ -152,20 +157,26 @@
         first_starving = self.first_starving
         waiting_steps.sort(
             key=lambda waiting: waiting.rank(
-                now, first_starving.get(waiting.queue.priority)
+                now, first_starving.get(waiting.queue.priority), self.shares
             )
         )
         return [(waiting.step, waiting.queue) for waiting in waiting_steps]
 
+    def list_accounts(self) -> set[str]:
+        """Return the names of the client accounts with waiting steps."""
+        return {step.job.spec.account for step in self.waiting}
+
     def list_starving(self, now: float) -> list[tuple[Step, Queue]]:
         """Return the starving steps, ordered by the target time of their jobs.
 
         The first step of each priority that is not a gang is also recorded, and goes
         first within its priority until the next call. Starving gangs need reserved
-        executors instead.
+        executors instead. Work beyond the rate of an account may starve.
         """
         waiting_steps = [
-            waiting for waiting in self.waiting.values() if waiting.starves_at < now
+            waiting
+            for waiting in self.waiting.values()
+            if waiting.starves_at < now and not waiting.step.job.spec.beyond_rate
         ]
         waiting_steps.sort(key=lambda waiting: (waiting.due_at, waiting.step.name))
         self.first_starving = {}
--- a/gypsumring/dispatch/tests/fleets.py
+++ b/gypsumring/dispatch/tests/fleets.py
@@ -38,7 +38,13 @@
     ]
 
 
-def make_step(job_id: str = "a" * 16, accepted_at: float = 0.0, **fields) -> Step:
+def make_step(
+    job_id: str = "a" * 16,
+    accepted_at: float = 0.0,
+    account: str = "",
+    beyond_rate: bool = False,
+    **fields,
+) -> Step:
     """Return the only step of a job."""
     fields = {"task_count": 4, "cpu_millis": 1000, "estimated_ms": 1000, **fields}
     spec = PipelineSpec(
@@ -48,5 +54,7 @@
         accepted_ms=0,
         payload="",
         steps=(StepSpec(**fields),),
+        account=account,
+        beyond_rate=beyond_rate,
     )
     return Job(spec, accepted_at).steps[0]
--- a/gypsumring/dispatch/tests/test_backlog.py
+++ b/gypsumring/dispatch/tests/test_backlog.py
@@ -1,6 +1,7 @@
 """Tests of the backlog: only steps that may have found capacity are evaluated."""
 
 from gypsumring.dispatch import Backlog
+from gypsumring.dispatch.fairness import FairShares
 from gypsumring.dispatch.tests.fleets import make_executor, make_step
 from gypsumring.pipelines import JobPhase, Queue
 from gypsumring.utils.testing import make_load_tests
@@ -85,4 +86,26 @@
     assert [step for step, _ in starving] == [steps[1], steps[2]]
 
 
+def test_one_job_of_an_account_precedes_a_thousand_of_a_hot_account():
+    backlog = Backlog(lambda job: QUEUE)
+    steps = [make_step(f"{number:016x}", account="hot") for number in range(1000)]
+    steps.append(make_step("f" * 16, accepted_at=9.0, account="small"))
+    backlog.refresh(steps, 10.0)
+    backlog.shares = FairShares(["hot"])
+    assert backlog.order(steps, 10.0)[0][0] is steps[-1]
+    assert backlog.list_accounts() == {"hot", "small"}
+
+
+def test_work_beyond_the_rate_does_not_starve_others():
+    backlog = Backlog(lambda job: QUEUE)
+    beyond = make_step("a" * 16, beyond_rate=True)
+    within = make_step("b" * 16, accepted_at=50.0)
+    backlog.refresh([beyond, within], 60.0)
+    assert [step for step, _ in backlog.list_starving(60.0)] == [within]
+    assert [step for step, _ in backlog.order([beyond, within], 60.0)] == [
+        within,
+        beyond,
+    ]
+
+
 load_tests = make_load_tests(globals())
--- a/gypsumring/pipelines/model.py
+++ b/gypsumring/pipelines/model.py
@@ -91,6 +91,8 @@
     repeats: int = 0
     # Name of the client account that submitted the job; empty without accounts.
     account: str = ""
+    # Whether the account had exceeded its rate when it submitted the job.
+    beyond_rate: bool = False
 
 
 class PolicyTiming(msgspec.Struct, frozen=True):
