Check the keys of client accounts and keep a job to its account

Change: the adapter decodes accounts with their keys as digests under a secret of the process, and refuses a whole version whose accounts lack a name, share a key or have a negative weight or cap; each request needs a key unless its queue is public (401; two keys: 400); the account is part of the job's durable record. Other accounts get 410 for the job's state and cancel, and 409 for its id.

Caps are decoded but not held yet.

--- a/gypsumring/cell/commands.py
+++ b/gypsumring/cell/commands.py
@@ -56,6 +56,11 @@
         job_id = spec.job_id
         began_at = anyio.current_time()
         time_left_s = max(0.0, time_limit_s - ANSWER_MARGIN_S)
+        known = self.find_spec(job_id)
+        if known is not None and not may_access(known, spec.account):
+            self.state.metrics.count("cell.jobs.refused.other_account")
+            log.info("job refused", job=job_id, reason="id of another account")
+            return JobAnswer(Outcome.OTHER_ACCOUNT)
         if job_id in self.state.table.jobs:
             return JobAnswer(Outcome.OK)
         submission = self.accepting.get(job_id) or self.accept(spec)
@@ -137,12 +142,25 @@
             store_ms=round(store_s * 1000),
         )
 
-    def query(self, job_id: str, is_fresh: bool) -> JobAnswer:
-        """Return the state of a job.
+    def find_spec(self, job_id: str) -> PipelineSpec | None:
+        """Return the specification of a job that is accepted or being stored."""
+        job = self.state.table.jobs.get(job_id)
+        if job is not None:
+            return job.spec
+        submission = self.accepting.get(job_id)
+        return None if submission is None else submission.spec
+
+    def query(
+        self, job_id: str, is_fresh: bool, account: str | None = None
+    ) -> JobAnswer:
+        """Return the state of a job, which is unknown to other accounts.
 
         A missing job is reported as unknown only if the ownership ``is_fresh``, since
         another node may own the cell otherwise.
         """
+        spec = self.find_spec(job_id)
+        if spec is not None and not may_access(spec, account):
+            return JobAnswer(Outcome.UNKNOWN_JOB)
         job = self.state.table.jobs.get(job_id)
         if job is not None:
             return JobAnswer(Outcome.OK, job.durable_phase)
@@ -151,9 +169,16 @@
         return JobAnswer(Outcome.UNKNOWN_JOB if is_fresh else Outcome.NOT_OWNER)
 
     async def cancel(
-        self, job_id: str, time_limit_s: float, is_fresh: bool
+        self,
+        job_id: str,
+        time_limit_s: float,
+        is_fresh: bool,
+        account: str | None = None,
     ) -> JobAnswer:
-        """Cancel a job and answer once the cancellation is durable."""
+        """Cancel a job of an account and answer once the cancellation is durable."""
+        spec = self.find_spec(job_id)
+        if spec is not None and not may_access(spec, account):
+            return JobAnswer(Outcome.UNKNOWN_JOB)
         deadline = anyio.current_time() + time_limit_s - ANSWER_MARGIN_S
         with anyio.move_on_after(max(0.0, deadline - anyio.current_time())):
             submission = self.accepting.get(job_id)
@@ -179,6 +204,15 @@
         return JobAnswer(Outcome.OK, count=self.state.table.count_waiting(queue))
 
 
+def may_access(spec: PipelineSpec, account: str | None) -> bool:
+    """Return whether a caller of an account may see and cancel a job.
+
+    ``account`` is None where the deployment has no accounts. Jobs that were accepted
+    before it had any belong to nobody.
+    """
+    return account is None or spec.account in ("", account)
+
+
 async def wait_until(event: anyio.Event, deadline: float) -> None:
     """Wait for an event until a deadline on the clock of ``anyio.current_time``."""
     with anyio.move_on_after(max(0.0, deadline - anyio.current_time())):
--- a/gypsumring/cell/messages.py
+++ b/gypsumring/cell/messages.py
@@ -45,6 +45,8 @@
     UNKNOWN_JOB = "unknown_job"
     # The job was not accepted and will not run; the caller may submit it again.
     REFUSED = "refused"
+    # A job of another client account has the id.
+    OTHER_ACCOUNT = "other_account"
     # The node does not own the cell, or has not taken it over completely.
     NOT_OWNER = "not_owner"
     # The owner stopped before the outcome was known; the command may have taken effect.
@@ -135,16 +137,18 @@
 
 
 class QueryJob(msgspec.Struct, tag=True, array_like=True):
-    """Request for the state of a job."""
+    """Request for the state of a job by a client account, None without accounts."""
 
     job_id: str
+    account: Text | None = None
 
 
 class CancelJob(msgspec.Struct, tag=True, array_like=True):
-    """Request to cancel a job."""
+    """Request to cancel a job by a client account, None without accounts."""
 
     job_id: str
     time_limit_s: SignedMeasure
+    account: Text | None = None
 
 
 class CountWaiting(msgspec.Struct, tag=True, array_like=True):
--- a/gypsumring/node/app.py
+++ b/gypsumring/node/app.py
@@ -2,11 +2,13 @@
 
 import math
 import re
+from collections.abc import Iterable
 from typing import Any
 
 import anyio
 import msgspec
 
+from gypsumring.accounts import UnknownKey
 from gypsumring.cell.messages import (
     CancelJob,
     CountWaiting,
@@ -21,6 +23,7 @@
     decode_submission,
     encode_phase,
     encode_waiting,
+    read_account_key,
     read_time_limit_s,
 )
 from gypsumring.platform.exceptions import WireError
@@ -117,6 +120,15 @@
         queue = desired.match_queue(host, scope["path"])
         if queue is None:
             return make_error_response(404, "no such queue")
+        try:
+            account = self.identify_account(queue, desired, scope["headers"])
+        except WireError as error:
+            self.node.metrics.count("node.refused.ambiguous_key")
+            return make_error_response(400, str(error))
+        except UnknownKey as error:
+            self.node.metrics.count("node.refused.unknown_key")
+            log.info("request refused", queue=queue.name, reason=str(error))
+            return make_error_response(401, str(error))
         job_id = scope["path"][len(queue.path_prefix) :]
         method = scope["method"]
         if method == "GET" and not job_id:
@@ -126,22 +138,46 @@
             return make_error_response(400, "id: not 16 hexadecimal digits")
         match method:
             case "POST":
-                return await self.submit(queue, job_id, desired, receive, deadline)
+                return await self.submit(
+                    queue, job_id, account, desired, receive, deadline
+                )
             case "GET":
-                answer = await self.node.forward(QueryJob(job_id), deadline)
+                answer = await self.node.forward(QueryJob(job_id, account), deadline)
                 return render_phase(answer)
             case "DELETE":
                 time_limit_s = deadline - anyio.current_time()
                 answer = await self.node.forward(
-                    CancelJob(job_id, time_limit_s), deadline
+                    CancelJob(job_id, time_limit_s, account), deadline
                 )
                 return render_cancel(answer)
         return make_error_response(405, "method not allowed")
 
+    def identify_account(
+        self,
+        queue: Queue,
+        desired: DesiredState,
+        headers: Iterable[tuple[bytes, bytes]],
+    ) -> str | None:
+        """Return the account of a request, None without accounts, empty for nobody.
+
+        Raise UnknownKey if the queue needs a key that the request does not have, and
+        WireError if it has several. The key is checked for each request, since a
+        connection may outlive it.
+        """
+        if desired.accounts is None:
+            return None
+        account = self.node.desired.key_ring.find_account(read_account_key(headers))
+        if account is not None:
+            return account.name
+        if queue.public:
+            return ""
+        raise UnknownKey("unknown or missing key")
+
     async def submit(
         self,
         queue: Queue,
         job_id: str,
+        account: str | None,
         desired: DesiredState,
         receive: Any,
         deadline: float,
@@ -166,6 +202,7 @@
             start_at_ms=submission.schedule.start_at_ms,
             interval_ms=submission.schedule.interval_ms,
             repeats=submission.schedule.repeats,
+            account=account or "",
         )
         time_limit_s = deadline - anyio.current_time()
         return render_submit(
@@ -180,6 +217,8 @@
             return Response(200)
         case Outcome.REFUSED:
             return make_error_response(503, "not accepted", answer.retry_after_s)
+        case Outcome.OTHER_ACCOUNT:
+            return make_error_response(409, "id in use")
     return make_error_response(504, "not known whether the job was accepted")
 
 
--- a/gypsumring/node/desired.py
+++ b/gypsumring/node/desired.py
@@ -4,6 +4,7 @@
 
 import anyio
 
+from gypsumring.accounts import KeyRing
 from gypsumring.exceptions import GypsumringError
 from gypsumring.pipelines import DesiredState
 from gypsumring.ports.exceptions import OffsetExpired
@@ -23,7 +24,7 @@
 class DesiredStateWatch:
     """Latest desired state; a version replaces only an older one."""
 
-    __slots__ = ("current", "decode", "key", "offset", "store", "topic")
+    __slots__ = ("current", "decode", "key", "key_ring", "offset", "store", "topic")
 
     def __init__(
         self,
@@ -37,6 +38,8 @@
         self.key = key
         self.decode = decode
         self.current: DesiredState | None = None
+        # Keys of the client accounts of the current version.
+        self.key_ring = KeyRing(())
         self.offset: int | None = None
 
     def get(self) -> DesiredState | None:
@@ -87,4 +90,5 @@
         if self.current is not None and desired.version <= self.current.version:
             return
         self.current = desired
+        self.key_ring = KeyRing(desired.accounts or ())
         log.info("desired state in force", version=desired.version)
--- a/gypsumring/node/node.py
+++ b/gypsumring/node/node.py
@@ -379,17 +379,18 @@
             return JobAnswer(Outcome.NOT_OWNER)
         fresh = self.membership.is_recently_confirmed()
         match message:
-            case QueryJob(job_id=job_id):
-                return owner.commands.query(job_id, fresh)
+            case QueryJob(job_id=job_id, account=account):
+                return owner.commands.query(job_id, fresh, account)
             case CountWaiting(queue=queue):
                 return owner.commands.count_waiting(queue)
             case SubmitJob(spec=spec, time_limit_s=time_limit_s):
                 return await run_until_stopped(
                     owner, lambda: owner.commands.submit(spec, time_limit_s)
                 )
-            case CancelJob(job_id=job_id, time_limit_s=time_limit_s):
+            case CancelJob(job_id=job_id, time_limit_s=time_limit_s, account=account):
                 return await run_until_stopped(
-                    owner, lambda: owner.commands.cancel(job_id, time_limit_s, fresh)
+                    owner,
+                    lambda: owner.commands.cancel(job_id, time_limit_s, fresh, account),
                 )
 
     async def forward(self, message: Command, deadline: float) -> JobAnswer:
--- a/gypsumring/platform/__init__.py
+++ b/gypsumring/platform/__init__.py
@@ -7,6 +7,7 @@
     decode_submission,
     encode_phase,
     encode_waiting,
+    read_account_key,
     read_time_limit_s,
 )
 from gypsumring.platform.policy import PlatformPolicyService
@@ -29,5 +30,6 @@
     "decode_submission",
     "encode_phase",
     "encode_waiting",
+    "read_account_key",
     "read_time_limit_s",
 ]
--- a/gypsumring/platform/ingress.py
+++ b/gypsumring/platform/ingress.py
@@ -1,5 +1,6 @@
 """Decoding of callers' requests and encoding of the responses."""
 
+from collections.abc import Iterable
 from typing import Annotated
 
 import msgspec
@@ -21,9 +22,11 @@
     "decode_submission",
     "encode_phase",
     "encode_waiting",
+    "read_account_key",
     "read_time_limit_s",
 ]
 
+ACCOUNT_KEY_HEADER = b"x-api-key"
 DEFAULT_TIME_LIMIT_S = 3.0
 # Callers that state more wait no longer than this.
 MAX_TIME_LIMIT_S = 3_600.0
@@ -151,3 +154,11 @@
     if len(value) > MAX_TIME_LIMIT_DIGITS:
         return MAX_TIME_LIMIT_S
     return min(int(value) / 1000, MAX_TIME_LIMIT_S)
+
+
+def read_account_key(headers: Iterable[tuple[bytes, bytes]]) -> bytes:
+    """Return the key of a request, empty without one; raise WireError for several."""
+    keys = [value for name, value in headers if name == ACCOUNT_KEY_HEADER]
+    if len(keys) > 1:
+        raise WireError("X-Api-Key: sent more than once")
+    return keys[0].strip() if keys else b""
--- a/gypsumring/platform/tests/test_decoding.py
+++ b/gypsumring/platform/tests/test_decoding.py
@@ -2,6 +2,7 @@
 
 import random
 
+from gypsumring.accounts import Resources
 from gypsumring.fleet import InvalidEntry
 from gypsumring.pipelines import JobPhase
 from gypsumring.platform import (
@@ -111,6 +112,47 @@
     assert desired.max_body_bytes == 100
 
 
+def get_state_error(tenants: bytes) -> str:
+    """Return the message of the WireError that a desired state raises."""
+    try:
+        decode_desired_state(CONFIG[:-1] + b',"tenants":' + tenants + b"}")
+    except WireError as error:
+        return str(error)
+    raise AssertionError("no error")
+
+
+def test_accounts_are_decoded_without_their_keys():
+    tenant = (
+        b'{"name":"kaje","apiKeys":["secret-1","secret-2"],"priority":1,"weight":37,'
+        b'"cap":{"cpu":1791635,"memMb":3132955,"gpu":0}}'
+    )
+    desired = decode_desired_state(CONFIG[:-1] + b',"tenants":[' + tenant + b"]}")
+    (account,) = desired.accounts
+    assert (account.name, account.weight) == ("kaje", 37.0)
+    assert account.cap == Resources(1_791_635, 3_132_955, 0)
+    assert len(account.key_digests) == 2
+    assert "secret" not in repr(desired)
+    assert decode_desired_state(CONFIG).accounts is None
+
+
+def test_error_in_an_account_names_the_field_and_no_key():
+    for tenants, field in (
+        (b'[{"apiKeys":["secret"]}]', "tenants[0]"),
+        (b'[{"name":"a","apiKeys":["secret"],"weight":-1}]', "tenants[0].weight"),
+        (b'[{"name":"a","cap":{"memMb":-1}}]', "tenants[0].cap.memMb"),
+        (b'[{"name":"a"},{"name":"a"}]', "tenants[1].name"),
+        (b'[{"name":"a","apiKeys":["x","secret","secret"]}]', "tenants[0].apiKeys[2]"),
+        (
+            b'[{"name":"a","apiKeys":["secret"]},{"name":"b","apiKeys":["secret"]}]',
+            "tenants[1].apiKeys[0]",
+        ),
+        (b'[{"name":"a","apiKeys":["' + b"secret" * 99 + b'"]}]', "apiKeys[0]"),
+    ):
+        message = get_state_error(tenants)
+        assert field in message, message
+        assert "secret" not in message
+
+
 def test_longest_prefix_selects_the_queue():
     text = CONFIG.replace(
         b'"services"',
