Keep the last form of a removed client account at the owner of a cell

Cause: jobs of an account that left the desired state had neither its weight nor its cap any more, and a later owner could not know them. Change: AccountBook in the state of the cell finds an account in the newest desired state, or its last form while jobs of it are left, with durable records (a/ and the name; weight and cap, no keys). Records that cannot be used are skipped and counted.

--- a/gypsumring/cell/commands.py
+++ b/gypsumring/cell/commands.py
@@ -94,23 +94,31 @@
         def add_job() -> None:
             del self.accepting[spec.job_id]
             job = self.state.table.add(spec, anyio.current_time())
-            self.state.queues.finish_accepting(spec.queue)
+            self.finish_accepting(spec)
             self.state.metrics.count("cell.jobs.accepted")
             self.log_accepted(job, anyio.current_time() - queued_at)
             submission.settled.set()
             self.state.wake()
 
         self.state.queues.start_accepting(spec.queue)
+        if spec.account:
+            self.state.accounts.start_accepting(spec.account)
         self.state.journal.put(JOB_KEY + spec.job_id, encode(spec), add_job)
         return submission
 
+    def finish_accepting(self, spec: PipelineSpec) -> None:
+        """Record that a job is in the job table or has been withdrawn."""
+        self.state.queues.finish_accepting(spec.queue)
+        if spec.account:
+            self.state.accounts.finish_accepting(spec.account)
+
     def withdraw(self, submission: PendingSubmission) -> None:
         """Withdraw a job unless its record was sent, so that it never runs."""
         spec = submission.spec
         if not self.state.journal.withdraw(JOB_KEY + spec.job_id):
             return
         del self.accepting[spec.job_id]
-        self.state.queues.finish_accepting(spec.queue)
+        self.finish_accepting(spec)
         submission.withdrawn = True
         submission.settled.set()
         self.state.metrics.count("cell.jobs.refused.store_away")
--- a/gypsumring/cell/owner.py
+++ b/gypsumring/cell/owner.py
@@ -6,6 +6,7 @@
 import anyio
 import msgspec
 
+from gypsumring.cell.accounts import ACCOUNT_KEY, AccountRecord, check_record
 from gypsumring.cell.authority import (
     MAX_EXTENSION_DELAY_S,
     OWNER_KEY,
@@ -69,6 +70,7 @@
 RETENTION_MARGIN_S = 60.0
 EVICTION_PERIOD_S = 5.0
 
+decode_account = msgspec.msgpack.Decoder(AccountRecord).decode
 decode_queue = msgspec.msgpack.Decoder(Queue).decode
 decode_entry = msgspec.msgpack.Decoder(ExecutorEntry).decode
 decode_electorate = msgspec.json.Decoder(Electorate).decode
@@ -235,6 +237,8 @@
                 self.restore_executor(key, value)
             elif key.startswith(QUEUE_KEY):
                 self.restore_queue(key, value)
+            elif key.startswith(ACCOUNT_KEY):
+                self.restore_account(key, value)
         self.state.release_withheld_tasks()
         self.state.owned_since = anyio.current_time()
         log.info(
@@ -379,6 +383,18 @@
             self.state.metrics.count("cell.records.unreadable")
             log.error("queue record cannot be decoded", key=key, error=str(error))
 
+    def restore_account(self, key: str, value: bytes) -> None:
+        """Restore the last form of an account, which may have been removed since."""
+        try:
+            record = decode_account(value)
+            check_record(record)
+            if key != ACCOUNT_KEY + record.name:
+                raise ValueError(f"of {record.name}")
+        except (*DECODE_ERRORS, ValueError) as error:
+            self.skip_record("account", key, error)
+            return
+        self.state.accounts.restore(record)
+
     async def evict_ended_jobs(self) -> None:
         """Delete the records of jobs that callers may not query any more."""
         retention_s = self.state.timing.status_s + RETENTION_MARGIN_S
@@ -395,6 +411,7 @@
                 self.state.journal.put(JOB_KEY + job_id, b"")
                 self.state.journal.put(PROGRESS_KEY + job_id, b"")
             self.state.queues.delete_unused()
+            self.state.accounts.delete_unused()
 
 
 def limit_entry(entry: ExecutorEntry) -> ExecutorEntry:
--- a/gypsumring/cell/state.py
+++ b/gypsumring/cell/state.py
@@ -7,6 +7,7 @@
 import msgspec
 
 from gypsumring.accounts import AccountUsage
+from gypsumring.cell.accounts import AccountBook
 from gypsumring.cell.authority import Authority
 from gypsumring.cell.journal import Journal
 from gypsumring.cell.queues import QueueRegistry
@@ -63,6 +64,7 @@
     """Jobs and executors of a cell, with the journal that stores their records."""
 
     __slots__ = (
+        "accounts",
         "authority",
         "capacities_vary",
         "changed",
@@ -133,6 +135,7 @@
         self.owned_since: float | None = None
         self.group: anyio.abc.TaskGroup | None = None
         self.queues = QueueRegistry(journal, desired_state, self.list_used_queues)
+        self.accounts = AccountBook(journal, desired_state, self.list_used_accounts)
 
     def lease_ms(self) -> int:
         """Return the lease to request, in milliseconds."""
@@ -216,6 +219,10 @@
         """Return the names of the queues of all recorded jobs."""
         return {job.spec.queue for job in self.table.jobs.values()}
 
+    def list_used_accounts(self) -> set[str]:
+        """Return the names of the client accounts of all recorded jobs."""
+        return {job.spec.account for job in self.table.jobs.values()}
+
     def find_queue(self, job: Job) -> Queue:
         """Return the queue of a job, or its last version if it has been removed."""
         return self.queues.find(job.spec)
