Check starts against the caps of client accounts in the stand-in world

Cause: tests and soaks cannot see an account above its cap. Change: World.set_cap; each start of such an account is checked against the highest cap that may be in force, its overshoot and one task (QUOTA), and the peak is recorded for stricter tests.

--- a/stand_ins/platform/world.py
+++ b/stand_ins/platform/world.py
@@ -6,7 +6,8 @@
 
 import anyio
 
-from gypsumring.pipelines import PipelineSpec, parse_task
+from gypsumring.accounts import Resources
+from gypsumring.pipelines import PipelineSpec, StepSpec, parse_task
 
 if TYPE_CHECKING:
     from stand_ins.platform.executor import ExecutorModel, TaskRun
@@ -24,6 +25,8 @@
 # counts this much later. The first is the smallest of the users' sites.
 CONTACT_S = 3.0
 BEAT_S = 1.5
+# Share of a cap by which an account may exceed it, besides one task.
+QUOTA_OVERSHOOT = 0.1
 LONG_TASK_SHARE = 0.04
 LONG_TASK_FACTOR = 25.0
 
@@ -55,6 +58,8 @@
     """
 
     __slots__ = (
+        "account_caps",
+        "account_peaks",
         "behave",
         "cancelled",
         "crashes",
@@ -92,12 +97,28 @@
         self.deadly: set[str] = set()
         # Crashes an executor some seconds after the start of a deadly task.
         self.schedule_crash: CrashHandler | None = None
+        # Caps of accounts that are checked, with the time until which each is in force.
+        self.account_caps: dict[str, list[tuple[float, Resources]]] = {}
+        # The most that each of these accounts had running after a start.
+        self.account_peaks: dict[str, Resources] = {}
         self.violations: list[str] = []
 
     def violate(self, rule: str, detail: str) -> None:
         """Record a broken guarantee."""
         self.violations.append(f"{rule} at {anyio.current_time():.3f}: {detail}")
 
+    def set_cap(self, account: str, cap: Resources, settle_s: float = 0.0) -> None:
+        """Check the starts of an account against a cap from now on.
+
+        An earlier cap remains in force for ``settle_s``; the highest counts.
+        """
+        now = anyio.current_time()
+        earlier = [
+            (min(until, now + settle_s), each)
+            for until, each in self.account_caps.get(account, [])
+        ]
+        self.account_caps[account] = [*earlier, (float("inf"), cap)]
+
     def check_start(
         self, executor: "ExecutorModel", run: "TaskRun", sent_at: float
     ) -> None:
@@ -122,6 +143,8 @@
         self.check_start_time(spec, run.task)
         if self.failed_runs.get(self.failure_key(run.task), 0) >= self.max_attempts:
             self.violate("BUDGET", run.task)
+        if spec.account in self.account_caps:
+            self.check_quota(spec.account, run.task, step)
         if not executor.holds_runs(since=sent_at - CONTACT_S - BEAT_S):
             self.violate(
                 "LIMIT",
@@ -130,6 +153,43 @@
                 f"{executor.memory_mb} MB",
             )
 
+    def check_quota(self, account: str, task: str, step: StepSpec) -> None:
+        """Check what an account has running after a start against its caps."""
+        now = anyio.current_time()
+        caps = [cap for until, cap in self.account_caps[account] if until >= now]
+        held = self.sum_running(account)
+        peak = self.account_peaks.get(account, Resources())
+        self.account_peaks[account] = Resources(
+            max(held.cpu_millis, peak.cpu_millis),
+            max(held.memory_mb, peak.memory_mb),
+            max(held.accelerators, peak.accelerators),
+        )
+        for field in Resources.__struct_fields__:
+            limits = [getattr(cap, field) for cap in caps]
+            used, needed = getattr(held, field), getattr(step, field)
+            limit = max(limits) * (1 + QUOTA_OVERSHOOT) + needed
+            if all(limits) and used > limit:
+                self.violate("QUOTA", f"{task}: {account} has {used} {field}")
+
+    def sum_running(self, account: str) -> Resources:
+        """Return what an account has running on all executors."""
+        cpu = memory = accelerators = 0
+        for executor in self.executors:
+            if not executor.is_up:
+                continue
+            executor.advance()
+            for run in executor.runs.values():
+                parsed = parse_task(run.task)
+                spec = self.jobs.get(parsed[0]) if parsed else None
+                if spec is None or spec.account != account:
+                    continue
+                if parsed[2] < len(spec.steps):
+                    step = spec.steps[parsed[2]]
+                    cpu += step.cpu_millis
+                    memory += step.memory_mb
+                    accelerators += step.accelerators
+        return Resources(cpu, memory, accelerators)
+
     def check_single_run(
         self, executor: "ExecutorModel", run: "TaskRun", speculative: bool
     ) -> None:
