Hold the caps of client accounts at each start

Cause: caps were decoded and not held. Change: CapLimiter (cell/caps.py, with the pure counts in accounts/caps.py) cuts the placements of a step to the headroom of its account, a gang whole or not at all, in the one place where tasks start. What counts is state.usage; after a takeover also the uncertain tasks of inherited jobs, bounded by the capacity of the executors that have not responded, and attempts without a record whose account is known. Blocked steps reserve nothing and query no policy; a review each 0.1 s admits them in order of service, so that later arrivals do not take the room. A gang that waits for its cap keeps other steps of its account below half of it. A lowered cap stops nothing. Steps below half of a cap wait for no other step. WaitReason.CAP; without accounts or caps none of it runs.

With the counts of uncertain tasks, the caps, the part of gangs, the admission or the bound by capacity planted out, tests of test_caps fail.

--- a/gypsumring/cell/scheduling.py
+++ b/gypsumring/cell/scheduling.py
@@ -5,6 +5,7 @@
 import anyio
 
 from gypsumring.accounts import Resources
+from gypsumring.cell.caps import CapLimiter
 from gypsumring.cell.orders import Orders
 from gypsumring.cell.policy_client import (
     TICKET_MARGIN_S,
@@ -50,6 +51,7 @@
     __slots__ = (
         "accepting_executors",
         "backlog",
+        "caps",
         "evaluated_at",
         "orders",
         "policy_client",
@@ -70,6 +72,7 @@
             state, self.place, list_policy_proxies, query_policy_proxy
         )
         self.backlog = Backlog(state.find_queue)
+        self.caps = CapLimiter(state)
         # Reservations for large tasks, by executor id.
         self.reserved: dict[str, Reservation] = {}
         # Time of the last evaluation of the whole fleet.
@@ -112,8 +115,10 @@
                 self.backlog.record_evaluation(step, now)
                 if step in due_steps:
                     self.evaluate_step(step, queue, now)
-                elif has_capacity(step, freed_executors) and not (
-                    step.spec.gang and step.runs
+                elif (
+                    has_capacity(step, freed_executors)
+                    and not (step.spec.gang and step.runs)
+                    and self.caps.admit(step, now)
                 ):
                     # The released capacity was not used by a step earlier in the order.
                     self.start_fitting_tasks(step, queue, now)
@@ -130,9 +135,10 @@
         """
         if step.is_ready and step.spec.gang and step.runs:
             self.stop_incomplete_gang(step)
-        elif step.is_ready:
+        elif step.is_ready and self.caps.admit(step, now):
             allowed = self.start_fitting_tasks(step, queue, now)
-            self.query_policy(step, queue, allowed, now)
+            if queue.policy is not None and not self.caps.is_blocked(step):
+                self.query_policy(step, queue, allowed, now)
         if step.is_ready:
             self.backlog.reschedule(step, now)
         else:
@@ -147,13 +153,24 @@
             if executor.entry.draining:
                 self.evacuate(executor, now)
         self.update_shares(fleet)
-        starving = self.backlog.list_starving(now)
+        starving = self.backlog.list_starving(now, self.caps.blocked)
         steps = self.backlog.order(self.backlog.waiting, now)
+        steps = self.review_caps(steps, now)
+        starving = [row for row in starving if row[0] not in self.caps.blocked]
         factor = self.state.timing.spread_factor
         self.reserved = reserve_executors(
             steps, fleet, now, self.state.clock(), starving, factor
         )
 
+    def review_caps(
+        self, steps: list[tuple[Step, Queue]], now: float
+    ) -> list[tuple[Step, Queue]]:
+        """Return the steps that no cap blocks; evaluate those just admitted now."""
+        open_steps, admitted = self.caps.review(steps, now)
+        for step in admitted:
+            self.backlog.schedule(step, now)
+        return open_steps
+
     def update_shares(self, fleet: list[ExecutorState]) -> None:
         """Compute which client accounts hold more than their share of the capacity."""
         desired = self.state.desired_state()
@@ -323,6 +340,9 @@
         """Start the placed tasks."""
         if not placements or not self.state.knows_capacities():
             return
+        placements = self.caps.limit_placements(step, placements, now)
+        if not placements:
+            return
         table = self.state.table
         attempt = table.next_attempt(
             step, [placement.index for placement in placements]
--- a/gypsumring/cell/wait_monitor.py
+++ b/gypsumring/cell/wait_monitor.py
@@ -230,6 +230,7 @@
     return {
         "step": step.name,
         "queue": step.job.spec.queue,
+        "account": step.job.spec.account,
         "reason": report.reason,
         "waited_s": round(now - report.wait_started_at, 3),
         "overdue_s": round(now - report.due_at, 3),
--- a/gypsumring/cell/waiting.py
+++ b/gypsumring/cell/waiting.py
@@ -46,6 +46,8 @@
     TOO_FEW_ALLOWED = "too_few_allowed"
     NOT_ACCEPTING_WORK = "not_taking_work"
     NO_FREE_CAPACITY = "room"
+    # The client account has as much running as its cap permits.
+    CAP = "cap"
     RESERVED = "reserved"
     TICKET = "ticket"
     # Tasks avoid the executors on which they failed.
@@ -66,6 +68,7 @@
         "admitted",
         "allowed",
         "attempts_on_allowed",
+        "capped",
         "cpu_millis_on_allowed",
         "due_at",
         "evaluated_at",
@@ -151,6 +154,8 @@
         self.used_cpu_millis_on_allowed = 0
         self.oldest_response_at: float | None = None
         self.newest_response_at: float | None = None
+        # Whether the cap of the client account keeps the step from starting.
+        self.capped = False
         # Executors that are reserved for this step.
         self.reserved_by_step = sorted(step.reserved)
         self.fence = 0
@@ -219,6 +224,7 @@
     report = WaitReport(step, wait_started_at, step_due_at(step, queue))
     report.fence = state.fence
     report.owned_since = state.owned_since
+    report.capped = bool(step.pending) and scheduler.caps.is_blocked(step)
     backlog_entry = scheduler.backlog.waiting.get(step)
     if backlog_entry is not None:
         report.evaluated_at = backlog_entry.evaluated_at
@@ -375,6 +381,8 @@
         or report.next_evaluation_at + MAX_EVALUATION_DELAY_S < now
     ):
         return WaitReason.NOT_SCHEDULED
+    if report.capped:
+        return WaitReason.CAP
     needed = report.pending if step.spec.gang else 1
     if queue.policy is not None and not step.allowed:
         if step.policy_calls_in_flight:
--- a/gypsumring/dispatch/backlog.py
+++ b/gypsumring/dispatch/backlog.py
@@ -7,7 +7,7 @@
 
 import heapq
 import itertools
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Container, Iterable
 
 from gypsumring.dispatch.fairness import FairShares
 from gypsumring.dispatch.ordering import job_target_s, step_due_at
@@ -166,17 +166,22 @@
         """Return the names of the client accounts with waiting steps."""
         return {step.job.spec.account for step in self.waiting}
 
-    def list_starving(self, now: float) -> list[tuple[Step, Queue]]:
+    def list_starving(
+        self, now: float, blocked: Container[Step] = ()
+    ) -> list[tuple[Step, Queue]]:
         """Return the starving steps, ordered by the target time of their jobs.
 
         The first step of each priority that is not a gang is also recorded, and goes
         first within its priority until the next call. Starving gangs need reserved
-        executors instead. Work beyond the rate of an account may starve.
+        executors instead. Work beyond the rate of an account may starve, and so may
+        steps in ``blocked``, which the caps of their accounts keep from starting.
         """
         waiting_steps = [
             waiting
             for waiting in self.waiting.values()
-            if waiting.starves_at < now and not waiting.step.job.spec.beyond_rate
+            if waiting.starves_at < now
+            and not waiting.step.job.spec.beyond_rate
+            and waiting.step not in blocked
         ]
         waiting_steps.sort(key=lambda waiting: (waiting.due_at, waiting.step.name))
         self.first_starving = {}
--- a/gypsumring/pipelines/state.py
+++ b/gypsumring/pipelines/state.py
@@ -118,6 +118,7 @@
         "allowed",
         "attempts",
         "avoided",
+        "capped_since",
         "checkpoints",
         "done_count",
         "earliest_start_at",
@@ -187,6 +188,8 @@
         self.tickets: dict[str, Ticket] = {}
         # Number of policy service calls in flight.
         self.policy_calls_in_flight = 0
+        # Time at which the cap of its account first kept the step from starting.
+        self.capped_since: float | None = None
         # Time since which the step has waited for an executor with good locality.
         self.waiting_since: float | None = None
         # Executors reserved for the step; they accept no tasks of other steps until it
