Mark jobs that their account submits beyond its rate

Cause: the order of service ranks jobs beyond the rate last, but nothing marked them. Change: an accepted job of a known account is counted by RateMeter before its record is encoded; a new owner counts the jobs of the last 5 s again, so that no account gets a second burst by a takeover. The scheduler takes the weights from the account book, so that jobs of a removed account keep its share. Log line job accepted: account, beyond_rate.

--- a/gypsumring/cell/accounts.py
+++ b/gypsumring/cell/accounts.py
@@ -7,17 +7,20 @@
 
 import math
 from collections import Counter
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 
 import msgspec
 
-from gypsumring.accounts import ClientAccount, Resources
+from gypsumring.accounts import ClientAccount, RateMeter, Resources
 from gypsumring.cell.journal import Journal
-from gypsumring.pipelines import DesiredState, encode
+from gypsumring.pipelines import DesiredState, PipelineSpec, encode
 
 __all__ = ["ACCOUNT_KEY", "AccountBook", "AccountRecord", "check_record"]
 
 ACCOUNT_KEY = "a/"
+# A new owner counts the jobs that were accepted within this time against the rates of
+# their accounts; longer than the burst that an account may submit at once.
+RECOUNT_MS = 5_000
 
 
 class AccountRecord(msgspec.Struct, frozen=True, kw_only=True, omit_defaults=True):
@@ -48,6 +51,7 @@
         "desired_state",
         "journal",
         "list_used_names",
+        "meter",
         "recorded",
     )
 
@@ -71,6 +75,7 @@
         # Millicores, memory in MB and accelerators by the names of accounts that are
         # limited in any of them.
         self.caps: dict[str, tuple[int, int, int]] = {}
+        self.meter = RateMeter()
 
     def restore(self, record: AccountRecord) -> None:
         """Restore the record of an earlier owner."""
@@ -116,6 +121,30 @@
         self.refresh()
         return self.accounts.get(name)
 
+    def mark_rate(self, spec: PipelineSpec, now_ms: int) -> PipelineSpec:
+        """Return a new job, marked if it exceeds the rate of its account.
+
+        ``now_ms`` is a Unix time. Jobs of unknown accounts are not counted.
+        """
+        account = self.find(spec.account) if self.is_active() else None
+        if account is None or not self.meter.record(account, now_ms):
+            return spec
+        return msgspec.structs.replace(spec, beyond_rate=True)
+
+    def recount(self, specs: Iterable[PipelineSpec], now_ms: int) -> None:
+        """Count the jobs that earlier owners have accepted within the last seconds."""
+        recent = [
+            spec
+            for spec in specs
+            if spec.account
+            and not spec.beyond_rate
+            and now_ms - RECOUNT_MS < spec.accepted_ms <= now_ms
+        ]
+        for spec in sorted(recent, key=lambda spec: spec.accepted_ms):
+            account = self.find(spec.account)
+            if account is not None:
+                self.meter.record(account, spec.accepted_ms)
+
     def start_accepting(self, name: str) -> None:
         """Store the account of a job whose record is being stored."""
         self.refresh()
--- a/gypsumring/cell/commands.py
+++ b/gypsumring/cell/commands.py
@@ -87,6 +87,10 @@
 
     def accept(self, spec: PipelineSpec) -> PendingSubmission:
         """Queue the record of a new job; the job is added once it is durable."""
+        if spec.account:
+            spec = self.state.accounts.mark_rate(spec, self.state.wall_clock())
+            if spec.beyond_rate:
+                self.state.metrics.count("cell.jobs.beyond_rate")
         submission = PendingSubmission(spec)
         self.accepting[spec.job_id] = submission
         queued_at = anyio.current_time()
@@ -138,6 +142,8 @@
             "job accepted",
             job=spec.job_id,
             queue=spec.queue,
+            account=spec.account,
+            beyond_rate=spec.beyond_rate,
             tasks=[step.task_count for step in spec.steps],
             fence=self.state.fence,
             cpu_millis=[step.cpu_millis for step in spec.steps],
--- a/gypsumring/cell/owner.py
+++ b/gypsumring/cell/owner.py
@@ -239,6 +239,10 @@
                 self.restore_queue(key, value)
             elif key.startswith(ACCOUNT_KEY):
                 self.restore_account(key, value)
+        self.state.accounts.recount(
+            [job.spec for job in self.state.table.jobs.values()],
+            self.state.wall_clock(),
+        )
         self.state.release_withheld_tasks()
         self.state.owned_since = anyio.current_time()
         log.info(
--- a/gypsumring/cell/scheduling.py
+++ b/gypsumring/cell/scheduling.py
@@ -173,14 +173,13 @@
 
     def update_shares(self, fleet: list[ExecutorState]) -> None:
         """Compute which client accounts hold more than their share of the capacity."""
-        desired = self.state.desired_state()
-        if desired is None or desired.accounts is None:
+        if not self.state.accounts.is_active():
             self.backlog.shares = FairShares()
             return
         capacities = [executor.entry.capacity for executor in fleet]
         self.backlog.shares = FairShares(
             find_above_share(
-                {account.name: account for account in desired.accounts},
+                self.state.accounts.accounts,
                 self.backlog.list_accounts(),
                 self.state.usage,
                 Resources(*map(sum, zip(*capacities))),
