--- a/gypsumring/cell/lists.py
+++ b/gypsumring/cell/lists.py
@@ -201,6 +201,10 @@
             elif requested_at - run.progress_at > stall_timeout_s(run):
                 self.stop_stalled(executor, run)
             run.load = listed.load
+            if listed.checkpoint and listed.checkpoint != run.step.checkpoint_of(
+                run.index
+            ):
+                run.checkpoint_at = now
             run.step.save_checkpoint(run.index, listed.checkpoint)
 
     def stop_stalled(self, executor: ExecutorState, run: Run) -> None:
--- a/gypsumring/pipelines/state.py
+++ b/gypsumring/pipelines/state.py
@@ -50,6 +50,7 @@
     __slots__ = (
         "answered_at",
         "attempt",
+        "checkpoint_at",
         "executor_id",
         "has_begun",
         "index",
@@ -97,6 +98,8 @@
         # Permitted speed of a task with ``fills``, in percent.
         self.pace = 100
         self.progress_at = now
+        # Time at which a new checkpoint of this attempt was first listed.
+        self.checkpoint_at: float | None = None
 
     def log_fields(self) -> dict[str, object]:
         """Return the log fields that identify the attempt."""
@@ -123,6 +126,7 @@
         "earliest_start_at",
         "exceeds_reservation_limit",
         "failures",
+        "interrupted",
         "job",
         "next_policy_call_at",
         "number",
@@ -200,6 +204,8 @@
         # Set if the reservation limit excludes this gang; no later gang may then
         # reserve ahead of it.
         self.exceeds_reservation_limit = False
+        # Times at which tasks were stopped for other steps, until they start again.
+        self.interrupted: dict[int, float] = {}
 
     @property
     def name(self) -> str:
@@ -234,6 +240,7 @@
         self.uncertain.discard(index)
         self.checkpoints.pop(index, None)
         self.suspects.pop(index, None)
+        self.interrupted.pop(index, None)
         self.done_count += 1
         return True
 
