Stop checkpointed tasks for waiting gangs and urgent tasks

A gang in a full room waits until tasks of a lower rank end by themselves, behind work that would lose almost nothing by a stop. The owner now reserves the executors chosen by dispatch/preempting.py, has the step's tickets there renewed, and only then stops the victims; their steps come first in their rank and resume from their checkpoints. It applies where client accounts exist, or by the node setting preemption. Reservations yield to work within the rate before work beyond it, or a stopped task could take its capacity back. The executor model now makes checkpoints.

--- a/gypsumring/cell/policy_client.py
+++ b/gypsumring/cell/policy_client.py
@@ -158,9 +158,10 @@
         on its reserved executors, so that it needs no others.
         """
         call_s = timing.call_s(1 + len(step.reserved)) + TICKET_MARGIN_S
+        needed_s = max(call_s, step.tickets_needed_until - now)
         fits = fits and not is_gang_with_reservations(step)
         renews_reserved = any(
-            step.ticket_remaining_s(executor.executor_id, now) < call_s
+            step.ticket_remaining_s(executor.executor_id, now) < needed_s
             for executor in allowed
             if executor.executor_id in step.reserved
         )
--- /dev/null
+++ b/gypsumring/cell/preemption.py
@@ -0,0 +1,391 @@
+"""Stop tasks with checkpoints for waiting steps of a smaller rank.
+
+The executors chosen for a step are reserved for it before a task is stopped there, and
+the tasks are stopped only while the step has tickets for these executors. Nothing of
+this is durable: a later owner finds the tasks running or ended, and decides anew.
+"""
+
+import enum
+from collections.abc import Callable
+
+from gypsumring.cell.orders import Orders
+from gypsumring.cell.state import CellState
+from gypsumring.dispatch import Reservation
+from gypsumring.dispatch.fairness import FairShares
+from gypsumring.dispatch.preempting import (
+    Candidate,
+    PreemptionPlan,
+    Rank,
+    YieldingRun,
+    choose_victims,
+    find_yielding_runs,
+    is_preemption_due,
+)
+from gypsumring.dispatch.reserving import MAX_TOTAL_RESERVED_SHARE, REVIEW_PERIOD_S
+from gypsumring.fleet import ExecutorState
+from gypsumring.pipelines import Queue, Run, Step
+from gypsumring.utils.logs import EventLogger
+
+__all__ = ["Preemption", "PreemptionMode"]
+
+log = EventLogger("scheduler")
+
+# A task is not stopped again within this time.
+REST_S = 10.0
+# Maximum share of the running attempts that are being stopped at one time.
+MAX_STOPPING_SHARE = 0.25
+# Time after the longest stop within which the task lists show its end.
+END_REPORT_S = 0.15
+# A stop that has not released its capacity after this further time is not counted on.
+OVERDUE_S = 1.0
+# Executors stay reserved for this time after the capacity is expected there.
+START_MARGIN_S = 0.5
+# Time within which a step has to get its tickets, and time before the next attempt.
+PREPARATION_S = 1.0
+RETRY_DELAY_S = 1.0
+# Maximum number of steps that are considered in one pass.
+MAX_STEPS_PER_PASS = 20
+
+
+class PreemptionMode(enum.StrEnum):
+    """Where tasks may be stopped for others."""
+
+    OFF = "off"
+    ON = "on"
+    # Only in deployments with client accounts.
+    ACCOUNTS = "accounts"
+
+
+class Hold:
+    """Executors reserved for a step for which tasks are stopped, up to a time.
+
+    ``stopped`` tells whether stops were sent; until then the step awaits its tickets.
+    """
+
+    __slots__ = ("executor_ids", "stopped", "until")
+
+    def __init__(self, until: float):
+        self.executor_ids: set[str] = set()
+        self.stopped = False
+        self.until = until
+
+
+class Stop:
+    """Stop of an attempt for a step, and the time by which it should have ended."""
+
+    __slots__ = ("deadline", "step")
+
+    def __init__(self, step: Step, deadline: float):
+        self.step = step
+        self.deadline = deadline
+
+
+class PreemptionPass:
+    """Data of one evaluation of the fleet."""
+
+    __slots__ = ("fleet", "now", "overdue", "reserved", "run_count", "yielding")
+
+    def __init__(
+        self, fleet: list[ExecutorState], reserved: dict[str, Reservation], now: float
+    ):
+        self.fleet = fleet
+        self.reserved = reserved
+        self.now = now
+        self.run_count = sum(len(executor.runs) for executor in fleet)
+        # Executors on which a stop has taken too long.
+        self.overdue: set[str] = set()
+        self.yielding: dict[str, list[YieldingRun]] = {}
+
+
+class Preemption:
+    """Preemption of running tasks by waiting steps on the owner of a cell."""
+
+    __slots__ = (
+        "find_usable",
+        "holds",
+        "orders",
+        "preempted_at",
+        "retry_at",
+        "state",
+        "stops",
+    )
+
+    def __init__(
+        self,
+        state: CellState,
+        orders: Orders,
+        find_usable: Callable[[Step, Queue], list[ExecutorState]],
+    ):
+        self.state = state
+        self.orders = orders
+        # Returns the executors that a step may use, without regard to their capacity.
+        self.find_usable = find_usable
+        self.holds: dict[Step, Hold] = {}
+        self.stops: dict[Run, Stop] = {}
+        # Times at which tasks were stopped, by task.
+        self.preempted_at: dict[str, float] = {}
+        # Times before which steps that got no tickets are not considered again.
+        self.retry_at: dict[Step, float] = {}
+
+    def is_enabled(self) -> bool:
+        """Return whether tasks may be stopped for others in this deployment."""
+        mode = self.state.timing.preemption
+        if mode == PreemptionMode.ACCOUNTS:
+            desired = self.state.desired_state()
+            return desired is not None and desired.accounts is not None
+        return mode == PreemptionMode.ON
+
+    def may_start(self) -> bool:
+        """Return whether this owner may send starts now."""
+        return self.state.knows_capacities() and (
+            self.state.authority.may_extend_leases(self.state.clock())
+        )
+
+    def evaluate(
+        self,
+        steps: list[tuple[Step, Queue]],
+        fleet: list[ExecutorState],
+        reserved: dict[str, Reservation],
+        shares: FairShares,
+        now: float,
+    ) -> None:
+        """Stop tasks for waiting steps, which are in order of service.
+
+        The executors chosen for them are added to ``reserved``.
+        """
+        self.forget_past(now)
+        if not self.is_enabled() or not self.may_start():
+            self.holds.clear()
+            return
+        current = PreemptionPass(fleet, reserved, now)
+        self.find_yielding(current, shares)
+        largest_rank = max(
+            (row.rank for rows in current.yielding.values() for row in rows),
+            default=None,
+        )
+        considered = 0
+        for step, queue in steps:
+            rank = shares.rank(step.job.spec, queue.priority)
+            has_victims = largest_rank is not None and rank < largest_rank
+            if step not in self.holds and not has_victims:
+                continue
+            if not is_preemption_due(step, now) or now < self.retry_at.get(step, 0.0):
+                continue
+            considered += 1
+            if considered > MAX_STEPS_PER_PASS:
+                break
+            self.evaluate_step(step, queue, rank, current)
+
+    def forget_past(self, now: float) -> None:
+        """Discard stops that have ended, and holds of steps that no longer wait."""
+        self.stops = {
+            run: stop
+            for run, stop in self.stops.items()
+            if self.orders.find_executor(run) is not None
+        }
+        self.holds = {
+            step: hold
+            for step, hold in self.holds.items()
+            if is_preemption_due(step, now) and not step.job.phase.is_final
+        }
+        self.preempted_at = {
+            task: stopped_at
+            for task, stopped_at in self.preempted_at.items()
+            if now - stopped_at < REST_S
+        }
+        self.retry_at = {
+            step: retry_at for step, retry_at in self.retry_at.items() if now < retry_at
+        }
+
+    def find_yielding(self, current: PreemptionPass, shares: FairShares) -> None:
+        """Find the attempts that may be stopped, and the executors not to count on."""
+        now = current.now
+        current.overdue = {
+            run.executor_id for run, stop in self.stops.items() if stop.deadline < now
+        }
+
+        def rank(run: Run) -> Rank:
+            """Return the rank of the job of an attempt."""
+            job = run.step.job
+            return shares.rank(job.spec, self.state.find_queue(job).priority)
+
+        for executor in current.fleet:
+            if not executor.is_unresponsive:
+                current.yielding[executor.executor_id] = find_yielding_runs(
+                    executor,
+                    rank,
+                    lambda run: self.may_stop(run, now),
+                    now,
+                    self.release_s(),
+                )
+
+    def may_stop(self, run: Run, now: float) -> bool:
+        """Return whether an attempt may be stopped, so that its task resumes soon.
+
+        An earlier owner may have stopped a task just before the takeover.
+        """
+        step = run.step
+        if step.job.phase.is_final or step.uncertain or step.spec.speculative:
+            return False
+        if run.attempt < self.state.table.first_attempt:
+            return now - run.started_at >= REST_S
+        return run.task not in self.preempted_at
+
+    def release_s(self) -> float:
+        """Return the time from a stop until its capacity is released, in seconds."""
+        return self.state.timing.stop_s + END_REPORT_S
+
+    def evaluate_step(
+        self, step: Step, queue: Queue, rank: Rank, current: PreemptionPass
+    ) -> None:
+        """Choose victims for a step; stop them if the step has its tickets."""
+        now = current.now
+        plan = self.choose(step, queue, rank, current)
+        hold = self.holds.get(step)
+        if plan is None or not (plan.victims or hold):
+            self.holds.pop(step, None)
+            return
+        if hold is not None and hold.until < now:
+            self.give_up(step, hold, now)
+            return
+        executor_ids = {executor.executor_id for executor in plan.executors}
+        if hold is None:
+            if not self.may_hold(executor_ids, current):
+                self.state.metrics.count("cell.preemptions.refused.reserved")
+                return
+            hold = self.holds[step] = Hold(now + PREPARATION_S)
+        hold.executor_ids = executor_ids
+        self.reserve(step, queue, executor_ids, current)
+        step.tickets_needed_until = now + self.tickets_needed_s(queue)
+        if plan.victims and self.has_tickets(step, queue, executor_ids, now):
+            self.stop_victims(step, hold, plan, now)
+        self.state.table.changed_steps[step] = None
+        self.state.wake()
+
+    def choose(
+        self, step: Step, queue: Queue, rank: Rank, current: PreemptionPass
+    ) -> PreemptionPlan | None:
+        """Return the victims for a step, on the executors held for it if possible."""
+        now = current.now
+        max_victims = int(current.run_count * MAX_STOPPING_SHARE) - len(self.stops)
+        held_for_others = {
+            executor_id
+            for other, hold in self.holds.items()
+            if other is not step
+            for executor_id in hold.executor_ids
+        }
+        candidates = [
+            Candidate(
+                step,
+                executor,
+                current.yielding.get(executor.executor_id, []),
+                [
+                    run
+                    for run in executor.runs.values()
+                    if run in self.stops and self.stops[run].step is step
+                ],
+            )
+            for executor in self.find_usable(step, queue)
+            if executor.executor_id not in held_for_others
+            and executor.executor_id not in current.overdue
+        ]
+        hold = self.holds.get(step)
+        options = [candidates]
+        if hold is not None and not hold.stopped:
+            ids = hold.executor_ids
+            options.insert(
+                0, [row for row in candidates if row.executor.executor_id in ids]
+            )
+        for option in options:
+            plan = choose_victims(
+                step,
+                option,
+                rank,
+                now,
+                self.release_s(),
+                self.state.timing.spread_factor,
+                max(0, max_victims),
+            )
+            if plan is not None:
+                return plan
+        return None
+
+    def may_hold(self, executor_ids: set[str], current: PreemptionPass) -> bool:
+        """Return whether further executors may be reserved; the first step always."""
+        held = set().union(*(hold.executor_ids for hold in self.holds.values()))
+        limit = len(current.fleet) * MAX_TOTAL_RESERVED_SHARE
+        return not held or len(held | executor_ids) <= limit
+
+    def give_up(self, step: Step, hold: Hold, now: float) -> None:
+        """Release the executors of a step that has not started in time."""
+        if not hold.stopped:
+            self.state.metrics.count("cell.preemptions.refused.tickets")
+        del self.holds[step]
+        self.retry_at[step] = now + RETRY_DELAY_S
+
+    def reserve(
+        self,
+        step: Step,
+        queue: Queue,
+        executor_ids: set[str],
+        current: PreemptionPass,
+    ) -> None:
+        """Reserve executors for a step in place of its other reservations."""
+        for executor_id in step.reserved - executor_ids:
+            reservation = current.reserved.get(executor_id)
+            if reservation is not None and reservation.step is step:
+                del current.reserved[executor_id]
+        for executor_id in executor_ids:
+            reservation = current.reserved.get(executor_id)
+            if reservation is not None and reservation.step is not step:
+                reservation.step.reserved.discard(executor_id)
+            current.reserved[executor_id] = Reservation(step, queue.priority)
+        step.reserved = set(executor_ids)
+        step.reservation_review_at = current.now + REVIEW_PERIOD_S
+        step.reservation_expires_at = None
+        step.exceeds_reservation_limit = False
+
+    def tickets_needed_s(self, queue: Queue) -> float:
+        """Return how long tickets have to be valid when tasks are stopped."""
+        if queue.policy is None:
+            return 0.0
+        return min(self.release_s(), queue.policy.valid_s / 2)
+
+    def has_tickets(
+        self, step: Step, queue: Queue, executor_ids: set[str], now: float
+    ) -> bool:
+        """Return whether a step may start on executors once they have capacity."""
+        if queue.policy is None:
+            return True
+        needed_s = self.tickets_needed_s(queue)
+        return all(
+            step.ticket_remaining_s(executor_id, now) >= needed_s
+            for executor_id in executor_ids
+        )
+
+    def stop_victims(
+        self, step: Step, hold: Hold, plan: PreemptionPlan, now: float
+    ) -> None:
+        """Stop the chosen attempts and record for which step."""
+        release_s = self.release_s()
+        hold.stopped = True
+        hold.until = now + release_s + START_MARGIN_S
+        for victim in plan.victims:
+            run = victim.run
+            self.stops[run] = Stop(step, now + release_s + OVERDUE_S)
+            self.preempted_at[run.task] = now
+            run.step.interrupted[run.index] = now
+            self.orders.stop(run)
+        kind = "gang" if step.spec.gang else "task"
+        self.state.metrics.count(f"cell.preemptions.{kind}", len(plan.victims))
+        log.info(
+            "tasks stopped for a waiting step",
+            step=step.name,
+            reason=kind,
+            waited_s=round(now - step.waiting_since, 3),
+            victims=len(plan.victims),
+            lost_core_s=round(plan.lost_core_s, 3),
+            places=plan.task_capacity,
+            executors_count=len(plan.executors),
+            starts_s=round(release_s, 3),
+        )
--- a/gypsumring/cell/scheduling.py
+++ b/gypsumring/cell/scheduling.py
@@ -11,6 +11,7 @@
     PolicyClient,
     QueryPolicyProxy,
 )
+from gypsumring.cell.preemption import Preemption
 from gypsumring.cell.state import CellState
 from gypsumring.dispatch import (
     Backlog,
@@ -53,6 +54,7 @@
         "evaluated_at",
         "orders",
         "policy_client",
+        "preemption",
         "reserved",
         "state",
     )
@@ -69,6 +71,7 @@
         self.policy_client = PolicyClient(
             state, self.place, list_policy_proxies, query_policy_proxy
         )
+        self.preemption = Preemption(state, orders, self.find_usable)
         self.backlog = Backlog(state.find_queue)
         # Reservations for large tasks, by executor id.
         self.reserved: dict[str, Reservation] = {}
@@ -153,6 +156,7 @@
         self.reserved = reserve_executors(
             steps, fleet, now, self.state.clock(), starving, factor
         )
+        self.preemption.evaluate(steps, fleet, self.reserved, self.backlog.shares, now)
 
     def update_shares(self, fleet: list[ExecutorState]) -> None:
         """Compute which client accounts hold more than their share of the capacity."""
@@ -302,6 +306,16 @@
                 allowed.append(executor)
         return allowed
 
+    def find_usable(self, step: Step, queue: Queue) -> list[ExecutorState]:
+        """Return the executors on which a step may be placed, without capacity."""
+        if queue.policy is None:
+            found = self.find_eligible(step, queue)
+        else:
+            found = self.find_allowed(step, queue)
+        now = anyio.current_time()
+        isolation = Isolation(self.state.table.crashes, len(self.state.fleet), now)
+        return isolation.admit(found)
+
     def place(self, step: Step, candidates: list[ExecutorState]) -> list[Placement]:
         """Return placements for the pending tasks of a step."""
         factor = self.state.timing.spread_factor
@@ -334,5 +348,10 @@
                 step, placement.index, attempt, placement.executor.executor_id, now
             )
             placement.executor.add_run(run)
+            stopped_at = step.interrupted.pop(placement.index, None)
+            if stopped_at is not None:
+                self.state.metrics.record_seconds(
+                    "cell.wait.preempted", now - stopped_at
+                )
             ticket = step.tickets.get(placement.executor.executor_id)
             self.orders.start(run, ticket.value if ticket else "")
--- a/gypsumring/cell/state.py
+++ b/gypsumring/cell/state.py
@@ -35,9 +35,16 @@
 
 
 class CellTiming:
-    """Time limits of the platform in seconds, and the spread factor."""
+    """Time limits of the platform in seconds, the spread factor, and preemption."""
 
-    __slots__ = ("lease_s", "max_lease_s", "spread_factor", "status_s", "stop_s")
+    __slots__ = (
+        "lease_s",
+        "max_lease_s",
+        "preemption",
+        "spread_factor",
+        "status_s",
+        "stop_s",
+    )
 
     def __init__(
         self,
@@ -46,6 +53,7 @@
         status_s: float,
         lease_s: float,
         spread_factor: float,
+        preemption: str = "accounts",
     ):
         # The longest lease that executors grant.
         self.max_lease_s = max_lease_s
@@ -57,6 +65,8 @@
         self.spread_factor = spread_factor
         # The lease that this owner requests.
         self.lease_s = min(lease_s, max_lease_s)
+        # Where tasks are stopped for others; see ``PreemptionMode``.
+        self.preemption = preemption
 
 
 class CellState:
--- a/gypsumring/dispatch/backlog.py
+++ b/gypsumring/dispatch/backlog.py
@@ -52,12 +52,13 @@
 
     def rank(
         self, now: float, first_starving: Step | None, shares: FairShares
-    ) -> tuple[tuple[bool, int, bool], bool, float, str]:
+    ) -> tuple[tuple[bool, int, bool], bool, bool, float, str]:
         """Return the sort key of the order of service.
 
         Within a priority and standing of the account, steps are ordered by the target
         time of their jobs. Jobs that have missed their target follow those that can
         still meet it, unless the step has reserved executors or is ``first_starving``.
+        Steps with tasks that were stopped for others come first.
         """
         missed = (
             self.due_at < now
@@ -65,7 +66,8 @@
             and self.step is not first_starving
         )
         standing = shares.rank(self.step.job.spec, self.queue.priority)
-        return (standing, missed, self.due_at, self.step.name)
+        was_interrupted = bool(self.step.interrupted)
+        return (standing, not was_interrupted, missed, self.due_at, self.step.name)
 
 
 class Backlog:
--- a/gypsumring/dispatch/placing.py
+++ b/gypsumring/dispatch/placing.py
@@ -227,8 +227,11 @@
 
 
 def list_placeable(step: Step) -> list[int]:
-    """Return the pending tasks that may be started, suspects of crashes first."""
-    if not step.suspects:
+    """Return the pending tasks that may be started, suspects of crashes first.
+
+    Tasks that were stopped for other steps come next.
+    """
+    if not step.suspects and not step.interrupted:
         return sorted(step.pending)
     exhausted = {
         index for index, suspect in step.suspects.items() if suspect.is_exhausted
@@ -237,7 +240,11 @@
         return []
     return sorted(
         step.pending - exhausted,
-        key=lambda index: (index not in step.suspects, index),
+        key=lambda index: (
+            index not in step.suspects,
+            index not in step.interrupted,
+            index,
+        ),
     )
 
 
--- a/gypsumring/dispatch/reserving.py
+++ b/gypsumring/dispatch/reserving.py
@@ -49,8 +49,14 @@
         self.priority = priority
 
     def admits(self, step: Step, priority: int) -> bool:
-        """Return whether tasks of a step may use the executor."""
-        return step is self.step or priority < self.priority
+        """Return whether tasks of a step may use the executor.
+
+        What an account sent beyond its rate yields to all other work.
+        """
+        beyond_rate = step.job.spec.beyond_rate, self.step.job.spec.beyond_rate
+        return step is self.step or (
+            (beyond_rate[0], priority) < (beyond_rate[1], self.priority)
+        )
 
 
 class ReservationPlan:
--- a/gypsumring/node/node.py
+++ b/gypsumring/node/node.py
@@ -245,6 +245,7 @@
         ]
         self.settings.bounds = settings.bounds
         self.settings.task_lease_ms = settings.task_lease_ms
+        self.settings.preemption = settings.preemption
         owner = self.membership.owner
         if owner is not None:
             owner.apply_timing(self.make_timing())
@@ -259,6 +260,7 @@
             bounds.status_s,
             self.settings.task_lease_ms / 1000,
             bounds.spread_factor,
+            self.settings.preemption,
         )
 
     async def run(self) -> None:
--- a/gypsumring/pipelines/state.py
+++ b/gypsumring/pipelines/state.py
@@ -144,6 +144,7 @@
         "states",
         "suspects",
         "tickets",
+        "tickets_needed_until",
         "uncertain",
         "waiting_since",
         "withheld",
@@ -189,6 +190,9 @@
         self.queried: set[str] = set()
         self.allowed: set[str] = set()
         self.tickets: dict[str, Ticket] = {}
+        # Time up to which the tickets of reserved executors have to be valid, since
+        # capacity is then released for the step.
+        self.tickets_needed_until = 0.0
         # Number of policy service calls in flight.
         self.policy_calls_in_flight = 0
         # Time since which the step has waited for an executor with good locality.
--- a/gypsumring/settings/node.py
+++ b/gypsumring/settings/node.py
@@ -1,6 +1,6 @@
 """Settings of a node that runs on the platform's machines."""
 
-from typing import Annotated
+from typing import Annotated, Literal
 
 import msgspec
 
@@ -69,6 +69,9 @@
     bounds: BoundSettings
     processor: ProcessorSettings = ProcessorSettings()
     task_lease_ms: Annotated[int, msgspec.Meta(ge=500)] = 5_000
+    # Where tasks with checkpoints are stopped for others; ``accounts`` means only in
+    # deployments with client accounts.
+    preemption: Literal["off", "on", "accounts"] = "accounts"
     log_output: LogOutputSettings = LogOutputSettings(json=True)
 
     @property
--- a/stand_ins/platform/executor.py
+++ b/stand_ins/platform/executor.py
@@ -20,6 +20,9 @@
 
 MAX_REPORTED_ENDS = 500
 FAILING_TASK_S = 0.1
+# Work after which a task with checkpoints makes a new one, and time of a restore.
+CHECKPOINT_S = 1.0
+RESTORE_S = 0.25
 
 
 class Trouble(enum.Enum):
@@ -43,10 +46,19 @@
 class TaskRun:
     """Running attempt of a task.
 
-    ``ends_at`` is infinite while the attempt hangs or waits for its gang.
+    ``ends_at`` is infinite while the attempt hangs or waits for its gang. An attempt
+    that resumes from a checkpoint continues after ``resumed_s`` of work.
     """
 
-    __slots__ = ("attempt", "ends_at", "how", "started_at", "task", "work_s")
+    __slots__ = (
+        "attempt",
+        "ends_at",
+        "how",
+        "resumed_s",
+        "started_at",
+        "task",
+        "work_s",
+    )
 
     def __init__(self, task: str, attempt: int, started_at: float):
         self.task = task
@@ -54,8 +66,14 @@
         self.started_at = started_at
         self.ends_at = float("inf")
         self.work_s = 0.0
+        self.resumed_s = 0.0
         self.how = "done"
 
+    def worked_s(self, now: float) -> float:
+        """Return the work done by a time, in seconds, with that of the checkpoint."""
+        begun_at = self.started_at + (RESTORE_S if self.resumed_s else 0.0)
+        return self.resumed_s + max(0.0, now - begun_at)
+
 
 class ExecutorModel:
     """Executor that runs tasks under a lease, on its own clock that may run slow."""
@@ -238,8 +256,12 @@
         self.runs.pop((run.task, run.attempt), None)
         self.highest[run.task] = max(self.highest.get(run.task, 0), run.attempt)
         self.end_number += 1
-        self.ended.append(ListedEnd(self.end_number, run.task, run.attempt, how, ""))
-        self.ended_at[self.end_number] = min(run.ends_at, anyio.current_time())
+        ended_at = min(run.ends_at, anyio.current_time())
+        checkpoint = self.make_checkpoint(run, ended_at, how)
+        self.ended.append(
+            ListedEnd(self.end_number, run.task, run.attempt, how, checkpoint)
+        )
+        self.ended_at[self.end_number] = ended_at
         if how == "done":
             self.done_here.add(run.task)
         if self.is_gang(run.task):
@@ -257,6 +279,26 @@
                 if is_same_gang and other.attempt == run.attempt and executor.is_up:
                     executor.end(other, member_outcome)
 
+    def make_checkpoint(self, run: TaskRun, now: float, how: str = "") -> str:
+        """Return the latest checkpoint of an attempt, which a stop makes anew."""
+        if how == "done" or not self.has_checkpoints(run.task):
+            return ""
+        worked_s = run.worked_s(now)
+        if how != "stopped":
+            new_s = worked_s - run.resumed_s
+            worked_s = run.resumed_s + new_s // CHECKPOINT_S * CHECKPOINT_S
+        return f"{run.task}@{worked_s:.3f}" if worked_s else ""
+
+    def has_checkpoints(self, task: str) -> bool:
+        """Return whether a task makes checkpoints; those of gangs are not modelled."""
+        job_id, _, step, _ = parse_task(task)
+        spec = self.world.jobs.get(job_id)
+        return (
+            spec is not None
+            and spec.steps[step].checkpointing
+            and not spec.steps[step].gang
+        )
+
     def is_gang(self, task: str) -> bool:
         """Return whether a task is a member of a gang."""
         job_id, _, step, _ = parse_task(task)
@@ -330,12 +372,26 @@
             if not self.is_up:
                 return
         if not self.is_gang(order.task):
+            self.resume(run, order.checkpoint)
             run.ends_at = run.started_at + run.work_s
+            if run.resumed_s:
+                run.ends_at += RESTORE_S - min(run.resumed_s, run.work_s)
         elif self.gang_is_complete(run):
             self.start_gang(run)
         self.changed.set()
         self.changed = anyio.Event()
 
+    def resume(self, run: TaskRun, checkpoint: str) -> None:
+        """Continue a task from its checkpoint, if it has one."""
+        if not checkpoint or not self.has_checkpoints(run.task):
+            return
+        task, _, worked_s = checkpoint.rpartition("@")
+        if task != run.task:
+            self.world.violate("CHECKPOINT", f"{run.task} resumes from {checkpoint}")
+            return
+        run.resumed_s = float(worked_s)
+        self.world.resumed.setdefault(run.task, []).append(run.resumed_s)
+
     def start_gang(self, run: TaskRun) -> None:
         """Set when and how the members of a complete gang end."""
         name = run.task.rpartition(".")[0]
@@ -380,10 +436,11 @@
         now = anyio.current_time()
         running = []
         for run in self.runs.values():
-            share = (now - run.started_at) / run.work_s if run.work_s else 0.0
+            share = run.worked_s(now) / run.work_s if run.work_s else 0.0
             percent = min(99.0, 100 * share) if run.ends_at < float("inf") else 0.0
             load = self.loads.get(run.task, 0.0)
-            running.append(ListedRun(run.task, run.attempt, "", percent, load))
+            checkpoint = self.make_checkpoint(run, now)
+            running.append(ListedRun(run.task, run.attempt, checkpoint, percent, load))
         return TaskLists(
             self.clock_ms, self.born_ms, running, self.ended[:MAX_REPORTED_ENDS]
         )
--- a/stand_ins/platform/world.py
+++ b/stand_ins/platform/world.py
@@ -66,6 +66,7 @@
         "last_started_at",
         "max_attempts",
         "refused",
+        "resumed",
         "schedule_crash",
         "starts",
         "starts_after_crashes",
@@ -82,6 +83,8 @@
         self.cancelled: dict[str, float] = {}
         self.executors: list[ExecutorModel] = []
         self.done: dict[str, float] = {}
+        # Seconds of work from which attempts resumed, by task.
+        self.resumed: dict[str, list[float]] = {}
         self.failed_runs: dict[str, int] = {}
         self.starts: dict[str, int] = {}
         self.last_started_at: dict[str, float] = {}
