--- a/gypsumring/cell/scheduling.py
+++ b/gypsumring/cell/scheduling.py
@@ -12,6 +12,7 @@
     PolicyClient,
     QueryPolicyProxy,
 )
+from gypsumring.cell.preemption import Preemption
 from gypsumring.cell.state import CellState
 from gypsumring.dispatch import (
     Backlog,
@@ -55,6 +56,7 @@
         "evaluated_at",
         "orders",
         "policy_client",
+        "preemption",
         "reserved",
         "state",
     )
@@ -71,6 +73,7 @@
         self.policy_client = PolicyClient(
             state, self.place, list_policy_proxies, query_policy_proxy
         )
+        self.preemption = Preemption(state, orders, self.find_usable)
         self.backlog = Backlog(state.find_queue)
         self.caps = CapLimiter(state)
         # Reservations for large tasks, by executor id.
@@ -161,6 +164,7 @@
         self.reserved = reserve_executors(
             steps, fleet, now, self.state.clock(), starving, factor
         )
+        self.preemption.evaluate(steps, fleet, self.reserved, self.backlog.shares, now)
 
     def review_caps(
         self, steps: list[tuple[Step, Queue]], now: float
@@ -318,6 +322,16 @@
                 allowed.append(executor)
         return allowed
 
+    def find_usable(self, step: Step, queue: Queue) -> list[ExecutorState]:
+        """Return the executors on which a step may be placed, without capacity."""
+        if queue.policy is None:
+            found = self.find_eligible(step, queue)
+        else:
+            found = self.find_allowed(step, queue)
+        now = anyio.current_time()
+        isolation = Isolation(self.state.table.crashes, len(self.state.fleet), now)
+        return isolation.admit(found)
+
     def place(self, step: Step, candidates: list[ExecutorState]) -> list[Placement]:
         """Return placements for the pending tasks of a step."""
         factor = self.state.timing.spread_factor
@@ -353,5 +367,10 @@
                 step, placement.index, attempt, placement.executor.executor_id, now
             )
             placement.executor.add_run(run)
+            stopped_at = step.interrupted.pop(placement.index, None)
+            if stopped_at is not None:
+                self.state.metrics.record_seconds(
+                    "cell.wait.preempted", now - stopped_at
+                )
             ticket = step.tickets.get(placement.executor.executor_id)
             self.orders.start(run, ticket.value if ticket else "")
--- a/gypsumring/pipelines/state.py
+++ b/gypsumring/pipelines/state.py
@@ -50,6 +50,7 @@
     __slots__ = (
         "answered_at",
         "attempt",
+        "checkpoint_at",
         "executor_id",
         "has_begun",
         "index",
@@ -97,6 +98,8 @@
         # Permitted speed of a task with ``fills``, in percent.
         self.pace = 100
         self.progress_at = now
+        # Time at which a new checkpoint of this attempt was first listed.
+        self.checkpoint_at: float | None = None
 
     def log_fields(self) -> dict[str, object]:
         """Return the log fields that identify the attempt."""
@@ -124,6 +127,7 @@
         "earliest_start_at",
         "exceeds_reservation_limit",
         "failures",
+        "interrupted",
         "job",
         "next_policy_call_at",
         "number",
@@ -141,6 +145,7 @@
         "states",
         "suspects",
         "tickets",
+        "tickets_needed_until",
         "uncertain",
         "waiting_since",
         "withheld",
@@ -186,6 +191,9 @@
         self.queried: set[str] = set()
         self.allowed: set[str] = set()
         self.tickets: dict[str, Ticket] = {}
+        # Time up to which the tickets of reserved executors have to be valid, since
+        # capacity is then released for the step.
+        self.tickets_needed_until = 0.0
         # Number of policy service calls in flight.
         self.policy_calls_in_flight = 0
         # Time at which the cap of its account first kept the step from starting.
@@ -203,6 +211,8 @@
         # Set if the reservation limit excludes this gang; no later gang may then
         # reserve ahead of it.
         self.exceeds_reservation_limit = False
+        # Times at which tasks were stopped for other steps, until they start again.
+        self.interrupted: dict[int, float] = {}
 
     @property
     def name(self) -> str:
@@ -237,6 +247,7 @@
         self.uncertain.discard(index)
         self.checkpoints.pop(index, None)
         self.suspects.pop(index, None)
+        self.interrupted.pop(index, None)
         self.done_count += 1
         return True
 
