--- a/gypsumring/dispatch/tests/test_backlog.py
+++ b/gypsumring/dispatch/tests/test_backlog.py
@@ -108,4 +108,14 @@
     ]
 
 
+def test_steps_with_stopped_tasks_are_first_within_their_rank():
+    # Without it a stopped task whose job has missed its target waits behind all others.
+    backlog = Backlog(lambda job: QUEUE)
+    early, late = make_step("a" * 16, 0.0), make_step("b" * 16, 99.0)
+    backlog.refresh([early, late], 100.0)
+    assert [step for step, _ in backlog.order([early, late], 100.0)] == [late, early]
+    early.interrupted[0] = 99.5
+    assert [step for step, _ in backlog.order([early, late], 100.0)] == [early, late]
+
+
 load_tests = make_load_tests(globals())
--- a/gypsumring/dispatch/tests/test_placing.py
+++ b/gypsumring/dispatch/tests/test_placing.py
@@ -101,4 +101,11 @@
     )
 
 
+def test_stopped_tasks_are_placed_first():
+    step = make_step(task_count=4, cpu_millis=8_000)
+    step.interrupted[2] = 0.0
+    placements = place_step(step, make_fleet(2), 1.0, 0.0)
+    assert [placement.index for placement in placements] == [2, 0]
+
+
 load_tests = make_load_tests(globals())
--- a/gypsumring/dispatch/tests/test_reserving.py
+++ b/gypsumring/dispatch/tests/test_reserving.py
@@ -83,6 +83,16 @@
     ] * 8
 
 
+def test_work_beyond_the_rate_does_not_use_reserved_executors():
+    # A stopped task of such work would take back the capacity released for a gang.
+    fleet = make_fleet(4)
+    large = make_waiting_step(fleet, job_id="b" * 16, task_count=1)
+    reserved = reserve_executors([(large, BULK)], fleet, 1.0, 1.0)
+    (reservation,) = reserved.values()
+    assert not reservation.admits(make_step(beyond_rate=True), URGENT.priority)
+    assert reservation.admits(make_step(), URGENT.priority)
+
+
 def test_gang_reserves_as_many_executors_as_its_members_need():
     fleet = make_fleet(8)
     gang = make_waiting_step(fleet, task_count=2, gang=True)
