Consider fewer steps for preemption in one pass

Each waiting step was planned in each evaluation of the fleet, and all options on all its executors were computed. Options are now computed as they are needed, a step without a plan waits 0.3 s, and steps of the largest rank are not considered.

--- a/gypsumring/cell/preemption.py
+++ b/gypsumring/cell/preemption.py
@@ -43,8 +43,10 @@
 # Time within which a step has to get its tickets, and time before the next attempt.
 PREPARATION_S = 1.0
 RETRY_DELAY_S = 1.0
-# Maximum number of steps that are considered in one pass.
-MAX_STEPS_PER_PASS = 20
+# Maximum number of steps that are considered in one pass, and time after which a step
+# is considered again for which nothing can be stopped.
+MAX_STEPS_PER_PASS = 10
+REPLAN_DELAY_S = 0.3
 
 
 class PreemptionMode(enum.StrEnum):
@@ -157,6 +159,8 @@
         if not self.is_enabled() or not self.may_start():
             self.holds.clear()
             return
+        if not any(self.is_due(step, now) for step, _ in steps):
+            return
         current = PreemptionPass(fleet, reserved, now)
         self.find_yielding(current, shares)
         largest_rank = max(
@@ -167,14 +171,17 @@
         for step, queue in steps:
             rank = shares.rank(step.job.spec, queue.priority)
             has_victims = largest_rank is not None and rank < largest_rank
-            if step not in self.holds and not has_victims:
-                continue
-            if not is_preemption_due(step, now) or now < self.retry_at.get(step, 0.0):
-                continue
-            considered += 1
-            if considered > MAX_STEPS_PER_PASS:
+            if not has_victims and not self.holds:
+                break
+            if (has_victims or step in self.holds) and self.is_due(step, now):
+                considered += 1
+                self.evaluate_step(step, queue, rank, current)
+            if considered == MAX_STEPS_PER_PASS:
                 break
-            self.evaluate_step(step, queue, rank, current)
+
+    def is_due(self, step: Step, now: float) -> bool:
+        """Return whether tasks may be stopped for a step now."""
+        return is_preemption_due(step, now) and now >= self.retry_at.get(step, 0.0)
 
     def forget_past(self, now: float) -> None:
         """Discard stops that have ended, and holds of steps that no longer wait."""
@@ -204,10 +211,18 @@
             run.executor_id for run, stop in self.stops.items() if stop.deadline < now
         }
 
+        ranks: dict[tuple[str, str, bool], Rank] = {}
+
         def rank(run: Run) -> Rank:
             """Return the rank of the job of an attempt."""
             job = run.step.job
-            return shares.rank(job.spec, self.state.find_queue(job).priority)
+            spec = job.spec
+            key = (spec.queue, spec.account, spec.beyond_rate)
+            found = ranks.get(key)
+            if found is None:
+                priority = self.state.find_queue(job).priority
+                found = ranks[key] = shares.rank(spec, priority)
+            return found
 
         for executor in current.fleet:
             if not executor.is_unresponsive:
@@ -244,6 +259,7 @@
         hold = self.holds.get(step)
         if plan is None or not (plan.victims or hold):
             self.holds.pop(step, None)
+            self.retry_at[step] = now + REPLAN_DELAY_S
             return
         if hold is not None and hold.until < now:
             self.give_up(step, hold, now)
--- a/gypsumring/dispatch/preempting.py
+++ b/gypsumring/dispatch/preempting.py
@@ -6,7 +6,7 @@
 """
 
 import heapq
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Iterator
 
 from gypsumring.dispatch.gang_capacity import drop_avoided, get_avoided
 from gypsumring.dispatch.openings import estimate_end
@@ -88,8 +88,8 @@
                 accelerators += run.step.spec.accelerators
         return min(self.limit, count_fitting(self.spec, cpu, memory, accelerators))
 
-    def list_options(self, rank: Rank) -> "list[Option]":
-        """Return the cheapest victims found for each larger number of tasks.
+    def list_options(self, rank: Rank) -> "Iterator[Option]":
+        """Yield the cheapest victims found for each larger number of tasks.
 
         Only attempts that yield to ``rank`` are chosen.
         """
@@ -97,7 +97,6 @@
         ordered.sort(key=loss_per_core)
         task_capacity = self.count_tasks(())
         most = self.count_tasks(row.run for row in ordered)
-        options: list[Option] = []
         while task_capacity < most:
             chosen: list[YieldingRun] = []
             for row in ordered:
@@ -106,8 +105,7 @@
                     break
             chosen = self.drop_unneeded(chosen, task_capacity + 1)
             task_capacity = self.count_tasks(row.run for row in chosen)
-            options.append(Option(task_capacity, chosen))
-        return options
+            yield Option(task_capacity, chosen)
 
     def drop_unneeded(
         self, chosen: list[YieldingRun], task_capacity: int
@@ -157,23 +155,23 @@
 def is_preemption_due(step: Step, now: float) -> bool:
     """Return whether a step has waited so long that others may be stopped for it."""
     spec = step.spec
-    if not step.is_ready or step.waiting_since is None or spec.fills:
+    delay_s = GANG_DELAY_S if spec.gang else TASK_DELAY_S
+    if step.waiting_since is None or now - step.waiting_since < delay_s:
         return False
-    if step.suspects or (spec.gang and step.runs):
+    if spec.fills or step.suspects or (spec.gang and step.runs):
         return False
-    delay_s = GANG_DELAY_S if spec.gang else TASK_DELAY_S
-    return now - step.waiting_since >= delay_s
+    return step.is_ready
 
 
 def may_be_preempted(run: Run, now: float) -> bool:
     """Return whether an attempt runs and has a recent checkpoint to resume from."""
+    if run.checkpoint_at is None or run.state is not RunState.RUNNING:
+        return False
     spec = run.step.spec
     return (
-        run.state is RunState.RUNNING
-        and spec.checkpointing
+        spec.checkpointing
         and not (spec.gang or spec.long_running or spec.fills)
         and not spec.disruption_budget
-        and run.checkpoint_at is not None
         and now - run.checkpoint_at <= MAX_CHECKPOINT_AGE_S
     )
 
@@ -336,24 +334,26 @@
     max_victims: int,
 ) -> dict[Candidate, Option]:
     """Choose victims executor by executor, by the lost work for each further task."""
-    heap: list[tuple[float, int, int, Candidate, list[Option]]] = []
+    heap: list[tuple[float, int, Option, Candidate, Iterator[Option]]] = []
 
-    def push(number: int, row: Candidate, options: list[Option], level: int) -> None:
+    def push(
+        number: int, row: Candidate, before: Option, options: Iterator[Option]
+    ) -> None:
         """Add the next option of an executor, if it has one."""
-        if level < len(options):
-            option = options[level]
-            before = options[level - 1] if level else Option(available[row], [])
+        option = next(options, None)
+        if option is not None:
             added = option.task_capacity - before.task_capacity
             cost = (option.lost_core_s - before.lost_core_s) / added
-            heapq.heappush(heap, (cost, number, level, row, options))
+            heapq.heappush(heap, (cost, number, option, row, options))
 
     for number, candidate in enumerate(candidates):
-        push(number, candidate, candidate.list_options(rank), 0)
+        nothing = Option(available[candidate], [])
+        push(number, candidate, nothing, candidate.list_options(rank))
     chosen: dict[Candidate, Option] = {}
     victim_count = gained = 0
     while heap and gained < missing:
-        _, number, level, row, options = heapq.heappop(heap)
-        option, before = options[level], chosen.get(row)
+        _, number, option, row, options = heapq.heappop(heap)
+        before = chosen.get(row)
         added = len(option.victims) - (len(before.victims) if before else 0)
         if victim_count + added > max_victims:
             continue
@@ -361,7 +361,7 @@
         gained += option.task_capacity
         gained -= before.task_capacity if before else available[row]
         chosen[row] = option
-        push(number, row, options, level + 1)
+        push(number, row, option, options)
     return chosen
 
 
