--- a/gypsumring/settings/tests/test_loader.py
+++ b/gypsumring/settings/tests/test_loader.py
@@ -8,7 +8,7 @@
 import msgspec
 
 from gypsumring.settings import CommandSettings, SettingsError, load_settings
-from gypsumring.settings.node import PeerPorts
+from gypsumring.settings.node import NodeSettings, PeerPorts
 from gypsumring.utils.testing import make_load_tests
 
 load_tests = make_load_tests(globals())
@@ -33,6 +33,31 @@
     raise AssertionError("the settings were accepted")
 
 
+def test_preemption_of_a_node_is_checked():
+    """Guard against a misspelt value that would leave the default in force."""
+    content = {
+        "node": "n",
+        "data_centre": "d",
+        "region": "r",
+        "caller_address": "127.0.0.1:1",
+        "readiness_address": "127.0.0.1:2",
+        "peer_host": "h",
+        "peer_ports": [3],
+        "store": {"address": "127.0.0.1:4"},
+        "bounds": {"longest_lease_ms": 1000},
+    }
+    with temporary_settings_file(json.dumps(content).encode()) as path:
+        assert load_settings(path, NodeSettings).preemption == "accounts"
+    content["preemption"] = "of"
+    with temporary_settings_file(json.dumps(content).encode()) as path:
+        try:
+            load_settings(path, NodeSettings)
+        except SettingsError as error:
+            assert "$.preemption" in str(error)
+        else:
+            raise AssertionError("the settings were accepted")
+
+
 def test_valid_settings_are_loaded():
     """Guard against a loader that drops fields."""
     content = json.dumps({"gateways": ["http://127.0.0.1:1"], "team": "marea"})
