Let the benchmark of decisions run again

The scheduler reviews the suspects of crashes since the tasks that crash executors are kept apart; the benchmark's stand-in of the orders had no such record, so that the topic ended with an AttributeError. The stand-in now has one without crashes.

--- a/benchmarks/decisions.py
+++ b/benchmarks/decisions.py
@@ -59,12 +59,22 @@
         """Ignore a task."""
 
 
+class NoCrashes:
+    """Take the place of the record of crashes, of which there are none."""
+
+    __slots__ = ()
+
+    def review_suspects(self) -> None:
+        """Review nothing."""
+
+
 class NotedOrders:
     """Take the place of orders; starts are counted."""
 
-    __slots__ = ("running",)
+    __slots__ = ("crashes", "running")
 
     def __init__(self):
+        self.crashes = NoCrashes()
         self.running: list[Run] = []
 
     def start(self, run: Run, ticket: str) -> None:
