Learn the speed of executors by comparison of the same kinds of work

Cause: the moving average of run time by estimate over all work took an executor for slow after one task of seven times the usual length, and after work with low estimates. Change: ratios of time to estimate are kept by kind of work (queue, step, image); an executor's slowness is the median of its ratios against those of the same kinds on other executors, drawn towards the usual by their number and spread. Placement and the forecast of capacity use it in place of health.slowdown. test_openings passes expected run times instead of ratios to estimate_end; what it demands is the same.

--- a/gypsumring/cell/executor_polling.py
+++ b/gypsumring/cell/executor_polling.py
@@ -56,7 +56,9 @@
 
     def add(self, entry: ExecutorEntry, inherited: bool) -> ExecutorState:
         """Start polling an executor; an inherited one may already run tasks."""
-        executor = ExecutorState(entry, self.state.clock(), self.state.usage)
+        executor = ExecutorState(
+            entry, self.state.clock(), self.state.usage, self.state.knowledge
+        )
         # An evicted executor that returns still lists its ends.
         executor.may_list_lapsed_ends = not inherited
         self.state.fleet[entry.executor_id] = executor
--- a/gypsumring/cell/lists.py
+++ b/gypsumring/cell/lists.py
@@ -2,6 +2,7 @@
 
 import anyio
 
+from gypsumring.cell.observation import RunObserver
 from gypsumring.cell.orders import Orders
 from gypsumring.cell.state import CellState
 from gypsumring.fleet import MAX_ORDER_DELAY_S, ExecutorState
@@ -27,11 +28,12 @@
 class TaskListReader:
     """Updater of jobs and executors from the task lists in an executor's answer."""
 
-    __slots__ = ("orders", "state")
+    __slots__ = ("observer", "orders", "state")
 
     def __init__(self, state: CellState, orders: Orders):
         self.state = state
         self.orders = orders
+        self.observer = RunObserver(state)
 
     def release_all(self, executor: ExecutorState, reason: str) -> None:
         """Release all attempts that are recorded on an executor."""
@@ -201,6 +203,7 @@
             elif requested_at - run.progress_at > stall_timeout_s(run):
                 self.stop_stalled(executor, run)
             run.load = listed.load
+            self.observer.record_progress(run, listed.percent, executor.clock_ms)
             run.step.save_checkpoint(run.index, listed.checkpoint)
 
     def stop_stalled(self, executor: ExecutorState, run: Run) -> None:
@@ -270,10 +273,9 @@
 
     def update_health(self, executor: ExecutorState, run: Run, outcome: str) -> None:
         """Update the health of an executor after the end of an attempt."""
-        now = anyio.current_time()
         if outcome == "done":
-            expected_s = run.step.spec.estimated_ms / 1000
-            executor.health.record_success(now - run.started_at, expected_s)
+            executor.health.record_success()
+            self.observer.record_done(executor, run)
         elif outcome == "failed":
             clock = self.state.clock()
             executor.health.record_failure(clock)
--- a/gypsumring/cell/state.py
+++ b/gypsumring/cell/state.py
@@ -10,7 +10,7 @@
 from gypsumring.cell.authority import Authority
 from gypsumring.cell.journal import Journal
 from gypsumring.cell.queues import QueueRegistry
-from gypsumring.fleet import ExecutorState
+from gypsumring.fleet import ExecutorState, FleetKnowledge
 from gypsumring.metrics import Metrics
 from gypsumring.pipelines import DesiredState, Job, JobTable, Queue, Run, encode
 from gypsumring.ports.tasks import TaskExecutor
@@ -77,6 +77,7 @@
         "group",
         "inherited_lease_s",
         "journal",
+        "knowledge",
         "longest_durable_lease_ms",
         "metrics",
         "owned_since",
@@ -117,6 +118,8 @@
         self.fleet: dict[str, ExecutorState] = {}
         # What each client account has running on all executors.
         self.usage = AccountUsage()
+        # What was learned about executors and kinds of work, lost with the owner.
+        self.knowledge = FleetKnowledge()
         self.clients: dict[str, TaskExecutor] = {}
         # Executors with capacity that was released since the last evaluation.
         self.freed_executors: set[str] = set()
--- a/gypsumring/dispatch/openings.py
+++ b/gypsumring/dispatch/openings.py
@@ -12,13 +12,9 @@
 OVERRUN_SHARE = 0.25
 
 
-def estimate_end(run: Run, slowdown: float, now: float) -> float:
-    """Return the expected end of an attempt.
-
-    ``slowdown`` is the ratio of run times to estimates on its executor.
-    """
+def estimate_end(run: Run, expected_s: float, now: float) -> float:
+    """Return the expected end of an attempt with an expected run time."""
     ran_s = now - run.started_at
-    expected_s = slowdown * run.step.spec.estimated_ms / 1000
     return now + max(expected_s - ran_s, OVERRUN_SHARE * ran_s)
 
 
@@ -37,10 +33,9 @@
     cpu = executor.free_cpu_millis()
     memory = executor.entry.memory_mb - executor.used_memory
     accelerators = executor.entry.accelerators - executor.used_accelerators
-    slowdown = executor.health.slowdown
     ends = sorted(
         (
-            (estimate_end(run, slowdown, now), run)
+            (estimate_end(run, executor.expected_run_s(run.step), now), run)
             for run in executor.runs.values()
             if not run.step.spec.long_running
         ),
--- a/gypsumring/dispatch/placing.py
+++ b/gypsumring/dispatch/placing.py
@@ -75,7 +75,7 @@
         executor.executor_id in occupied,
         executor.health.is_suspect(),
         bool(data_rack) and data_rack not in executor.entry.labels,
-        round(executor.health.slowdown * 4),
+        executor.profile.speed_class,
         executor.free_cpu_millis(),
         executor.executor_id,
     )
--- a/gypsumring/dispatch/tests/test_openings.py
+++ b/gypsumring/dispatch/tests/test_openings.py
@@ -48,9 +48,9 @@
 def test_overrunning_attempt_is_expected_to_run_for_a_share_of_its_time():
     executor = make_executor("i-0")
     run = run_task(executor, 0.0, 2000)
-    assert estimate_end(run, 1.0, 1.0) == 2.0
-    assert estimate_end(run, 1.5, 1.0) == 3.0
-    assert estimate_end(run, 1.0, 4.0) == 5.0
+    assert estimate_end(run, 2.0, 1.0) == 2.0
+    assert estimate_end(run, 3.0, 1.0) == 3.0
+    assert estimate_end(run, 2.0, 4.0) == 5.0
 
 
 load_tests = make_load_tests(globals())
--- a/gypsumring/dispatch/tests/test_placing.py
+++ b/gypsumring/dispatch/tests/test_placing.py
@@ -7,6 +7,7 @@
 from gypsumring.dispatch import place_step
 from gypsumring.dispatch.placing import has_label
 from gypsumring.dispatch.tests.fleets import make_executor, make_fleet, make_step
+from gypsumring.fleet.runtimes import Evidence
 from gypsumring.utils.testing import make_load_tests
 
 
@@ -101,4 +102,29 @@
     )
 
 
+def make_slow(executor):
+    """Let comparisons show that an executor takes twice as long as others."""
+    for _ in range(30):
+        executor.profile.add(0.7, 20.0)
+
+
+def test_slow_executor_is_used_last_and_not_left_idle():
+    fleet = make_fleet(2)
+    make_slow(fleet[0])
+    assert place(make_step(task_count=1), fleet) == {"i-1": 1}
+    fleet[1].used_cpu = 8000
+    assert place(make_step(task_count=1), fleet) == {"i-0": 1}
+
+
+# A kind of work with low estimates made each executor that ran it look slow, and the
+# next steps avoided it.
+def test_low_estimates_do_not_change_the_order_of_equal_executors():
+    fleet = make_fleet(2)
+    step = make_step(task_count=1)
+    for _ in range(30):
+        fleet[0].knowledge.learn(fleet[0].profile, step.kind, Evidence.END, 1.0)
+    fleet[0].used_cpu = 1000
+    assert place(step, fleet) == {"i-0": 1}
+
+
 load_tests = make_load_tests(globals())
--- a/gypsumring/fleet/__init__.py
+++ b/gypsumring/fleet/__init__.py
@@ -8,12 +8,16 @@
     ExecutorState,
 )
 from gypsumring.fleet.health import ExecutorHealth
+from gypsumring.fleet.knowledge import FleetKnowledge
+from gypsumring.fleet.profiles import ExecutorProfile
 
 __all__ = [
     "CONTACT_TIMEOUT_S",
     "ExecutorEntry",
     "ExecutorHealth",
+    "ExecutorProfile",
     "ExecutorState",
+    "FleetKnowledge",
     "InvalidEntry",
     "MAX_ORDER_DELAY_S",
 ]
--- a/gypsumring/fleet/executor.py
+++ b/gypsumring/fleet/executor.py
@@ -5,8 +5,10 @@
 
 from gypsumring.accounts import AccountUsage, Resources
 from gypsumring.fleet.health import ExecutorHealth
+from gypsumring.fleet.knowledge import FleetKnowledge
+from gypsumring.fleet.profiles import ExecutorProfile
 from gypsumring.pipelines.model import StepSpec
-from gypsumring.pipelines.state import Run
+from gypsumring.pipelines.state import Run, Step
 
 __all__ = ["CONTACT_TIMEOUT_S", "ExecutorEntry", "ExecutorState", "MAX_ORDER_DELAY_S"]
 
@@ -66,8 +68,10 @@
         "listed",
         "is_release_pending",
         "is_unconfirmed",
+        "knowledge",
         "may_leave_at",
         "may_list_lapsed_ends",
+        "profile",
         "runs",
         "runs_were_released",
         "starts_to_block",
@@ -83,9 +87,16 @@
     )
 
     def __init__(
-        self, entry: ExecutorEntry, now: float, usage: AccountUsage | None = None
+        self,
+        entry: ExecutorEntry,
+        now: float,
+        usage: AccountUsage | None = None,
+        knowledge: FleetKnowledge | None = None,
     ):
         self.entry = entry
+        # What was learned about the cell's work, shared by all executors.
+        self.knowledge = FleetKnowledge() if knowledge is None else knowledge
+        self.profile = ExecutorProfile()
         # Count of what client accounts have running, shared by all executors.
         self.usage = AccountUsage() if usage is None else usage
         self.listed = True
@@ -134,6 +145,7 @@
         executor reports its tasks, and ``lease_until_ms`` has to be the end of the
         longest lease that the new incarnation grants.
         """
+        self.profile = self.profile.next_life()
         self.born_ms = born_ms
         self.clock_ms = 0
         self.clock_read_at = 0.0
@@ -245,6 +257,11 @@
         """Rack of the executor, which is its last label."""
         return self.entry.labels[-1] if self.entry.labels else ""
 
+    def expected_run_s(self, step: Step) -> float:
+        """Return the expected run time of a task of a step on the executor."""
+        ratio = self.knowledge.runtimes.expected_ratio(step.kind)
+        return self.profile.slowness * ratio * step.spec.estimated_ms / 1000
+
     def has_current_entry(self) -> bool:
         """Return whether the entry is of the incarnation that reported its tasks.
 
--- a/gypsumring/fleet/health.py
+++ b/gypsumring/fleet/health.py
@@ -10,12 +10,10 @@
 # up to the maximum.
 INITIAL_BACKOFF_S = 1.0
 MAX_BACKOFF_S = 8.0
-# Weight of the latest sample in the moving average of the slowdown.
-SLOWDOWN_WEIGHT = 0.3
 
 
 class ExecutorHealth:
-    """Failures, refusals and speed of one executor.
+    """Failures and refusals of one executor.
 
     The failure count survives a quarantine, so that the next task acts as a probe: one
     more failure starts a longer quarantine. Likewise, the refusal count survives a
@@ -29,7 +27,6 @@
         "quarantined_until",
         "refusals",
         "refused_at",
-        "slowdown",
     )
 
     def __init__(self):
@@ -41,16 +38,11 @@
         self.refusals = 0
         self.refused_at = float("-inf")
         self.backoff_until = 0.0
-        # Moving average of the ratio of run time to estimate.
-        self.slowdown = 1.0
 
-    def record_success(self, run_s: float, expected_s: float) -> None:
+    def record_success(self) -> None:
         """Record a task that succeeded."""
         self.failures = 0
         self.next_quarantine_s = INITIAL_QUARANTINE_S
-        if expected_s > 0:
-            ratio = min(run_s / expected_s, 20.0)
-            self.slowdown += SLOWDOWN_WEIGHT * (ratio - self.slowdown)
 
     def record_failure(self, now: float) -> None:
         """Record a failed task; repeated failures start a quarantine."""
--- a/gypsumring/pipelines/model.py
+++ b/gypsumring/pipelines/model.py
@@ -2,6 +2,7 @@
 
 import enum
 import re
+from typing import NamedTuple
 
 import msgspec
 
@@ -18,6 +19,7 @@
     "Queue",
     "ServicePool",
     "StepSpec",
+    "WorkKind",
     "check_pipeline",
     "format_task",
     "parse_task",
@@ -73,6 +75,14 @@
     disruption_budget: int = 0
 
 
+class WorkKind(NamedTuple):
+    """Kind of work: steps of the same kind take similar times and resources."""
+
+    queue: str
+    step: int
+    image: str
+
+
 class PipelineSpec(msgspec.Struct, frozen=True, omit_defaults=True, kw_only=True):
     """Specification of an accepted job.
 
--- a/gypsumring/pipelines/state.py
+++ b/gypsumring/pipelines/state.py
@@ -9,6 +9,7 @@
     JobPhase,
     PipelineSpec,
     StepSpec,
+    WorkKind,
     format_task,
 )
 from gypsumring.pipelines.records import Progress, StepProgress
@@ -52,12 +53,15 @@
         "attempt",
         "executor_id",
         "has_begun",
+        "has_full_time",
         "index",
         "is_release_pending",
         "load",
         "pace",
         "percent",
         "progress_at",
+        "progress_began",
+        "progress_latest",
         "rack",
         "ran_under_this_owner",
         "start_sent_by",
@@ -97,6 +101,13 @@
         # Permitted speed of a task with ``fills``, in percent.
         self.pace = 100
         self.progress_at = now
+        # First and latest progress below 100% in percent, with the executor's clock in
+        # milliseconds.
+        self.progress_began: tuple[float, int] | None = None
+        self.progress_latest: tuple[float, int] | None = None
+        # Whether the time since ``started_at`` is that of the whole task: neither an
+        # earlier owner nor an earlier attempt did part of its work.
+        self.has_full_time = not step.checkpoint_of(index)
 
     def log_fields(self) -> dict[str, object]:
         """Return the log fields that identify the attempt."""
@@ -124,6 +135,7 @@
         "exceeds_reservation_limit",
         "failures",
         "job",
+        "kind",
         "next_policy_call_at",
         "number",
         "occurrence",
@@ -157,6 +169,7 @@
         self.occurrence = occurrence
         self.number = number
         self.spec = spec
+        self.kind = WorkKind(job.spec.queue, number, spec.image)
         self.predecessors = predecessors
         # Scheduled start of the occurrence; None for other jobs, whose waiting time
         # counts from acceptance.
--- a/gypsumring/pipelines/table.py
+++ b/gypsumring/pipelines/table.py
@@ -133,6 +133,7 @@
         run.state = RunState.RUNNING
         run.has_begun = True
         run.ran_under_this_owner = running
+        run.has_full_time = False
         if running:
             step.mark_found(index)
         run.answered_at = now
