Learn which kinds of work slow which others down on one executor

Change: the log of actual by expected time of each run is set against the share of its time for which each other kind of work ran beside it, within strata of load; for serving tasks, the tail latency by target. The expected time includes the executor's speed, known effects are taken out of the speeds, samples halve after 300 s, memory is bounded. Pairs are logged when found and forgotten. The usual machine of the speeds is now the fleet's median, since comparisons alone let all drift together.

--- a/gypsumring/cell/lists.py
+++ b/gypsumring/cell/lists.py
@@ -203,7 +203,9 @@
             elif requested_at - run.progress_at > stall_timeout_s(run):
                 self.stop_stalled(executor, run)
             run.load = listed.load
-            self.observer.record_progress(run, listed.percent, executor.clock_ms)
+            self.observer.record_listed(
+                executor, run, listed.percent, executor.clock_ms
+            )
             run.step.save_checkpoint(run.index, listed.checkpoint)
 
     def stop_stalled(self, executor: ExecutorState, run: Run) -> None:
@@ -273,9 +275,9 @@
 
     def update_health(self, executor: ExecutorState, run: Run, outcome: str) -> None:
         """Update the health of an executor after the end of an attempt."""
+        self.observer.record_ended(executor, run, outcome == "done")
         if outcome == "done":
             executor.health.record_success()
-            self.observer.record_done(executor, run)
         elif outcome == "failed":
             clock = self.state.clock()
             executor.health.record_failure(clock)
--- a/gypsumring/cell/owner.py
+++ b/gypsumring/cell/owner.py
@@ -18,6 +18,7 @@
 from gypsumring.cell.exceptions import OwnershipLost
 from gypsumring.cell.executor_polling import ExecutorPoller
 from gypsumring.cell.journal import Journal
+from gypsumring.cell.observation import measure_knowledge
 from gypsumring.cell.orders import Orders
 from gypsumring.cell.pacing import Pacer
 from gypsumring.cell.queues import QUEUE_KEY
@@ -212,6 +213,7 @@
             ),
             "cell.journal.waiting": len(state.journal.queue),
             "cell.journal.unanswered_s": state.journal.unanswered_s(),
+            **measure_knowledge(state),
             **self.wait_monitor.measure(),
         }
 
--- a/gypsumring/cell/scheduling.py
+++ b/gypsumring/cell/scheduling.py
@@ -5,6 +5,7 @@
 import anyio
 
 from gypsumring.accounts import Resources
+from gypsumring.cell.observation import review_knowledge
 from gypsumring.cell.orders import Orders
 from gypsumring.cell.policy_client import (
     TICKET_MARGIN_S,
@@ -142,6 +143,7 @@
         """Evacuate draining executors, and reserve others for large tasks."""
         self.accepting_executors = {}
         self.orders.crashes.review_suspects()
+        review_knowledge(self.state, now)
         fleet = self.list_enrolled()
         for executor in fleet:
             if executor.entry.draining:
--- a/gypsumring/dispatch/tests/test_placing.py
+++ b/gypsumring/dispatch/tests/test_placing.py
@@ -122,7 +122,9 @@
     fleet = make_fleet(2)
     step = make_step(task_count=1)
     for _ in range(30):
-        fleet[0].knowledge.learn(fleet[0].profile, step.kind, Evidence.END, 1.0)
+        fleet[0].knowledge.learn(
+            fleet[0].profile, step.kind, {Evidence.END: 1.0}, {}, 0.0, 0.0
+        )
     fleet[0].used_cpu = 1000
     assert place(step, fleet) == {"i-0": 1}
 
--- a/gypsumring/fleet/executor.py
+++ b/gypsumring/fleet/executor.py
@@ -1,5 +1,7 @@
 """State of one executor: registration, clock, lease and running attempts."""
 
+from collections import deque
+
 import anyio
 import msgspec
 
@@ -20,6 +22,8 @@
 CONTACT_TIMEOUT_S = 1.6
 # Time for which an order without a response may still be carried out.
 MAX_ORDER_DELAY_S = 13.0
+# Attempts that have ended lately, kept as neighbours of those that still run.
+MAX_RECENT_RUNS = 64
 
 
 class ExecutorEntry(msgspec.Struct, frozen=True, kw_only=True, omit_defaults=True):
@@ -72,6 +76,7 @@
         "may_leave_at",
         "may_list_lapsed_ends",
         "profile",
+        "recent_runs",
         "runs",
         "runs_were_released",
         "starts_to_block",
@@ -97,6 +102,8 @@
         # What was learned about the cell's work, shared by all executors.
         self.knowledge = FleetKnowledge() if knowledge is None else knowledge
         self.profile = ExecutorProfile()
+        # Attempts that ended lately, with the time of their end.
+        self.recent_runs: deque[tuple[Run, float]] = deque(maxlen=MAX_RECENT_RUNS)
         # Count of what client accounts have running, shared by all executors.
         self.usage = AccountUsage() if usage is None else usage
         self.listed = True
--- a/gypsumring/fleet/profiles.py
+++ b/gypsumring/fleet/profiles.py
@@ -1,9 +1,11 @@
 """Speed of an executor, by comparison with others that ran the same kinds of work."""
 
 import math
+import statistics
 from collections import deque
+from collections.abc import Iterable
 
-__all__ = ["ExecutorProfile"]
+__all__ = ["ExecutorProfile", "center_profiles"]
 
 # Samples kept for one executor.
 MAX_SAMPLES = 64
@@ -20,6 +22,10 @@
 KEPT_SHARE = 0.5
 # Width of the speed classes of placement, as log slowness.
 CLASS_WIDTH = 0.5
+# The usual machine is adjusted from this difference on, by at most this much at a time.
+MIN_SHIFT = 0.04
+# Machines that the median needs.
+MIN_COMPARED = 3
 
 
 class ExecutorProfile:
@@ -57,7 +63,19 @@
             self.log_slowness += share * (median - self.expected)
         self.slowness = math.exp(self.log_slowness)
         # Class 0 holds usual machines; slower ones have higher numbers.
-        self.speed_class = round(self.log_slowness / CLASS_WIDTH)
+        self.speed_class = self.class_with(0.0)
+
+    def class_with(self, effect: float) -> int:
+        """Return the speed class of work that takes longer by a log factor."""
+        return round((self.log_slowness + effect) / CLASS_WIDTH)
+
+    def shift(self, log_slowness: float) -> None:
+        """Express all comparisons against a machine that is slower by a log factor."""
+        self.samples = deque(
+            ((value - log_slowness, weight) for value, weight in self.samples),
+            maxlen=MAX_SAMPLES,
+        )
+        self.update()
 
     def next_life(self) -> "ExecutorProfile":
         """Return the profile with which the next life of the executor begins.
@@ -67,6 +85,21 @@
         return ExecutorProfile(KEPT_SHARE * self.log_slowness)
 
 
+def center_profiles(profiles: Iterable[ExecutorProfile]) -> None:
+    """Let the median of the compared machines be the usual machine, in small steps.
+
+    Comparisons are relative, so that the slowness of all machines may drift together.
+    """
+    compared = [profile for profile in profiles if profile.samples]
+    if len(compared) < MIN_COMPARED:
+        return
+    median = statistics.median(profile.log_slowness for profile in compared)
+    if abs(median) < MIN_SHIFT:
+        return
+    for profile in compared:
+        profile.shift(math.copysign(MIN_SHIFT, median))
+
+
 def weighted_median(samples: list[tuple[float, float]]) -> float:
     """Return the median of sorted values, each with a positive weight."""
     half = sum(weight for _, weight in samples) / 2
--- a/gypsumring/fleet/runtimes.py
+++ b/gypsumring/fleet/runtimes.py
@@ -13,6 +13,8 @@
 # Samples kept for one kind of work, and kinds kept at most.
 WINDOW_SAMPLES = 128
 MAX_WINDOWS = 512
+# Samples after which a full window is evaluated anew; a new one is evaluated at once.
+UPDATE_SAMPLES = 8
 # Samples on other machines that a comparison needs.
 MIN_OTHER_SAMPLES = 4
 # Spread of the log ratios that is assumed before there are samples, the number of
@@ -47,7 +49,7 @@
     work that runs on slow machines only does not count as slow itself.
     """
 
-    __slots__ = ("center", "ratio", "samples", "spread")
+    __slots__ = ("center", "ratio", "samples", "spread", "unread")
 
     def __init__(self):
         self.samples: deque[tuple[float, ExecutorProfile]] = deque(
@@ -58,10 +60,19 @@
         self.spread = ASSUMED_SPREAD
         # Expected ratio of run time to estimate on a usual machine.
         self.ratio = 1.0
+        # Samples that the values above do not include yet.
+        self.unread = 0
 
     def add(self, log_ratio: float, profile: ExecutorProfile) -> None:
-        """Add a sample, and update the median and the spread."""
+        """Add a sample, and update the median and the spread after some of them."""
         self.samples.append((log_ratio, profile))
+        self.unread += 1
+        if self.unread >= min(UPDATE_SAMPLES, len(self.samples) // UPDATE_SAMPLES):
+            self.update()
+
+    def update(self) -> None:
+        """Compute the median, the spread and the expected ratio."""
+        self.unread = 0
         values = [value - machine.log_slowness for value, machine in self.samples]
         self.center = statistics.median(values)
         deviation = statistics.median(abs(value - self.center) for value in values)
--- a/gypsumring/fleet/tests/test_profiles.py
+++ b/gypsumring/fleet/tests/test_profiles.py
@@ -11,7 +11,7 @@
 import statistics
 
 from gypsumring.fleet import ExecutorProfile, FleetKnowledge
-from gypsumring.fleet.profiles import MAX_SAMPLES
+from gypsumring.fleet.profiles import MAX_SAMPLES, center_profiles
 from gypsumring.fleet.runtimes import MAX_WINDOWS, WINDOW_SAMPLES, Evidence
 from gypsumring.pipelines.model import WorkKind
 from gypsumring.utils.testing import make_load_tests
@@ -21,6 +21,11 @@
 LONG_FACTOR = 7.0
 
 
+def learn(knowledge, profile, kind, log_ratio, evidence=Evidence.END):
+    """Learn from a run without neighbours."""
+    knowledge.learn(profile, kind, {evidence: log_ratio}, {}, 0.0, 0.0)
+
+
 class Trial:
     """Learn from runs on executors with given speeds."""
 
@@ -37,7 +42,7 @@
         if self.random.random() < LONG_SHARE:
             ratio *= LONG_FACTOR
         log_ratio = math.log(ratio / self.speeds[number])
-        self.knowledge.learn(self.profiles[number], kind, evidence, log_ratio)
+        learn(self.knowledge, self.profiles[number], kind, log_ratio, evidence)
 
     def run_everywhere(self, rounds, kinds):
         """Run tasks of kinds, given with the factors of their estimates."""
@@ -45,6 +50,7 @@
             for number in range(len(self.speeds)):
                 kind = self.random.choice(list(kinds))
                 self.run(number, kind, kinds[kind])
+            center_profiles(self.profiles)
 
     def relative_errors(self):
         """Return the log errors of the speeds against those of the usual machine."""
@@ -94,12 +100,12 @@
     trial.run_everywhere(32, {make_kind(0): 1.0})
     profile = trial.profiles[0]
     before = profile.slowness
-    trial.knowledge.learn(profile, make_kind(0), Evidence.END, math.log(7.0))
+    learn(trial.knowledge, profile, make_kind(0), math.log(7.0))
     assert profile.speed_class == 0
     assert abs(profile.slowness / before - 1) < 0.05
     # Nor does it if it is the first task of an executor.
     fresh = ExecutorProfile()
-    trial.knowledge.learn(fresh, make_kind(0), Evidence.END, math.log(7.0))
+    learn(trial.knowledge, fresh, make_kind(0), math.log(7.0))
     assert fresh.speed_class == 0
 
 
@@ -118,7 +124,7 @@
 def test_work_that_runs_on_one_executor_only_is_no_comparison():
     knowledge, profile = FleetKnowledge(), ExecutorProfile()
     for _ in range(50):
-        knowledge.learn(profile, make_kind(0), Evidence.END, math.log(3.0))
+        learn(knowledge, profile, make_kind(0), math.log(3.0))
     assert profile.slowness == 1.0
     assert 2.5 < knowledge.runtimes.expected_ratio(make_kind(0)) < 3.1
 
--- a/gypsumring/pipelines/state.py
+++ b/gypsumring/pipelines/state.py
@@ -57,6 +57,7 @@
         "index",
         "is_release_pending",
         "load",
+        "next_tail_at",
         "pace",
         "percent",
         "progress_at",
@@ -98,6 +99,8 @@
         self.rack = ""
         # Tail latency in milliseconds for a serving task, CPU in use for others.
         self.load = 0.0
+        # Time of the next sample of the tail latency.
+        self.next_tail_at = 0.0
         # Permitted speed of a task with ``fills``, in percent.
         self.pace = 100
         self.progress_at = now
