Keep work apart that slows other work down, where there is room

Change: placement adds the known factors between a step and what runs on an executor to the executor's slowness, and takes executors with such a neighbour last within a class of expected time. A kind that slows itself is spread. All executors with room stay candidates, so that nothing waits for it and gangs start as before.

--- a/gypsumring/dispatch/placing.py
+++ b/gypsumring/dispatch/placing.py
@@ -1,6 +1,7 @@
 """Place the tasks of a step on executors."""
 
-from collections.abc import Collection, Iterable
+import bisect
+from collections.abc import Callable, Collection, Iterable
 
 from gypsumring.dispatch.isolation import Isolation
 from gypsumring.fleet import ExecutorState
@@ -67,20 +68,54 @@
     executor: ExecutorState,
     deprioritized: Collection[str],
     occupied: Collection[str] = (),
+    has_same_kind: bool = False,
 ) -> tuple:
-    """Return the sort key of an executor for a step, most preferred first."""
+    """Return the sort key of an executor for a step, most preferred first.
+
+    Executors on which work of the step and its neighbours are known to slow each other
+    down follow those of the same class of speed without such neighbours, or of a slower
+    class if the effect exceeds the difference. ``has_same_kind`` tells that a task of
+    the step's kind is about to start on the executor.
+    """
     data_rack = step.spec.data_rack
+    effect = find_conflict(step, executor, has_same_kind)
+    profile = executor.profile
     return (
         executor.executor_id in deprioritized,
         executor.executor_id in occupied,
         executor.health.is_suspect(),
         bool(data_rack) and data_rack not in executor.entry.labels,
-        executor.profile.speed_class,
+        profile.class_with(effect) if effect else profile.speed_class,
+        bool(effect),
         executor.free_cpu_millis(),
         executor.executor_id,
     )
 
 
+def find_conflict(
+    step: Step, executor: ExecutorState, has_same_kind: bool = False
+) -> float:
+    """Return the log factors by which a step and its neighbours slow each other down.
+
+    Several neighbours of one kind count once.
+    """
+    conflicts = executor.knowledge.interference.conflicts.get(step.kind)
+    if not conflicts:
+        return 0.0
+    kinds = {run.step.kind for run in executor.runs.values()}
+    if has_same_kind:
+        kinds.add(step.kind)
+    return sum(conflicts[kind] for kind in kinds if kind in conflicts)
+
+
+def slows_itself(step: Step, candidates: list[ExecutorState]) -> bool:
+    """Return whether tasks of a step's kind slow each other down."""
+    if not candidates:
+        return False
+    conflicts = candidates[0].knowledge.interference.conflicts.get(step.kind)
+    return bool(conflicts) and step.kind in conflicts
+
+
 def place_step(
     step: Step,
     candidates: list[ExecutorState],
@@ -166,24 +201,33 @@
         executor for executor in candidates if capacity[executor.executor_id]
     ]
     occupied = isolation.occupied if isolation is not None else ()
-    ordered = sorted(
-        with_capacity,
-        key=lambda executor: sort_key(step, executor, deprioritized, occupied),
+    receivers: set[str] = set()
+
+    def rank(executor: ExecutorState) -> tuple:
+        has_same_kind = executor.executor_id in receivers
+        return sort_key(step, executor, deprioritized, occupied, has_same_kind)
+
+    def move_back(executors: list[ExecutorState], executor: ExecutorState) -> None:
+        receivers.add(executor.executor_id)
+        executors.remove(executor)
+        bisect.insort(executors, executor, key=rank)
+
+    on_assigned = move_back if slows_itself(step, candidates) else None
+    ordered = sorted(with_capacity, key=rank)
+    placements = assign(
+        step, ordered, dict(capacity), step.avoided, isolation, on_assigned
     )
-    placements = assign(step, ordered, dict(capacity), step.avoided, isolation)
     if len(placements) == len(step.pending) or not step.avoided:
         return placements
-    ordered = sorted(
-        candidates,
-        key=lambda executor: sort_key(step, executor, deprioritized, occupied),
-    )
+    receivers.clear()
+    ordered = sorted(candidates, key=rank)
     empty_capacity = {
         executor.executor_id: count_fitting_when_empty(step, executor)
         for executor in ordered
     }
     if len(assign(step, ordered, empty_capacity, step.avoided)) == len(step.pending):
         return placements
-    return assign(step, ordered, capacity, {}, isolation)
+    return assign(step, ordered, capacity, {}, isolation, on_assigned)
 
 
 def assign(
@@ -192,10 +236,12 @@
     capacity: dict[str, int],
     avoided_by: dict[int, set[str]],
     isolation: Isolation | None = None,
+    on_assigned: Callable[[list[ExecutorState], ExecutorState], None] | None = None,
 ) -> list[Placement]:
     """Assign each pending task to the first executor with capacity.
 
-    A gang is placed completely or not at all. ``capacity`` is updated.
+    A gang is placed completely or not at all. ``capacity`` is updated. ``on_assigned``
+    may reorder the executors after one has received a task.
     """
     placements = []
     no_executors: set[str] = set()
@@ -221,6 +267,8 @@
             if suspect and suspect.must_run_alone and not step.spec.gang:
                 capacity[executor.executor_id] = 0
             placements.append(Placement(index, executor))
+            if on_assigned is not None:
+                on_assigned(ordered, executor)
         elif step.spec.gang:
             return []
     return placements
