Let trials have uneven executors and work that slows other work down

Change: the stand-in's world may lengthen a task by where it starts; experiments.trial has an uneven fleet (0.55 and 1.2), 2% long tasks and checks that take twice as long beside batch work; the ablation knows the speeds and the keeping apart.

--- a/experiments/ablation.py
+++ b/experiments/ablation.py
@@ -67,6 +67,14 @@
         "health of executors",
         **{"gypsumring.fleet.health:ExecutorHealth.is_quarantined": always(False)},
     ),
+    Mechanism(
+        "speeds of executors",
+        **{"gypsumring.fleet.profiles:ExecutorProfile.add": always(None)},
+    ),
+    Mechanism(
+        "work kept apart",
+        **{"gypsumring.fleet.interference:Interference.record": always(None)},
+    ),
     Mechanism("copies of appends", **{f"{CELL}.journal:MAX_COPIES": 1}),
     Mechanism(
         "frequent copies in an outage",
--- a/experiments/trial.py
+++ b/experiments/trial.py
@@ -1,6 +1,7 @@
 """Run the load model on one cell with faults and measure which jobs meet targets."""
 
 import random
+from collections.abc import Callable
 
 import anyio
 
@@ -9,6 +10,7 @@
 from gypsumring.pipelines import DesiredState, JobPhase, PipelineSpec
 from gypsumring.utils.testing import run_on_mock_clock
 from stand_ins.platform.cluster import MemoryCluster, make_job
+from stand_ins.platform.executor import ExecutorModel
 from stand_ins.platform.world import TaskBehaviour, World
 
 __all__ = ["KindResult", "run_trial"]
@@ -29,6 +31,12 @@
 # ``MAX_LATE_FACTOR`` times its target, and nothing after that.
 LATE_WORTH_SHARE = 0.2
 MAX_LATE_FACTOR = 3.0
+# Speeds of uneven executors by turns, and the share and length of long tasks.
+SPEEDS = (0.55, 1.2, 1.2, 1.2)
+LONG_SHARE = 0.02
+LONG_FACTOR = 7.0
+# Factors by which tasks of one kind take longer beside those of another.
+EFFECTS = {("checks", "batch"): 2.0}
 
 
 class KindResult:
@@ -137,18 +145,51 @@
             node.faults.store_away = False
 
 
+def make_slow_factor(world: World) -> Callable[[ExecutorModel, str], float]:
+    """Return the factors of uneven executors and of tasks that slow others down.
+
+    One executor in four is slow. A task takes longer beside one of another kind.
+    """
+
+    def slow_factor(executor: ExecutorModel, task: str) -> float:
+        number = world.executors.index(executor)
+        factor = 1 / SPEEDS[number % len(SPEEDS)]
+        neighbours = {find_kind(other).name for other, _ in executor.runs}
+        for (slowed, neighbour), effect in EFFECTS.items():
+            if find_kind(task).name == slowed and neighbour in neighbours:
+                factor *= effect
+        return factor
+
+    return slow_factor
+
+
+def find_kind(task: str) -> Kind:
+    """Return the kind of a task, which its name begins with."""
+    return KINDS[int(task[:4], 16)]
+
+
 async def run_on_cluster(
-    seed: int, seconds: float, load: float, faults: bool, store_outage: bool
+    seed: int,
+    seconds: float,
+    load: float,
+    faults: bool,
+    store_outage: bool,
+    is_uneven: bool = False,
 ) -> Trial:
     """Run one trial; raise AssertionError if the cluster violated an invariant."""
 
     def draw_behaviour(task: str, attempt: int) -> TaskBehaviour:
-        kind = KINDS[int(task[:4], 16)]
+        kind = find_kind(task)
         random_source = random.Random(f"{seed}/{task}/{attempt}")
         outcome = "failed" if random_source.random() < FAILED_SHARE else "done"
-        return TaskBehaviour(draw_work_s(kind, random_source), outcome)
+        work_s = draw_work_s(kind, random_source)
+        if is_uneven and random_source.random() < LONG_SHARE:
+            work_s *= LONG_FACTOR
+        return TaskBehaviour(work_s, outcome)
 
     world = World(draw_behaviour, MAX_ATTEMPTS)
+    if is_uneven:
+        world.slow_factor = make_slow_factor(world)
     async with anyio.create_task_group() as group:
         cluster = MemoryCluster(
             world, group, NODES, EXECUTORS, CPU_MILLIS, POLICY_SHARE, seed
@@ -172,12 +213,19 @@
 
 
 def run_trial(
-    seed: int, seconds: float, load: float, faults: bool, store_outage: bool = False
+    seed: int,
+    seconds: float,
+    load: float,
+    faults: bool,
+    store_outage: bool = False,
+    is_uneven: bool = False,
 ) -> dict[str, KindResult]:
     """Run one seed on the mock clock and return the results by kind.
 
-    With ``store_outage`` the store is also unavailable for some seconds.
+    With ``store_outage`` the store is also unavailable for some seconds. If
+    ``is_uneven``, executors have unlike speeds, some tasks take many times as long, and
+    some kinds of work slow others down.
     """
     return run_on_mock_clock(
-        run_on_cluster, seed, seconds, load, faults, store_outage, seed=seed
+        run_on_cluster, seed, seconds, load, faults, store_outage, is_uneven, seed=seed
     ).results
--- a/stand_ins/platform/executor.py
+++ b/stand_ins/platform/executor.py
@@ -314,7 +314,7 @@
         self.extend_lease(order.lease_until_ms)
         run = TaskRun(order.task, order.attempt, anyio.current_time())
         behaviour = self.world.behave(order.task, order.attempt)
-        run.work_s = behaviour.work_s
+        run.work_s = behaviour.work_s * self.world.slow_factor(self, order.task)
         run.how = behaviour.how
         if self.trouble is Trouble.FAILING:
             run.work_s, run.how = FAILING_TASK_S, "failed"
--- a/stand_ins/platform/world.py
+++ b/stand_ins/platform/world.py
@@ -67,6 +67,7 @@
         "max_attempts",
         "refused",
         "schedule_crash",
+        "slow_factor",
         "starts",
         "starts_after_crashes",
         "violations",
@@ -92,6 +93,8 @@
         self.deadly: set[str] = set()
         # Crashes an executor some seconds after the start of a deadly task.
         self.schedule_crash: CrashHandler | None = None
+        # Factor by which a task that starts on an executor takes longer there.
+        self.slow_factor: Callable[[ExecutorModel, str], float] = lambda *args: 1.0
         self.violations: list[str] = []
 
     def violate(self, rule: str, detail: str) -> None:
