--- a/stand_ins/platform/world.py
+++ b/stand_ins/platform/world.py
@@ -73,6 +73,7 @@
         "refused",
         "resumed",
         "schedule_crash",
+        "slow_factor",
         "starts",
         "starts_after_crashes",
         "violations",
@@ -104,6 +105,8 @@
         self.account_caps: dict[str, list[tuple[float, Resources]]] = {}
         # The most that each of these accounts had running after a start.
         self.account_peaks: dict[str, Resources] = {}
+        # Factor by which a task that starts on an executor takes longer there.
+        self.slow_factor: Callable[[ExecutorModel, str], float] = lambda *args: 1.0
         self.violations: list[str] = []
 
     def violate(self, rule: str, detail: str) -> None:
