--- a/gypsumring/platform/tests/rig.py
+++ b/gypsumring/platform/tests/rig.py
@@ -10,6 +10,7 @@
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
 from pathlib import Path
+from typing import Any
 
 import anyio
 import httpx
@@ -48,12 +49,20 @@
 class NodeProcess:
     """Process of one node program, with its addresses and settings file."""
 
-    __slots__ = ("caller", "name", "process", "ready", "settings")
+    __slots__ = ("caller", "metrics", "name", "peer", "process", "ready", "settings")
 
-    def __init__(self, name: str, addresses: dict[str, str], folder: Path):
+    def __init__(
+        self,
+        name: str,
+        addresses: dict[str, str],
+        folder: Path,
+        changes: dict[str, Any],
+    ):
         self.name = name
         self.caller = f"127.0.0.1:{find_free_port()}"
         self.ready = f"127.0.0.1:{find_free_port()}"
+        self.metrics = f"127.0.0.1:{find_free_port()}"
+        self.peer = f"127.0.0.1:{find_free_port()}"
         self.settings = folder / f"{name}.json"
         content = {
             "node": name,
@@ -61,11 +70,13 @@
             "region": "r",
             "caller_address": self.caller,
             "readiness_address": self.ready,
+            "metrics_address": self.metrics,
             "peer_host": "127.0.0.1",
-            "peer_ports": [find_free_port()],
+            "peer_ports": [int(self.peer.rpartition(":")[2])],
             "store": {"address": addresses[f"store-{name}"]},
             "policy_address": addresses["policy"],
             "bounds": {"longest_lease_ms": 10_000},
+            **changes,
         }
         self.settings.write_text(json.dumps(content))
         self.start()
@@ -168,8 +179,10 @@
 
 
 @asynccontextmanager
-async def running_programs(nodes: int = 2) -> AsyncIterator[ProgramRig]:
-    """Run the stand-ins and ``nodes`` node processes."""
+async def running_programs(
+    nodes: int = 2, changes: dict[str, Any] | None = None
+) -> AsyncIterator[ProgramRig]:
+    """Run the stand-ins and ``nodes`` node processes with changed settings."""
     world = World(steady_behaviour(0.2))
     store = StoreModel()
     models = [ExecutorModel(world, f"i-{number}") for number in range(3)]
@@ -187,7 +200,9 @@
             rig = ProgramRig(world, store, store_apps, client)
             try:
                 for name in names:
-                    rig.nodes.append(NodeProcess(name, addresses, Path(folder)))
+                    rig.nodes.append(
+                        NodeProcess(name, addresses, Path(folder), changes or {})
+                    )
                 await rig.wait_ready()
                 yield rig
             finally:
--- a/gypsumring/settings/node.py
+++ b/gypsumring/settings/node.py
@@ -6,7 +6,13 @@
 
 from gypsumring.settings.model import LogOutputSettings, SocketAddress
 
-__all__ = ["BoundSettings", "NodeSettings", "ProcessorSettings", "StoreSettings"]
+__all__ = [
+    "BoundSettings",
+    "MachineLimits",
+    "NodeSettings",
+    "ProcessorSettings",
+    "StoreSettings",
+]
 
 PositiveNumber = Annotated[float, msgspec.Meta(gt=0)]
 Port = Annotated[int, msgspec.Meta(ge=1, le=65_535)]
@@ -52,6 +58,13 @@
         return max(1, round(self.share * self.speed * 1000))
 
 
+class MachineLimits(msgspec.Struct, forbid_unknown_fields=True, frozen=True):
+    """Memory and descriptors that the process may use; beyond them it is ended."""
+
+    memory_mb: Annotated[int, msgspec.Meta(ge=32)] = 160
+    descriptors: Annotated[int, msgspec.Meta(ge=300)] = 1_638
+
+
 class NodeSettings(msgspec.Struct, forbid_unknown_fields=True, kw_only=True):
     """Settings of one node; other nodes connect to its ``peer_address``."""
 
@@ -68,6 +81,7 @@
     policy_address: str = ""
     bounds: BoundSettings
     processor: ProcessorSettings = ProcessorSettings()
+    limits: MachineLimits = MachineLimits()
     task_lease_ms: Annotated[int, msgspec.Meta(ge=500)] = 5_000
     log_output: LogOutputSettings = LogOutputSettings(json=True)
 
