Bound what callers send, keep open and leave unread

A crowd of misbehaving callers could exceed a machine's memory and descriptors: nothing bounded the connections, the pieces of bodies were kept one by one, and each connection read and wrote ahead by 64 KB and more.

A table of connections stands before hypercorn's connections. Connections are counted by address, bodies and long heads against one budget of memory by what they cost. Beyond it slow connections go first, those of the busiest client address before others, then the largest body; a request is refused with 503 and Retry-After before anything was forwarded. HTTP/2 and upgrades, which callers do not use, are closed. Internal addresses have a part of their own. The peers' port bounds its channels and what channels without a known peer send. A body that nobody reads no longer blocks the end of its answer, Content-Length over the limit is refused at once, and too many steps are refused before they are decoded.

--- a/gypsumring/node/app.py
+++ b/gypsumring/node/app.py
@@ -17,6 +17,7 @@
     QueryJob,
     SubmitJob,
 )
+from gypsumring.door import BodyCollector, BodyRefused
 from gypsumring.node.node import Node
 from gypsumring.pipelines import DesiredState, PipelineSpec, Queue
 from gypsumring.platform import (
@@ -41,6 +42,9 @@
 # Part of the caller's time limit that is reserved for sending the response.
 ANSWER_MARGIN_S = 0.15
 NO_STATE_RETRY_AFTER_S = 1.0
+# int() refuses numbers of thousands of digits.
+MAX_LENGTH_DIGITS = 18
+NO_MEMORY_RETRY_AFTER_S = 1.0
 
 
 class Response:
@@ -139,7 +143,13 @@
         match method:
             case "POST":
                 return await self.submit(
-                    queue, job_id, account, desired, receive, deadline
+                    queue,
+                    job_id,
+                    account,
+                    desired,
+                    receive,
+                    headers.get(b"content-length", b""),
+                    deadline,
                 )
             case "GET":
                 answer = await self.node.forward(QueryJob(job_id, account), deadline)
@@ -180,10 +190,14 @@
         account: str | None,
         desired: DesiredState,
         receive: Any,
+        declared_bytes: bytes,
         deadline: float,
     ) -> Response | None:
         """Validate a submission, forward it and return the response."""
-        body = await read_body(receive, desired.max_body_bytes)
+        try:
+            body = await read_body(receive, desired.max_body_bytes, declared_bytes)
+        except BodyRefused as refusal:
+            return make_error_response(503, str(refusal), NO_MEMORY_RETRY_AFTER_S)
         if body is None:
             return make_error_response(413, "body: too large or not complete")
         try:
@@ -192,6 +206,7 @@
             self.node.metrics.count("node.refused.bad_request")
             log.info("job refused", job=job_id, queue=queue.name, reason=str(error))
             return make_error_response(400, str(error))
+        del body
         spec = PipelineSpec(
             job_id=job_id,
             queue=queue.name,
@@ -251,20 +266,27 @@
     return make_error_response(503, "owner not reached", 1.0)
 
 
-async def read_body(receive: Any, max_bytes: int) -> bytes | None:
-    """Return the body, or None if it is too large or the caller disconnects."""
-    parts = []
-    size = 0
+async def read_body(
+    receive: Any, max_bytes: int, declared_bytes: bytes = b""
+) -> bytes | None:
+    """Return the body, or None if it is too large or the caller disconnects.
+
+    ``declared_bytes`` is the value of Content-Length, empty without it.
+    """
+    if len(declared_bytes) > MAX_LENGTH_DIGITS or (
+        declared_bytes.isdigit() and int(declared_bytes) > max_bytes
+    ):
+        return None
+    body = BodyCollector()
     while True:
         event = await receive()
         if event["type"] != "http.request":
             return None
-        parts.append(event["body"])
-        size += len(event["body"])
-        if size > max_bytes:
+        body.add(event["body"])
+        if body.size > max_bytes:
             return None
         if not event.get("more_body"):
-            return b"".join(parts)
+            return body.join()
 
 
 async def respond(send: Any, response: Response) -> None:
--- a/gypsumring/node/main.py
+++ b/gypsumring/node/main.py
@@ -6,9 +6,9 @@
 
 import anyio
 import click
-import hypercorn.asyncio
 import hypercorn.config
 
+from gypsumring.door import ConnectionTable, DoorLimits, serve_callers
 from gypsumring.metrics import Metrics
 from gypsumring.node.app import NodeApp
 from gypsumring.node.node import Node
@@ -23,7 +23,8 @@
 log = EventLogger("main")
 
 BAD_SETTINGS = 2
-KEEP_ALIVE_S = 120
+# Pieces of a body that a connection has read ahead of the application.
+MAX_QUEUED_PIECES = 2
 SIGNALS = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
 SETTINGS_POLL_S = 1.0
 # Requests still arrive after a stop signal until the load balancer has noticed that
@@ -96,10 +97,13 @@
     shutdown_s = max(1.0, settings.bounds.shutdown_s - SHUTDOWN_MARGIN_S)
     lame_duck_s = min(LAME_DUCK_S, shutdown_s / 2)
     config.graceful_timeout = shutdown_s - lame_duck_s
-    config.keep_alive_timeout = KEEP_ALIVE_S
+    config.keep_alive_timeout = settings.door.idle_s
+    config.max_app_queue_size = MAX_QUEUED_PIECES
     config.include_server_header = False
     config.accesslog = None
     config.errorlog = None
+    limits = DoorLimits(settings.limits, settings.door)
+    table = ConnectionTable(settings.caller_address, limits, settings.door, metrics)
     stopped = anyio.Event()
     # Set once another node may own the cell, which may be after the last response.
     handed_over = anyio.Event()
@@ -125,7 +129,7 @@
         group.start_soon(watch_settings, settings_path, node)
         group.start_soon(node.run)
         log.info("node started", node=settings.node, address=settings.caller_address)
-        await hypercorn.asyncio.serve(app, config, shutdown_trigger=stopped.wait)
+        await serve_callers(app, config, table, stopped.wait)
         await handed_over.wait()
         group.cancel_scope.cancel()
     log.info("node stopped", node=settings.node)
--- a/gypsumring/node/node.py
+++ b/gypsumring/node/node.py
@@ -27,6 +27,7 @@
 )
 from gypsumring.cell.state import CellTiming
 from gypsumring.cell.voters import Voter, VoteRegister
+from gypsumring.door import DoorLimits
 from gypsumring.metrics import Metrics
 from gypsumring.node.candidacy import Candidacy
 from gypsumring.node.desired import DesiredStateWatch
@@ -48,6 +49,7 @@
 from gypsumring.transport import (
     Channel,
     ChannelClosed,
+    ChannelLimits,
     RelayedClient,
     serve_channels,
 )
@@ -276,12 +278,16 @@
 
     async def serve_peers(self) -> None:
         """Serve the channels of other nodes until cancelled."""
+        limits = DoorLimits(self.settings.limits, self.settings.door)
         await serve_channels(
             self.settings.peer_address,
             decoder,
             self.handle,
             lambda channel: None,
             self.remove_peer,
+            ChannelLimits(
+                limits.peer_channels, limits.opening_bytes, self.metrics.count
+            ),
         )
 
     async def update_gauges(self) -> None:
--- a/gypsumring/platform/ingress.py
+++ b/gypsumring/platform/ingress.py
@@ -91,12 +91,22 @@
         self.schedule = schedule
 
 
+class StepCount(msgspec.Struct):
+    """Steps of a submission that are not decoded yet."""
+
+    pipeline: list[msgspec.Raw]
+
+
 decode_body = msgspec.json.Decoder(SubmissionBody).decode
+decode_step_count = msgspec.json.Decoder(StepCount).decode
 
 
 def decode_submission(content: bytes) -> Submission:
     """Decode and validate a submitted job; raise WireError that names the field."""
     try:
+        # A decoded step costs many times the bytes of a short one.
+        if content.count(b"{") > 1 + MAX_STEPS:
+            check_step_count(len(decode_step_count(content).pipeline))
         body = decode_body(content)
     except DECODE_ERRORS as error:
         raise WireError(str(error)) from error
@@ -111,6 +121,12 @@
     return Submission(body.spec, steps, schedule)
 
 
+def check_step_count(count: int) -> None:
+    """Raise WireError if there are more steps than a job may have."""
+    if count > MAX_STEPS:
+        raise WireError(f"pipeline: {count} steps, 1 to {MAX_STEPS} allowed")
+
+
 def translate_step(body: StepBody) -> StepSpec:
     """Return the step that a request body describes."""
     return StepSpec(
--- a/gypsumring/settings/node.py
+++ b/gypsumring/settings/node.py
@@ -8,6 +8,7 @@
 
 __all__ = [
     "BoundSettings",
+    "DoorSettings",
     "MachineLimits",
     "NodeSettings",
     "ProcessorSettings",
@@ -65,6 +66,21 @@
     descriptors: Annotated[int, msgspec.Meta(ge=300)] = 1_638
 
 
+class DoorSettings(msgspec.Struct, forbid_unknown_fields=True, frozen=True):
+    """Limits for callers; a key that ends in ``_s`` is a duration.
+
+    The shares are those of the machine's memory and of its sockets.
+    """
+
+    memory_share: Annotated[float, msgspec.Meta(gt=0, le=0.9)] = 0.375
+    connection_share: Annotated[float, msgspec.Meta(gt=0, le=0.9)] = 0.625
+    head_s: PositiveSeconds = 15
+    body_stall_s: PositiveSeconds = 15
+    body_bytes_per_s: Annotated[int, msgspec.Meta(ge=0)] = 1_024
+    unread_s: PositiveSeconds = 15
+    idle_s: PositiveSeconds = 60
+
+
 class NodeSettings(msgspec.Struct, forbid_unknown_fields=True, kw_only=True):
     """Settings of one node; other nodes connect to its ``peer_address``."""
 
@@ -82,6 +98,7 @@
     bounds: BoundSettings
     processor: ProcessorSettings = ProcessorSettings()
     limits: MachineLimits = MachineLimits()
+    door: DoorSettings = DoorSettings()
     task_lease_ms: Annotated[int, msgspec.Meta(ge=500)] = 5_000
     log_output: LogOutputSettings = LogOutputSettings(json=True)
 
--- a/gypsumring/transport/__init__.py
+++ b/gypsumring/transport/__init__.py
@@ -1,6 +1,6 @@
 """HTTP client connections and message channels between nodes."""
 
-from gypsumring.transport.channel import Channel, serve_channels
+from gypsumring.transport.channel import Channel, ChannelLimits, serve_channels
 from gypsumring.transport.exceptions import (
     ChannelClosed,
     ConnectFailed,
@@ -14,6 +14,7 @@
 __all__ = [
     "Channel",
     "ChannelClosed",
+    "ChannelLimits",
     "ConnectFailed",
     "ConnectRefused",
     "HttpCall",
--- a/gypsumring/transport/channel.py
+++ b/gypsumring/transport/channel.py
@@ -23,7 +23,7 @@
 from gypsumring.utils.logs import EventLogger
 from gypsumring.utils.supervision import describe_error
 
-__all__ = ["Channel", "serve_channels"]
+__all__ = ["Channel", "ChannelLimits", "serve_channels"]
 
 log = EventLogger("channel")
 
@@ -67,11 +67,13 @@
     """
 
     __slots__ = (
+        "buffer",
         "pending_calls",
         "closed",
         "decoder",
         "handler",
         "last_call_id",
+        "note_received",
         "peer",
         "send_lock",
         "stream",
@@ -84,6 +86,8 @@
         handler: "Callable[[Channel, Any], Awaitable[Any]]",
     ):
         self.stream = stream
+        # What was received of the next frame.
+        self.buffer = bytearray()
         self.decoder = decoder
         self.handler = handler
         self.pending_calls: dict[int, PendingCall] = {}
@@ -92,6 +96,8 @@
         self.closed = False
         # Name and address of the peer, set when its first message arrives.
         self.peer = ""
+        # Called after bytes were received; may raise ChannelClosed.
+        self.note_received: Callable[[Channel], None] | None = None
 
     @classmethod
     async def connect(
@@ -151,12 +157,14 @@
 
     async def run(self) -> None:
         """Read frames until the channel ends; handle requests concurrently."""
-        buffer = bytearray()
+        buffer = self.buffer
         try:
             async with anyio.create_task_group() as group:
                 try:
                     while not self.closed:
                         buffer += await self.stream.receive(READ_BYTES)
+                        if self.note_received is not None:
+                            self.note_received(self)
                         self.dispatch_frames(buffer, group)
                 except STREAM_ERRORS:
                     pass
@@ -220,23 +228,82 @@
         await anyio.aclose_forcefully(self.stream)
 
 
+class ChannelLimits:
+    """Limits of the channels that others open.
+
+    ``opening_bytes`` is the memory for messages of channels without a known peer.
+    """
+
+    __slots__ = ("channels", "count", "opening_bytes")
+
+    def __init__(self, channels: int, opening_bytes: int, count: Callable[[str], None]):
+        self.channels = channels
+        self.opening_bytes = opening_bytes
+        self.count = count
+
+
+class ChannelTable:
+    """Channels that others opened, oldest first."""
+
+    __slots__ = ("limits", "open_channels")
+
+    def __init__(self, limits: ChannelLimits):
+        self.limits = limits
+        self.open_channels: dict[Channel, None] = {}
+
+    def admit(self, channel: Channel) -> Channel | None:
+        """Add a channel; return the one that has to be closed for it, if any.
+
+        The oldest one without a known peer goes first, else the new one.
+        """
+        self.open_channels[channel] = None
+        if len(self.open_channels) <= self.limits.channels:
+            return None
+        self.limits.count("node.door.closed.channels")
+        unknown = (each for each in self.open_channels if not each.peer)
+        return next(unknown, channel)
+
+    def remove(self, channel: Channel) -> None:
+        """Remove a channel."""
+        self.open_channels.pop(channel, None)
+
+    def check_opening(self, channel: Channel) -> None:
+        """Raise ChannelClosed if channels without a known peer hold too much."""
+        if channel.peer or len(channel.buffer) < READ_BYTES:
+            return
+        held = sum(len(each.buffer) for each in self.open_channels if not each.peer)
+        if held > self.limits.opening_bytes:
+            self.limits.count("node.door.closed.opening")
+            raise ChannelClosed("too many bytes before the first message")
+
+
 async def serve_channels(
     address: str,
     decoder: msgspec.msgpack.Decoder,
     handler: Callable[[Channel, Any], Awaitable[Any]],
     on_open: Callable[[Channel], None],
     on_close: Callable[[Channel], None],
+    limits: ChannelLimits,
 ) -> None:
     """Accept and serve channels from peers at ``host:port`` until cancelled."""
     host, _, port = address.rpartition(":")
+    table = ChannelTable(limits)
 
     async def serve(stream: anyio.abc.SocketStream) -> None:
         set_socket_timeouts(stream)
         channel = Channel(stream, decoder, handler)
+        channel.note_received = table.check_opening
+        superfluous = table.admit(channel)
+        if superfluous is not None:
+            table.remove(superfluous)
+            await superfluous.aclose()
+        if superfluous is channel:
+            return
         on_open(channel)
         try:
             await channel.run()
         finally:
+            table.remove(channel)
             on_close(channel)
 
     listener = await anyio.create_tcp_listener(local_host=host, local_port=int(port))
