Charge a body for its receiving buffers only while it arrives

Requests that wait for the owner kept the charge of their buffers, so that a burst of ordinary submissions could be refused on a small machine. The charge is what the head announces at most and ends with the body.

--- a/gypsumring/door/request.py
+++ b/gypsumring/door/request.py
@@ -14,6 +14,7 @@
 
 # Heads with fewer fields are part of what a connection costs.
 FREE_FIELDS = 64
+MAX_LENGTH_DIGITS = 18
 REFUSAL = (
     {
         "type": "http.response.start",
@@ -59,7 +60,14 @@
 class Request:
     """Request whose body is charged while it is read."""
 
-    __slots__ = ("body_left", "connection", "receive_event", "send_event", "table")
+    __slots__ = (
+        "body_left",
+        "connection",
+        "receive_event",
+        "receiving_bytes",
+        "send_event",
+        "table",
+    )
 
     def __init__(
         self,
@@ -73,9 +81,8 @@
         self.table = table
         self.receive_event = receive
         self.send_event = send
-        self.body_left = any(
-            name in (b"content-length", b"transfer-encoding") for name, _ in headers
-        )
+        self.receiving_bytes = find_receiving_bytes(headers)
+        self.body_left = self.receiving_bytes > 0
 
     def charge_fields(self, count: int) -> bool:
         """Charge a head of many fields; return False without memory for it."""
@@ -87,7 +94,7 @@
         """Return the next event; raise BodyRefused without memory for it."""
         if self.connection.phase is Phase.SERVING and self.body_left:
             self.connection.enter(Phase.BODY, anyio.current_time())
-            self.charge(RECEIVING_BYTES)
+            self.charge(self.receiving_bytes)
         event = await self.receive_event()
         if event["type"] != "http.request":
             return event
@@ -95,6 +102,8 @@
         if size:
             self.charge(int(size * BODY_COST))
         if not event.get("more_body"):
+            if self.body_left:
+                self.table.refund(self.connection, self.receiving_bytes)
             self.body_left = False
             self.connection.enter(Phase.SERVING, anyio.current_time())
         return event
@@ -124,3 +133,15 @@
         """Read events until the server ends the request."""
         while (await self.receive_event())["type"] == "http.request":
             pass
+
+
+def find_receiving_bytes(headers: list[tuple[bytes, bytes]]) -> int:
+    """Return how much of a request's body may wait for the application, in bytes."""
+    for name, value in headers:
+        if name == b"transfer-encoding":
+            return RECEIVING_BYTES
+        if name == b"content-length":
+            # Longer numbers are far over any limit.
+            is_short = value.isdigit() and len(value) < MAX_LENGTH_DIGITS
+            return min(int(value), RECEIVING_BYTES) if is_short else RECEIVING_BYTES
+    return 0
--- a/gypsumring/door/server.py
+++ b/gypsumring/door/server.py
@@ -1,6 +1,7 @@
 """HTTP server for callers: hypercorn's connections behind a table of connections."""
 
 import asyncio
+import contextlib
 import socket
 from collections.abc import Awaitable, Callable
 from typing import Any
@@ -104,20 +105,19 @@
             await Http1Server(
                 app, loop, self.config, self.context, {}, accounted, writer
             )
-        except BaseExceptionGroup as group:
-            self.report_errors(group, connection)
+        except (Exception, BaseExceptionGroup) as error:
+            self.report_error(error, connection)
         finally:
             self.tasks.discard(task)
             self.table.remove(connection)
             writer.transport.abort()
 
-    def report_errors(self, group: BaseExceptionGroup, connection: Connection) -> None:
-        """Count a connection that ended with errors."""
-        refused, others = group.split(Http2Refused)
-        if refused is not None:
-            self.table.note("closed", "http2", connection.host)
-        if others is not None:
-            self.table.note("closed", "error", connection.host)
+    def report_error(self, error: BaseException, connection: Connection) -> None:
+        """Count a connection that ended with an error."""
+        reason = "error"
+        if isinstance(error, BaseExceptionGroup) and error.subgroup(Http2Refused):
+            reason = "http2"
+        self.table.note("closed", reason, connection.host)
 
     async def stop(self, servers: list[asyncio.Server]) -> None:
         """Stop to accept, and wait for the connections to end."""
@@ -144,8 +144,9 @@
     servers = []
     for listener in config.create_sockets().insecure_sockets:
         # Connections inherit the size, which counts as the process's memory.
-        listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, KERNEL_BYTES)
-        listener.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, KERNEL_BYTES)
+        for option in (socket.SO_RCVBUF, socket.SO_SNDBUF):
+            with contextlib.suppress(OSError):
+                listener.setsockopt(socket.SOL_SOCKET, option, KERNEL_BYTES)
         servers.append(
             await asyncio.start_server(
                 door.serve_connection,
--- a/gypsumring/door/table.py
+++ b/gypsumring/door/table.py
@@ -123,11 +123,15 @@
         self.used_bytes += size
         return True
 
+    def refund(self, connection: Connection, size: int) -> None:
+        """Take back a part of what an open connection is charged with."""
+        if connection in self.connections and not connection.closed:
+            connection.charged -= size
+            self.used_bytes -= size
+
     def release(self, connection: Connection) -> None:
         """Take back what a connection is charged with beside its own cost."""
-        if connection in self.connections and not connection.closed:
-            self.used_bytes -= connection.charged - CONNECTION_BYTES
-            connection.charged = CONNECTION_BYTES
+        self.refund(connection, connection.charged - CONNECTION_BYTES)
 
     def has_room(self, size: int, now: float) -> bool:
         """Return whether memory is left, after closing slow connections if not."""
--- a/gypsumring/platform/tests/test_crowds.py
+++ b/gypsumring/platform/tests/test_crowds.py
@@ -22,6 +22,7 @@
 )
 from gypsumring.platform.tests.rig import NodeProcess, ProgramRig, running_programs
 from gypsumring.platform.tests.test_programs import BODY, register_job
+from gypsumring.utils.addresses import split_address
 from gypsumring.utils.testing import make_load_tests
 
 MEMORY_MB = 64
@@ -235,4 +236,26 @@
     await check_crowds(get_peer, [[[b"\x00"]]], LARGE_CROWD)
 
 
+@run_in_real_time
+async def test_largest_and_slowest_legal_requests_are_served():
+    # The limits must not refuse a single client within the pages' limits.
+    async with running_programs(nodes=1, changes=SETTINGS) as rig:
+        (node,) = rig.nodes
+        body = BODY + b" " * (BODY_BYTES - len(BODY))
+        register_job(rig.world, "00000000000000a1")
+        response = await rig.call(node, "POST", "00000000000000a1", body)
+        assert response.status_code == 200
+        register_job(rig.world, "00000000000000a2")
+        path = "/batch/00000000000000a2"
+        head = make_head("POST", path, f"Content-Length: {len(BODY)}")
+        host, port = split_address(node.caller)
+        async with await anyio.connect_tcp(host, port) as stream:
+            for piece in split_pieces(head + BODY):
+                await stream.send(piece)
+                await anyio.sleep(0.1)
+            assert (await stream.receive()).startswith(b"HTTP/1.1 200")
+        for job_id in ("00000000000000a1", "00000000000000a2"):
+            await rig.wait_state(node, job_id, "completed")
+
+
 load_tests = make_load_tests(globals())
--- a/gypsumring/platform/tests/test_decoding.py
+++ b/gypsumring/platform/tests/test_decoding.py
@@ -236,4 +236,19 @@
     assert encode_phase(JobPhase.COMPLETED) == b'{"state":"completed"}'
 
 
+def test_too_many_steps_are_refused_and_braces_in_texts_are_not():
+    # Steps are counted before they are decoded; braces in the payload are no steps.
+    for count in (65, 100_000):
+        content = b'{"spec":"s","pipeline":[' + b"{}," * (count - 1) + b"{}]}"
+        try:
+            decode_submission(content)
+        except WireError as error:
+            assert f"pipeline: {count} steps" in str(error)
+        else:
+            raise AssertionError("accepted")
+    payload = "{" * 4_000
+    content = b'{"spec":"' + payload.encode() + b'","pipeline":[{}]}'
+    assert decode_submission(content).payload == payload
+
+
 load_tests = make_load_tests(globals())
