--- a/gypsumring/door/connection.py
+++ b/gypsumring/door/connection.py
@@ -8,6 +8,10 @@
 __all__ = ["Connection", "Phase"]
 
 
+# A request that was not sent ahead makes up for as many that were.
+FORGOTTEN_AHEAD = 4
+
+
 class Phase(enum.Enum):
     """What a connection is waiting for."""
 
@@ -26,6 +30,7 @@
     """
 
     __slots__ = (
+        "ahead",
         "charged",
         "closed",
         "host",
@@ -57,6 +62,7 @@
         self.received = 0
         self.charged = CONNECTION_BYTES
         self.unread_since = 0.0
+        self.ahead = 0
         self.closed = False
 
     def enter(self, phase: Phase, now: float) -> None:
@@ -73,6 +79,13 @@
         self.progress_at = now
         self.received += size
 
+    def note_request(self) -> None:
+        """Count requests that arrived before the answer to the one before them."""
+        if self.phase is Phase.IDLE:
+            self.ahead += 1
+        else:
+            self.ahead = max(0, self.ahead - FORGOTTEN_AHEAD)
+
     def note_unsent(self, now: float) -> None:
         """Note whether answers wait to be sent."""
         if self.transport.get_write_buffer_size() == 0:
--- a/gypsumring/door/request.py
+++ b/gypsumring/door/request.py
@@ -44,6 +44,10 @@
         if scope["type"] != "http":
             self.table.close(self.connection, "upgrade")
             return
+        self.connection.note_request()
+        if self.connection.ahead > self.table.settings.requests_ahead:
+            self.table.close(self.connection, "ahead")
+            return
         request = Request(self.connection, self.table, receive, send, scope["headers"])
         self.connection.enter(Phase.SERVING, anyio.current_time())
         try:
--- a/gypsumring/door/tests/test_request.py
+++ b/gypsumring/door/tests/test_request.py
@@ -64,4 +64,24 @@
     assert connection.phase is Phase.IDLE
 
 
+async def test_connection_that_sends_far_ahead_is_closed_and_one_by_one_is_not():
+    table = make_table()
+
+    async def app(scope, receive, send):
+        served.append(connection)
+
+    for sent_ahead in (True, False):
+        served = []
+        connection = make_connection()
+        assert table.admit(connection)
+        for _ in range(100):
+            if not sent_ahead:
+                connection.note_bytes(100, anyio.current_time())
+            if not connection.closed:
+                scope = {"type": "http", "headers": []}
+                await ConnectionApp(app, connection, table)(scope, None, None)
+        assert connection.closed == sent_ahead
+        assert len(served) == (17 if sent_ahead else 100)
+
+
 load_tests = make_load_tests(globals())
--- a/gypsumring/settings/node.py
+++ b/gypsumring/settings/node.py
@@ -79,6 +79,8 @@
     body_bytes_per_s: Annotated[int, msgspec.Meta(ge=0)] = 1_024
     unread_s: PositiveSeconds = 15
     idle_s: PositiveSeconds = 60
+    # Requests that a connection may send before it has the answer to the first.
+    requests_ahead: Annotated[int, msgspec.Meta(ge=0)] = 16
 
 
 class NodeSettings(msgspec.Struct, forbid_unknown_fields=True, kw_only=True):
