--- a/gypsumring/settings/node.py
+++ b/gypsumring/settings/node.py
@@ -6,7 +6,14 @@
 
 from gypsumring.settings.model import LogOutputSettings, SocketAddress
 
-__all__ = ["BoundSettings", "NodeSettings", "ProcessorSettings", "StoreSettings"]
+__all__ = [
+    "BoundSettings",
+    "DoorSettings",
+    "MachineLimits",
+    "NodeSettings",
+    "ProcessorSettings",
+    "StoreSettings",
+]
 
 PositiveNumber = Annotated[float, msgspec.Meta(gt=0)]
 Port = Annotated[int, msgspec.Meta(ge=1, le=65_535)]
@@ -52,6 +59,30 @@
         return max(1, round(self.share * self.speed * 1000))
 
 
+class MachineLimits(msgspec.Struct, forbid_unknown_fields=True, frozen=True):
+    """Memory and descriptors that the process may use; beyond them it is ended."""
+
+    memory_mb: Annotated[int, msgspec.Meta(ge=32)] = 160
+    descriptors: Annotated[int, msgspec.Meta(ge=300)] = 1_638
+
+
+class DoorSettings(msgspec.Struct, forbid_unknown_fields=True, frozen=True):
+    """Limits for callers; a key that ends in ``_s`` is a duration.
+
+    The shares are those of the machine's memory and of its sockets.
+    """
+
+    memory_share: Annotated[float, msgspec.Meta(gt=0, le=0.9)] = 0.375
+    connection_share: Annotated[float, msgspec.Meta(gt=0, le=0.9)] = 0.5
+    head_s: PositiveSeconds = 15
+    body_stall_s: PositiveSeconds = 15
+    body_bytes_per_s: Annotated[int, msgspec.Meta(ge=0)] = 1_024
+    unread_s: PositiveSeconds = 15
+    idle_s: PositiveSeconds = 60
+    # Requests that a connection may send before it has the answer to the first.
+    requests_ahead: Annotated[int, msgspec.Meta(ge=0)] = 16
+
+
 class NodeSettings(msgspec.Struct, forbid_unknown_fields=True, kw_only=True):
     """Settings of one node; other nodes connect to its ``peer_address``."""
 
@@ -68,6 +99,8 @@
     policy_address: str = ""
     bounds: BoundSettings
     processor: ProcessorSettings = ProcessorSettings()
+    limits: MachineLimits = MachineLimits()
+    door: DoorSettings = DoorSettings()
     task_lease_ms: Annotated[int, msgspec.Meta(ge=500)] = 5_000
     # Where tasks with checkpoints are stopped for others; ``accounts`` means only in
     # deployments with client accounts.
