--- a/gypsumring/cell/accounts.py
+++ b/gypsumring/cell/accounts.py
@@ -9,6 +9,7 @@
 from collections import Counter
 from collections.abc import Callable, Iterable
 
+import anyio
 import msgspec
 
 from gypsumring.accounts import ClientAccount, RateMeter, Resources
@@ -21,6 +22,9 @@
 # A new owner counts the jobs that were accepted within this time against the rates of
 # their accounts; longer than the burst that an account may submit at once.
 RECOUNT_MS = 5_000
+# A removed account is known for this time also without jobs, since a node that has not
+# applied the new version may still pass on jobs of it.
+KEEP_REMOVED_S = 60.0
 
 
 class AccountRecord(msgspec.Struct, frozen=True, kw_only=True, omit_defaults=True):
@@ -53,6 +57,7 @@
         "list_used_names",
         "meter",
         "recorded",
+        "removed_at",
     )
 
     def __init__(
@@ -76,6 +81,8 @@
         # limited in any of them.
         self.caps: dict[str, tuple[int, int, int]] = {}
         self.meter = RateMeter()
+        # When accounts were found to have left the desired state.
+        self.removed_at: dict[str, float] = {}
 
     def restore(self, record: AccountRecord) -> None:
         """Restore the record of an earlier owner."""
@@ -100,11 +107,15 @@
         self.applied_state = desired
         if desired.accounts is None:
             return
-        used = self.list_used_names() | self.accepting.keys() | self.recorded.keys()
-        kept = {name: each for name, each in self.accounts.items() if name in used}
-        self.accounts, self.caps = {}, {}
-        for account in (*kept.values(), *desired.accounts):
+        desired_names = {account.name for account in desired.accounts}
+        now = anyio.current_time()
+        self.removed_at = {
+            name: self.removed_at.get(name, now)
+            for name in self.accounts.keys() - desired_names
+        }
+        for account in desired.accounts:
             self.set_account(account)
+        used = self.list_used_names() | self.accepting.keys() | self.recorded.keys()
         for name in used:
             self.record(name)
 
@@ -168,14 +179,19 @@
             self.journal.put(ACCOUNT_KEY + name, encode(record))
 
     def delete_unused(self) -> None:
-        """Delete the records of removed accounts that have no jobs left."""
+        """Delete the removed accounts that have no jobs left, and their records."""
         self.refresh()
-        if self.applied_state is None or not self.recorded:
+        if self.applied_state is None:
+            return
+        if not self.recorded and not self.removed_at:
             return
         used = self.list_used_names() | self.accepting.keys()
         desired_names = {each.name for each in self.applied_state.accounts or ()}
         for name in self.recorded.keys() - used - desired_names:
             del self.recorded[name]
-            self.accounts.pop(name, None)
-            self.caps.pop(name, None)
             self.journal.put(ACCOUNT_KEY + name, b"")
+        now = anyio.current_time()
+        for name, removed_at in list(self.removed_at.items()):
+            if name not in used and now - removed_at > KEEP_REMOVED_S:
+                del self.removed_at[name], self.accounts[name]
+                self.caps.pop(name, None)
--- a/gypsumring/cell/tests/test_account_book.py
+++ b/gypsumring/cell/tests/test_account_book.py
@@ -68,6 +68,22 @@
         assert find_book(cluster).find("a") is None
 
 
+# Regression: the owner had forgotten an account that was removed before its first job,
+# which a node with the earlier version passed on. The job had no cap.
+async def test_account_removed_before_its_first_job_keeps_its_cap():
+    async with running_cluster(steady_behaviour(0.5)) as cluster:
+        set_accounts(cluster, make_account("a", 8000))
+        await anyio.sleep(0.5)
+        set_accounts(cluster, make_account("b"))
+        await anyio.sleep(0.5)
+        await submit_for(cluster, JOB, "a")
+        assert find_book(cluster).caps == {"a": (8000, 0, 0)}
+        assert set(list_records(cluster)) == {"a"}
+        await cluster.wait_final(JOB)
+        await anyio.sleep(300)
+        assert not find_book(cluster).caps
+
+
 async def test_records_that_cannot_be_used_are_skipped_and_counted():
     async with running_cluster() as cluster:
         odd = {
