Withdraw unanswered starts of an account that is above its lowered cap

Cause: a start that was decided under an earlier cap was sent again for up to the length of a lease, so that it could reach an executor long after the cap was lowered. Change: a start is withdrawn before it is sent (again) if its account has more in use than its cap, as is a start whose executor has shrunk; a gang that has not started whole is stopped. What runs goes on.

--- a/gypsumring/cell/accounts.py
+++ b/gypsumring/cell/accounts.py
@@ -156,6 +156,10 @@
             if account is not None:
                 self.meter.record(account, spec.accepted_ms)
 
+    def find_cap(self, name: str) -> tuple[int, int, int] | None:
+        """Return the cap of an account; None if nothing is limited."""
+        return self.caps.get(name) if self.is_active() else None
+
     def start_accepting(self, name: str) -> None:
         """Store the account of a job whose record is being stored."""
         self.refresh()
--- a/gypsumring/cell/orders.py
+++ b/gypsumring/cell/orders.py
@@ -129,6 +129,11 @@
             if executor.is_overfull():
                 self.withdraw_start(run, executor)
                 return
+            account = run.step.job.spec.account
+            if account and self.state.is_above_cap(account):
+                # Its cap was lowered after the start was decided.
+                self.withdraw_start(run, executor, "account is above its cap")
+                return
             now = self.state.clock()
             if (
                 executor.is_unresponsive
@@ -173,13 +178,15 @@
             self.record_started(run)
             return
 
-    def withdraw_start(self, run: Run, executor: ExecutorState) -> None:
-        """Withdraw a start whose executor has shrunk, so that the order is not sent.
+    def withdraw_start(
+        self, run: Run, executor: ExecutorState, reason: str = "executor has shrunk"
+    ) -> None:
+        """Withdraw a start that no longer fits, so that the order is not sent.
 
         A copy that was sent before may still arrive; the stop blocks it.
         """
         log.info(
-            "start withdrawn: executor has shrunk",
+            f"start withdrawn: {reason}",
             **run.log_fields(),
             unanswered=run.unanswered_orders,
             used_cpu_millis=executor.used_cpu,
@@ -194,7 +201,7 @@
         else:
             self.release(run)
         if run.step.spec.gang:
-            self.stop_gang(run, "a member's executor has shrunk")
+            self.stop_gang(run, f"a member's start was withdrawn: {reason}")
 
     def record_started(self, run: Run) -> None:
         """Record that the executor has confirmed the start of an attempt."""
--- a/gypsumring/cell/state.py
+++ b/gypsumring/cell/state.py
@@ -223,6 +223,14 @@
         """Return the names of the client accounts of all recorded jobs."""
         return {job.spec.account for job in self.table.jobs.values()}
 
+    def is_above_cap(self, account: str) -> bool:
+        """Return whether the attempts of an account use more than its cap."""
+        cap = self.accounts.find_cap(account)
+        held = self.usage.held.get(account)
+        if cap is None or held is None:
+            return False
+        return any(limit and used > limit for limit, used in zip(cap, held))
+
     def find_queue(self, job: Job) -> Queue:
         """Return the queue of a job, or its last version if it has been removed."""
         return self.queues.find(job.spec)
--- a/gypsumring/cell/tests/test_caps.py
+++ b/gypsumring/cell/tests/test_caps.py
@@ -228,6 +228,32 @@
         assert peak.cpu_millis <= 4000, peak
 
 
+# Guards against starts that were decided under the earlier cap and reach an executor
+# long after the change, when the executor is not silent any more.
+async def test_starts_that_were_not_sent_before_a_cap_was_lowered_are_withdrawn():
+    async with capped_cluster(work_s=6.0) as cluster:
+        await submit_for(
+            cluster, make_id(1), "a", StepSpec(task_count=2, cpu_millis=2000)
+        )
+        await anyio.sleep(0.5)
+        for model in cluster.executors.values():
+            model.trouble = Trouble.SILENT
+        await submit_for(
+            cluster, make_id(2), "a", StepSpec(task_count=2, cpu_millis=2000)
+        )
+        await anyio.sleep(0.5)
+        assert cluster.owner_node().owner().state.usage.get("a").cpu_millis == CAP
+        set_accounts(cluster, make_account("a", 4000), make_account("b"))
+        cluster.world.set_cap("a", Resources(cpu_millis=4000))
+        cluster.world.account_peaks.clear()
+        await anyio.sleep(1.0)
+        for model in cluster.executors.values():
+            model.trouble = Trouble.NONE
+        await await_completed(cluster, make_id(1), make_id(2))
+        peak = cluster.world.account_peaks["a"]
+        assert peak.cpu_millis <= 4000, peak
+
+
 async def test_removed_account_keeps_its_cap_also_when_it_is_back():
     async with capped_cluster(work_s=1.0, nodes=3) as cluster:
         ids = [make_id(number) for number in range(8)]
