Show what client accounts have running, and what their caps block

Cause: an operator could not see whether an account waits for its cap, its share or capacity. Change: gauges by account at the owner of the cell, for the 24 accounts of the highest weights and the sums of all others; gauges of accounts that left are discarded. OPERATIONS: an account says that it is starved.

Result: test_account_metrics (4), test_caps, test_account_book, node test_accounts and test_external_names pass (33).

--- a/gypsumring/cell/accounts.py
+++ b/gypsumring/cell/accounts.py
@@ -51,6 +51,7 @@
         "accepting",
         "accounts",
         "applied_state",
+        "blocks",
         "caps",
         "desired_state",
         "journal",
@@ -58,6 +59,7 @@
         "meter",
         "recorded",
         "removed_at",
+        "starts",
     )
 
     def __init__(
@@ -81,6 +83,9 @@
         # limited in any of them.
         self.caps: dict[str, tuple[int, int, int]] = {}
         self.meter = RateMeter()
+        # Tasks started and steps blocked by a cap under this owner, by account.
+        self.starts: Counter[str] = Counter()
+        self.blocks: Counter[str] = Counter()
         # When accounts were found to have left the desired state.
         self.removed_at: dict[str, float] = {}
 
@@ -199,3 +204,6 @@
             if name not in used and now - removed_at > KEEP_REMOVED_S:
                 del self.removed_at[name], self.accounts[name]
                 self.caps.pop(name, None)
+                self.starts.pop(name, None)
+                self.blocks.pop(name, None)
+                self.meter.buckets.pop(name, None)
--- a/gypsumring/cell/caps.py
+++ b/gypsumring/cell/caps.py
@@ -118,6 +118,7 @@
         if step.capped_since is None:
             step.capped_since = since
             self.state.metrics.count("cell.starts.blocked_by_cap")
+            self.state.accounts.blocks[account] += 1
             if step.spec.gang:
                 self.log_excessive_gang(step, self.state.accounts.caps[account])
 
--- a/gypsumring/cell/owner.py
+++ b/gypsumring/cell/owner.py
@@ -6,6 +6,7 @@
 import anyio
 import msgspec
 
+from gypsumring.cell.account_metrics import measure_accounts
 from gypsumring.cell.accounts import ACCOUNT_KEY, AccountRecord, check_record
 from gypsumring.cell.authority import (
     MAX_EXTENSION_DELAY_S,
@@ -215,6 +216,9 @@
             "cell.journal.waiting": len(state.journal.queue),
             "cell.journal.unanswered_s": state.journal.unanswered_s(),
             **self.wait_monitor.measure(),
+            **measure_accounts(
+                state, self.scheduler.caps, self.scheduler.backlog.waiting
+            ),
         }
 
     async def load(self) -> None:
--- a/gypsumring/cell/scheduling.py
+++ b/gypsumring/cell/scheduling.py
@@ -342,6 +342,9 @@
         placements = self.caps.limit_placements(step, placements, now)
         if not placements:
             return
+        account = step.job.spec.account
+        if account in self.state.accounts.accounts:
+            self.state.accounts.starts[account] += len(placements)
         table = self.state.table
         attempt = table.next_attempt(
             step, [placement.index for placement in placements]
--- a/gypsumring/metrics/registry.py
+++ b/gypsumring/metrics/registry.py
@@ -89,6 +89,11 @@
         """Set a gauge."""
         self.gauges[name] = value
 
+    def discard_gauges(self, prefix: str) -> None:
+        """Discard the gauges whose names begin with a prefix."""
+        for name in [name for name in self.gauges if name.startswith(prefix)]:
+            del self.gauges[name]
+
     def record_seconds(self, name: str, seconds: float) -> None:
         """Record a duration in a histogram, clamped to the range of the histogram."""
         histogram = self.histograms.get(name)
--- a/gypsumring/node/node.py
+++ b/gypsumring/node/node.py
@@ -7,6 +7,7 @@
 import anyio
 
 from gypsumring.cell import CellOwner
+from gypsumring.cell.account_metrics import ACCOUNT_GAUGES
 from gypsumring.cell.authority import Peers
 from gypsumring.cell.messages import (
     Announce,
@@ -290,6 +291,8 @@
             owner = self.membership.active_owner()
             self.metrics.set_gauge("node.owns_cell", 1 if owner else 0)
             self.metrics.set_gauge("node.ready", 1 if self.is_ready() else 0)
+            # Accounts come and go with versions of the desired state.
+            self.metrics.discard_gauges(ACCOUNT_GAUGES)
             if owner is not None:
                 for name, value in owner.measure().items():
                     self.metrics.set_gauge(name, value)
