Reserve for gangs where the other work can be stopped soonest

The forecast for a gang's reservations let each attempt run to its end, so that its executors were those that empty first, not those on which all that remains would yield. Yielding attempts now count as released at once.

--- a/gypsumring/cell/preemption.py
+++ b/gypsumring/cell/preemption.py
@@ -6,7 +6,7 @@
 """
 
 import enum
-from collections.abc import Callable
+from collections.abc import Callable, Collection
 
 from gypsumring.cell.orders import Orders
 from gypsumring.cell.state import CellState
@@ -85,24 +85,52 @@
 class PreemptionPass:
     """Data of one evaluation of the fleet."""
 
-    __slots__ = ("fleet", "now", "overdue", "reserved", "run_count", "yielding")
+    __slots__ = (
+        "fleet",
+        "now",
+        "overdue",
+        "reserved",
+        "run_count",
+        "shares",
+        "yielding",
+        "yielding_by_rank",
+    )
 
-    def __init__(
-        self, fleet: list[ExecutorState], reserved: dict[str, Reservation], now: float
-    ):
+    def __init__(self, fleet: list[ExecutorState], shares: FairShares, now: float):
         self.fleet = fleet
-        self.reserved = reserved
+        self.shares = shares
         self.now = now
+        # Reservations by executor id, once they have been made.
+        self.reserved: dict[str, Reservation] = {}
         self.run_count = sum(len(executor.runs) for executor in fleet)
         # Executors on which a stop has taken too long.
         self.overdue: set[str] = set()
+        # Attempts that may be stopped, by executor id.
         self.yielding: dict[str, list[YieldingRun]] = {}
+        self.yielding_by_rank: dict[Rank, set[Run]] = {}
+
+    def rank(self, step: Step, queue: Queue) -> Rank:
+        """Return the rank of a waiting step."""
+        return self.shares.rank(step.job.spec, queue.priority)
+
+    def list_yielding(self, rank: Rank) -> set[Run]:
+        """Return the attempts that yield to a rank."""
+        found = self.yielding_by_rank.get(rank)
+        if found is None:
+            found = self.yielding_by_rank[rank] = {
+                row.run
+                for rows in self.yielding.values()
+                for row in rows
+                if row.rank > rank
+            }
+        return found
 
 
 class Preemption:
     """Preemption of running tasks by waiting steps on the owner of a cell."""
 
     __slots__ = (
+        "current",
         "find_usable",
         "holds",
         "orders",
@@ -122,6 +150,8 @@
         self.orders = orders
         # Returns the executors that a step may use, without regard to their capacity.
         self.find_usable = find_usable
+        # The evaluation of the fleet in progress, if tasks may be stopped in it.
+        self.current: PreemptionPass | None = None
         self.holds: dict[Step, Hold] = {}
         self.stops: dict[Run, Stop] = {}
         # Times at which tasks were stopped, by task.
@@ -143,33 +173,50 @@
             self.state.authority.may_extend_leases(self.state.clock())
         )
 
-    def evaluate(
+    def prepare(
         self,
         steps: list[tuple[Step, Queue]],
         fleet: list[ExecutorState],
-        reserved: dict[str, Reservation],
         shares: FairShares,
         now: float,
     ) -> None:
-        """Stop tasks for waiting steps, which are in order of service.
-
-        The executors chosen for them are added to ``reserved``.
-        """
+        """Find the attempts that may be stopped for waiting steps."""
+        self.current = None
         self.forget_past(now)
         if not self.is_enabled() or not self.may_start():
             self.holds.clear()
             return
         if not any(self.is_due(step, now) for step, _ in steps):
             return
-        current = PreemptionPass(fleet, reserved, now)
-        self.find_yielding(current, shares)
+        self.current = PreemptionPass(fleet, shares, now)
+        self.find_yielding(self.current)
+
+    def list_yielding(self, step: Step, queue: Queue) -> Collection[Run]:
+        """Return the attempts that may be stopped for a step."""
+        current = self.current
+        return (
+            () if current is None else current.list_yielding(current.rank(step, queue))
+        )
+
+    def evaluate(
+        self, steps: list[tuple[Step, Queue]], reserved: dict[str, Reservation]
+    ) -> None:
+        """Stop tasks for waiting steps, which are in order of service.
+
+        The executors chosen for them are added to ``reserved``.
+        """
+        current = self.current
+        if current is None:
+            return
+        current.reserved = reserved
+        now = current.now
         largest_rank = max(
             (row.rank for rows in current.yielding.values() for row in rows),
             default=None,
         )
         considered = 0
         for step, queue in steps:
-            rank = shares.rank(step.job.spec, queue.priority)
+            rank = current.rank(step, queue)
             has_victims = largest_rank is not None and rank < largest_rank
             if not has_victims and not self.holds:
                 break
@@ -204,7 +251,7 @@
             step: retry_at for step, retry_at in self.retry_at.items() if now < retry_at
         }
 
-    def find_yielding(self, current: PreemptionPass, shares: FairShares) -> None:
+    def find_yielding(self, current: PreemptionPass) -> None:
         """Find the attempts that may be stopped, and the executors not to count on."""
         now = current.now
         current.overdue = {
@@ -221,7 +268,7 @@
             found = ranks.get(key)
             if found is None:
                 priority = self.state.find_queue(job).priority
-                found = ranks[key] = shares.rank(spec, priority)
+                found = ranks[key] = current.shares.rank(spec, priority)
             return found
 
         for executor in current.fleet:
--- a/gypsumring/cell/scheduling.py
+++ b/gypsumring/cell/scheduling.py
@@ -153,10 +153,17 @@
         starving = self.backlog.list_starving(now)
         steps = self.backlog.order(self.backlog.waiting, now)
         factor = self.state.timing.spread_factor
+        self.preemption.prepare(steps, fleet, self.backlog.shares, now)
         self.reserved = reserve_executors(
-            steps, fleet, now, self.state.clock(), starving, factor
+            steps,
+            fleet,
+            now,
+            self.state.clock(),
+            starving,
+            factor,
+            self.preemption.list_yielding,
         )
-        self.preemption.evaluate(steps, fleet, self.reserved, self.backlog.shares, now)
+        self.preemption.evaluate(steps, self.reserved)
 
     def update_shares(self, fleet: list[ExecutorState]) -> None:
         """Compute which client accounts hold more than their share of the capacity."""
--- a/gypsumring/dispatch/gang_capacity.py
+++ b/gypsumring/dispatch/gang_capacity.py
@@ -5,10 +5,12 @@
 is expected to be released first. Capacity for part of a gang is of no use to it.
 """
 
+from collections.abc import Collection
+
 from gypsumring.dispatch.openings import forecast_capacity
 from gypsumring.dispatch.placing import count_fitting_when_empty, place_step
 from gypsumring.fleet import ExecutorState
-from gypsumring.pipelines.state import Step
+from gypsumring.pipelines.state import Run, Step
 
 __all__ = ["choose_free_capacity", "choose_earliest_capacity"]
 
@@ -56,10 +58,15 @@
 
 
 def choose_earliest_capacity(
-    step: Step, candidates: list[ExecutorState], now: float
+    step: Step,
+    candidates: list[ExecutorState],
+    now: float,
+    yielding: Collection[Run] = (),
 ) -> list[ExecutorState]:
     """Return the executors on which a gang is expected to fit first.
 
+    The ``yielding`` attempts can be stopped for it as soon as all its members fit.
+
     The reserved executors are retained unless the gang is expected to fit on others
     much earlier: estimates are rough, and a change loses the accumulated capacity.
     """
@@ -68,7 +75,8 @@
         # The gang can never fit, so other steps must not wait for it either.
         return []
     forecasts = [
-        (forecast_capacity(step, executor, now), executor) for executor in candidates
+        (forecast_capacity(step, executor, now, yielding), executor)
+        for executor in candidates
     ]
     reserved = [row for row in forecasts if row[1].executor_id in step.reserved]
     if step.spec.same_rack:
--- a/gypsumring/dispatch/openings.py
+++ b/gypsumring/dispatch/openings.py
@@ -1,5 +1,7 @@
 """Forecast when capacity for a step is available on an executor."""
 
+from collections.abc import Collection
+
 from gypsumring.dispatch.placing import count_fitting_on, count_fitting_when_empty
 from gypsumring.fleet import ExecutorState
 from gypsumring.fleet.executor import accounted_cpu_millis, count_fitting
@@ -10,6 +12,8 @@
 # Remaining run time of an attempt that has exceeded its estimate, as a share of its run
 # time so far.
 OVERRUN_SHARE = 0.25
+# Time from a stop of an attempt until its capacity is released.
+RELEASE_S = 0.3
 
 
 def estimate_end(run: Run, slowdown: float, now: float) -> float:
@@ -22,11 +26,17 @@
     return now + max(expected_s - ran_s, OVERRUN_SHARE * ran_s)
 
 
-def forecast_capacity(step: Step, executor: ExecutorState, now: float) -> list[float]:
+def forecast_capacity(
+    step: Step,
+    executor: ExecutorState,
+    now: float,
+    yielding: Collection[Run] = (),
+) -> list[float]:
     """Return when capacity for each further task is available, in ascending order.
 
     Free capacity is available now. The forecast assumes that no other task starts in
-    the meantime, and that long-running tasks do not end.
+    the meantime, that long-running tasks do not end, and that the ``yielding`` attempts
+    are stopped.
     """
     spec = step.spec
     task_capacity = count_fitting_on(step, executor)
@@ -40,7 +50,12 @@
     slowdown = executor.health.slowdown
     ends = sorted(
         (
-            (estimate_end(run, slowdown, now), run)
+            (
+                now + RELEASE_S
+                if run in yielding
+                else estimate_end(run, slowdown, now),
+                run,
+            )
             for run in executor.runs.values()
             if not run.step.spec.long_running
         ),
--- a/gypsumring/dispatch/reserving.py
+++ b/gypsumring/dispatch/reserving.py
@@ -6,7 +6,7 @@
 executor accepts no tasks of other steps of the same or a lower priority.
 """
 
-from collections.abc import Iterable
+from collections.abc import Callable, Collection, Iterable
 
 from gypsumring.dispatch.gang_capacity import (
     choose_earliest_capacity,
@@ -15,7 +15,7 @@
 from gypsumring.dispatch.placing import count_fitting_when_empty, has_label
 from gypsumring.fleet import ExecutorState
 from gypsumring.pipelines.model import Queue
-from gypsumring.pipelines.state import Step
+from gypsumring.pipelines.state import Run, Step
 
 __all__ = ["Reservation", "needs_reservation", "reserve_executors"]
 
@@ -39,6 +39,9 @@
 START_MARGIN_S = 1.0
 
 
+ListYielding = Callable[[Step, Queue], Collection[Run]]
+
+
 class Reservation:
     """Reservation of an executor for one step."""
 
@@ -68,6 +71,7 @@
         "clock",
         "fleet",
         "largest_cpu",
+        "list_yielding",
         "now",
         "reserved",
         "spread_factor",
@@ -76,9 +80,16 @@
     )
 
     def __init__(
-        self, fleet: list[ExecutorState], now: float, clock: float, spread_factor: float
+        self,
+        fleet: list[ExecutorState],
+        now: float,
+        clock: float,
+        spread_factor: float,
+        list_yielding: ListYielding,
     ):
         self.fleet = fleet
+        # Returns the attempts that can be stopped for a step.
+        self.list_yielding = list_yielding
         self.now = now
         self.clock = clock
         self.spread_factor = spread_factor
@@ -138,6 +149,11 @@
             self.reserved[executor_id] = Reservation(step, queue.priority)
 
 
+def list_nothing(step: Step, queue: Queue) -> Collection[Run]:
+    """Return no attempts, since none can be stopped for a step."""
+    return ()
+
+
 def needs_reservation(step: Step, largest_cpu: int, now: float) -> bool:
     """Return whether a step has waited for capacity that small tasks would use.
 
@@ -162,15 +178,16 @@
     clock: float,
     starving: Iterable[tuple[Step, Queue]] = (),
     spread_factor: float = 1.0,
+    list_yielding: ListYielding = list_nothing,
 ) -> dict[str, Reservation]:
     """Return the reservations by executor id; ``steps`` are in order of service.
 
     ``clock`` is the time on the clock of the executors' states, which includes
     suspended time. The first of the ``starving`` steps that can reserve its executors
     goes before all others of its priority, so that newer steps cannot overtake it
-    indefinitely.
+    indefinitely. ``list_yielding`` returns the attempts that can be stopped for a step.
     """
-    plan = ReservationPlan(fleet, now, clock, spread_factor)
+    plan = ReservationPlan(fleet, now, clock, spread_factor, list_yielding)
     starving_by_priority: dict[int, list[tuple[Step, Queue]]] = {}
     for row in starving:
         starving_by_priority.setdefault(row[1].priority, []).append(row)
@@ -224,7 +241,8 @@
     step.reservation_expires_at = None
     step.exceeds_reservation_limit = False
     if has_waited and not plan.blocks_later_gangs:
-        chosen = choose_earliest_capacity(step, candidates, plan.now)
+        yielding = plan.list_yielding(step, queue)
+        chosen = choose_earliest_capacity(step, candidates, plan.now, yielding)
         if plan.may_reserve_waiting(len(chosen)):
             plan.waiting_count += len(chosen)
         else:
--- a/gypsumring/dispatch/tests/test_reserving.py
+++ b/gypsumring/dispatch/tests/test_reserving.py
@@ -99,6 +99,31 @@
     assert len(reserve_executors([(gang, BULK)], fleet, 1.0, 1.0)) == 2
 
 
+def test_gang_reserves_where_all_else_can_be_stopped():
+    # The tasks on i-0 and i-1 end first, but those on the others yield at once.
+    fleet = make_fleet(4)
+    yielding = set()
+    for number, executor in enumerate(fleet):
+        step = make_step(
+            f"{number:016x}",
+            task_count=1,
+            cpu_millis=8_000,
+            estimated_ms=10_000 if number < 2 else 60_000,
+        )
+        run = Run(step, 0, 1, executor.executor_id, 0.5)
+        executor.add_run(run)
+        if number >= 2:
+            yielding.add(run)
+    gang = make_waiting_step(fleet, task_count=2, gang=True)
+    rows = [(gang, BULK)]
+    assert set(reserve_executors(rows, fleet, 1.0, 1.0)) == {"i-0", "i-1"}
+    gang.clear_reservation()
+    reserved = reserve_executors(
+        rows, fleet, 1.0, 1.0, list_yielding=lambda step, queue: yielding
+    )
+    assert set(reserved) == {"i-2", "i-3"}
+
+
 def test_gang_that_can_never_fit_reserves_nothing():
     # Such a gang reserved an executor forever and blocked all other steps from it.
     fleet = make_fleet(8)
