--- a/gypsumring/cell/scheduling.py
+++ b/gypsumring/cell/scheduling.py
@@ -163,10 +163,17 @@
         steps = self.review_caps(steps, now)
         starving = [row for row in starving if row[0] not in self.caps.blocked]
         factor = self.state.timing.spread_factor
+        self.preemption.prepare(steps, fleet, self.backlog.shares, now)
         self.reserved = reserve_executors(
-            steps, fleet, now, self.state.clock(), starving, factor
+            steps,
+            fleet,
+            now,
+            self.state.clock(),
+            starving,
+            factor,
+            self.preemption.list_yielding,
         )
-        self.preemption.evaluate(steps, fleet, self.reserved, self.backlog.shares, now)
+        self.preemption.evaluate(steps, self.reserved)
 
     def review_caps(
         self, steps: list[tuple[Step, Queue]], now: float
