--- a/gypsumring/fleet/interference.py
+++ b/gypsumring/fleet/interference.py
@@ -182,7 +182,14 @@
 class Interference:
     """Pairs of kinds of work of which one slows the other down."""
 
-    __slots__ = ("changed", "conflicts", "effects", "kinds", "reviewed_at")
+    __slots__ = (
+        "changed",
+        "conflicts",
+        "discarded",
+        "effects",
+        "kinds",
+        "reviewed_at",
+    )
 
     def __init__(self):
         self.kinds: dict[WorkKind, KindSamples] = {}
@@ -192,6 +199,8 @@
         self.conflicts: dict[WorkKind, dict[WorkKind, float]] = {}
         # Kinds with new samples since the latest review.
         self.changed: set[WorkKind] = set()
+        # Pairs that were found and whose kind was discarded since the latest review.
+        self.discarded: list[PairChange] = []
         self.reviewed_at = float("-inf")
 
     def penalty(
@@ -247,11 +256,20 @@
         samples = self.kinds.pop(kind, None)
         if samples is None:
             if len(self.kinds) >= MAX_KINDS:
-                del self.kinds[next(iter(self.kinds))]
+                self.discard(next(iter(self.kinds)))
             samples = KindSamples(now)
         self.kinds[kind] = samples
         return samples
 
+    def discard(self, kind: WorkKind) -> None:
+        """Discard the samples of a kind."""
+        pairs = self.kinds.pop(kind).pairs
+        self.discarded += [
+            PairChange(kind, other, pair, False)
+            for other, pair in pairs.items()
+            if pair.is_found
+        ]
+
     def is_review_due(self, now: float) -> bool:
         """Return whether the review period has passed."""
         return now - self.reviewed_at >= REVIEW_PERIOD_S
@@ -264,7 +282,7 @@
         if not self.is_review_due(now):
             return []
         self.reviewed_at = now
-        changes = []
+        changes, self.discarded = self.discarded, []
         for kind in self.changed.union(self.effects):
             samples = self.kinds.get(kind)
             if samples is None:
--- a/gypsumring/fleet/tests/test_interference.py
+++ b/gypsumring/fleet/tests/test_interference.py
@@ -191,6 +191,20 @@
     assert not trial.found
 
 
+def test_pair_whose_kind_is_discarded_is_reported_as_forgotten():
+    trial = Trial(1, {(VICTIM, CAUSE): 2.0})
+    for _ in range(RUNS):
+        trial.run(
+            trial.machine(), [(CAUSE, 1.0)] if trial.random.random() < 0.5 else []
+        )
+    interference = trial.knowledge.interference
+    for number in range(MAX_KINDS):
+        interference.record(WorkKind("n", number, ""), 0.0, {}, 0.1, trial.now)
+    (change,) = interference.review(trial.now + 1.0)
+    assert (change.kind, change.neighbour, change.is_found) == (VICTIM, CAUSE, False)
+    assert not interference.conflicts
+
+
 def test_memory_is_bounded():
     interference = Interference()
     for number in range(3 * MAX_KINDS):
