Count no failure that is listed before an attempt that the lease has ended

Callers saw a job given up after two failures that count, of three. A failure that no owner has acknowledged does not count any more once the lease of its executor has expired.

An executor numbers its ends in order, and lists an end only until it is acknowledged. So a failure that is listed with a lower number than an end as lapsed was not acknowledged when that lease expired. It now releases its attempt like a lapsed one, whichever owner started it. This needs no time and no knowledge of earlier owners.

The new test failed before (two failures counted) and passes.

--- a/gypsumring/cell/lists.py
+++ b/gypsumring/cell/lists.py
@@ -241,9 +241,12 @@
         """Apply the new ends and return the jobs whose progress is to be stored.
 
         The executor discards an end once it is acknowledged, so that a result is also
-        applied if the cell has no record of the attempt.
+        applied if the cell has no record of the attempt. A failure that is listed
+        before the end of an attempt by an expired lease was not acknowledged under that
+        lease, and does not count.
         """
         changed_jobs: set[Job] = set()
+        last_lapse = find_last_lapse(ended)
         for end in ended:
             if end.number <= executor.last_seen_end:
                 continue
@@ -254,15 +257,17 @@
             if run is None:
                 continue
             self.state.release_capacity(executor, run)
-            self.update_health(executor, run, end.how)
+            is_void = end.how == "failed" and end.number < last_lapse
+            how = "lapsed" if is_void else end.how
+            self.update_health(executor, run, how)
             job = run.step.job
             was_final = job.phase.is_final
             outcome = self.state.table.end(
-                run, end.how, end.checkpoint, self.state.find_queue(job).max_attempts
+                run, how, end.checkpoint, self.state.find_queue(job).max_attempts
             )
             self.orders.crashes.record_end(run)
-            self.state.metrics.count(f"cell.ends.{end.how}")
-            log.info("attempt ended", **run.log_fields(), how=end.how, end=end.number)
+            self.state.metrics.count(f"cell.ends.{how}")
+            log.info("attempt ended", **run.log_fields(), how=how, end=end.number)
             self.orders.stop_all(outcome.stop)
             if outcome.changed and not was_final:
                 changed_jobs.add(job)
@@ -363,6 +368,11 @@
     return end.how == "done"
 
 
+def find_last_lapse(ended: list[ListedEnd]) -> int:
+    """Return the number of the last end by an expired lease, 0 without one."""
+    return max((end.number for end in ended if end.how == "lapsed"), default=0)
+
+
 def is_confirmed_absent(run: Run, requested_at: float) -> bool:
     """Return whether an attempt that is not listed neither runs nor can start later.
 
--- a/gypsumring/cell/tests/test_isolated_owner.py
+++ b/gypsumring/cell/tests/test_isolated_owner.py
@@ -135,6 +135,28 @@
         )
 
 
+# The same with an attempt that the lease ends: the executor lists its end after the
+# failure, which shows the next owner that the failure does not count.
+async def test_failures_listed_before_an_expired_attempt_do_not_count():
+    def behave(task: str, attempt: int) -> TaskBehaviour:
+        if task.startswith(JOB):
+            return TaskBehaviour(2.0, "failed")
+        return TaskBehaviour(20.0)
+
+    step = StepSpec(task_count=1, cpu_millis=2000, estimated_ms=20_000)
+    async with running_cluster(behave, nodes=3, executors=1) as cluster:
+        assert await cluster.submit(make_job(JOB)) is Outcome.OK
+        assert await cluster.submit(make_job("b" * 16, step)) is Outcome.OK
+        await anyio.sleep(0.5)
+        with cluster.partitioned({cluster.owner_node().name}, set(cluster.executors)):
+            await anyio.sleep(LAPSED_S)
+            await cluster.restart_nodes(sorted(cluster.nodes), 0.1)
+        assert await cluster.wait_final(JOB) is JobPhase.FAILED
+        assert list(cluster.world.failed_runs.values()) == [3], (
+            cluster.world.failed_runs
+        )
+
+
 # Guards against an owner that gives up the leases in an outage of the store, in which
 # no other node can take over.
 async def test_leases_are_extended_while_the_store_answers_no_node():
