--- a/soak/cells.py
+++ b/soak/cells.py
@@ -6,7 +6,7 @@
 import json
 import random
 import sys
-from collections.abc import Awaitable, Callable, Iterator
+from collections.abc import Awaitable, Callable, Iterator, Sequence
 from contextlib import contextmanager
 
 import anyio
@@ -26,10 +26,8 @@
     random_behaviour,
 )
 
-__all__ = ["CellSoak", "make_command", "run_cell_soak"]
+__all__ = ["CellSoak", "make_command", "run_cell_soak", "run_partition_soak"]
 
-# Numbers of nodes; more than three voters may miss one of them.
-NODES = (3, 5)
 EXECUTORS = 5
 MAX_ATTEMPTS = 3
 # Time without faults at the end, in which all accepted jobs have to end. Single tasks
@@ -49,6 +47,10 @@
 DEADLY_SHARE = 0.05
 # Share of tasks that outlast the leases of an owner that is cut off, and their work.
 LONG_SHARE, LONG_S = 0.1, (4.0, 12.0)
+# The same where only partitions are played.
+LONGER_SHARE, LONGER_S = 0.3, (8.0, 16.0)
+# Rate of partitions where nothing else is played: they last for up to 15 s.
+PARTITION_RATE = 0.12
 MAX_DEADLY_S = 3.0
 CANCEL_S = 4.0
 # Cancelled tasks are gone after this time also while faults go on: an unresponsive
@@ -99,17 +101,21 @@
         "faults",
         "freezer",
         "random_source",
+        "seed",
         "steps",
     )
 
+    # Numbers of nodes; more than three voters may miss one of them.
+    node_counts = (3, 5)
     # Jobs and faults a second, and the kinds of faults.
     job_rate = 2.0
     fault_rate = 0.5
     fault_names = FAULTS
 
-    def __init__(self, cluster: MemoryCluster, random_source: random.Random):
+    def __init__(self, cluster: MemoryCluster, random_source: random.Random, seed: int):
         self.cluster = cluster
         self.random_source = random_source
+        self.seed = seed
         self.accepted: list[str] = []
         self.faults: list[str] = []
         self.steps = 0
@@ -166,17 +172,23 @@
         with self.freezer.installed():
             await self.inject_until(end)
 
-    async def inject_until(self, end: float) -> None:
-        """Inject faults and wait until they are over.
+    def draw_plan(self) -> tuple[Sequence[str], float]:
+        """Return the kinds of faults of a run, and how many it has a second.
 
         Half of the runs have few faults, most of them partitions: a partition in which
         another fault stops all nodes shows little.
         """
-        source, names, rate = self.random_source, self.fault_names, self.fault_rate
-        if source.random() < 0.5:
-            names = [*source.sample(PARTITIONS, 2), source.choice(names)]
-            rate *= FEW_FAULTS_SHARE
-            self.note(f"only {names}")
+        source = self.random_source
+        if source.random() >= 0.5:
+            return self.fault_names, self.fault_rate
+        names = [*source.sample(PARTITIONS, 2), source.choice(self.fault_names)]
+        self.note(f"only {names}")
+        return names, self.fault_rate * FEW_FAULTS_SHARE
+
+    async def inject_until(self, end: float) -> None:
+        """Inject the faults of the plan and wait until they are over."""
+        source = self.random_source
+        names, rate = self.draw_plan()
         async with anyio.create_task_group() as group:
             while anyio.current_time() < end:
                 await anyio.sleep(source.expovariate(rate))
@@ -424,14 +436,19 @@
     return behave
 
 
-def draw_long_behaviour(seed: int, usual: BehaviourFactory) -> BehaviourFactory:
+def draw_long_behaviour(
+    seed: int,
+    usual: BehaviourFactory,
+    share: float = LONG_SHARE,
+    longer_s: tuple[float, float] = LONG_S,
+) -> BehaviourFactory:
     """Return a behaviour in which some attempts work for longer than a lease lasts."""
 
     def behave(task: str, attempt: int) -> TaskBehaviour:
         behaviour = usual(task, attempt)
         source = random.Random(f"long/{seed}/{task}/{attempt}")
-        if source.random() < LONG_SHARE:
-            behaviour.work_s += source.uniform(*LONG_S)
+        if source.random() < share:
+            behaviour.work_s += source.uniform(*longer_s)
         return behaviour
 
     return behave
@@ -444,6 +461,32 @@
     return await run_cell_soak(seed, seconds, behave=deadly)
 
 
+class PartitionSoak(CellSoak):
+    """Drive load and partitions, most of them with a node that nobody has followed.
+
+    A task that runs twice shows only if it outlasts the partition, the takeover and the
+    wait of the next owner. Five nodes may have an owner that keeps its quorum without
+    the node that takes over.
+    """
+
+    __slots__ = ()
+
+    node_counts = (5,)
+    fault_rate = PARTITION_RATE
+    fault_names = ("stranger", "stranger", *PARTITIONS)
+
+    def draw_plan(self) -> tuple[Sequence[str], float]:
+        """Return the kinds of faults of a run, and how many it has a second."""
+        return self.fault_names, self.fault_rate
+
+
+async def run_partition_soak(seed: int, seconds: float) -> dict[str, object]:
+    """Run one seed with partitions and long work, and return what was seen."""
+    usual = random_behaviour(seed, 0.8, 0.05)
+    behave = draw_long_behaviour(seed, usual, LONGER_SHARE, LONGER_S)
+    return await run_cell_soak(seed, seconds, PartitionSoak, behave)
+
+
 async def run_cell_soak(
     seed: int,
     seconds: float,
@@ -455,10 +498,12 @@
     world = World(behave or usual, MAX_ATTEMPTS)
     async with anyio.create_task_group() as group:
         policy_share = 0.6 if seed % 2 else None
+        counts = soak_class.node_counts
+        nodes = counts[seed // 2 % len(counts)]
         cluster = MemoryCluster(
-            world, group, NODES[seed // 2 % 2], EXECUTORS, 8_000, policy_share, seed
+            world, group, nodes, EXECUTORS, 8_000, policy_share, seed
         )
-        soak = soak_class(cluster, cluster.random_source)
+        soak = soak_class(cluster, cluster.random_source, seed)
         async with anyio.create_task_group() as load:
             load.start_soon(soak.send_load, seconds)
             load.start_soon(soak.inject, seconds)
