Name the texts of withdrawn starts in full

Cause: the text was put together at run time, so that the list of names that leave the process did not contain what OPERATIONS refers to. Change: the callers pass the whole text.

--- a/gypsumring/cell/orders.py
+++ b/gypsumring/cell/orders.py
@@ -132,7 +132,9 @@
             account = run.step.job.spec.account
             if account and self.state.is_above_cap(account):
                 # Its cap was lowered after the start was decided.
-                self.withdraw_start(run, executor, "account is above its cap")
+                self.withdraw_start(
+                    run, executor, "start withdrawn: account is above its cap"
+                )
                 return
             now = self.state.clock()
             if (
@@ -179,14 +181,17 @@
             return
 
     def withdraw_start(
-        self, run: Run, executor: ExecutorState, reason: str = "executor has shrunk"
+        self,
+        run: Run,
+        executor: ExecutorState,
+        text: str = "start withdrawn: executor has shrunk",
     ) -> None:
         """Withdraw a start that no longer fits, so that the order is not sent.
 
         A copy that was sent before may still arrive; the stop blocks it.
         """
         log.info(
-            f"start withdrawn: {reason}",
+            text,
             **run.log_fields(),
             unanswered=run.unanswered_orders,
             used_cpu_millis=executor.used_cpu,
@@ -201,7 +206,7 @@
         else:
             self.release(run)
         if run.step.spec.gang:
-            self.stop_gang(run, f"a member's start was withdrawn: {reason}")
+            self.stop_gang(run, f"a member's {text}")
 
     def record_started(self, run: Run) -> None:
         """Record that the executor has confirmed the start of an attempt."""
