Admit blocked steps of each account by a limit of its own

Cause: one review admitted at most 50 blocked steps of all accounts, so that with many capped accounts a step could wait for several reviews although its account was below its cap. Change: the limit counts by account. A test shows that steps start below half of a cap while a gang of the account waits for its cap.

--- a/gypsumring/cell/caps.py
+++ b/gypsumring/cell/caps.py
@@ -7,6 +7,7 @@
 """
 
 import sys
+from collections import Counter
 from collections.abc import Sequence
 
 from gypsumring.accounts.caps import Amounts, count_startable, count_under_half
@@ -22,7 +23,7 @@
 # A gang that its cap has blocked for this time keeps other steps of its account from
 # starting above half of the cap.
 GANG_DELAY_S = 0.4
-# Maximum number of blocked steps that one review admits.
+# Maximum number of blocked steps of an account that one review admits.
 MAX_ADMITTED = 50
 NOTHING = (0, 0, 0)
 UNLIMITED = sys.maxsize
@@ -144,6 +145,7 @@
         headroom: dict[str, Amounts | None] = {}
         open_rows = []
         newly_admitted = []
+        admitted_counts: Counter[str] = Counter()
         for row in rows:
             step, queue = row
             account = step.job.spec.account
@@ -159,9 +161,10 @@
                 if step is not gang and queue.priority >= priority:
                     fits = self.may_precede_gang(step, caps[account])
             was_blocked = step in earlier
-            if fits and not (was_blocked and len(newly_admitted) >= MAX_ADMITTED):
+            if fits and not (was_blocked and admitted_counts[account] >= MAX_ADMITTED):
                 if was_blocked:
                     newly_admitted.append(step)
+                    admitted_counts[account] += 1
                 self.admitted.add(step)
                 open_rows.append(row)
             else:
--- a/gypsumring/cell/tests/test_caps.py
+++ b/gypsumring/cell/tests/test_caps.py
@@ -126,6 +126,22 @@
         await await_completed(cluster, "f" * 16, *ids)
 
 
+# Steps of an account below half of its cap must never rest because of caps.
+async def test_steps_start_below_half_of_the_cap_although_a_gang_waits():
+    async with capped_cluster(work_s=3.0) as cluster:
+        await submit_for(cluster, make_id(1), "a", ONE)
+        await submit_for(cluster, "f" * 16, "a", GANG)
+        await anyio.sleep(1.0)
+        await submit_for(cluster, make_id(2), "a", ONE)
+        await anyio.sleep(0.2)
+        assert count_started(cluster, make_id(2)) == 1
+        # Now half of the cap is in use, and the gang comes first.
+        await submit_for(cluster, make_id(3), "a", ONE)
+        await anyio.sleep(0.5)
+        assert count_started(cluster, make_id(3)) == 0
+        await await_completed(cluster, "f" * 16, make_id(3))
+
+
 async def test_gang_above_its_cap_waits_without_blocking_others():
     async with capped_cluster(work_s=0.5) as cluster:
         await submit_for(cluster, "f" * 16, "a", WIDE_GANG)
