--- a/gypsumring/cell/state.py
+++ b/gypsumring/cell/state.py
@@ -7,10 +7,11 @@
 import msgspec
 
 from gypsumring.accounts import AccountUsage
+from gypsumring.cell.accounts import AccountBook
 from gypsumring.cell.authority import Authority
 from gypsumring.cell.journal import Journal
 from gypsumring.cell.queues import QueueRegistry
-from gypsumring.fleet import ExecutorState
+from gypsumring.fleet import ExecutorState, FleetKnowledge
 from gypsumring.metrics import Metrics
 from gypsumring.pipelines import DesiredState, Job, JobTable, Queue, Run, encode
 from gypsumring.ports.tasks import TaskExecutor
@@ -73,6 +74,7 @@
     """Jobs and executors of a cell, with the journal that stores their records."""
 
     __slots__ = (
+        "accounts",
         "authority",
         "capacities_vary",
         "changed",
@@ -87,6 +89,7 @@
         "group",
         "inherited_lease_s",
         "journal",
+        "knowledge",
         "longest_durable_lease_ms",
         "metrics",
         "owned_since",
@@ -127,6 +130,8 @@
         self.fleet: dict[str, ExecutorState] = {}
         # What each client account has running on all executors.
         self.usage = AccountUsage()
+        # What was learned about executors and kinds of work, lost with the owner.
+        self.knowledge = FleetKnowledge()
         self.clients: dict[str, TaskExecutor] = {}
         # Executors with capacity that was released since the last evaluation.
         self.freed_executors: set[str] = set()
@@ -143,6 +148,7 @@
         self.owned_since: float | None = None
         self.group: anyio.abc.TaskGroup | None = None
         self.queues = QueueRegistry(journal, desired_state, self.list_used_queues)
+        self.accounts = AccountBook(journal, desired_state, self.list_used_accounts)
 
     def lease_ms(self) -> int:
         """Return the lease to request, in milliseconds."""
@@ -226,6 +232,10 @@
         """Return the names of the queues of all recorded jobs."""
         return {job.spec.queue for job in self.table.jobs.values()}
 
+    def list_used_accounts(self) -> set[str]:
+        """Return the names of the client accounts of all recorded jobs."""
+        return {job.spec.account for job in self.table.jobs.values()}
+
     def find_queue(self, job: Job) -> Queue:
         """Return the queue of a job, or its last version if it has been removed."""
         return self.queues.find(job.spec)
--- a/gypsumring/dispatch/openings.py
+++ b/gypsumring/dispatch/openings.py
@@ -16,13 +16,9 @@
 RELEASE_S = 0.3
 
 
-def estimate_end(run: Run, slowdown: float, now: float) -> float:
-    """Return the expected end of an attempt.
-
-    ``slowdown`` is the ratio of run times to estimates on its executor.
-    """
+def estimate_end(run: Run, expected_s: float, now: float) -> float:
+    """Return the expected end of an attempt with an expected run time."""
     ran_s = now - run.started_at
-    expected_s = slowdown * run.step.spec.estimated_ms / 1000
     return now + max(expected_s - ran_s, OVERRUN_SHARE * ran_s)
 
 
@@ -47,13 +43,12 @@
     cpu = executor.free_cpu_millis()
     memory = executor.entry.memory_mb - executor.used_memory
     accelerators = executor.entry.accelerators - executor.used_accelerators
-    slowdown = executor.health.slowdown
     ends = sorted(
         (
             (
                 now + RELEASE_S
                 if run in yielding
-                else estimate_end(run, slowdown, now),
+                else estimate_end(run, executor.expected_run_s(run.step), now),
                 run,
             )
             for run in executor.runs.values()
--- a/gypsumring/dispatch/preempting.py
+++ b/gypsumring/dispatch/preempting.py
@@ -191,7 +191,7 @@
     found = []
     for run in executor.runs.values():
         if may_be_preempted(run, now) and may_stop(run):
-            ends_at = estimate_end(run, executor.health.slowdown, now)
+            ends_at = estimate_end(run, executor.expected_run_s(run.step), now)
             if ends_at > now + stop_s + ENDING_MARGIN_S:
                 lost_s = now - run.checkpoint_at + RESTORE_S
                 lost_core_s = lost_s * run.step.spec.cpu_millis / 1000
@@ -320,7 +320,7 @@
         and not run.step.spec.long_running
         and (
             run.state is RunState.STOPPING
-            or estimate_end(run, executor.health.slowdown, now)
+            or estimate_end(run, executor.expected_run_s(run.step), now)
             <= now + stop_s + ENDING_MARGIN_S
         )
     ]
--- a/gypsumring/pipelines/state.py
+++ b/gypsumring/pipelines/state.py
@@ -9,6 +9,7 @@
     JobPhase,
     PipelineSpec,
     StepSpec,
+    WorkKind,
     format_task,
 )
 from gypsumring.pipelines.records import Progress, StepProgress
@@ -53,12 +54,16 @@
         "checkpoint_at",
         "executor_id",
         "has_begun",
+        "has_full_time",
         "index",
         "is_release_pending",
         "load",
+        "next_tail_at",
         "pace",
         "percent",
         "progress_at",
+        "progress_began",
+        "progress_latest",
         "rack",
         "ran_under_this_owner",
         "start_sent_by",
@@ -95,11 +100,20 @@
         self.rack = ""
         # Tail latency in milliseconds for a serving task, CPU in use for others.
         self.load = 0.0
+        # Time of the next sample of the tail latency.
+        self.next_tail_at = 0.0
         # Permitted speed of a task with ``fills``, in percent.
         self.pace = 100
         self.progress_at = now
         # Time at which a new checkpoint of this attempt was first listed.
         self.checkpoint_at: float | None = None
+        # First and latest progress below 100% in percent, with the executor's clock in
+        # milliseconds.
+        self.progress_began: tuple[float, int] | None = None
+        self.progress_latest: tuple[float, int] | None = None
+        # Whether the time since ``started_at`` is that of the whole task: neither an
+        # earlier owner nor an earlier attempt did part of its work.
+        self.has_full_time = not step.checkpoint_of(index)
 
     def log_fields(self) -> dict[str, object]:
         """Return the log fields that identify the attempt."""
@@ -121,6 +135,7 @@
         "allowed",
         "attempts",
         "avoided",
+        "capped_since",
         "checkpoints",
         "done_count",
         "earliest_start_at",
@@ -128,6 +143,7 @@
         "failures",
         "interrupted",
         "job",
+        "kind",
         "next_policy_call_at",
         "number",
         "occurrence",
@@ -162,6 +178,7 @@
         self.occurrence = occurrence
         self.number = number
         self.spec = spec
+        self.kind = WorkKind(job.spec.queue, number, spec.image)
         self.predecessors = predecessors
         # Scheduled start of the occurrence; None for other jobs, whose waiting time
         # counts from acceptance.
@@ -195,6 +212,8 @@
         self.tickets_needed_until = 0.0
         # Number of policy service calls in flight.
         self.policy_calls_in_flight = 0
+        # Time at which the cap of its account first kept the step from starting.
+        self.capped_since: float | None = None
         # Time since which the step has waited for an executor with good locality.
         self.waiting_since: float | None = None
         # Executors reserved for the step; they accept no tasks of other steps until it
