Stop no more tasks than the cap of the account lets start

A step of single tasks of a capped account could have more tasks stopped for it than its cap then let start, and two steps of one account the same room twice.

--- a/gypsumring/cell/preemption.py
+++ b/gypsumring/cell/preemption.py
@@ -8,6 +8,7 @@
 import enum
 from collections.abc import Callable, Collection
 
+from gypsumring.cell.caps import CapLimiter
 from gypsumring.cell.orders import Orders
 from gypsumring.cell.state import CellState
 from gypsumring.dispatch import Reservation
@@ -130,6 +131,7 @@
     """Preemption of running tasks by waiting steps on the owner of a cell."""
 
     __slots__ = (
+        "caps",
         "current",
         "find_usable",
         "holds",
@@ -145,11 +147,13 @@
         state: CellState,
         orders: Orders,
         find_usable: Callable[[Step, Queue], list[ExecutorState]],
+        caps: CapLimiter,
     ):
         self.state = state
         self.orders = orders
         # Returns the executors that a step may use, without regard to their capacity.
         self.find_usable = find_usable
+        self.caps = caps
         # The evaluation of the fleet in progress, if tasks may be stopped in it.
         self.current: PreemptionPass | None = None
         self.holds: dict[Step, Hold] = {}
@@ -368,11 +372,25 @@
                 self.release_s(),
                 self.state.timing.spread_factor,
                 max(0, max_victims),
+                self.count_startable(step),
             )
             if plan is not None:
                 return plan
         return None
 
+    def count_startable(self, step: Step) -> int:
+        """Return how many pending tasks the cap of the account lets start.
+
+        Tasks are stopped for one step of a capped account at a time, since the steps
+        could exceed the cap together.
+        """
+        if self.caps.find_cap(step) is not None:
+            account = step.job.spec.account
+            for other in self.holds:
+                if other is not step and other.job.spec.account == account:
+                    return 0
+        return self.caps.count_startable(step)
+
     def may_hold(self, executor_ids: set[str], current: PreemptionPass) -> bool:
         """Return whether further executors may be reserved; the first step always."""
         held = set().union(*(hold.executor_ids for hold in self.holds.values()))
--- a/gypsumring/cell/scheduling.py
+++ b/gypsumring/cell/scheduling.py
@@ -74,9 +74,9 @@
         self.policy_client = PolicyClient(
             state, self.place, list_policy_proxies, query_policy_proxy
         )
-        self.preemption = Preemption(state, orders, self.find_usable)
         self.backlog = Backlog(state.find_queue)
         self.caps = CapLimiter(state)
+        self.preemption = Preemption(state, orders, self.find_usable, self.caps)
         # Reservations for large tasks, by executor id.
         self.reserved: dict[str, Reservation] = {}
         # Time of the last evaluation of the whole fleet.
--- a/gypsumring/cell/tests/test_preemption_rules.py
+++ b/gypsumring/cell/tests/test_preemption_rules.py
@@ -198,4 +198,20 @@
     assert not step.reserved & held
 
 
+async def test_no_more_is_stopped_than_the_cap_lets_start():
+    cell = FullCell()
+    caps = cell.fixture.scheduler.caps
+    cell.fixture.scheduler.backlog.drop(cell.gang)
+    for _ in range(2):
+        step = cell.fixture.add_step(task_count=4, cpu_millis=4_000)
+        cell.fixture.allow(step, "i-0", "i-1", "i-2", "i-3")
+        step.waiting_since = anyio.current_time() - 1
+    with (
+        mock.patch.object(type(caps), "find_cap", lambda self, step: (4_000, 0, 0)),
+        mock.patch.object(type(caps), "count_startable", lambda self, step: 1),
+    ):
+        assert len(cell.evaluate()) == 1
+        assert len(cell.evaluate()) == 1
+
+
 load_tests = make_load_tests(globals())
--- a/gypsumring/dispatch/preempting.py
+++ b/gypsumring/dispatch/preempting.py
@@ -207,25 +207,32 @@
     stop_s: float,
     spread_factor: float = 1.0,
     max_victims: int = 1_000_000,
+    max_tasks: int = 1_000_000,
 ) -> PreemptionPlan | None:
     """Return the victims with the least lost work that let a step start.
 
-    A gang gets all its members or none. A plan without victims means that what is free
-    or already being stopped for the step suffices. None means that nothing is to be
-    stopped: no choice suffices, or the capacity is about to be released anyway.
+    A gang gets all its members or none, a step of single tasks at most ``max_tasks``.
+    A plan without victims means that what is free or already being stopped for the step
+    suffices. None means that nothing is to be stopped: no choice suffices, or the
+    capacity is about to be released anyway.
     """
+    needed = min(len(step.pending), max_tasks)
+    if needed <= 0 or (step.spec.gang and needed < len(step.pending)):
+        return None
     candidates = exclude_avoided(step, candidates)
     may_wait = waits_for_locality(step, spread_factor, now)
     if step.spec.data_rack:
         near_data = [row for row in candidates if is_near_data(step, row)]
-        plan = choose_among(step, near_data, rank, now, stop_s, max_victims)
+        plan = choose_among(step, near_data, rank, now, stop_s, max_victims, needed)
         if plan is not None or (may_wait and near_data):
             return plan
     if step.spec.same_rack:
-        plan = choose_on_one_rack(step, candidates, rank, now, stop_s, max_victims)
+        plan = choose_on_one_rack(
+            step, candidates, rank, now, stop_s, max_victims, needed
+        )
         if plan is not None or may_wait:
             return plan
-    return choose_among(step, candidates, rank, now, stop_s, max_victims)
+    return choose_among(step, candidates, rank, now, stop_s, max_victims, needed)
 
 
 def is_near_data(step: Step, candidate: Candidate) -> bool:
@@ -250,6 +257,7 @@
     now: float,
     stop_s: float,
     max_victims: int,
+    needed: int,
 ) -> PreemptionPlan | None:
     """Return the plan with the least lost work among those of single racks.
 
@@ -260,7 +268,7 @@
         racks.setdefault(candidate.executor.rack, []).append(candidate)
     used = {run.rack for run in step.active_runs()}
     plans = [
-        choose_among(step, rows, rank, now, stop_s, max_victims)
+        choose_among(step, rows, rank, now, stop_s, max_victims, needed)
         for rack, rows in sorted(racks.items())
         if not used or rack in used
     ]
@@ -278,13 +286,13 @@
     now: float,
     stop_s: float,
     max_victims: int,
+    needed: int,
 ) -> PreemptionPlan | None:
     """Return the victims on the given executors, see ``choose_victims``."""
-    needed = len(step.pending)
     available = {row: row.count_tasks(()) for row in candidates}
     missing = needed - sum(available.values())
     if missing <= 0:
-        return PreemptionPlan(list_used(step, available), [], needed)
+        return PreemptionPlan(list_used(step, available, needed), [], needed)
     if missing <= sum(
         row.count_tasks(list_ending(row, now, stop_s)) - available[row]
         for row in candidates
@@ -303,7 +311,7 @@
     }
     with_victims = {row for row, runs in victims.items() if runs}
     return PreemptionPlan(
-        list_used(step, capacity, with_victims),
+        list_used(step, capacity, needed, with_victims),
         [victim for row in with_victims for victim in victims[row]],
         min(needed, sum(capacity.values())),
     )
@@ -388,6 +396,7 @@
 def list_used(
     step: Step,
     capacity: dict[Candidate, int],
+    needed: int,
     with_victims: Iterable[Candidate] = (),
 ) -> list[ExecutorState]:
     """Return the executors that the step needs, those with victims first."""
@@ -404,7 +413,7 @@
     )
     used, task_capacity = [], 0
     for candidate, count in rows:
-        if count and task_capacity < len(step.pending):
+        if count and task_capacity < needed:
             task_capacity += count
             used.append(candidate.executor)
     return used
--- a/gypsumring/dispatch/tests/test_preempting.py
+++ b/gypsumring/dispatch/tests/test_preempting.py
@@ -184,6 +184,18 @@
     assert len(plan.victims) == 2
 
 
+def test_no_more_is_stopped_than_the_cap_of_the_account_lets_start():
+    step = make_step("f" * 16, task_count=9, cpu_millis=4_000)
+    step.waiting_since = NOW - 1
+    plan = choose(step, make_full_fleet(4), max_tasks=2)
+    assert len(plan.victims) == 2
+    assert choose(step, make_full_fleet(4), max_tasks=0) is None
+    assert choose(make_gang(), make_full_fleet(), max_tasks=5) is None
+    # A task that fits already is what the cap lets start.
+    fleet = [*make_full_fleet(1), make_executor("z-0", cpu_millis=4_000)]
+    assert not choose(step, fleet, max_tasks=1).victims
+
+
 def test_memory_accelerators_and_the_limit_per_executor_count():
     fleet = make_full_fleet(2)
     for executor in fleet:
