--- a/gypsumring/cell/tests/test_observation.py
+++ b/gypsumring/cell/tests/test_observation.py
@@ -12,10 +12,17 @@
 
 import anyio
 
-from gypsumring.cell.observation import RunObserver, find_neighbours
+from gypsumring.cell.observation import (
+    RunObserver,
+    find_neighbours,
+    measure_knowledge,
+    review_knowledge,
+)
 from gypsumring.dispatch.tests.fleets import make_executor, make_step
 from gypsumring.fleet import FleetKnowledge
+from gypsumring.fleet.interference import HALF_LIFE_S, Neighbour
 from gypsumring.fleet.runtimes import Evidence
+from gypsumring.metrics import Metrics
 from gypsumring.pipelines import JobTable, RunState
 from gypsumring.utils.testing import make_load_tests
 
@@ -126,4 +133,37 @@
     assert all(executor.profile.slowness == 1.0 for executor in executors)
 
 
+async def test_found_and_forgotten_pairs_are_counted_and_shown():
+    state = SimpleNamespace(
+        knowledge=FleetKnowledge(),
+        metrics=Metrics(),
+        fleet={"i-0": make_executor("i-0")},
+    )
+    slowed, neighbour = (make_own_step(image=image).kind for image in ("s", "n"))
+    for number in range(80):
+        beside = {neighbour: Neighbour(1.0)} if number % 2 else {}
+        effect = 0.5 * (number % 2)
+        state.knowledge.interference.record(slowed, effect, beside, 0.1, 0.0)
+    review_knowledge(state, 1.0)
+    review_knowledge(state, 1.5)
+    gauges = measure_knowledge(state)
+    assert gauges["cell.interference.pairs"] == 1
+    assert gauges["cell.speed.min"] == gauges["cell.speed.median"] == 1.0
+    for period in range(1, 13):
+        review_knowledge(state, 1.0 + period * HALF_LIFE_S)
+    assert measure_knowledge(state)["cell.interference.pairs"] == 0
+    assert state.metrics.counters["cell.interference.found"] == 1
+    assert state.metrics.counters["cell.interference.forgotten"] == 1
+
+
+async def test_new_life_of_an_executor_begins_with_a_doubt():
+    executor = make_executor("i-0")
+    for _ in range(30):
+        executor.profile.add(0.8, 20.0)
+    slow = executor.profile.slowness
+    executor.start_incarnation(2, 0)
+    assert not executor.profile.samples
+    assert 1.0 < executor.profile.slowness < slow
+
+
 load_tests = make_load_tests(globals())
