--- a/gypsumring/cell/observation.py
+++ b/gypsumring/cell/observation.py
@@ -151,18 +151,19 @@
         return
     center_profiles(executor.profile for executor in state.fleet.values())
     for change in interference.review(now):
-        name = "found" if change.is_found else "forgotten"
-        state.metrics.count(f"cell.interference.{name}")
-        log.info(
-            "work slows other work down"
-            if change.is_found
-            else "work no longer slows other work down",
-            slowed=change.kind,
-            neighbour=change.neighbour,
-            factor=round(change.factor, 2),
-            samples=round(change.samples, 1),
-            errors=round(change.errors, 1),
-        )
+        fields = {
+            "slowed": change.kind,
+            "neighbour": change.neighbour,
+            "factor": round(change.factor, 2),
+            "samples": round(change.samples, 1),
+            "errors": round(change.errors, 1),
+        }
+        if change.is_found:
+            state.metrics.count("cell.interference.found")
+            log.info("work slows other work down", **fields)
+        else:
+            state.metrics.count("cell.interference.forgotten")
+            log.info("work no longer slows other work down", **fields)
 
 
 def measure_knowledge(state: CellState) -> dict[str, float]:
