Read the clock of the event loop for each request of callers

anyio.current_time() looks up the running backend at each call, and a request reads the clock several times.

--- a/gypsumring/door/request.py
+++ b/gypsumring/door/request.py
@@ -3,8 +3,6 @@
 import asyncio
 from typing import Any
 
-import anyio
-
 from gypsumring.door.connection import Connection, Phase
 from gypsumring.door.exceptions import BodyRefused
 from gypsumring.door.limits import BODY_COST, FIELD_BYTES, RECEIVING_BYTES
@@ -49,7 +47,7 @@
             self.table.close(self.connection, "ahead")
             return
         request = Request(self.connection, self.table, receive, send, scope["headers"])
-        self.connection.enter(Phase.SERVING, anyio.current_time())
+        self.connection.enter(Phase.SERVING, self.table.read_clock())
         try:
             if request.charge_fields(len(scope["headers"])):
                 await self.app(scope, request.receive, request.send)
@@ -58,7 +56,7 @@
                     await request.send(event)
         finally:
             self.table.release(self.connection)
-            self.connection.enter(Phase.IDLE, anyio.current_time())
+            self.connection.enter(Phase.IDLE, self.table.read_clock())
 
 
 class Request:
@@ -97,7 +95,7 @@
     async def receive(self) -> dict[str, Any]:
         """Return the next event; raise BodyRefused without memory for it."""
         if self.connection.phase is Phase.SERVING and self.body_left:
-            self.connection.enter(Phase.BODY, anyio.current_time())
+            self.connection.enter(Phase.BODY, self.table.read_clock())
             self.charge(self.receiving_bytes)
         event = await self.receive_event()
         if event["type"] != "http.request":
@@ -109,7 +107,7 @@
             if self.body_left:
                 self.table.refund(self.connection, self.receiving_bytes)
             self.body_left = False
-            self.connection.enter(Phase.SERVING, anyio.current_time())
+            self.connection.enter(Phase.SERVING, self.table.read_clock())
         return event
 
     def charge(self, size: int) -> None:
--- a/gypsumring/door/server.py
+++ b/gypsumring/door/server.py
@@ -34,10 +34,16 @@
 class AccountedReader:
     """Reader that notes what a connection receives."""
 
-    __slots__ = ("connection", "reader")
+    __slots__ = ("connection", "read_clock", "reader")
 
-    def __init__(self, reader: asyncio.StreamReader, connection: Connection):
+    def __init__(
+        self,
+        reader: asyncio.StreamReader,
+        connection: Connection,
+        read_clock: Callable[[], float],
+    ):
         self.reader = reader
+        self.read_clock = read_clock
         self.connection = connection
 
     def at_eof(self) -> bool:
@@ -47,7 +53,7 @@
     async def read(self, size: int) -> bytes:
         """Read up to ``size`` bytes, in small pieces."""
         content = await self.reader.read(min(size, READ_BYTES))
-        self.connection.note_bytes(len(content), anyio.current_time())
+        self.connection.note_bytes(len(content), self.read_clock())
         return content
 
 
@@ -90,7 +96,7 @@
             client[0],
             task,
             writer.transport,
-            anyio.current_time(),
+            self.table.read_clock(),
         )
         if not self.table.admit(connection):
             writer.write(REFUSAL)
@@ -100,7 +106,7 @@
         writer.transport.set_write_buffer_limits(high=UNSENT_BYTES)
         app = ASGIWrapper(ConnectionApp(self.app, connection, self.table))
         loop = asyncio.get_running_loop()
-        accounted = AccountedReader(reader, connection)
+        accounted = AccountedReader(reader, connection, self.table.read_clock)
         try:
             await Http1Server(
                 app, loop, self.config, self.context, {}, accounted, writer
--- a/gypsumring/door/table.py
+++ b/gypsumring/door/table.py
@@ -1,7 +1,7 @@
 """Open connections of callers, and which of them goes first when room is short."""
 
 from collections import Counter
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 
 import anyio
 
@@ -38,6 +38,7 @@
         "limits",
         "log_after",
         "metrics",
+        "read_clock",
         "reasons",
         "search_after",
         "settings",
@@ -51,11 +52,14 @@
         limits: DoorLimits,
         settings: DoorSettings,
         metrics: Metrics,
+        read_clock: Callable[[], float] = anyio.current_time,
     ):
         self.caller_address = caller_address
         self.limits = limits
         self.settings = settings
         self.metrics = metrics
+        # The monotonic clock; a request reads it several times.
+        self.read_clock = read_clock
         self.connections: set[Connection] = set()
         self.sizes: Counter[str] = Counter()
         self.used_bytes = 0
@@ -74,14 +78,14 @@
 
     def admit(self, connection: Connection) -> bool:
         """Add a connection, or return False if there is no room for it."""
-        now = anyio.current_time()
+        now = self.read_clock()
         server = connection.server
         if self.sizes[server] >= self.limit_of(server):
             self.free_connections(server, now)
         if self.sizes[server] >= self.limit_of(server):
             self.note("refused", "connections", connection.host)
             return False
-        if not self.has_room(CONNECTION_BYTES, now):
+        if not self.has_room(CONNECTION_BYTES):
             self.note("refused", "memory", connection.host)
             return False
         self.connections.add(connection)
@@ -105,7 +109,7 @@
         """
         if connection.closed:
             return False
-        if not self.has_room(size, anyio.current_time()):
+        if not self.has_room(size):
             largest = max(
                 (
                     each
@@ -133,12 +137,12 @@
         """Take back what a connection is charged with beside its own cost."""
         self.refund(connection, connection.charged - CONNECTION_BYTES)
 
-    def has_room(self, size: int, now: float) -> bool:
+    def has_room(self, size: int) -> bool:
         """Return whether memory is left, after closing slow connections if not."""
         limit = self.limits.memory_bytes
         if self.used_bytes + size > limit:
             aim = limit * (1 - ROOM_SHARE)
-            for connection in self.find_slow(now):
+            for connection in self.find_slow(self.read_clock()):
                 if self.used_bytes - self.closing_bytes + size <= aim:
                     break
                 self.close(connection, "memory")
@@ -182,7 +186,7 @@
         """Close connections that exceed a time limit, until cancelled."""
         while True:
             await anyio.sleep(SWEEP_S)
-            now = anyio.current_time()
+            now = self.read_clock()
             for connection in list(self.connections):
                 connection.note_unsent(now)
                 reason = self.find_fault(connection, now)
--- a/gypsumring/node/main.py
+++ b/gypsumring/node/main.py
@@ -1,5 +1,6 @@
 """Command ``gypsumring-node``."""
 
+import asyncio
 import os
 import signal
 import sys
@@ -103,7 +104,13 @@
     config.accesslog = None
     config.errorlog = None
     limits = DoorLimits(settings.limits, settings.door)
-    table = ConnectionTable(settings.caller_address, limits, settings.door, metrics)
+    table = ConnectionTable(
+        settings.caller_address,
+        limits,
+        settings.door,
+        metrics,
+        asyncio.get_running_loop().time,
+    )
     stopped = anyio.Event()
     # Set once another node may own the cell, which may be after the last response.
     handed_over = anyio.Event()
