Keep the link to an owner whose answers are late while the store is away

The rule of ownership is not touched: only votes keep an owner going, and they are dated as before.

A trace shows two causes. After some quick answers a ping is overdue after 0.2 to 0.3 s, and one late answer ends the link. The node then looks the owner up in the store, which does not answer for 0.5 s, asks other nodes for 0.2 s, and pauses; it was without a link for 1.6 s. And a node that has measured no answer yet opens the link within a fixed 0.25 s, so that it fails to again and again; what fails was not measured.

A node whose linked owner is overdue now tries the same address once more before it looks the owner up. The opening of a link to a known owner is measured and limited like a ping, and an overdue answer counts as one that took the time limit, as in RFC 6298. An owner that hangs is reported after the same two steps, the second of which may take longer than 0.25 s after a time-out, 0.8 s at most.

--- a/gypsumring/node/link.py
+++ b/gypsumring/node/link.py
@@ -1,6 +1,7 @@
 """The channel from a node to the owner of the cell."""
 
 from collections.abc import Callable
+from typing import Any
 
 import anyio
 
@@ -82,6 +83,7 @@
         "linked_since",
         "list_missing_voters",
         "list_peers",
+        "lost_address",
         "member",
         "metrics",
         "next_announcement_at",
@@ -148,6 +150,9 @@
         # Address of the linked owner, and the group name of the owner last looked up.
         self.owner_address = ""
         self.owner_member = ""
+        # Address of an owner whose answer is overdue and that is tried once more before
+        # it is looked up: messages may be late while the store does not answer.
+        self.lost_address = ""
         # Highest fence number of an owner seen so far; address that an owner announced
         # and that has not been tried yet.
         self.fence = 0
@@ -187,7 +192,7 @@
                 await self.try_follow(address)
             if self.last_linked_at > began_at:
                 pause_s = SHORTEST_PAUSE_S
-            if not self.announced_address:
+            if not (self.announced_address or self.lost_address):
                 await self.wait_for_announcement(pause_s)
             pause_s = min(PAUSE_GROWTH * pause_s, LONGEST_PAUSE_S)
 
@@ -211,6 +216,7 @@
 
     async def announce_ownership(self, fence: int) -> None:
         """Announce once that this node owns the cell, then wait one ping period."""
+        self.lost_address = ""
         self.last_linked_at = anyio.current_time()
         self.fence = max(self.fence, fence)
         self.notify()
@@ -248,9 +254,10 @@
         await self.calls.call_all(addresses, message)
 
     async def find_owner(self) -> str | None:
-        """Return the announced address of the owner, or else look it up."""
+        """Return the announced or lost address of the owner, or else look it up."""
         announced_address, self.announced_address = self.announced_address, ""
-        return announced_address or await self.look_up()
+        lost_address, self.lost_address = self.lost_address, ""
+        return announced_address or lost_address or await self.look_up()
 
     async def look_up(self) -> str | None:
         """Return the address of the owner, None if there is none or it is this node.
@@ -469,8 +476,10 @@
         Return whether the node has responded at all.
         """
         has_answered = False
-        connect_s, hello_s = CONNECT_TIMEOUT_S, HELLO_TIMEOUT_S
-        if self.term is None or self.term.address != address:
+        connect_s = CONNECT_TIMEOUT_S
+        hello_s = self.response_times.timeout_s(HELLO_TIMEOUT_S, LONGEST_PING_TIMEOUT_S)
+        is_known = self.term is not None and self.term.address == address
+        if not is_known:
             connect_s = hello_s = TAKEOVER_ANSWER_TIMEOUT_S
         self.metrics.count("link.connections_to_owners")
         deadline = anyio.current_time() + connect_s
@@ -482,7 +491,7 @@
             hello = self.make_hello()
             self.owner_sent_at = None
             try:
-                pong = await channel.call(hello, anyio.current_time() + hello_s)
+                pong = await self.call_owner(channel, hello, hello_s, is_known)
                 self.owner_sent_at = pong.sent_at if isinstance(pong, Pong) else None
                 has_answered = True
                 while await self.is_owner_or_candidate(channel, address):
@@ -507,9 +516,8 @@
             timeout_s = self.response_times.timeout_s(
                 SHORTEST_PING_TIMEOUT_S, LONGEST_PING_TIMEOUT_S
             )
-        sent_at = anyio.current_time()
         ping = Ping(self.nodes_version, self.make_vote())
-        pong = await channel.call(ping, sent_at + timeout_s)
+        pong = await self.call_owner(channel, ping, timeout_s, is_linked)
         if not isinstance(pong, Pong):
             return False
         self.owner_sent_at = pong.sent_at
@@ -518,10 +526,31 @@
                 # The node may take over again, which is another term.
                 self.term = None
             return not is_linked
-        self.response_times.record(anyio.current_time() - sent_at)
         self.record_owner(channel, address, pong)
         return True
 
+    async def call_owner(
+        self, channel: Channel, message: Ping | Hello, timeout_s: float, is_known: bool
+    ) -> Any:
+        """Call a node that owns the cell, or may; raise ChannelClosed if it is late.
+
+        The response times of a known owner are recorded. One whose answer is overdue
+        has taken at least that long.
+        """
+        sent_at = anyio.current_time()
+        try:
+            answer = await channel.call(message, sent_at + timeout_s)
+        except ChannelClosed:
+            is_overdue = anyio.current_time() >= sent_at + timeout_s
+            if is_known and is_overdue:
+                self.response_times.record(timeout_s)
+            if self.channel is channel and is_overdue:
+                self.lost_address = self.owner_address
+            raise
+        if is_known:
+            self.response_times.record(anyio.current_time() - sent_at)
+        return answer
+
     def record_owner(self, channel: Channel, address: str, pong: Pong) -> None:
         """Record the answer of the owner of the cell."""
         now = anyio.current_time()
