Count no attempts that need nothing for their account

The count of an account was deleted once all its amounts were 0, although attempts without any demand were still on executors. The release of such an attempt then raised KeyError, also in deployments without accounts: in a poll it leaves the attempt unreleased and marks the executor unresponsive, elsewhere (eviction of an executor, withdrawn or refused starts) it is not caught.

The new test failed with KeyError before the change; the tests of the module pass.

--- a/gypsumring/accounts/tests/test_usage.py
+++ b/gypsumring/accounts/tests/test_usage.py
@@ -22,6 +22,18 @@
     assert usage.get("a") == Resources()
 
 
+def test_attempts_that_need_nothing_are_released_in_any_order():
+    """Guards against errors in the owner when a second such task is released."""
+    usage = AccountUsage()
+    usage.add("a", Resources())
+    usage.add("a", Resources(2000))
+    usage.add("a", Resources())
+    usage.remove("a", Resources(2000))
+    usage.remove("a", Resources())
+    usage.remove("a", Resources())
+    assert list(usage) == []
+
+
 def test_dominant_share_is_that_of_the_scarcest_resource():
     total = Resources(10_000, 1000)
     assert dominant_share(Resources(1000, 500), total) == 0.5
--- a/gypsumring/accounts/usage.py
+++ b/gypsumring/accounts/usage.py
@@ -6,12 +6,14 @@
 
 __all__ = ["AccountUsage", "dominant_share"]
 
+NOTHING = Resources()
+
 
 class AccountUsage:
     """Resources held by the attempts of each client account on all executors.
 
     An attempt counts from the decision to start it until it is certain not to run any
-    more, like the capacity of its executor.
+    more, like the capacity of its executor. Attempts without demand do not count.
     """
 
     __slots__ = ("held",)
@@ -26,6 +28,8 @@
 
     def add(self, account: str, demand: Resources) -> None:
         """Count an attempt that holds its demand from now on."""
+        if demand == NOTHING:
+            return
         cpu_millis, memory_mb, accelerators = self.held.get(account, (0, 0, 0))
         self.held[account] = (
             cpu_millis + demand.cpu_millis,
@@ -35,6 +39,8 @@
 
     def remove(self, account: str, demand: Resources) -> None:
         """Release the demand of an attempt that was added before."""
+        if demand == NOTHING:
+            return
         cpu_millis, memory_mb, accelerators = self.held[account]
         held = (
             cpu_millis - demand.cpu_millis,
