Let accounts stop no more tasks than bring them to their share

Ten places and three accounts of equal weight: the account with four tasks was above its share, so a waiting step of another stopped one of them, which brought that one above its share, and so on. Each pass stopped a checkpointed task, bounded only by the rest of each task. A step of five tasks took more than its share in the same way.

Single tasks now rank as above the share of their account if the start would bring it there, the count of victims is bounded by what the share lets start, and the last task that keeps an account above its share does not yield. An account that holds nothing may still stop for one task. Gangs and other priorities are served as before.

--- a/gypsumring/cell/preemption.py
+++ b/gypsumring/cell/preemption.py
@@ -8,6 +8,7 @@
 import enum
 from collections.abc import Callable, Collection
 
+from gypsumring.accounts import Resources
 from gypsumring.cell.caps import CapLimiter
 from gypsumring.cell.orders import Orders
 from gypsumring.cell.state import CellState
@@ -24,6 +25,7 @@
 )
 from gypsumring.dispatch.reserving import MAX_TOTAL_RESERVED_SHARE, REVIEW_PERIOD_S
 from gypsumring.fleet import ExecutorState
+from gypsumring.fleet.executor import task_demand
 from gypsumring.pipelines import Queue, Run, Step
 from gypsumring.utils.logs import EventLogger
 
@@ -111,8 +113,17 @@
         self.yielding_by_rank: dict[Rank, set[Run]] = {}
 
     def rank(self, step: Step, queue: Queue) -> Rank:
-        """Return the rank of a waiting step."""
-        return self.shares.rank(step.job.spec, queue.priority)
+        """Return the rank of a waiting step.
+
+        Single tasks that would bring their account above its share rank as above it,
+        or accounts could stop each other's tasks by turns.
+        """
+        spec = step.job.spec
+        beyond_rate, priority, is_above = self.shares.rank(spec, queue.priority)
+        if not step.spec.gang:
+            demand = task_demand(step.spec)
+            is_above |= not self.shares.count_within(spec.account, demand, 1)
+        return beyond_rate, priority, is_above
 
     def list_yielding(self, rank: Rank) -> set[Run]:
         """Return the attempts that yield to a rank."""
@@ -262,17 +273,19 @@
             run.executor_id for run, stop in self.stops.items() if stop.deadline < now
         }
 
-        ranks: dict[tuple[str, str, bool], Rank] = {}
+        ranks: dict[tuple[str, str, bool, Resources], Rank] = {}
 
         def rank(run: Run) -> Rank:
             """Return the rank of the job of an attempt."""
             job = run.step.job
             spec = job.spec
-            key = (spec.queue, spec.account, spec.beyond_rate)
+            demand = task_demand(run.step.spec)
+            key = (spec.queue, spec.account, spec.beyond_rate, demand)
             found = ranks.get(key)
             if found is None:
                 priority = self.state.find_queue(job).priority
-                found = ranks[key] = current.shares.rank(spec, priority)
+                is_above = current.shares.stays_above(spec.account, demand)
+                found = ranks[key] = spec.beyond_rate, priority, is_above
             return found
 
         for executor in current.fleet:
@@ -372,14 +385,14 @@
                 self.release_s(),
                 self.state.timing.spread_factor,
                 max(0, max_victims),
-                self.count_startable(step),
+                self.count_startable(step, current),
             )
             if plan is not None:
                 return plan
         return None
 
-    def count_startable(self, step: Step) -> int:
-        """Return how many pending tasks the cap of the account lets start.
+    def count_startable(self, step: Step, current: PreemptionPass) -> int:
+        """Return how many pending tasks the cap and share of the account let start.
 
         Tasks are stopped for one step of a capped account at a time, since the steps
         could exceed the cap together.
@@ -389,7 +402,13 @@
             for other in self.holds:
                 if other is not step and other.job.spec.account == account:
                     return 0
-        return self.caps.count_startable(step)
+        count = self.caps.count_startable(step)
+        if step.spec.gang:
+            return count
+        demand = task_demand(step.spec)
+        within = current.shares.count_within(step.job.spec.account, demand, count)
+        # Beyond its share, an account may still stop tasks of lower priorities.
+        return within or count
 
     def may_hold(self, executor_ids: set[str], current: PreemptionPass) -> bool:
         """Return whether further executors may be reserved; the first step always."""
--- a/gypsumring/cell/scheduling.py
+++ b/gypsumring/cell/scheduling.py
@@ -23,7 +23,7 @@
     reserve_executors,
 )
 from gypsumring.dispatch.backlog import EVALUATION_PERIOD_S
-from gypsumring.dispatch.fairness import FairShares, find_above_share
+from gypsumring.dispatch.fairness import FairShares, compute_shares, find_above_share
 from gypsumring.dispatch.isolation import Isolation
 from gypsumring.dispatch.placing import has_capacity, has_label
 from gypsumring.fleet import ExecutorState
@@ -190,13 +190,14 @@
             self.backlog.shares = FairShares()
             return
         capacities = [executor.entry.capacity for executor in fleet]
+        total = Resources(*map(sum, zip(*capacities)))
+        accounts, usage = self.state.accounts.accounts, self.state.usage
+        waiting = self.backlog.list_accounts()
         self.backlog.shares = FairShares(
-            find_above_share(
-                self.state.accounts.accounts,
-                self.backlog.list_accounts(),
-                self.state.usage,
-                Resources(*map(sum, zip(*capacities))),
-            )
+            find_above_share(accounts, waiting, usage, total),
+            compute_shares(accounts, waiting, usage),
+            usage,
+            total,
         )
 
     def list_enrolled(self) -> list[ExecutorState]:
--- a/gypsumring/cell/tests/test_preemption_rules.py
+++ b/gypsumring/cell/tests/test_preemption_rules.py
@@ -7,9 +7,12 @@
 from unittest import mock
 
 import anyio
+import msgspec
 
+from gypsumring.accounts import ClientAccount
 from gypsumring.cell.preemption import OVERDUE_S, PREPARATION_S, REST_S
 from gypsumring.cell.tests.test_waiting import POLICY, CellFixture
+from gypsumring.fleet.executor import task_demand
 from gypsumring.pipelines import DesiredState, Queue, RunState, StepSpec
 from gypsumring.pipelines.model import PipelineSpec
 from gypsumring.utils.testing import make_load_tests
@@ -214,4 +217,59 @@
         assert len(cell.evaluate()) == 1
 
 
+def give_accounts(cell, names):
+    """Give the running tasks to accounts of equal weight; drop the gang."""
+    state = cell.fixture.state
+    cell.fixture.scheduler.backlog.drop(cell.gang)
+    cell.gang.job.phase = cell.gang.job.phase.CANCELLED
+    accounts = tuple(ClientAccount(name=name) for name in "xyz")
+    desired = msgspec.structs.replace(state.desired_state(), accounts=accounts)
+    state.desired_state = state.queues.desired_state = lambda: desired
+    state.accounts.desired_state = state.desired_state
+    state.usage.held.clear()
+    for executor in state.fleet.values():
+        executor.usage = state.usage
+    for run, name in zip(cell.runs, names, strict=True):
+        job = run.step.job
+        job.spec = msgspec.structs.replace(job.spec, account=name)
+        state.usage.add(name, task_demand(run.step.spec))
+
+
+def add_waiting(cell, account, job_id="e" * 16, task_count=1):
+    """Add a step of single tasks of an account that waits in queue low."""
+    state = cell.fixture.state
+    spec = cell.runs[0].step.job.spec
+    steps = (msgspec.structs.replace(spec.steps[0], task_count=task_count),)
+    spec = msgspec.structs.replace(spec, job_id=job_id, account=account, steps=steps)
+    step = state.table.add(spec, anyio.current_time()).steps[0]
+    step.waiting_since = anyio.current_time() - 1
+    cell.fixture.scheduler.backlog.refresh([step], anyio.current_time())
+    return step
+
+
+async def test_accounts_do_not_stop_tasks_of_each_other_by_turns():
+    """Guards against ten places that three accounts cannot share evenly."""
+    cell = FullCell(executors=5)
+    give_accounts(cell, "xxxxyyyzzz")
+    add_waiting(cell, "y")
+    assert cell.evaluate() == []
+
+
+async def test_account_stops_as_many_tasks_as_its_share_lets_it_start():
+    cell = FullCell(executors=10)
+    give_accounts(cell, "x" * 15 + "y" * 4 + "z")
+    add_waiting(cell, "y", task_count=5)
+    # The share is six and two thirds of the twenty places.
+    stopped = cell.evaluate()
+    assert [run.step.job.spec.account for run in stopped] == ["x", "x"]
+
+
+async def test_account_that_holds_nothing_stops_one_task():
+    cell = FullCell(executors=5)
+    give_accounts(cell, "x" * 9 + "y")
+    add_waiting(cell, "z")
+    stopped = cell.evaluate()
+    assert [run.step.job.spec.account for run in stopped] == ["x"]
+
+
 load_tests = make_load_tests(globals())
--- a/gypsumring/dispatch/fairness.py
+++ b/gypsumring/dispatch/fairness.py
@@ -16,19 +16,32 @@
 )
 from gypsumring.pipelines.model import PipelineSpec
 
-__all__ = ["FairShares", "find_above_share"]
+__all__ = ["FairShares", "compute_shares", "find_above_share"]
 
 # Jobs without an account share one with the default weight.
 NO_ACCOUNT = ClientAccount(name="")
+NOTHING = Resources()
 
 
 class FairShares:
-    """Accounts that hold more than their share, by which waiting steps are ranked."""
+    """Accounts that hold more than their share, by which waiting steps are ranked.
 
-    __slots__ = ("above_share",)
+    ``shares`` are the shares of ``total`` by account, empty where there are none.
+    """
+
+    __slots__ = ("above_share", "shares", "total", "usage")
 
-    def __init__(self, above_share: Iterable[str] = ()):
+    def __init__(
+        self,
+        above_share: Iterable[str] = (),
+        shares: Mapping[str, float] | None = None,
+        usage: AccountUsage | None = None,
+        total: Resources = NOTHING,
+    ):
         self.above_share = frozenset(above_share)
+        self.shares = shares or {}
+        self.usage = AccountUsage() if usage is None else usage
+        self.total = total
 
     def rank(self, spec: PipelineSpec, priority: int) -> tuple[bool, int, bool]:
         """Return the sort key of a job that precedes its target time.
@@ -37,6 +50,48 @@
         """
         return spec.beyond_rate, priority, spec.account in self.above_share
 
+    def count_within(self, account: str, demand: Resources, count: int) -> int:
+        """Return how many of ``count`` tasks an account may start within its share.
+
+        An account that holds nothing may start one in any case.
+        """
+        share = self.shares.get(account)
+        if share is None:
+            return count
+        held = self.usage.get(account)
+        for whole, used, needed in (
+            (self.total.cpu_millis, held.cpu_millis, demand.cpu_millis),
+            (self.total.memory_mb, held.memory_mb, demand.memory_mb),
+            (self.total.accelerators, held.accelerators, demand.accelerators),
+        ):
+            if whole and needed:
+                count = min(count, max(0, int((share * whole - used) // needed)))
+        return count if held != NOTHING else max(1, count)
+
+    def stays_above(self, account: str, demand: Resources) -> bool:
+        """Return whether an account is above its share even without a task."""
+        if account not in self.above_share:
+            return False
+        held = self.usage.get(account)
+        rest = Resources(
+            held.cpu_millis - demand.cpu_millis,
+            held.memory_mb - demand.memory_mb,
+            held.accelerators - demand.accelerators,
+        )
+        return dominant_share(rest, self.total) > self.shares.get(account, 0.0)
+
+
+def compute_shares(
+    accounts: Mapping[str, ClientAccount], waiting: Iterable[str], usage: AccountUsage
+) -> dict[str, float]:
+    """Return the shares of the accounts that run or wait; none if no weight is set."""
+    demanding = set(usage).union(waiting)
+    weights = {name: accounts.get(name, NO_ACCOUNT).weight for name in demanding}
+    weight_sum = sum(weights.values())
+    if not weight_sum:
+        return {}
+    return {name: weight / weight_sum for name, weight in weights.items()}
+
 
 def find_above_share(
     accounts: Mapping[str, ClientAccount],
@@ -49,14 +104,9 @@
     ``waiting`` names the accounts with waiting steps; a single account with demand may
     use everything.
     """
-    holders = set(usage)
-    demanding = holders.union(waiting)
-    weights = {name: accounts.get(name, NO_ACCOUNT).weight for name in demanding}
-    weight_sum = sum(weights.values())
-    if not weight_sum:
-        return frozenset()
+    shares = compute_shares(accounts, waiting, usage)
     return frozenset(
         name
-        for name in holders
-        if dominant_share(usage.get(name), total) > weights[name] / weight_sum
+        for name in usage
+        if name in shares and dominant_share(usage.get(name), total) > shares[name]
     )
