Keep the cap for a gang while it gets its tickets

A gang that its cap has blocked keeps other steps of its account from starting above half of the cap, but only until a review admits it. It then still had to get its tickets and executors, and single tasks with tickets took the cap meanwhile; the gang was blocked anew, with a new time since which. The gang now goes first for up to 3 s more, and keeps the time at which it was first blocked.

--- a/gypsumring/cell/caps.py
+++ b/gypsumring/cell/caps.py
@@ -23,6 +23,9 @@
 # A gang that its cap has blocked for this time keeps other steps of its account from
 # starting above half of the cap.
 GANG_DELAY_S = 0.4
+# A gang that is admitted keeps them from it for this further time, in which it gets its
+# tickets and executors.
+GANG_START_S = 3.0
 # Maximum number of blocked steps of an account that one review admits.
 MAX_ADMITTED = 50
 NOTHING = (0, 0, 0)
@@ -40,6 +43,7 @@
         "admitted",
         "blocked",
         "blocked_accounts",
+        "gangs",
         "is_active",
         "pending_runs",
         "state",
@@ -52,6 +56,9 @@
         # Blocked steps with the time since which they are, and their accounts.
         self.blocked: dict[Step, float] = {}
         self.blocked_accounts: set[str] = set()
+        # Gangs that were blocked, with the time since which and, once they have been
+        # admitted, the time up to which they go before other steps of their account.
+        self.gangs: dict[Step, tuple[float, float | None]] = {}
         # Steps that the last review admitted.
         self.admitted: set[Step] = set()
         # What accounts may have running beyond ``state.usage``, as of the last review.
@@ -139,8 +146,10 @@
         earlier, self.admitted = self.blocked, set()
         self.blocked, self.blocked_accounts = {}, set()
         if not self.is_active:
+            self.gangs = {}
             return rows, list(earlier)
-        held_gangs = self.find_held_gangs(rows, earlier, now)
+        self.update_gangs(rows, earlier, now)
+        held_gangs = self.find_held_gangs(rows, now)
         self.pending_runs = self.count_pending_runs()
         headroom: dict[str, Amounts | None] = {}
         open_rows = []
@@ -187,11 +196,23 @@
             return -1, -1, -1
         return cpu, memory, accelerators
 
+    def update_gangs(
+        self, rows: list[tuple[Step, Queue]], earlier: dict[Step, float], now: float
+    ) -> None:
+        """Update the gangs that were blocked and have not started since."""
+        gangs = {}
+        for step, _ in rows:
+            if not step.spec.gang or step.runs:
+                continue
+            since, until = self.gangs.get(step, (earlier.get(step, now), None))
+            if step in earlier:
+                gangs[step] = since, None
+            elif step in self.gangs and (until is None or now < until):
+                gangs[step] = since, now + GANG_START_S if until is None else until
+        self.gangs = gangs
+
     def find_held_gangs(
-        self,
-        rows: list[tuple[Step, Queue]],
-        earlier: dict[Step, float],
-        now: float,
+        self, rows: list[tuple[Step, Queue]], now: float
     ) -> dict[str, tuple[Step, int]]:
         """Return the gang of each account that has been blocked for longest.
 
@@ -199,19 +220,19 @@
         lower priority start only below half of the cap, so that the gang gets its part.
         """
         found: dict[str, tuple[Step, int]] = {}
-        if not earlier:
+        if not self.gangs:
             return found
         for step, queue in rows:
-            if not step.spec.gang or step.runs or step not in earlier:
+            if step not in self.gangs:
                 continue
             account = step.job.spec.account
             cap = self.state.accounts.caps.get(account)
-            since = earlier[step]
+            since, _ = self.gangs[step]
             if now - since < GANG_DELAY_S or cap is None:
                 continue
             if not is_gang_feasible(step, cap):
                 continue
-            if account not in found or since < earlier[found[account][0]]:
+            if account not in found or since < self.gangs[found[account][0]][0]:
                 found[account] = step, queue.priority
         return found
 
--- a/gypsumring/cell/tests/test_caps.py
+++ b/gypsumring/cell/tests/test_caps.py
@@ -126,6 +126,24 @@
         await await_completed(cluster, "f" * 16, *ids)
 
 
+async def test_gang_that_waits_for_tickets_is_not_overtaken_once_its_cap_permits_it():
+    """Guards against single tasks that use the cap while the gang gets its tickets."""
+    async with capped_cluster(work_s=0.6, policy_share=1.0) as cluster:
+        ids = [make_id(number) for number in range(150)]
+        for job_id in ids[:30]:
+            await submit_for(cluster, job_id, "a", ONE)
+        half = StepSpec(task_count=2, cpu_millis=2000, estimated_ms=800, gang=True)
+        await submit_for(cluster, "f" * 16, "a", half)
+        for node in cluster.nodes.values():
+            node.faults.advice_late_s = 0.6
+        # More than the cap holds arrives for 10 s.
+        for number in range(40):
+            for job_id in ids[30 + 3 * number : 33 + 3 * number]:
+                await submit_for(cluster, job_id, "a", ONE)
+            await anyio.sleep(0.25)
+        assert count_started(cluster, "f" * 16) == 2
+
+
 # Steps of an account below half of its cap must never rest because of caps.
 async def test_steps_start_below_half_of_the_cap_although_a_gang_waits():
     async with capped_cluster(work_s=3.0) as cluster:
