--- a/soak/accounts.py
+++ b/soak/accounts.py
@@ -6,12 +6,15 @@
 Run with ``python -m soak.accounts --seed N --seeds N --seconds N``.
 """
 
+import random
+
 import anyio
 import msgspec
 
 from gypsumring.accounts import ClientAccount, Resources
 from gypsumring.pipelines import PipelineSpec
 from soak.cells import CellSoak, make_command, run_cell_soak
+from stand_ins.platform.cluster import MemoryCluster
 
 __all__ = ["AccountSoak", "run_account_soak"]
 
@@ -31,8 +34,8 @@
 
     __slots__ = ("caps", "removed")
 
-    def __init__(self, cluster, random_source):
-        super().__init__(cluster, random_source)
+    def __init__(self, cluster: MemoryCluster, random_source: random.Random, seed: int):
+        super().__init__(cluster, random_source, seed)
         self.caps: dict[str, Resources] = {}
         self.removed = ""
         for name in CAPPED:
