--- a/gypsumring/cell/preemption.py
+++ b/gypsumring/cell/preemption.py
@@ -123,11 +123,11 @@
         or accounts could stop each other's tasks by turns.
         """
         spec = step.job.spec
-        beyond_rate, priority, is_above = self.shares.rank(spec, queue.priority)
+        priority, beyond_rate, is_above = self.shares.rank(spec, queue.priority)
         if not step.spec.gang:
             demand = task_demand(step.spec)
             is_above |= not self.shares.count_within(spec.account, demand, 1)
-        return beyond_rate, priority, is_above
+        return priority, beyond_rate, is_above
 
     def list_yielding(self, rank: Rank) -> set[Run]:
         """Return the attempts that yield to a rank."""
@@ -289,7 +289,7 @@
             if found is None:
                 priority = self.state.find_queue(job).priority
                 is_above = current.shares.stays_above(spec.account, demand)
-                found = ranks[key] = spec.beyond_rate, priority, is_above
+                found = ranks[key] = priority, spec.beyond_rate, is_above
             return found
 
         for executor in current.fleet:
--- a/gypsumring/dispatch/backlog.py
+++ b/gypsumring/dispatch/backlog.py
@@ -52,7 +52,7 @@
 
     def rank(
         self, now: float, first_starving: Step | None, shares: FairShares
-    ) -> tuple[tuple[bool, int, bool], bool, bool, float, str]:
+    ) -> tuple[tuple[int, bool, bool], bool, bool, float, str]:
         """Return the sort key of the order of service.
 
         Within a priority and standing of the account, steps are ordered by the target
--- a/gypsumring/dispatch/fairness.py
+++ b/gypsumring/dispatch/fairness.py
@@ -3,7 +3,7 @@
 An account's share is its weight in proportion to the weights of all accounts that run
 or wait for something, so that the share of an account without demand is lent to the
 others. Steps of accounts above their share follow those of the same priority that are
-within theirs. Work that an account sent beyond its rate follows all other work.
+within theirs. Work that an account sent beyond its rate follows all of these.
 """
 
 from collections.abc import Iterable, Mapping
@@ -43,12 +43,12 @@
         self.usage = AccountUsage() if usage is None else usage
         self.total = total
 
-    def rank(self, spec: PipelineSpec, priority: int) -> tuple[bool, int, bool]:
+    def rank(self, spec: PipelineSpec, priority: int) -> tuple[int, bool, bool]:
         """Return the sort key of a job that precedes its target time.
 
         A larger key yields to a smaller one where capacity is contested.
         """
-        return spec.beyond_rate, priority, spec.account in self.above_share
+        return priority, spec.beyond_rate, spec.account in self.above_share
 
     def count_within(self, account: str, demand: Resources, count: int) -> int:
         """Return how many of ``count`` tasks an account may start within its share.
--- a/gypsumring/dispatch/preempting.py
+++ b/gypsumring/dispatch/preempting.py
@@ -27,7 +27,7 @@
     "may_be_preempted",
 ]
 
-Rank = tuple[bool, int, bool]
+Rank = tuple[int, bool, bool]
 
 # Time that a gang and a step of single tasks wait for capacity before a stop.
 GANG_DELAY_S = 0.4
