--- a/gypsumring/platform/tests/rig.py
+++ b/gypsumring/platform/tests/rig.py
@@ -56,7 +56,7 @@
         name: str,
         addresses: dict[str, str],
         folder: Path,
-        changes: dict[str, Any],
+        changes: dict[str, Any] | None = None,
     ):
         self.name = name
         self.caller = f"127.0.0.1:{find_free_port()}"
@@ -76,7 +76,7 @@
             "store": {"address": addresses[f"store-{name}"]},
             "policy_address": addresses["policy"],
             "bounds": {"longest_lease_ms": 10_000},
-            **changes,
+            **(changes or {}),
         }
         self.settings.write_text(json.dumps(content))
         self.start()
@@ -201,7 +201,7 @@
             try:
                 for name in names:
                     rig.nodes.append(
-                        NodeProcess(name, addresses, Path(folder), changes or {})
+                        NodeProcess(name, addresses, Path(folder), changes)
                     )
                 await rig.wait_ready()
                 yield rig
