Compute the shares of accounts once in an evaluation of the fleet

Cause: find_above_share and its caller each computed the shares of all accounts, every 0.1 s. Change: make_shares returns the shares and the accounts above them from one computation; what is returned is the same. The tests call it with the same expectations.

--- a/gypsumring/cell/scheduling.py
+++ b/gypsumring/cell/scheduling.py
@@ -23,7 +23,7 @@
     reserve_executors,
 )
 from gypsumring.dispatch.backlog import EVALUATION_PERIOD_S
-from gypsumring.dispatch.fairness import FairShares, compute_shares, find_above_share
+from gypsumring.dispatch.fairness import FairShares, make_shares
 from gypsumring.dispatch.isolation import Isolation
 from gypsumring.dispatch.placing import has_capacity, has_label
 from gypsumring.fleet import ExecutorState
@@ -191,12 +191,10 @@
             return
         capacities = [executor.entry.capacity for executor in fleet]
         total = Resources(*map(sum, zip(*capacities)))
-        accounts, usage = self.state.accounts.accounts, self.state.usage
-        waiting = self.backlog.list_accounts()
-        self.backlog.shares = FairShares(
-            find_above_share(accounts, waiting, usage, total),
-            compute_shares(accounts, waiting, usage),
-            usage,
+        self.backlog.shares = make_shares(
+            self.state.accounts.accounts,
+            self.backlog.list_accounts(),
+            self.state.usage,
             total,
         )
 
--- a/gypsumring/dispatch/fairness.py
+++ b/gypsumring/dispatch/fairness.py
@@ -16,7 +16,7 @@
 )
 from gypsumring.pipelines.model import PipelineSpec
 
-__all__ = ["FairShares", "compute_shares", "find_above_share"]
+__all__ = ["FairShares", "make_shares"]
 
 # Jobs without an account share one with the default weight.
 NO_ACCOUNT = ClientAccount(name="")
@@ -93,20 +93,21 @@
     return {name: weight / weight_sum for name, weight in weights.items()}
 
 
-def find_above_share(
+def make_shares(
     accounts: Mapping[str, ClientAccount],
     waiting: Iterable[str],
     usage: AccountUsage,
     total: Resources,
-) -> frozenset[str]:
-    """Return the names of the accounts that hold more than their share of ``total``.
+) -> FairShares:
+    """Return the shares of ``total``, with the accounts that hold more than theirs.
 
     ``waiting`` names the accounts with waiting steps; a single account with demand may
     use everything.
     """
     shares = compute_shares(accounts, waiting, usage)
-    return frozenset(
+    above_share = frozenset(
         name
         for name in usage
         if name in shares and dominant_share(usage.get(name), total) > shares[name]
     )
+    return FairShares(above_share, shares, usage, total)
--- a/gypsumring/dispatch/tests/test_fairness.py
+++ b/gypsumring/dispatch/tests/test_fairness.py
@@ -5,7 +5,7 @@
 """
 
 from gypsumring.accounts import AccountUsage, ClientAccount, Resources
-from gypsumring.dispatch.fairness import FairShares, find_above_share
+from gypsumring.dispatch.fairness import FairShares, make_shares
 from gypsumring.pipelines.model import PipelineSpec
 from gypsumring.utils.testing import make_load_tests
 
@@ -35,7 +35,7 @@
     usage = AccountUsage()
     for name, cpu_millis in cpu_by_account.items():
         usage.add(name, Resources(cpu_millis))
-    return find_above_share(ACCOUNTS, waiting, usage, TOTAL)
+    return make_shares(ACCOUNTS, waiting, usage, TOTAL).above_share
 
 
 def test_account_without_competitors_may_use_all_capacity():
@@ -55,7 +55,7 @@
 def test_memory_counts_if_it_is_the_dominant_resource():
     usage = AccountUsage()
     usage.add("hot", Resources(1000, 120_000))
-    assert find_above_share(ACCOUNTS, ["small"], usage, TOTAL) == {"hot"}
+    assert make_shares(ACCOUNTS, ["small"], usage, TOTAL).above_share == {"hot"}
 
 
 def test_account_that_holds_nothing_is_never_above_its_share():
@@ -66,7 +66,7 @@
     usage = AccountUsage()
     usage.add("zero", Resources(1000))
     accounts = {"zero": ClientAccount(name="zero", weight=0.0)}
-    assert find_above_share(accounts, ["zero"], usage, TOTAL) == frozenset()
+    assert make_shares(accounts, ["zero"], usage, TOTAL).above_share == frozenset()
 
 
 def test_work_beyond_the_rate_follows_that_within_it_of_the_same_priority():
