Build the demand of a task only where the rank of its attempt depends on it

Cause: each evaluation of the fleet built a struct for every running attempt, although the demand matters only for accounts above their share. Change: other attempts are ranked without it; the ranks are the same.

--- a/gypsumring/cell/preemption.py
+++ b/gypsumring/cell/preemption.py
@@ -277,18 +277,24 @@
             run.executor_id for run, stop in self.stops.items() if stop.deadline < now
         }
 
-        ranks: dict[tuple[str, str, bool, Resources], Rank] = {}
+        above_share = current.shares.above_share
+        ranks: dict[tuple[str, str, bool, Resources | None], Rank] = {}
 
         def rank(run: Run) -> Rank:
             """Return the rank of the job of an attempt."""
             job = run.step.job
             spec = job.spec
-            demand = task_demand(run.step.spec)
+            # The demand matters only for accounts above their share.
+            demand = None
+            if spec.account in above_share:
+                demand = task_demand(run.step.spec)
             key = (spec.queue, spec.account, spec.beyond_rate, demand)
             found = ranks.get(key)
             if found is None:
                 priority = self.state.find_queue(job).priority
-                is_above = current.shares.stays_above(spec.account, demand)
+                is_above = demand is not None and current.shares.stays_above(
+                    spec.account, demand
+                )
                 found = ranks[key] = priority, spec.beyond_rate, is_above
             return found
 
