--- a/review/9/case.py
+++ b/review/9/case.py
@@ -1,70 +1,71 @@
-"""A node stands still while a route is dropped, and a job waits there meanwhile."""
+"""Two of three executors with a label fail their tasks for a while."""
 
 import asyncio
-import json
-import signal
 from pathlib import Path
 
 import http_server
-from deployment import HEADERS, ROUTE, run_case
+from deployment import run_case
 from executors import start_fleet
 
 EXECUTORS = 24
 NODES = 5
-FROZEN_S = 2.3
-# How long the accepted job has, of 1 s of work, with idle executors.
-FINISH_S = 30.0
-JOB = "00000000000000a1"
-PIPELINE = [{"count": 4, "cpu": 4_000, "memMb": 1_000, "estRuntimeMs": 1_000}]
-# A queue with advice, as all queues of the small sites have it.
-SECOND = {
-    **ROUTE,
-    "name": "second",
-    "pathPrefix": "/second/",
-    "advice": {"decideMs": 20, "periodMs": 1, "validMs": 2000},
+LABELLED = (0, 8, 16)
+FAILING_S = 6.5
+FINISH_S = 40.0
+SERVICE, BATCH, LASTING = (f"00000000000000a{number}" for number in (1, 2, 3))
+STEP = {"count": 1, "memMb": 1_000, "requiredLabel": "g"}
+PIPELINES = {
+    # It fills one of the three executors for as long as it lasts.
+    SERVICE: [{**STEP, "cpu": 32_000, "estRuntimeMs": 60_000, "longRunning": True}],
+    BATCH: [{**STEP, "cpu": 4_000, "estRuntimeMs": 3_000}],
+    LASTING: [{**STEP, "cpu": 4_000, "estRuntimeMs": 60_000, "longRunning": True}],
 }
 
 
+async def submit(deployment, job):
+    """Hand a job in."""
+    if await deployment.submit(job, PIPELINES[job], "work=3000") != 200:
+        raise RuntimeError(f"{job} was not accepted")
+
+
 async def play(deployment, has_trouble):
     """Play the case."""
     world = deployment.world
-    await start_fleet(world, EXECUTORS)
+    await start_fleet(world, EXECUTORS, special=LABELLED)
+    labelled = [world.executors[number] for number in LABELLED]
     await deployment.start(NODES)
-    deployment.write_desired_state(3, [ROUTE, SECOND])
-    await asyncio.sleep(5.0)
-    owner = deployment.owner()
-    node = next(each for each in deployment.nodes if each is not owner)
-    began = http_server.now_s()
-    if has_trouble:
-        node.process.send_signal(signal.SIGSTOP)
-        world.record(f"{node.name} stands still")
-    await asyncio.sleep(0.3)
-    world.jobs[JOB] = PIPELINE
-    world.advised.add(JOB)
-    body = json.dumps({"spec": "work=1000", "pipeline": PIPELINE}).encode()
-    world.record(f"POST {JOB} is sent to {node.name}")
-    post = asyncio.create_task(
-        http_server.call(node.front, "POST", f"/second/{JOB}", body, HEADERS, 3.0)
-    )
-    await asyncio.sleep(0.3)
-    deployment.write_desired_state(5, [ROUTE])
-    await asyncio.sleep(began + FROZEN_S - http_server.now_s())
-    if has_trouble:
-        node.process.send_signal(signal.SIGCONT)
-        world.record(f"{node.name} goes on")
-    status, answer = await post
-    world.record(f"POST {JOB} at {node.name}: {status} {answer}")
-    tasks = {f"{JOB}.0.0.{index}" for index in range(PIPELINE[0]["count"])}
-    until = http_server.now_s() + FINISH_S
-    while not tasks <= world.done and http_server.now_s() < until:
+    await asyncio.sleep(3.0)
+    await submit(deployment, SERVICE)
+    await asyncio.sleep(2.0)
+    others = [each for each in labelled if not each.runs]
+    for executor in others:
+        executor.fails = has_trouble
+    await submit(deployment, BATCH)
+    await submit(deployment, LASTING)
+    await asyncio.sleep(FAILING_S)
+    for executor in others:
+        executor.fails = False
+    world.record("no executor fails its tasks any more")
+    await deployment.wait_state(BATCH, ("completed", "failed"), FINISH_S)
+    if world.running(LASTING) and f"{BATCH}.0.0.0" in world.done:
+        return
+    idle_since = dict.fromkeys((BATCH, LASTING), http_server.now_s())
+    until = http_server.now_s() + 8.0
+    while http_server.now_s() < until:
+        for job in idle_since:
+            if world.running(job) or f"{job}.0.0.0" in world.done:
+                idle_since[job] = http_server.now_s()
         await asyncio.sleep(0.1)
-    missing = sorted(tasks - world.done)
-    if status == 200 and missing:
-        world.breaks(
-            "LOST",
-            f"{JOB} was accepted; {FINISH_S:.0f} s later {missing} have not been done "
-            "on idle executors",
-        )
+    for job, since in idle_since.items():
+        idle_s = http_server.now_s() - since
+        _, answer = await deployment.query(job)
+        if idle_s > 7.0:
+            rooms = {each.name: sorted(each.runs) for each in labelled}
+            world.breaks(
+                "LOST",
+                f"{job} is shown as {answer.get('state')}; for {idle_s:.1f} s nothing "
+                f"of it runs; what runs on the executors with its label: {rooms}",
+            )
 
 
 if __name__ == "__main__":
