Hold signals from the first instruction until the exit of a process

The process ended with -1.

Cause: the handlers belonged to a receiver whose task returned once the cell was handed over. The receiver then restored the default actions of SIGTERM, SIGINT and SIGHUP, while callers are answered for up to 3.2 s more. The same held during the imports and after the end of the event loop.

Change: handlers of the process are installed before anything else is imported and stay until the event loop has ended; then the signals are ignored. A second stop signal changes nothing, SIGHUP reloads the settings also while the node is stopping. The gateway and the scheduler use the same queue. soak.nodes sends SIGHUP to stopping nodes too.

--- a/gypsumring/gateway/__init__.py
+++ b/gypsumring/gateway/__init__.py
@@ -1,6 +1,15 @@
 """Gateway: callers' HTTP requests, jobs and documents."""
 
-from gypsumring.gateway.app import GatewayApp, JobCancellation, JobSubmission
-from gypsumring.gateway.node import GatewayNode
+from gypsumring.utils.lazy import import_on_use
 
 __all__ = ["GatewayApp", "GatewayNode", "JobCancellation", "JobSubmission"]
+
+__getattr__ = import_on_use(
+    __name__,
+    {
+        "GatewayApp": "app",
+        "GatewayNode": "node",
+        "JobCancellation": "app",
+        "JobSubmission": "app",
+    },
+)
--- a/gypsumring/gateway/__main__.py
+++ b/gypsumring/gateway/__main__.py
@@ -1,5 +1,11 @@
 """Run ``python -m gypsumring.gateway``."""
 
-from gypsumring.gateway.main import main
+from gypsumring.utils.signals import hold_signals
 
-main(prog_name="gypsumring-gateway")
+# Imports take up to seconds on a slow VM, and a signal must not end the process.
+hold_signals()
+
+from gypsumring.gateway.main import main  # noqa: E402
+
+if __name__ == "__main__":
+    main(prog_name="gypsumring-gateway")
--- a/gypsumring/gateway/main.py
+++ b/gypsumring/gateway/main.py
@@ -1,7 +1,6 @@
 """Command ``gypsumring-gateway``."""
 
 import random
-import signal
 import sys
 
 import anyio
@@ -17,6 +16,8 @@
 from gypsumring.requests import parse_routing
 from gypsumring.settings import GatewaySettings, SettingsError, load_settings
 from gypsumring.utils.logs import set_up_logs
+from gypsumring.utils.signals import SignalQueue, hold_signals, ignore_signals
+from gypsumring.utils.stopping import follow_signals
 
 __all__ = ["main"]
 
@@ -45,10 +46,14 @@
         click.echo(f"gypsumring-gateway: {error}", err=True)
         sys.exit(BAD_SETTINGS)
     set_up_logs(settings.log_output)
-    anyio.run(run_gateway, settings, backend="trio")
+    signals = hold_signals()
+    try:
+        anyio.run(run_gateway, settings, signals, backend="trio")
+    finally:
+        ignore_signals()
 
 
-async def run_gateway(settings: GatewaySettings) -> None:
+async def run_gateway(settings: GatewaySettings, signals: SignalQueue) -> None:
     """Run the node and its HTTP server until a signal has drained them."""
     metrics = Metrics()
     peers = NngPeerClient(settings.node, metrics=metrics)
@@ -69,17 +74,22 @@
     config.accesslog = None
     config.errorlog = None
     drained = anyio.Event()
+    stop_requested = anyio.Event()
+
+    def refuse_reload() -> None:
+        log.info("settings are not reloaded; they are read at the start")
 
-    async def stop_on_signal() -> None:
-        with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
-            async for _ in signals:
-                await node.stop()
-                drained.set()
-                return
+    async def stop_node() -> None:
+        await stop_requested.wait()
+        await node.stop()
+        drained.set()
 
     async with anyio.create_task_group() as task_group:
         task_group.start_soon(node.run)
-        task_group.start_soon(stop_on_signal)
+        task_group.start_soon(
+            follow_signals, signals, refuse_reload, stop_requested.set
+        )
+        task_group.start_soon(stop_node)
         log.info("node {} serves {}", settings.node, settings.http_address)
         await hypercorn.trio.serve(node.app, config, shutdown_trigger=drained.wait)
         task_group.cancel_scope.cancel()
--- a/gypsumring/node/main.py
+++ b/gypsumring/node/main.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import os
-import signal
 import sys
 
 import anyio
@@ -18,6 +17,8 @@
 from gypsumring.settings.node import NodeSettings
 from gypsumring.transport import HttpClient, RelayedClient
 from gypsumring.utils.logs import EventLogger, set_up_logs
+from gypsumring.utils.signals import SignalQueue, hold_signals, ignore_signals
+from gypsumring.utils.stopping import follow_signals
 
 __all__ = ["main"]
 
@@ -26,7 +27,6 @@
 BAD_SETTINGS = 2
 # Pieces of a body that a connection has read ahead of the application.
 MAX_QUEUED_PIECES = 2
-SIGNALS = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
 SETTINGS_POLL_S = 1.0
 # Requests still arrive after a stop signal until the load balancer has noticed that
 # the node is not ready.
@@ -53,7 +53,11 @@
         click.echo(f"gypsumring-node: {error}", err=True)
         sys.exit(BAD_SETTINGS)
     set_up_logs(settings.log_output)
-    anyio.run(run_node, settings, settings_path, backend="asyncio")
+    signals = hold_signals()
+    try:
+        anyio.run(run_node, settings, settings_path, signals, backend="asyncio")
+    finally:
+        ignore_signals()
 
 
 def reload_settings(path: str, node: Node) -> None:
@@ -82,7 +86,9 @@
             reload_settings(path, node)
 
 
-async def run_node(settings: NodeSettings, settings_path: str) -> None:
+async def run_node(
+    settings: NodeSettings, settings_path: str, signals: SignalQueue
+) -> None:
     """Run the node and its HTTP server until a stop signal."""
     metrics = Metrics()
     policy = None
@@ -114,25 +120,26 @@
     stopped = anyio.Event()
     # Set once another node may own the cell, which may be after the last response.
     handed_over = anyio.Event()
-
-    async def handle_signals() -> None:
-        with anyio.open_signal_receiver(*SIGNALS) as signals:
-            async for number in signals:
-                if number == signal.SIGHUP:
-                    reload_settings(settings_path, node)
-                    continue
-                log.info("stop signal received", signal=number)
-                stop_at = anyio.current_time() + lame_duck_s
-                answer_deadline = stop_at + config.graceful_timeout - ANSWER_MARGIN_S
-                async with anyio.create_task_group() as stopping:
-                    stopping.start_soon(node.stop, answer_deadline)
-                    await anyio.sleep_until(stop_at)
-                    stopped.set()
-                handed_over.set()
-                return
+    stop_requested = anyio.Event()
+
+    async def stop_node() -> None:
+        await stop_requested.wait()
+        stop_at = anyio.current_time() + lame_duck_s
+        answer_deadline = stop_at + config.graceful_timeout - ANSWER_MARGIN_S
+        async with anyio.create_task_group() as stopping:
+            stopping.start_soon(node.stop, answer_deadline)
+            await anyio.sleep_until(stop_at)
+            stopped.set()
+        handed_over.set()
 
     async with anyio.create_task_group() as group:
-        group.start_soon(handle_signals)
+        group.start_soon(
+            follow_signals,
+            signals,
+            lambda: reload_settings(settings_path, node),
+            stop_requested.set,
+        )
+        group.start_soon(stop_node)
         group.start_soon(watch_settings, settings_path, node)
         group.start_soon(node.run)
         log.info("node started", node=settings.node, address=settings.caller_address)
--- a/gypsumring/platform/tests/test_programs.py
+++ b/gypsumring/platform/tests/test_programs.py
@@ -141,6 +141,32 @@
         assert statuses == [503]
 
 
+@run_in_real_time
+async def test_signals_to_a_stopping_node_do_not_cut_off_its_callers():
+    # Guards against a handler of signals that ends with the handover of the cell: the
+    # default action of a later signal ended the process with a request in flight.
+    for number in (signal.SIGHUP, signal.SIGTERM, signal.SIGINT):
+        async with running_programs(nodes=2) as rig:
+            stopping, other = rig.nodes
+            rig.refuse_store_requests(stopping, other)
+            other.end(signal.SIGKILL)
+            stopping.end(signal.SIGTERM)
+            statuses = []
+
+            async def send_request(rig=rig, node=stopping, statuses=statuses) -> None:
+                response = await rig.call(node, "GET", JOB_ID, limit_ms=20_000)
+                statuses.append(response.status_code)
+
+            async with anyio.create_task_group() as group:
+                group.start_soon(send_request)
+                with anyio.fail_after(20):
+                    while stopping.process.poll() is None:
+                        await anyio.sleep(0.1)
+                        stopping.end(number)
+            assert statuses == [503]
+            assert stopping.process.returncode == 0, number
+
+
 @run_in_real_time
 async def test_node_refused_by_the_store_keeps_serving_through_a_peer():
     # Without relayed calls, jobs would be refused until another node takes over.
--- a/gypsumring/scheduler/__init__.py
+++ b/gypsumring/scheduler/__init__.py
@@ -1,6 +1,10 @@
 """Scheduler process that owns shards."""
 
-from gypsumring.scheduler.node import SchedulerNode
-from gypsumring.scheduler.services import LedgerService, RackService
+from gypsumring.utils.lazy import import_on_use
 
 __all__ = ["LedgerService", "RackService", "SchedulerNode"]
+
+__getattr__ = import_on_use(
+    __name__,
+    {"LedgerService": "services", "RackService": "services", "SchedulerNode": "node"},
+)
--- a/gypsumring/scheduler/main.py
+++ b/gypsumring/scheduler/main.py
@@ -1,7 +1,6 @@
 """Command ``gypsumring-scheduler``."""
 
 import random
-import signal
 import sys
 
 import anyio
@@ -18,6 +17,8 @@
 from gypsumring.scheduler.node import SchedulerNode
 from gypsumring.settings import SchedulerSettings, SettingsError, load_settings
 from gypsumring.utils.logs import set_up_logs
+from gypsumring.utils.signals import SignalQueue, hold_signals, ignore_signals
+from gypsumring.utils.stopping import follow_signals
 
 __all__ = ["main"]
 
@@ -43,10 +44,14 @@
         click.echo(f"gypsumring-scheduler: {error}", err=True)
         sys.exit(BAD_SETTINGS)
     set_up_logs(settings.log_output)
-    anyio.run(run_scheduler, settings, backend="trio")
+    signals = hold_signals()
+    try:
+        anyio.run(run_scheduler, settings, signals, backend="trio")
+    finally:
+        ignore_signals()
 
 
-async def run_scheduler(settings: SchedulerSettings) -> None:
+async def run_scheduler(settings: SchedulerSettings, signals: SignalQueue) -> None:
     """Run the node, its peer server and its HTTP server until a signal."""
     metrics = Metrics()
     peers = NngPeerClient(settings.node, metrics=metrics)
@@ -80,16 +85,19 @@
     config.accesslog = None
     config.errorlog = None
     stopped = anyio.Event()
+    stop_requested = anyio.Event()
+
+    def refuse_reload() -> None:
+        log.info("settings are not reloaded; they are read at the start")
 
-    async def stop_on_signal() -> None:
-        with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
-            async for _ in signals:
-                await node.stop()
-                stopped.set()
-                return
+    async def stop_node() -> None:
+        await stop_requested.wait()
+        await node.stop()
+        stopped.set()
 
     async with anyio.create_task_group() as group:
-        group.start_soon(stop_on_signal)
+        group.start_soon(follow_signals, signals, refuse_reload, stop_requested.set)
+        group.start_soon(stop_node)
         group.start_soon(server.run)
         group.start_soon(node.run)
         log.info("node {} answers peers at {}", settings.node, server.address)
--- a/soak/nodes/faults.py
+++ b/soak/nodes/faults.py
@@ -124,7 +124,9 @@
         for _ in range(2):
             for machine in targets:
                 machine.write_settings(task_lease_ms=self.source.randint(4_000, 6_000))
-                if not machine.lock.locked():
+                # A node that is stopping gets the signal too; one that starts may not
+                # have handlers yet.
+                if machine.has_served:
                     machine.end(signal.SIGHUP)
             await anyio.sleep_until(until)
 
