End reservations that wait for what never comes

Cause: a step of large tasks that is no gang reserved executors that would hold it when they are empty. Lasting tasks never leave them, and the reservation had no end.

Change: executors count with what they hold once all tasks that end have ended, in reservations, for gangs and where the policy service is queried. A step that waits holds its executors for a bounded time, then gives way to other steps that wait for them: after 1.5 s while less than half of the service's capacity is in use, after twice the expected wait and 5 s (20 s at most) otherwise.

--- a/gypsumring/cell/policy_client.py
+++ b/gypsumring/cell/policy_client.py
@@ -15,7 +15,7 @@
     may_complete_gang,
     split_calls,
 )
-from gypsumring.dispatch.placing import count_fitting_when_empty, has_capacity
+from gypsumring.dispatch.placing import count_fitting_eventually, has_capacity
 from gypsumring.fleet import ExecutorState
 from gypsumring.pipelines import PolicyTiming, Queue, Step
 from gypsumring.ports.tasks import PolicyBusy, PolicyUnavailable, Ticket
@@ -131,7 +131,7 @@
         """Return further executors to query for a step that does not fit."""
         share = self.shares.get(queue.name)
         allowed_capacity = sum(
-            count_fitting_when_empty(step, executor) for executor in allowed
+            count_fitting_eventually(step, executor) for executor in allowed
         )
         chosen = choose_unqueried(
             step, unqueried, allowed_capacity, share, call_size, self.random_source
--- a/gypsumring/cell/tests/test_policy_renewals.py
+++ b/gypsumring/cell/tests/test_policy_renewals.py
@@ -1,4 +1,4 @@
-"""Renewal of the tickets of waiting gangs on a busy fleet.
+"""Queries to the policy service by waiting gangs on a busy fleet.
 
 The pattern: tickets are valid for little longer than a call to the policy service
 takes, and a gang needs valid tickets for all of its executors at the same time.
@@ -8,7 +8,7 @@
 
 from gypsumring.cell.policy_client import PolicyClient
 from gypsumring.dispatch.tests.fleets import make_fleet, make_step
-from gypsumring.pipelines import PolicyTiming
+from gypsumring.pipelines import PolicyTiming, Queue, Run
 from gypsumring.ports.tasks import Ticket
 from gypsumring.utils.testing import make_load_tests
 
@@ -51,4 +51,26 @@
     assert choose_renewals([1.3, 0.0, 0.5, 0.02], reserved=0) == ["i-1", "i-3"]
 
 
+# A gang that was allowed on executors which lasting tasks fill queried no others, since
+# the allowed ones would have held it empty.
+def test_gang_queries_further_executors_if_lasting_tasks_hold_the_allowed_ones():
+    fleet = make_fleet(12)
+    gang = make_step("b" * 16, task_count=3, cpu_millis=8_000, gang=True)
+    queue = Queue(name="q", host="", path_prefix="", service="svc", policy=TIMING)
+    client = PolicyClient(SimpleNamespace(fence=1), None, list, None)
+    for is_lasting in (False, True):
+        for number, executor in enumerate(fleet):
+            for run in list(executor.runs.values()):
+                executor.remove_run(run)
+            step = make_step(
+                f"{number:016x}",
+                task_count=1,
+                cpu_millis=8_000,
+                long_running=is_lasting and number < 6,
+            )
+            executor.add_run(Run(step, 0, 1, executor.executor_id, 0.0))
+        chosen = client.choose_further(gang, queue, fleet[:6], fleet[6:], 6)
+        assert bool(chosen) is is_lasting
+
+
 load_tests = make_load_tests(globals())
--- /dev/null
+++ b/gypsumring/cell/tests/test_waits_end.py
@@ -0,0 +1,125 @@
+"""Steps that wait for what never comes, beside free capacity.
+
+The pattern: few executors have the label that some jobs need, and tasks that last hold
+a part of them. The users ask that a task whose turn has come starts within 3 s if there
+is room for it twice over, and within 6 s of its last run if it lasts.
+"""
+
+import itertools
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+
+import anyio
+
+from gypsumring.cell.messages import Outcome
+from gypsumring.cell.tests.test_recovery import running_cluster
+from gypsumring.pipelines import StepSpec
+from gypsumring.utils.testing import make_load_tests
+from stand_ins.platform.cluster import MemoryCluster, make_job
+from stand_ins.platform.world import TaskBehaviour
+
+LABEL = "g"
+CPU_MILLIS = 32_000
+START_LIMIT_S = 3.0
+LASTING, LARGE, SMALL, OTHER = ("a" * 16, "b" * 16, "c" * 16, "d" * 16)
+
+
+def labelled(**fields) -> StepSpec:
+    """Return a step whose tasks need the label."""
+    return StepSpec(required_label=LABEL, **{"estimated_ms": 1_000, **fields})
+
+
+@asynccontextmanager
+async def labelled_cluster(
+    labelled_count: int, work_s: dict[str, float], executors: int = 12
+) -> AsyncIterator[MemoryCluster]:
+    """Run a cluster of which some executors have the label.
+
+    ``work_s`` is the time that the tasks of each job take.
+    """
+
+    def behave(task: str, attempt: int) -> TaskBehaviour:
+        return TaskBehaviour(work_s.get(task.partition(".")[0], 1.0))
+
+    async with running_cluster(
+        behave, executors=executors, cpu_millis=CPU_MILLIS
+    ) as cluster:
+        for number in range(labelled_count):
+            model = cluster.executors[f"i-{number}"]
+            model.labels = (LABEL, "r1")
+            cluster.register(model)
+        await anyio.sleep(1.0)
+        yield cluster
+
+
+async def submit(cluster: MemoryCluster, job_id: str, step: StepSpec) -> None:
+    """Hand a job in."""
+    assert await cluster.submit(make_job(job_id, step)) is Outcome.OK
+
+
+async def wait_started(cluster: MemoryCluster, job_id: str, limit_s: float) -> None:
+    """Wait until a task of a job has started."""
+    with anyio.fail_after(limit_s):
+        while not any(task.startswith(job_id) for task in cluster.world.starts):
+            await anyio.sleep(0.05)
+
+
+# A job that needs whole executors reserved some that lasting tasks hold in part, for
+# ever: a small job was not started with 31 of 32 cores free.
+async def test_job_that_cannot_be_done_beside_lasting_tasks_keeps_no_other_waiting():
+    async with labelled_cluster(2, {LASTING: 1e6}) as cluster:
+        agents = labelled(
+            task_count=2, cpu_millis=1_000, long_running=True, max_per_executor=1
+        )
+        await submit(cluster, LASTING, agents)
+        await anyio.sleep(1.0)
+        await submit(cluster, LARGE, labelled(task_count=2, cpu_millis=32_000))
+        await anyio.sleep(2.0)
+        await submit(cluster, SMALL, labelled(task_count=1, cpu_millis=4_000))
+        await wait_started(cluster, SMALL, START_LIMIT_S)
+
+
+# Tasks that take far longer than estimated hold a reservation back in the same way, and
+# so do gangs.
+async def test_large_step_that_waits_long_keeps_no_other_waiting():
+    for gang in (False, True):
+        async with labelled_cluster(2, {OTHER: 60.0}) as cluster:
+            await submit(cluster, OTHER, labelled(task_count=2, cpu_millis=20_000))
+            await anyio.sleep(1.0)
+            large = labelled(task_count=2, cpu_millis=32_000, gang=gang)
+            await submit(cluster, LARGE, large)
+            await anyio.sleep(2.0)
+            await submit(cluster, SMALL, labelled(task_count=1, cpu_millis=4_000))
+            await wait_started(cluster, SMALL, START_LIMIT_S)
+
+
+async def submit_small_jobs(
+    cluster: MemoryCluster, task_count: int, work_s: float
+) -> None:
+    """Hand in small jobs until cancelled."""
+    for number in itertools.count():
+        step = labelled(
+            task_count=task_count, cpu_millis=4_000, estimated_ms=round(1000 * work_s)
+        )
+        await submit(cluster, f"{number:016x}", step)
+        await anyio.sleep(0.3)
+
+
+# What a reservation is for: small tasks do not take the released capacity for ever.
+async def test_large_step_starts_among_small_ones_on_idle_and_busy_services():
+    for labelled_count, executors, task_count, work_s in (
+        (4, 4, 8, 1.0),
+        (2, 12, 4, 1.0),
+        (2, 12, 1, 2.0),
+    ):
+        work = {f"{number:016x}": work_s for number in range(100)}
+        async with labelled_cluster(labelled_count, work, executors) as cluster:
+            async with anyio.create_task_group() as group:
+                group.start_soon(submit_small_jobs, cluster, task_count, work_s)
+                await anyio.sleep(5.0)
+                await submit(cluster, LARGE, labelled(task_count=1, cpu_millis=32_000))
+                await wait_started(cluster, LARGE, 15.0)
+                group.cancel_scope.cancel()
+
+
+load_tests = make_load_tests(globals())
--- a/gypsumring/dispatch/asking.py
+++ b/gypsumring/dispatch/asking.py
@@ -10,7 +10,7 @@
 import random
 from collections.abc import Iterable
 
-from gypsumring.dispatch.placing import count_fitting_on, count_fitting_when_empty
+from gypsumring.dispatch.placing import count_fitting_eventually, count_fitting_on
 from gypsumring.fleet import ExecutorState
 from gypsumring.pipelines.model import PolicyTiming
 from gypsumring.pipelines.state import Step
@@ -67,11 +67,11 @@
     """Choose the executors to query for a step among those not queried before.
 
     ``allowed_capacity`` is the number of tasks that the executors already allowed hold
-    when empty. Healthy executors come first, then those with free capacity: a gang
-    prefers those with the most, other steps choose at random, so that steps do not
-    select the same executors. A gang queries at least one full call, regardless of free
-    capacity: the executors may have capacity later, and another call would take the
-    base time again.
+    once all tasks that end have ended. Healthy executors come first, then those with
+    free capacity: a gang prefers those with the most, other steps choose at random, so
+    that steps do not select the same executors. A gang queries at least one full call,
+    regardless of free capacity: the executors may have capacity later, and another call
+    would take the base time again.
     """
     missing_capacity = len(step.pending) - allowed_capacity / SURPLUS_FACTOR
     spec = step.spec
@@ -91,7 +91,7 @@
             break
         limit = spec.max_per_executor or capacity
         task_capacity += min(capacity, limit) or min(
-            1, count_fitting_when_empty(step, executor)
+            1, count_fitting_eventually(step, executor)
         )
         chosen.append(executor)
     return chosen
--- a/gypsumring/dispatch/gang_capacity.py
+++ b/gypsumring/dispatch/gang_capacity.py
@@ -8,7 +8,7 @@
 from collections.abc import Collection
 
 from gypsumring.dispatch.openings import forecast_capacity
-from gypsumring.dispatch.placing import count_fitting_when_empty, place_step
+from gypsumring.dispatch.placing import count_fitting_eventually, place_step
 from gypsumring.fleet import ExecutorState
 from gypsumring.pipelines.state import Run, Step
 
@@ -111,9 +111,9 @@
 
 
 def can_hold(step: Step, executors: list[ExecutorState]) -> bool:
-    """Return whether the executors can hold a gang when they are empty."""
+    """Return whether the executors can hold a gang once all tasks that end have."""
     return sum(
-        count_fitting_when_empty(step, executor) for executor in executors
+        count_fitting_eventually(step, executor) for executor in executors
     ) >= len(step.pending)
 
 
--- a/gypsumring/dispatch/placing.py
+++ b/gypsumring/dispatch/placing.py
@@ -5,11 +5,12 @@
 
 from gypsumring.dispatch.isolation import Isolation
 from gypsumring.fleet import ExecutorState
-from gypsumring.fleet.executor import count_fitting
-from gypsumring.pipelines.state import Step
+from gypsumring.fleet.executor import accounted_cpu_millis, count_fitting
+from gypsumring.pipelines.state import RunState, Step
 
 __all__ = [
     "Placement",
+    "count_fitting_eventually",
     "count_fitting_when_empty",
     "has_capacity",
     "has_label",
@@ -63,6 +64,26 @@
     return task_capacity
 
 
+def count_fitting_eventually(step: Step, executor: ExecutorState) -> int:
+    """Return how many tasks of a step fit once all tasks that end have ended.
+
+    Tasks that last keep their capacity.
+    """
+    spec = step.spec
+    cpu, memory, accelerators = executor.entry.capacity
+    running_here = 0
+    for run in executor.lasting_runs.values():
+        if run.state is not RunState.STOPPING:
+            cpu -= accounted_cpu_millis(run.step.spec)
+            memory -= run.step.spec.memory_mb
+            accelerators -= run.step.spec.accelerators
+            running_here += run.step is step
+    task_capacity = count_fitting(spec, cpu, memory, accelerators)
+    if spec.max_per_executor:
+        task_capacity = min(task_capacity, spec.max_per_executor - running_here)
+    return max(0, task_capacity)
+
+
 def sort_key(
     step: Step,
     executor: ExecutorState,
--- a/gypsumring/dispatch/reserving.py
+++ b/gypsumring/dispatch/reserving.py
@@ -4,6 +4,9 @@
 needs a large part of an executor would wait until the load falls. Likewise, other steps
 would use the capacity of a gang while the policy service is queried. A reserved
 executor accepts no tasks of other steps of the same or a lower priority.
+
+A step that waits for capacity on its reserved executors gives way from time to time to
+other steps that wait for them: what it waits for may never come.
 """
 
 from collections.abc import Callable, Collection, Iterable
@@ -12,7 +15,8 @@
     choose_earliest_capacity,
     choose_free_capacity,
 )
-from gypsumring.dispatch.placing import count_fitting_when_empty, has_label
+from gypsumring.dispatch.openings import forecast_capacity
+from gypsumring.dispatch.placing import count_fitting_eventually, has_label
 from gypsumring.fleet import ExecutorState
 from gypsumring.pipelines.model import Queue
 from gypsumring.pipelines.state import Run, Step
@@ -37,19 +41,37 @@
 # capacity for the same time.
 START_TICKET_CALLS = 3
 START_MARGIN_S = 1.0
+# A step that waits holds its reserved executors for this many times the expected wait
+# plus the margin, then lets steps that wait use them for a short time, and so on.
+HOLD_FACTOR = 2.0
+HOLD_MARGIN_S = 5.0
+MAX_HOLD_S = 20.0
+GIVE_WAY_S = 0.5
+# Only steps that have waited for this time may then use them.
+GIVE_WAY_AFTER_S = 0.8
+# While less than this share of a service's capacity is in use, other steps have to
+# start soon if they fit.
+BUSY_SHARE = 0.5
+MAX_IDLE_HOLD_S = 1.5
 
 
 ListYielding = Callable[[Step, Queue], Collection[Run]]
 
 
 class Reservation:
-    """Reservation of an executor for one step."""
+    """Reservation of an executor for one step.
+
+    It gives way to steps that have waited since ``gives_way_before`` or longer.
+    """
 
-    __slots__ = ("priority", "step")
+    __slots__ = ("gives_way_before", "priority", "step")
 
-    def __init__(self, step: Step, priority: int):
+    def __init__(
+        self, step: Step, priority: int, gives_way_before: float = float("-inf")
+    ):
         self.step = step
         self.priority = priority
+        self.gives_way_before = gives_way_before
 
     def admits(self, step: Step, priority: int) -> bool:
         """Return whether tasks of a step may use the executor.
@@ -57,10 +79,21 @@
         What an account sent beyond its rate yields to all other work.
         """
         beyond_rate = step.job.spec.beyond_rate, self.step.job.spec.beyond_rate
-        return step is self.step or (
-            (beyond_rate[0], priority) < (beyond_rate[1], self.priority)
+        return (
+            step is self.step
+            or (beyond_rate[0], priority) < (beyond_rate[1], self.priority)
+            or self.gives_way_to(step)
         )
 
+    def gives_way_to(self, step: Step) -> bool:
+        """Return whether a step has waited for so long that the reservation yields.
+
+        A step of which all allowed executors are reserved has no beginning of its wait.
+        """
+        if step.waiting_since is None:
+            return self.gives_way_before > float("-inf")
+        return step.waiting_since <= self.gives_way_before
+
 
 class ReservationPlan:
     """Reservations made in one pass over the waiting steps."""
@@ -142,11 +175,68 @@
             return True
         return len(self.reserved) + count <= len(self.fleet) * MAX_TOTAL_RESERVED_SHARE
 
+    def is_busy(self, service: str) -> bool:
+        """Return whether much of the capacity of a service is in use."""
+        accepting = self.list_accepting(service).values()
+        for used, total in (
+            (
+                sum(executor.used_cpu for executor in accepting),
+                sum(executor.entry.cpu_millis for executor in accepting),
+            ),
+            (
+                sum(executor.used_memory for executor in accepting),
+                sum(executor.entry.memory_mb for executor in accepting),
+            ),
+            (
+                sum(executor.used_accelerators for executor in accepting),
+                sum(executor.entry.accelerators for executor in accepting),
+            ),
+        ):
+            if total and used >= total * BUSY_SHARE:
+                return True
+        return False
+
     def reserve(self, step: Step, queue: Queue, executors: list[ExecutorState]) -> None:
         """Reserve executors for a step in place of its previous reservations."""
         step.reserved = {executor.executor_id for executor in executors}
+        before = float("-inf")
+        if self.gives_way(step, queue, executors):
+            before = self.now - GIVE_WAY_AFTER_S
         for executor_id in step.reserved:
-            self.reserved[executor_id] = Reservation(step, queue.priority)
+            self.reserved[executor_id] = Reservation(step, queue.priority, before)
+
+    def gives_way(
+        self, step: Step, queue: Queue, executors: list[ExecutorState]
+    ) -> bool:
+        """Return whether a step that waits gives way on its executors now.
+
+        A gang that has its capacity holds it until its start is overdue.
+        """
+        if not executors or step.reservation_expires_at is not None:
+            step.reservation_held_until = None
+            return False
+        held_until = step.reservation_held_until
+        if held_until is None or self.now >= held_until + GIVE_WAY_S:
+            held_until = self.now + self.choose_hold_s(step, queue, executors)
+            step.reservation_held_until = held_until
+        return self.now >= held_until
+
+    def choose_hold_s(
+        self, step: Step, queue: Queue, executors: list[ExecutorState]
+    ) -> float:
+        """Return for how long a step that waits holds its reserved executors."""
+        if not self.is_busy(queue.service):
+            return MAX_IDLE_HOLD_S
+        times = sorted(
+            time
+            for executor in executors
+            for time in forecast_capacity(step, executor, self.now)
+        )
+        needed = len(step.pending) if step.spec.gang else 1
+        if len(times) < needed:
+            return MAX_HOLD_S
+        wait_s = times[needed - 1] - self.now
+        return min(HOLD_FACTOR * wait_s + HOLD_MARGIN_S, MAX_HOLD_S)
 
 
 def list_nothing(step: Step, queue: Queue) -> Collection[Run]:
@@ -221,7 +311,7 @@
     elif has_waited and plan.waiting_count < plan.waiting_limit:
         reserve_for_tasks(step, queue, plan)
     else:
-        step.reserved = set()
+        step.clear_reservation()
 
 
 def reserve_for_gang(
@@ -313,8 +403,9 @@
         )
         if is_sufficient or plan.waiting_count >= plan.waiting_limit:
             break
-        if count_fitting_when_empty(step, executor):
-            task_capacity += count_fitting_when_empty(step, executor)
+        fitting = count_fitting_eventually(step, executor)
+        if fitting:
+            task_capacity += fitting
             chosen.append(executor)
             plan.waiting_count += 1
     plan.reserve(step, queue, chosen)
--- a/gypsumring/dispatch/tests/test_reserving.py
+++ b/gypsumring/dispatch/tests/test_reserving.py
@@ -4,7 +4,11 @@
 
 from gypsumring.dispatch import Backlog, gang_capacity, place_step, reserve_executors
 from gypsumring.dispatch.placing import count_fitting_on
-from gypsumring.dispatch.reserving import REVIEW_PERIOD_S
+from gypsumring.dispatch.reserving import (
+    GIVE_WAY_AFTER_S,
+    MAX_HOLD_S,
+    REVIEW_PERIOD_S,
+)
 from gypsumring.dispatch.tests.fleets import change_capacity, make_fleet, make_step
 from gypsumring.pipelines import Queue, Run
 from gypsumring.utils.testing import make_load_tests
@@ -349,6 +353,59 @@
     assert reserve_executors([(gang, BULK)], fleet, 1.0, 1.0) == {}
 
 
+# Large tasks that are no gang did so too: the executors would have held them empty.
+def test_large_step_reserves_nothing_held_by_long_running_tasks():
+    fleet = make_fleet(4)
+    for number, executor in enumerate(fleet):
+        lasting = make_step(
+            f"{number:016x}", task_count=1, cpu_millis=1000, long_running=True
+        )
+        executor.add_run(Run(lasting, 0, 1, executor.executor_id, 0.0))
+    large = make_waiting_step(fleet, task_count=2)
+    assert len(reserve_executors([(large, BULK)], fleet, 1.0, 1.0)) == 1
+    whole = make_step(job_id="b" * 16, task_count=2, cpu_millis=8000)
+    whole.allowed, whole.waiting_since = large.allowed, 0.0
+    assert reserve_executors([(whole, BULK)], fleet, 1.0, 1.0) == {}
+
+
+def find_longest_wait(fleet, large) -> float:
+    """Return for how long small steps are kept from an executor that is reserved."""
+    waits = []
+    for arrived_round in range(50):
+        large.clear_reservation()
+        small = make_step("c" * 16, task_count=1)
+        for round_number in range(400):
+            now = 1.0 + ROUND_S * round_number
+            for executor in fleet:
+                executor.record_clock(1000, now)
+            reserved = reserve_executors([(large, BULK)], fleet, now, now)
+            if round_number < arrived_round:
+                continue
+            small.waiting_since = small.waiting_since or now
+            if all(row.admits(small, BULK.priority) for row in reserved.values()):
+                waits.append(now - small.waiting_since)
+                break
+        else:
+            return float("inf")
+    return max(waits)
+
+
+# A reservation has to end although the capacity that it waits for never comes.
+def test_step_that_waits_for_its_reserved_executors_gives_way_to_others():
+    for gang in (False, True):
+        for used, limit_s in ((3000, 2.9), (7000, MAX_HOLD_S + GIVE_WAY_AFTER_S)):
+            fleet = make_fleet(4)
+            for number, executor in enumerate(fleet):
+                step = make_step(
+                    f"{number:016x}", cpu_millis=used, estimated_ms=10_000_000
+                )
+                executor.add_run(Run(step, 0, 1, executor.executor_id, 0.0))
+            large = make_step(job_id="b" * 16, task_count=1, cpu_millis=8000, gang=gang)
+            large.allowed = {executor.executor_id for executor in fleet}
+            large.waiting_since = 0.0
+            assert find_longest_wait(fleet, large) <= limit_s + ROUND_S, (gang, used)
+
+
 # A gang over the limit blocked later gangs only in the pass of its own review: gangs
 # that were reviewed in between overtook it.
 def test_gang_over_the_limit_blocks_later_gangs_until_its_review():
--- a/gypsumring/fleet/executor.py
+++ b/gypsumring/fleet/executor.py
@@ -68,6 +68,7 @@
         "last_durable_end",
         "last_response_at",
         "last_seen_end",
+        "lasting_runs",
         "lease_until_ms",
         "listed",
         "is_release_pending",
@@ -124,6 +125,8 @@
         # owner, which may have started or ended its tasks.
         self.is_unconfirmed = False
         self.runs: dict[tuple[str, int], Run] = {}
+        # Those of ``runs`` that go on until they are stopped.
+        self.lasting_runs: dict[tuple[str, int], Run] = {}
         # Send times of start orders that were not answered, by attempt. The executor
         # may still carry such an order out.
         self.unconfirmed_starts: dict[tuple[str, int], float] = {}
@@ -336,6 +339,8 @@
         if key in self.runs:
             return
         self.runs[key] = run
+        if run.step.spec.long_running:
+            self.lasting_runs[key] = run
         run.rack = self.rack
         self.used_cpu += accounted_cpu_millis(run.step.spec)
         self.used_memory += run.step.spec.memory_mb
@@ -344,8 +349,10 @@
 
     def remove_run(self, run: Run) -> bool:
         """Release the capacity of an attempt; return whether it was accounted."""
-        if self.runs.pop((run.task, run.attempt), None) is None:
+        key = (run.task, run.attempt)
+        if self.runs.pop(key, None) is None:
             return False
+        self.lasting_runs.pop(key, None)
         self.used_cpu -= accounted_cpu_millis(run.step.spec)
         self.used_memory -= run.step.spec.memory_mb
         self.used_accelerators -= run.step.spec.accelerators
--- a/gypsumring/pipelines/state.py
+++ b/gypsumring/pipelines/state.py
@@ -153,6 +153,7 @@
         "predecessors",
         "queried",
         "reservation_expires_at",
+        "reservation_held_until",
         "reservation_review_at",
         "reserved",
         "runs",
@@ -224,6 +225,9 @@
         # may use the capacity.
         self.reservation_review_at = 0.0
         self.reservation_expires_at: float | None = None
+        # Time up to which a step that waits for capacity holds its reserved executors;
+        # then it gives way to other steps for a short time.
+        self.reservation_held_until: float | None = None
         # Set if the reservation limit excludes this gang; no later gang may then
         # reserve ahead of it.
         self.exceeds_reservation_limit = False
@@ -298,6 +302,7 @@
         self.reserved = set()
         self.reservation_review_at = 0.0
         self.reservation_expires_at = None
+        self.reservation_held_until = None
         self.exceeds_reservation_limit = False
 
     def ticket_remaining_s(self, executor_id: str, now: float) -> float:
--- a/gypsumring/pipelines/table.py
+++ b/gypsumring/pipelines/table.py
@@ -109,6 +109,7 @@
         step.runs.setdefault(index, []).append(run)
         step.pending.discard(index)
         step.withheld.discard(index)
+        step.reservation_held_until = None
         self.changed_steps[step] = None
         if step.states[index] != TaskState.DONE:
             step.states[index] = TaskState.PLACED
