Let tasks return to executors on which they failed

Cause: a task avoids executors on which it failed as long as the others could hold its step when they are empty. Lasting tasks never leave them, and avoiding had no end in time.

Change: others count with what they hold once all tasks that end have ended. The wait ends after 2 s in which avoided executors had room and others had none.

--- a/gypsumring/cell/lists.py
+++ b/gypsumring/cell/lists.py
@@ -274,6 +274,8 @@
             outcome = self.state.table.end(
                 run, how, end.checkpoint, self.state.find_queue(job).max_attempts
             )
+            if how == "failed":
+                run.step.failed_at[run.index] = anyio.current_time()
             self.orders.crashes.record_end(run)
             self.state.metrics.count(f"cell.ends.{how}")
             log.info("attempt ended", **run.log_fields(), how=how, end=end.number)
--- a/gypsumring/cell/scheduling.py
+++ b/gypsumring/cell/scheduling.py
@@ -25,7 +25,7 @@
 from gypsumring.dispatch.backlog import EVALUATION_PERIOD_S
 from gypsumring.dispatch.fairness import FairShares, make_shares
 from gypsumring.dispatch.isolation import Isolation
-from gypsumring.dispatch.placing import has_capacity, has_label
+from gypsumring.dispatch.placing import has_capacity, has_label, record_avoiding
 from gypsumring.fleet import ExecutorState
 from gypsumring.pipelines import Queue, RunState, Step
 from gypsumring.utils.logs import EventLogger
@@ -284,11 +284,13 @@
         may_start = step.earliest_start_at <= now
         if queue.policy is None:
             eligible = self.find_eligible(step, queue)
+            record_avoiding(step, eligible, now)
             if not may_start:
                 return eligible
             self.start_placements(step, self.place(step, eligible), now)
             return eligible
         allowed = self.find_allowed(step, queue)
+        record_avoiding(step, allowed, now)
         if allowed and step.waiting_since is None:
             step.waiting_since = now
         ticketed = [
--- a/gypsumring/cell/tests/test_waits_end.py
+++ b/gypsumring/cell/tests/test_waits_end.py
@@ -13,14 +13,16 @@
 
 from gypsumring.cell.messages import Outcome
 from gypsumring.cell.tests.test_recovery import running_cluster
-from gypsumring.pipelines import StepSpec
+from gypsumring.pipelines import JobPhase, StepSpec
 from gypsumring.utils.testing import make_load_tests
 from stand_ins.platform.cluster import MemoryCluster, make_job
+from stand_ins.platform.executor import Trouble
 from stand_ins.platform.world import TaskBehaviour
 
 LABEL = "g"
 CPU_MILLIS = 32_000
 START_LIMIT_S = 3.0
+FAILING_S = 6.5
 LASTING, LARGE, SMALL, OTHER = ("a" * 16, "b" * 16, "c" * 16, "d" * 16)
 
 
@@ -93,6 +95,46 @@
             await wait_started(cluster, SMALL, START_LIMIT_S)
 
 
+# Tasks that had failed once on each of two executors waited for ever for the third one,
+# which a task fills that does not end, or not for long.
+async def test_tasks_return_to_executors_on_which_they_failed():
+    filler = labelled(task_count=1, cpu_millis=32_000)
+    lasting_filler = labelled(task_count=1, cpu_millis=32_000, long_running=True)
+    batch = labelled(task_count=1, cpu_millis=4_000, estimated_ms=3_000)
+    gang = labelled(task_count=2, cpu_millis=4_000, estimated_ms=3_000, gang=True)
+    lasting = labelled(task_count=1, cpu_millis=4_000, long_running=True)
+    work = {OTHER: 1e6, SMALL: 3.0, LARGE: 3.0, LASTING: 1e6}
+    for filling in (filler, lasting_filler):
+        async with labelled_cluster(3, work) as cluster:
+            await submit(cluster, OTHER, filling)
+            await anyio.sleep(2.0)
+            others = [
+                model
+                for model in cluster.executors.values()
+                if LABEL in model.labels and not model.runs
+            ]
+            for model in others:
+                model.trouble = Trouble.FAILING
+            await submit(cluster, SMALL, batch)
+            await submit(cluster, LARGE, gang)
+            await submit(cluster, LASTING, lasting)
+            await anyio.sleep(FAILING_S)
+            for model in others:
+                model.trouble = Trouble.NONE
+            ended_at = anyio.current_time()
+            # Calm from 4 s after the trouble on.
+            await anyio.sleep(4.0 + START_LIMIT_S)
+            for job_id in (SMALL, LARGE, LASTING):
+                started_at = max(
+                    at
+                    for task, at in cluster.world.last_started_at.items()
+                    if task.startswith(job_id)
+                )
+                assert started_at > ended_at, (filling.long_running, job_id)
+            for job_id in (SMALL, LARGE):
+                assert await cluster.wait_final(job_id) is JobPhase.COMPLETED
+
+
 async def submit_small_jobs(
     cluster: MemoryCluster, task_count: int, work_s: float
 ) -> None:
--- a/gypsumring/cell/waiting.py
+++ b/gypsumring/cell/waiting.py
@@ -8,9 +8,11 @@
 from gypsumring.cell.scheduling import CellScheduler
 from gypsumring.dispatch.ordering import step_due_at
 from gypsumring.dispatch.placing import (
+    Packing,
     count_fitting_on,
     count_fitting_when_empty,
     has_label,
+    may_return_to_avoided,
     pack_tasks,
     waits_for_locality,
 )
@@ -412,7 +414,8 @@
             if step.policy_calls_in_flight
             else WaitReason.TICKET
         )
-    if not pack_tasks(step, usable, ()):
+    packing = Packing(step, may_return=may_return_to_avoided(step, now))
+    if not pack_tasks(packing, usable):
         return WaitReason.AVOIDED
     return WaitReason.RACK if waits_for_better_rack else WaitReason.NONE
 
--- a/gypsumring/dispatch/placing.py
+++ b/gypsumring/dispatch/placing.py
@@ -9,14 +9,24 @@
 from gypsumring.pipelines.state import RunState, Step
 
 __all__ = [
+    "Packing",
     "Placement",
     "count_fitting_eventually",
     "count_fitting_when_empty",
     "has_capacity",
     "has_label",
+    "may_return_to_avoided",
+    "pack_tasks",
     "place_step",
+    "record_avoiding",
 ]
 
+# Tasks wait for this time for other executors than those on which they failed, while
+# these have room.
+MAX_AVOIDING_S = 2.0
+# A task does not return to an executor on which it failed sooner than this.
+RETURN_DELAY_S = 2.0
+
 
 class Placement:
     """Assignment of one task to an executor."""
@@ -155,18 +165,45 @@
     """
     spec = step.spec
     may_wait = waits_for_locality(step, spread_factor, now)
+    may_return = may_return_to_avoided(step, now)
+    packing = Packing(step, deprioritized, isolation, may_return, now)
     if spec.data_rack:
         near_data = [
             executor for executor in candidates if executor.rack == spec.data_rack
         ]
-        placements = pack_tasks(step, near_data, deprioritized, isolation)
+        placements = pack_tasks(packing, near_data)
         if placements or (may_wait and near_data):
             return placements
     if spec.same_rack:
-        placements = pack_one_rack(step, candidates, deprioritized, isolation)
+        placements = pack_one_rack(packing, candidates)
         if placements or may_wait:
             return placements
-    return pack_tasks(step, candidates, deprioritized, isolation)
+    return pack_tasks(packing, candidates)
+
+
+def may_return_to_avoided(step: Step, now: float) -> bool:
+    """Return whether tasks have avoided free executors for long enough."""
+    since = step.avoiding_since
+    return since is not None and now - since >= MAX_AVOIDING_S
+
+
+def record_avoiding(step: Step, candidates: list[ExecutorState], now: float) -> None:
+    """Record since when tasks wait although executors that they avoid have room."""
+    if not has_room_where_avoided(step, candidates):
+        step.avoiding_since = None
+    elif step.avoiding_since is None:
+        step.avoiding_since = now
+
+
+def has_room_where_avoided(step: Step, candidates: list[ExecutorState]) -> bool:
+    """Return whether more tasks could start on executors that they avoid."""
+    if not step.avoided:
+        return False
+    placements = pack_tasks(Packing(step), candidates)
+    if len(placements) == len(step.pending):
+        return False
+    packing = Packing(step, may_return=True)
+    return len(pack_tasks(packing, candidates)) > len(placements)
 
 
 def waits_for_locality(step: Step, spread_factor: float, now: float) -> bool:
@@ -177,12 +214,65 @@
     return now - step.waiting_since < extra_s
 
 
-def pack_one_rack(
-    step: Step,
-    candidates: list[ExecutorState],
-    deprioritized: Collection[str],
-    isolation: Isolation | None = None,
-) -> list[Placement]:
+class Packing:
+    """Step to place, and what restricts its placement.
+
+    ``may_return`` tells that tasks may use executors that they avoid, once no other one
+    has room. Without ``now``, they may do so right after a failure.
+    """
+
+    __slots__ = ("deprioritized", "isolation", "may_return", "now", "step")
+
+    def __init__(
+        self,
+        step: Step,
+        deprioritized: Collection[str] = (),
+        isolation: Isolation | None = None,
+        may_return: bool = False,
+        now: float | None = None,
+    ):
+        self.step = step
+        self.deprioritized = deprioritized
+        self.isolation = isolation
+        self.may_return = may_return
+        self.now = now
+
+    def list_resting(self) -> dict[int, set[str]]:
+        """Return the avoided executors of tasks that have failed just now."""
+        if self.now is None:
+            return {}
+        return {
+            index: self.step.avoided[index]
+            for index, failed_at in self.step.failed_at.items()
+            if index in self.step.avoided and self.now - failed_at < RETURN_DELAY_S
+        }
+
+    def protect_last_attempts(
+        self, avoided_by: dict[int, set[str]], candidates: list[ExecutorState]
+    ) -> dict[int, set[str]]:
+        """Return what tasks avoid, with executors that need a probe for last attempts.
+
+        Such an executor has failed several tasks in a row. A job fails with the last
+        attempt of one of its tasks.
+        """
+        last_attempts = self.step.last_attempts & self.step.pending
+        if not last_attempts:
+            return avoided_by
+        # The newest response is a recent time of the clock of an executor's health.
+        unproven = {
+            executor.executor_id
+            for executor in candidates
+            if executor.health.needs_probe(executor.last_response_at)
+        }
+        if not unproven:
+            return avoided_by
+        protected = dict(avoided_by)
+        for index in last_attempts:
+            protected[index] = avoided_by.get(index, set()) | unproven
+        return protected
+
+
+def pack_one_rack(packing: Packing, candidates: list[ExecutorState]) -> list[Placement]:
     """Return placements on the rack that holds the most tasks.
 
     A step with active runs is placed only on their racks.
@@ -190,27 +280,20 @@
     racks: dict[str, list[ExecutorState]] = {}
     for executor in candidates:
         racks.setdefault(executor.rack, []).append(executor)
-    used = {run.rack for run in step.active_runs()}
+    used = {run.rack for run in packing.step.active_runs()}
     if used:
         racks = {rack: racks[rack] for rack in used if rack in racks}
-    options = [
-        pack_tasks(step, executors, deprioritized, isolation)
-        for _, executors in sorted(racks.items())
-    ]
+    options = [pack_tasks(packing, executors) for _, executors in sorted(racks.items())]
     return max(options, key=len, default=[])
 
 
-def pack_tasks(
-    step: Step,
-    candidates: list[ExecutorState],
-    deprioritized: Collection[str],
-    isolation: Isolation | None = None,
-) -> list[Placement]:
+def pack_tasks(packing: Packing, candidates: list[ExecutorState]) -> list[Placement]:
     """Return placements on the candidates in order of preference.
 
-    A task avoids executors on which it failed, unless the other executors could not
-    hold the step even if they were empty.
+    A task avoids executors on which it failed, unless the others cannot hold the step
+    once all tasks that end have ended, or have had no room for a while.
     """
+    step, isolation = packing.step, packing.isolation
     capacity = {
         executor.executor_id: count_fitting_on(step, executor)
         for executor in candidates
@@ -226,7 +309,7 @@
 
     def rank(executor: ExecutorState) -> tuple:
         has_same_kind = executor.executor_id in receivers
-        return sort_key(step, executor, deprioritized, occupied, has_same_kind)
+        return sort_key(step, executor, packing.deprioritized, occupied, has_same_kind)
 
     def move_back(executors: list[ExecutorState], executor: ExecutorState) -> None:
         receivers.add(executor.executor_id)
@@ -235,20 +318,26 @@
 
     on_assigned = move_back if slows_itself(step, candidates) else None
     ordered = sorted(with_capacity, key=rank)
-    placements = assign(
-        step, ordered, dict(capacity), step.avoided, isolation, on_assigned
-    )
+    avoided_by = packing.protect_last_attempts(step.avoided, candidates)
+    placements = assign(step, ordered, capacity, avoided_by, isolation, on_assigned)
     if len(placements) == len(step.pending) or not step.avoided:
         return placements
-    receivers.clear()
+    if not placements:
+        receivers.clear()
     ordered = sorted(candidates, key=rank)
-    empty_capacity = {
-        executor.executor_id: count_fitting_when_empty(step, executor)
-        for executor in ordered
-    }
-    if len(assign(step, ordered, empty_capacity, step.avoided)) == len(step.pending):
+    if not packing.may_return and can_avoid_eventually(step, ordered):
         return placements
-    return assign(step, ordered, capacity, {}, isolation, on_assigned)
+    resting = packing.protect_last_attempts(packing.list_resting(), candidates)
+    return assign(step, ordered, capacity, resting, isolation, on_assigned, placements)
+
+
+def can_avoid_eventually(step: Step, candidates: list[ExecutorState]) -> bool:
+    """Return whether the tasks of a step will fit where they have not failed."""
+    capacity = {
+        executor.executor_id: count_fitting_eventually(step, executor)
+        for executor in candidates
+    }
+    return len(assign(step, candidates, capacity, step.avoided)) == len(step.pending)
 
 
 def assign(
@@ -258,35 +347,41 @@
     avoided_by: dict[int, set[str]],
     isolation: Isolation | None = None,
     on_assigned: Callable[[list[ExecutorState], ExecutorState], None] | None = None,
+    earlier: Collection[Placement] = (),
 ) -> list[Placement]:
     """Assign each pending task to the first executor with capacity.
 
-    A gang is placed completely or not at all. ``capacity`` is updated. ``on_assigned``
-    may reorder the executors after one has received a task.
+    A gang is placed completely or not at all. ``capacity`` is updated unless the step
+    is a gang. ``on_assigned`` may reorder the executors after one has received a task.
+    The tasks of ``earlier`` placements keep these.
     """
-    placements = []
+    placements = list(earlier)
+    placed = {placement.index for placement in earlier}
+    free = dict(capacity) if step.spec.gang else capacity
     no_executors: set[str] = set()
     ordered = list(ordered)
     for index in list_placeable(step):
-        while ordered and capacity[ordered[0].executor_id] <= 0:
+        if index in placed:
+            continue
+        while ordered and free[ordered[0].executor_id] <= 0:
             del ordered[0]
         avoided = avoided_by.get(index, no_executors)
         suspect = step.suspects.get(index) if isolation is not None else None
         if suspect is None:
-            executor = find_first(ordered, capacity, avoided)
+            executor = find_first(ordered, free, avoided)
         else:
             possible = [
                 executor
                 for executor in ordered
-                if capacity[executor.executor_id] > 0
+                if free[executor.executor_id] > 0
                 and executor.executor_id not in avoided
             ]
             assigned = {placement.executor.executor_id for placement in placements}
             executor = isolation.choose(step, suspect, possible, assigned)
         if executor is not None:
-            capacity[executor.executor_id] -= 1
+            free[executor.executor_id] -= 1
             if suspect and suspect.must_run_alone and not step.spec.gang:
-                capacity[executor.executor_id] = 0
+                free[executor.executor_id] = 0
             placements.append(Placement(index, executor))
             if on_assigned is not None:
                 on_assigned(ordered, executor)
--- a/gypsumring/dispatch/tests/test_placing.py
+++ b/gypsumring/dispatch/tests/test_placing.py
@@ -5,9 +5,16 @@
 import msgspec
 
 from gypsumring.dispatch import place_step
-from gypsumring.dispatch.placing import has_label
+from gypsumring.dispatch.placing import (
+    MAX_AVOIDING_S,
+    RETURN_DELAY_S,
+    has_label,
+    record_avoiding,
+)
 from gypsumring.dispatch.tests.fleets import make_executor, make_fleet, make_step
+from gypsumring.fleet.health import PROBE_S
 from gypsumring.fleet.runtimes import Evidence
+from gypsumring.pipelines import Run
 from gypsumring.utils.testing import make_load_tests
 
 
@@ -71,6 +78,100 @@
     assert sum(place(step, fleet).values()) == 1
 
 
+# A task avoided the executor on which it had failed for ever, since another one, which
+# lasting tasks fill, would have held it empty.
+def test_task_returns_if_lasting_tasks_fill_the_other_executors():
+    for is_gang in (False, True):
+        for is_lasting in (False, True):
+            fleet = make_fleet(2)
+            other = make_step(
+                "b" * 16, task_count=1, cpu_millis=8000, long_running=is_lasting
+            )
+            fleet[1].add_run(Run(other, 0, 1, "i-1", 0.0))
+            step = make_step(task_count=1, gang=is_gang)
+            step.avoided = {0: {"i-0"}}
+            assert place(step, fleet) == ({"i-0": 1} if is_lasting else {})
+
+
+def avoid_for(step, fleet, seconds: float) -> Counter:
+    """Let a step wait from 10 s on; return what is placed after some seconds."""
+    for round_number in range(round(seconds / 0.1) + 1):
+        now = 10.0 + 0.1 * round_number
+        record_avoiding(step, fleet, now)
+        placements = place_step(step, fleet, 3.0, now)
+    return Counter(placement.executor.executor_id for placement in placements)
+
+
+# Other executors may stay full for any time.
+def test_task_returns_after_a_while_if_only_avoided_executors_have_room():
+    for is_gang in (False, True):
+        fleet = make_fleet(2)
+        fleet[1].used_cpu = 8000
+        step = make_step(task_count=2, gang=is_gang)
+        step.avoided = {0: {"i-0"}, 1: {"i-0"}}
+        assert avoid_for(step, fleet, MAX_AVOIDING_S - 0.2) == {}
+        assert avoid_for(step, fleet, MAX_AVOIDING_S + 0.2) == {"i-0": 2}
+        # Room elsewhere is preferred all the same.
+        fleet[1].used_cpu = 0
+        assert place(step, fleet, now=20.0) == {"i-1": 2}
+
+
+def test_only_tasks_that_fit_nowhere_else_return():
+    fleet = make_fleet(2)
+    fleet[1].used_cpu = 7000
+    step = make_step(task_count=2)
+    step.avoided = {0: {"i-0"}, 1: {"i-0"}}
+    step.avoiding_since = 0.0
+    assert place(step, fleet, now=10.0) == {"i-0": 1, "i-1": 1}
+
+
+# A busy fleet is no reason to return: the task has lost nothing by avoiding an executor
+# without room.
+def test_time_without_room_on_avoided_executors_does_not_count():
+    fleet = make_fleet(2)
+    step = make_step(task_count=1)
+    step.avoided = {0: {"i-0"}}
+    for executor in fleet:
+        executor.used_cpu = 8000
+    assert avoid_for(step, fleet, 10.0) == {}
+    fleet[0].used_cpu = 0
+    assert avoid_for(step, fleet, MAX_AVOIDING_S - 0.2) == {}
+
+
+# A task that only one executor can hold used up its attempts there within a second.
+def test_task_does_not_return_right_after_a_failure():
+    fleet = [make_executor("i-0", 8_000), make_executor("i-1", 1_000)]
+    step = make_step(task_count=2, cpu_millis=3000)
+    step.avoided = {0: {"i-0"}}
+    step.failed_at = {0: 10.0}
+    placements = place_step(step, fleet, 3.0, 10.0 + RETURN_DELAY_S / 2)
+    assert [placement.index for placement in placements] == [1]
+    assert place(step, fleet, now=10.0 + RETURN_DELAY_S) == {"i-0": 2}
+
+
+# The last attempt of a task, with which its job fails, was the first one on an executor
+# that had just failed everything.
+def test_last_attempt_is_no_probe_of_an_executor_that_fails_tasks():
+    fleet = make_fleet(1)
+    health = fleet[0].health
+    for _ in range(2):
+        health.record_failure(0.0)
+    step = make_step(task_count=2)
+    step.last_attempts = {0}
+    for now, expected in (
+        (health.quarantined_until, [1]),
+        (health.quarantined_until + PROBE_S - 0.1, [1]),
+        # Nothing else may probe the executor.
+        (health.quarantined_until + PROBE_S, [0, 1]),
+    ):
+        fleet[0].record_clock(1000, now)
+        placements = place_step(step, fleet, 3.0, now)
+        assert [placement.index for placement in placements] == expected
+    fleet[0].record_clock(1000, health.quarantined_until)
+    health.record_success()
+    assert sum(place(step, fleet, now=health.quarantined_until).values()) == 2
+
+
 def test_step_waits_for_its_data_rack_as_long_as_remote_work_would_cost():
     step = make_step(task_count=1, data_rack="r1", estimated_ms=1000)
     near, away = make_executor("near", rack="r1"), make_executor("away", rack="r0")
--- a/gypsumring/fleet/health.py
+++ b/gypsumring/fleet/health.py
@@ -6,6 +6,9 @@
 QUARANTINE_AFTER_FAILURES = 2
 INITIAL_QUARANTINE_S = 4.0
 MAX_QUARANTINE_S = 16.0
+# After a quarantine, other tasks probe the executor for this time before one that its
+# job cannot afford to lose.
+PROBE_S = 3.0
 # Back-off of an executor after a refused start. It doubles with each further refusal,
 # up to the maximum.
 INITIAL_BACKOFF_S = 1.0
@@ -83,6 +86,16 @@
         """Return whether a quarantine or back-off is in progress."""
         return now < self.available_at()
 
+    def needs_probe(self, now: float) -> bool:
+        """Return whether no task has succeeded since a recent quarantine for failures.
+
+        After ``PROBE_S`` without a probe any task may be one.
+        """
+        return (
+            self.failures >= QUARANTINE_AFTER_FAILURES
+            and now < self.quarantined_until + PROBE_S
+        )
+
     def is_suspect(self) -> bool:
         """Return whether the latest task failed or the latest start was refused."""
         return self.failures > 0 or self.refusals > 0
--- a/gypsumring/pipelines/state.py
+++ b/gypsumring/pipelines/state.py
@@ -135,15 +135,18 @@
         "allowed",
         "attempts",
         "avoided",
+        "avoiding_since",
         "capped_since",
         "checkpoints",
         "done_count",
         "earliest_start_at",
         "exceeds_reservation_limit",
+        "failed_at",
         "failures",
         "interrupted",
         "job",
         "kind",
+        "last_attempts",
         "next_policy_call_at",
         "number",
         "occurrence",
@@ -191,6 +194,12 @@
         self.checkpoints: dict[int, str] = {}
         # Executors on which a task failed or stalled, by task index.
         self.avoided: dict[int, set[str]] = {}
+        # Time of the latest failure of each of these tasks, and the tasks whose next
+        # failure fails the job.
+        self.failed_at: dict[int, float] = {}
+        self.last_attempts: set[int] = set()
+        # Time since which tasks wait although executors that they avoid have room.
+        self.avoiding_since: float | None = None
         # Tasks under which executors have crashed, by task index.
         self.suspects: dict[int, Suspect] = {}
         self.pending = set(range(spec.task_count))
@@ -268,6 +277,8 @@
         self.checkpoints.pop(index, None)
         self.suspects.pop(index, None)
         self.interrupted.pop(index, None)
+        self.failed_at.pop(index, None)
+        self.last_attempts.discard(index)
         self.done_count += 1
         return True
 
--- a/gypsumring/pipelines/table.py
+++ b/gypsumring/pipelines/table.py
@@ -202,6 +202,11 @@
         if step.job.phase.is_final or step.spec.long_running:
             return EndEffects(True, [])
         if len(failed) < max_attempts:
+            if len(failed) == max_attempts - 1:
+                count = step.spec.task_count
+                step.last_attempts |= (
+                    set(range(count)) if step.spec.gang else {run.index}
+                )
             return EndEffects(True, [])
         step.job.phase = JobPhase.FAILED
         stop = [other for other in step.job.active_runs() if other is not run]
--- a/gypsumring/pipelines/tests/test_table.py
+++ b/gypsumring/pipelines/tests/test_table.py
@@ -18,13 +18,15 @@
 def make_spec(*steps: StepSpec, **fields) -> PipelineSpec:
     """Return the specification of a job with these steps."""
     return PipelineSpec(
-        job_id="a" * 16,
-        queue="q",
-        service="s",
-        accepted_ms=0,
-        payload="",
-        steps=steps,
-        **fields,
+        **{
+            "job_id": "a" * 16,
+            "queue": "q",
+            "service": "s",
+            "accepted_ms": 0,
+            "payload": "",
+            "steps": steps,
+            **fields,
+        }
     )
 
 
@@ -59,6 +61,26 @@
     assert job.phase is JobPhase.FAILED
 
 
+# The scheduler keeps the last attempt of a task off executors that fail all tasks.
+def test_tasks_with_one_attempt_left_are_known():
+    for gang, expected in ((False, {1}), (True, {0, 1})):
+        table = JobTable()
+        job = table.add(make_spec(StepSpec(task_count=2, gang=gang)), 0.0)
+        step = job.steps[0]
+        for attempt in (1, 2):
+            assert not step.last_attempts
+            run = table.place(step, 1, attempt, "i-0", 0.0)
+            table.end(run, "failed", "", 3)
+        assert step.last_attempts == expected
+    lasting = table.add(
+        make_spec(StepSpec(task_count=1, long_running=True), job_id="b" * 16), 0.0
+    )
+    for attempt in (1, 2):
+        run = table.place(lasting.steps[0], 0, attempt, "i-0", 0.0)
+        table.end(run, "failed", "", 3)
+    assert not lasting.steps[0].last_attempts
+
+
 def test_failed_attempts_of_a_gang_count_in_any_order():
     # A new owner may receive the second failed attempt before the first one.
     table = JobTable()
