Probe executors in long back-offs with work that no other one takes

Here, on the mock clock: a lasting task on two executors with its label waited for over 6 s, and after 26 and 42 s of failing executors, lasting tasks did not start within 3 s of a calm service.

Cause: a lasting task has no end but a failure, so that failures of one executor add up to back-offs of up to 16 s, and a back-off kept away work that no other executor takes.

Change: a lasting task that fails after 4 s of work counts as a success before. Work whose label only executors in back-off have may start there 4 s after the latest failure. The back-off of a new incarnation beside an unanswered poll is for safety and is not shortened; a failure within it no longer replaces it by a shorter one.

--- a/gypsumring/cell/lists.py
+++ b/gypsumring/cell/lists.py
@@ -149,8 +149,7 @@
         back_off_until = executor.unanswered_poll_at + MAX_ORDER_DELAY_S
         if back_off_until <= self.state.clock():
             return
-        health = executor.health
-        health.quarantined_until = max(health.quarantined_until, back_off_until)
+        executor.health.forbid_work(back_off_until)
         for run in list(executor.runs.values()):
             if run.answered_at is None:
                 self.orders.stop(run)
@@ -291,7 +290,9 @@
             executor.health.record_success()
         elif outcome == "failed":
             clock = self.state.clock()
-            executor.health.record_failure(clock)
+            has_answered = run.step.spec.long_running and run.answered_at is not None
+            ran_s = anyio.current_time() - run.answered_at if has_answered else 0.0
+            executor.health.record_failure(clock, ran_s)
             if executor.health.is_quarantined(clock):
                 log.info(
                     "executor backs off",
--- a/gypsumring/cell/scheduling.py
+++ b/gypsumring/cell/scheduling.py
@@ -58,6 +58,7 @@
         "orders",
         "policy_client",
         "preemption",
+        "probed_executors",
         "reserved",
         "state",
     )
@@ -83,6 +84,8 @@
         self.evaluated_at = float("-inf")
         # Executors that accepted work at the last evaluation of the fleet, by service.
         self.accepting_executors: dict[str, list[ExecutorState]] = {}
+        # Executors in quarantine that could be probed then, by service.
+        self.probed_executors: dict[str, list[ExecutorState]] = {}
 
     async def run(self) -> None:
         """Run a scheduling pass after each change.
@@ -151,6 +154,7 @@
     def evaluate_fleet(self, now: float) -> None:
         """Evacuate draining executors, and reserve others for large tasks."""
         self.accepting_executors = {}
+        self.probed_executors = {}
         self.orders.crashes.review_suspects()
         review_knowledge(self.state, now)
         fleet = self.list_enrolled()
@@ -223,24 +227,53 @@
             self.accepting_executors[service] = found
         return found
 
-    def find_eligible(self, step: Step, queue: Queue) -> list[ExecutorState]:
-        """Return the executors that accept a step now, without policy and capacity."""
+    def find_probes(self, service: str) -> list[ExecutorState]:
+        """Return executors that work which no other one takes may probe."""
+        found = self.probed_executors.get(service)
+        if found is None:
+            clock = self.state.clock()
+            found = [
+                executor
+                for executor in self.list_enrolled()
+                if executor.accepts_probe(service, clock)
+            ]
+            self.probed_executors[service] = found
+        return found
+
+    def find_suitable(self, step: Step, queue: Queue) -> list[ExecutorState]:
+        """Return the executors that accept a step's work, without reservations.
+
+        If all with its label are in quarantine, these are the ones that may be probed.
+        """
         clock = self.state.clock()
-        return [
+        accepting = [
             executor
             for executor in self.find_accepting(queue.service)
+            if has_label(step, executor) and executor.accepts_work(queue.service, clock)
+        ]
+        if accepting:
+            return accepting
+        return [
+            executor
+            for executor in self.find_probes(queue.service)
             if has_label(step, executor)
-            and executor.accepts_work(queue.service, clock)
-            and self.admits(executor, step, queue.priority)
+            and executor.accepts_probe(queue.service, clock)
+        ]
+
+    def find_eligible(self, step: Step, queue: Queue) -> list[ExecutorState]:
+        """Return the executors that accept a step now, without policy and capacity."""
+        return [
+            executor
+            for executor in self.find_suitable(step, queue)
+            if self.admits(executor, step, queue.priority)
         ]
 
     def find_unqueried(self, step: Step, queue: Queue) -> list[ExecutorState]:
         """Return the executors that a step may use and that were not queried for it."""
         return [
             executor
-            for executor in self.find_accepting(queue.service)
+            for executor in self.find_suitable(step, queue)
             if executor.executor_id not in step.queried
-            and has_label(step, executor)
             and self.admits(executor, step, queue.priority)
         ]
 
@@ -330,7 +363,13 @@
                 and self.admits(executor, step, queue.priority)
             ):
                 allowed.append(executor)
-        return allowed
+        if allowed or not step.allowed:
+            return allowed
+        return [
+            executor
+            for executor in self.find_eligible(step, queue)
+            if executor.executor_id in step.allowed
+        ]
 
     def find_usable(self, step: Step, queue: Queue) -> list[ExecutorState]:
         """Return the executors on which a step may be placed, without capacity."""
--- a/gypsumring/fleet/executor.py
+++ b/gypsumring/fleet/executor.py
@@ -282,6 +282,14 @@
 
     def accepts_work(self, service: str, now: float) -> bool:
         """Return whether new tasks of a service may start on the executor."""
+        return not self.health.is_quarantined(now) and self.is_usable(service, now)
+
+    def accepts_probe(self, service: str, now: float) -> bool:
+        """Return whether tasks may start that no other executor accepts."""
+        return self.health.may_be_probed(now) and self.is_usable(service, now)
+
+    def is_usable(self, service: str, now: float) -> bool:
+        """Return whether tasks of a service may start, but for a back-off."""
         return (
             self.listed
             and self.entry.service == service
@@ -292,7 +300,6 @@
             and not self.starts_to_block
             and not self.is_unconfirmed
             and self.has_current_entry()
-            and not self.health.is_quarantined(now)
         )
 
     def free_cpu_millis(self) -> int:
--- a/gypsumring/fleet/health.py
+++ b/gypsumring/fleet/health.py
@@ -6,6 +6,8 @@
 QUARANTINE_AFTER_FAILURES = 2
 INITIAL_QUARANTINE_S = 4.0
 MAX_QUARANTINE_S = 16.0
+# A lasting task that has run for this time shows that its executor works.
+PROVEN_RUN_S = 4.0
 # After a quarantine, other tasks probe the executor for this time before one that its
 # job cannot afford to lose.
 PROBE_S = 3.0
@@ -27,6 +29,7 @@
         "backoff_until",
         "failures",
         "next_quarantine_s",
+        "probed_from",
         "quarantined_until",
         "refusals",
         "refused_at",
@@ -36,6 +39,8 @@
         self.failures = 0
         self.next_quarantine_s = INITIAL_QUARANTINE_S
         self.quarantined_until = 0.0
+        # Time from which work that no other executor takes may end the quarantine.
+        self.probed_from = 0.0
         # Consecutive back-offs (up to the longest one), the time of the latest
         # refusal, and the end of the latest back-off.
         self.refusals = 0
@@ -47,17 +52,31 @@
         self.failures = 0
         self.next_quarantine_s = INITIAL_QUARANTINE_S
 
-    def record_failure(self, now: float) -> None:
-        """Record a failed task; repeated failures start a quarantine."""
+    def record_failure(self, now: float, ran_s: float = 0.0) -> None:
+        """Record a failed task; repeated failures start a quarantine.
+
+        A task that lasts has no other end; one that has worked for a while before it
+        failed shows that the executor works.
+        """
+        if ran_s >= PROVEN_RUN_S:
+            self.record_success()
         self.failures += 1
         if self.failures >= QUARANTINE_AFTER_FAILURES:
             self.quarantine(now)
 
     def quarantine(self, now: float) -> None:
         """Start a quarantine; the next one will be twice as long, up to the maximum."""
-        self.quarantined_until = now + self.next_quarantine_s
+        self.quarantined_until = max(
+            self.quarantined_until, now + self.next_quarantine_s
+        )
+        self.probed_from = max(self.probed_from, now + INITIAL_QUARANTINE_S)
         self.next_quarantine_s = min(self.next_quarantine_s * 2, MAX_QUARANTINE_S)
 
+    def forbid_work(self, until: float) -> None:
+        """Start a quarantine that nothing may end sooner."""
+        self.quarantined_until = max(self.quarantined_until, until)
+        self.probed_from = max(self.probed_from, until)
+
     def record_refusal(self, now: float) -> bool:
         """Record a refused start; return whether a back-off begins.
 
@@ -93,9 +112,14 @@
         """
         return (
             self.failures >= QUARANTINE_AFTER_FAILURES
-            and now < self.quarantined_until + PROBE_S
+            and now < self.probed_from + PROBE_S
         )
 
+    def may_be_probed(self, now: float) -> bool:
+        """Return whether work that no other executor takes may start here."""
+        probed_from = max(self.probed_from, self.refused_at + INITIAL_QUARANTINE_S)
+        return now >= min(self.available_at(), probed_from)
+
     def is_suspect(self) -> bool:
         """Return whether the latest task failed or the latest start was refused."""
         return self.failures > 0 or self.refusals > 0
--- a/gypsumring/fleet/tests/test_health.py
+++ b/gypsumring/fleet/tests/test_health.py
@@ -1,6 +1,12 @@
 """Tests of quarantine and back-off of executors."""
 
-from gypsumring.fleet.health import INITIAL_BACKOFF_S, MAX_BACKOFF_S, ExecutorHealth
+from gypsumring.fleet.health import (
+    INITIAL_BACKOFF_S,
+    INITIAL_QUARANTINE_S,
+    MAX_BACKOFF_S,
+    PROVEN_RUN_S,
+    ExecutorHealth,
+)
 from gypsumring.utils.testing import make_load_tests
 
 
@@ -56,4 +62,34 @@
     assert health.available_at() == until
 
 
+def test_long_quarantine_may_be_probed_after_the_shortest_one():
+    health = ExecutorHealth()
+    now = 0.0
+    for _ in range(4):
+        health.record_failure(now)
+        if health.is_quarantined(now):
+            assert not health.may_be_probed(now + INITIAL_QUARANTINE_S - 0.1)
+            assert health.may_be_probed(now + INITIAL_QUARANTINE_S)
+        now = health.available_at()
+
+
+# An old long poll may still reach a new incarnation, which must not run anything then.
+def test_quarantine_for_safety_is_never_probed():
+    health = ExecutorHealth()
+    health.forbid_work(13.0)
+    assert not health.may_be_probed(12.9)
+    health.quarantine(1.0)
+    assert health.is_quarantined(12.9) and not health.may_be_probed(12.9)
+    assert health.may_be_probed(13.0)
+
+
+def test_lasting_task_that_has_worked_counts_as_a_success_before_it_fails():
+    health = ExecutorHealth()
+    for number in range(5):
+        health.record_failure(float(number), ran_s=PROVEN_RUN_S)
+        assert health.failures == 1 and not health.is_quarantined(float(number))
+    health.record_failure(5.0, ran_s=PROVEN_RUN_S / 2)
+    assert health.is_quarantined(5.0)
+
+
 load_tests = make_load_tests(globals())
