Probe executors in back-off when no other one has room

Tasks that failed together had put it into a back-off of 16 s, and other executors with the label accepted work but were full or reserved.

Cause: an executor was probed only if no executor with the label accepted work, whether it had room or not.

Change: a step for which no accepting executor has room may probe one in back-off from 4 s after the latest failure, one task each 3 s. A success ends the back-off, a failure does not lengthen it. What keeps work away for safety (a new incarnation beside an unanswered poll) is ended by neither.

--- a/Makefile
+++ b/Makefile
@@ -13,7 +13,7 @@
 PARAMETER ?= gypsumring.dispatch.reserving:MAX_RESERVED_SHARE
 VALUES ?= 0,0.15,0.3,0.45
 
-.PHONY: demo test bench soak cells accounts outlasting deadly liveness ownership nodes partitions experiment ablation report format
+.PHONY: demo test bench soak cells accounts outlasting deadly liveness waits ownership nodes partitions experiment ablation report format
 
 $(STAMP): requirements.lock pyproject.toml
 	test -x $(PYTHON) || python3.11 -m venv .venv
@@ -50,6 +50,9 @@
 liveness: $(STAMP)
 	$(PYTHON) -m soak.liveness --seed $(SEED) --seeds $(SEEDS) --seconds $(SECONDS) 2>/dev/null
 
+waits: $(STAMP)
+	$(PYTHON) -m soak.waits --seed $(SEED) --seeds $(SEEDS) --seconds $(SECONDS) 2>/dev/null
+
 ownership: $(STAMP)
 	$(PYTHON) -m soak.ownership --seed $(SEED) --seeds $(SEEDS) $(OPTIONS) 2>/dev/null
 
--- a/gypsumring/cell/scheduling.py
+++ b/gypsumring/cell/scheduling.py
@@ -240,41 +240,45 @@
             self.probed_executors[service] = found
         return found
 
-    def find_suitable(self, step: Step, queue: Queue) -> list[ExecutorState]:
-        """Return the executors that accept a step's work, without reservations.
-
-        If all with its label are in quarantine, these are the ones that may be probed.
-        """
+    def add_probes(
+        self, step: Step, queue: Queue, found: list[ExecutorState]
+    ) -> list[ExecutorState]:
+        """Return executors and, if none of them has room, those that may be probed."""
+        probes = self.find_probes(queue.service)
+        if not probes or any(each.count_fitting_tasks(step.spec) for each in found):
+            return found
         clock = self.state.clock()
-        accepting = [
+        return found + [
             executor
-            for executor in self.find_accepting(queue.service)
-            if has_label(step, executor) and executor.accepts_work(queue.service, clock)
-        ]
-        if accepting:
-            return accepting
-        return [
-            executor
-            for executor in self.find_probes(queue.service)
+            for executor in probes
             if has_label(step, executor)
             and executor.accepts_probe(queue.service, clock)
+            and self.admits(executor, step, queue.priority)
         ]
 
     def find_eligible(self, step: Step, queue: Queue) -> list[ExecutorState]:
         """Return the executors that accept a step now, without policy and capacity."""
-        return [
+        clock = self.state.clock()
+        found = [
             executor
-            for executor in self.find_suitable(step, queue)
-            if self.admits(executor, step, queue.priority)
+            for executor in self.find_accepting(queue.service)
+            if has_label(step, executor)
+            and executor.accepts_work(queue.service, clock)
+            and self.admits(executor, step, queue.priority)
         ]
+        return self.add_probes(step, queue, found)
 
     def find_unqueried(self, step: Step, queue: Queue) -> list[ExecutorState]:
         """Return the executors that a step may use and that were not queried for it."""
+        found = [
+            executor
+            for executor in self.find_accepting(queue.service)
+            if has_label(step, executor) and self.admits(executor, step, queue.priority)
+        ]
         return [
             executor
-            for executor in self.find_suitable(step, queue)
+            for executor in self.add_probes(step, queue, found)
             if executor.executor_id not in step.queried
-            and self.admits(executor, step, queue.priority)
         ]
 
     def evacuate(self, executor: ExecutorState, now: float) -> None:
@@ -363,11 +367,9 @@
                 and self.admits(executor, step, queue.priority)
             ):
                 allowed.append(executor)
-        if allowed or not step.allowed:
-            return allowed
         return [
             executor
-            for executor in self.find_eligible(step, queue)
+            for executor in self.add_probes(step, queue, allowed)
             if executor.executor_id in step.allowed
         ]
 
--- a/gypsumring/dispatch/placing.py
+++ b/gypsumring/dispatch/placing.py
@@ -62,6 +62,15 @@
     return max(0, capacity)
 
 
+def count_startable_on(step: Step, executor: ExecutorState) -> int:
+    """Return how many tasks of a step may start on an executor now.
+
+    An executor in quarantine gets one task as a probe.
+    """
+    capacity = count_fitting_on(step, executor)
+    return min(capacity, 1) if executor.is_probed() else capacity
+
+
 def count_fitting_when_empty(step: Step, executor: ExecutorState) -> int:
     """Return how many tasks of a step an executor holds when it is empty."""
     spec = step.spec
@@ -295,7 +304,7 @@
     """
     step, isolation = packing.step, packing.isolation
     capacity = {
-        executor.executor_id: count_fitting_on(step, executor)
+        executor.executor_id: count_startable_on(step, executor)
         for executor in candidates
     }
     task_capacity = sum(capacity.values())
--- a/gypsumring/dispatch/tests/test_placing.py
+++ b/gypsumring/dispatch/tests/test_placing.py
@@ -172,6 +172,12 @@
     assert sum(place(step, fleet, now=health.quarantined_until).values()) == 2
 
 
+def test_executor_that_is_probed_gets_one_task():
+    fleet = make_fleet(2)
+    fleet[0].health.quarantine(0.0)
+    assert place(make_step(task_count=20), fleet) == {"i-0": 1, "i-1": 8}
+
+
 def test_step_waits_for_its_data_rack_as_long_as_remote_work_would_cost():
     step = make_step(task_count=1, data_rack="r1", estimated_ms=1000)
     near, away = make_executor("near", rack="r1"), make_executor("away", rack="r0")
--- a/gypsumring/fleet/executor.py
+++ b/gypsumring/fleet/executor.py
@@ -285,8 +285,12 @@
         return not self.health.is_quarantined(now) and self.is_usable(service, now)
 
     def accepts_probe(self, service: str, now: float) -> bool:
-        """Return whether tasks may start that no other executor accepts."""
-        return self.health.may_be_probed(now) and self.is_usable(service, now)
+        """Return whether a task may start in a quarantine, as no other one has room."""
+        return (
+            self.health.is_quarantined(now)
+            and self.health.may_be_probed(now)
+            and self.is_usable(service, now)
+        )
 
     def is_usable(self, service: str, now: float) -> bool:
         """Return whether tasks of a service may start, but for a back-off."""
@@ -331,6 +335,10 @@
             self.entry.accelerators - self.used_accelerators,
         )
 
+    def is_probed(self) -> bool:
+        """Return whether a start would probe an executor in quarantine."""
+        return self.health.is_quarantined(self.last_response_at)
+
     def count_fitting_tasks(self, spec: StepSpec) -> int:
         """Return how many more tasks of a step fit into the free capacity."""
         return count_fitting(
@@ -348,6 +356,8 @@
         self.runs[key] = run
         if run.step.spec.long_running:
             self.lasting_runs[key] = run
+        # The newest response is a recent time of the clock of the executor's health.
+        self.health.record_start(self.last_response_at)
         run.rack = self.rack
         self.used_cpu += accounted_cpu_millis(run.step.spec)
         self.used_memory += run.step.spec.memory_mb
--- a/gypsumring/fleet/health.py
+++ b/gypsumring/fleet/health.py
@@ -28,8 +28,11 @@
     __slots__ = (
         "backoff_until",
         "failures",
+        "forbidden_until",
         "next_quarantine_s",
         "probed_from",
+        "probed_until",
+        "probes",
         "quarantined_until",
         "refusals",
         "refused_at",
@@ -38,19 +41,33 @@
     def __init__(self):
         self.failures = 0
         self.next_quarantine_s = INITIAL_QUARANTINE_S
-        self.quarantined_until = 0.0
+        self.quarantined_until = float("-inf")
+        # Time up to which no success ends a quarantine.
+        self.forbidden_until = float("-inf")
         # Time from which work that no other executor takes may end the quarantine.
         self.probed_from = 0.0
+        # Number of tasks that probe the executor, and time up to which no other may.
+        self.probes = 0
+        self.probed_until = float("-inf")
         # Consecutive back-offs (up to the longest one), the time of the latest
         # refusal, and the end of the latest back-off.
         self.refusals = 0
         self.refused_at = float("-inf")
-        self.backoff_until = 0.0
+        self.backoff_until = float("-inf")
 
     def record_success(self) -> None:
         """Record a task that succeeded."""
         self.failures = 0
         self.next_quarantine_s = INITIAL_QUARANTINE_S
+        if self.probes:
+            self.probes = 0
+            self.quarantined_until = min(self.quarantined_until, self.forbidden_until)
+
+    def record_start(self, now: float) -> None:
+        """Record a start, which is a probe of an executor in quarantine."""
+        if self.is_quarantined(now):
+            self.probes += 1
+            self.probed_until = now + PROBE_S
 
     def record_failure(self, now: float, ran_s: float = 0.0) -> None:
         """Record a failed task; repeated failures start a quarantine.
@@ -61,11 +78,17 @@
         if ran_s >= PROVEN_RUN_S:
             self.record_success()
         self.failures += 1
+        if self.probes and now < self.quarantined_until:
+            # A probe that fails does not lengthen the quarantine.
+            self.probes -= 1
+            self.probed_from = max(self.probed_from, now + INITIAL_QUARANTINE_S)
+            return
         if self.failures >= QUARANTINE_AFTER_FAILURES:
             self.quarantine(now)
 
     def quarantine(self, now: float) -> None:
         """Start a quarantine; the next one will be twice as long, up to the maximum."""
+        self.probes = 0
         self.quarantined_until = max(
             self.quarantined_until, now + self.next_quarantine_s
         )
@@ -76,6 +99,7 @@
         """Start a quarantine that nothing may end sooner."""
         self.quarantined_until = max(self.quarantined_until, until)
         self.probed_from = max(self.probed_from, until)
+        self.forbidden_until = max(self.forbidden_until, until)
 
     def record_refusal(self, now: float) -> bool:
         """Record a refused start; return whether a back-off begins.
@@ -118,7 +142,7 @@
     def may_be_probed(self, now: float) -> bool:
         """Return whether work that no other executor takes may start here."""
         probed_from = max(self.probed_from, self.refused_at + INITIAL_QUARANTINE_S)
-        return now >= min(self.available_at(), probed_from)
+        return now >= max(min(self.available_at(), probed_from), self.probed_until)
 
     def is_suspect(self) -> bool:
         """Return whether the latest task failed or the latest start was refused."""
--- a/gypsumring/fleet/tests/test_health.py
+++ b/gypsumring/fleet/tests/test_health.py
@@ -4,6 +4,7 @@
     INITIAL_BACKOFF_S,
     INITIAL_QUARANTINE_S,
     MAX_BACKOFF_S,
+    PROBE_S,
     PROVEN_RUN_S,
     ExecutorHealth,
 )
@@ -81,6 +82,26 @@
     health.quarantine(1.0)
     assert health.is_quarantined(12.9) and not health.may_be_probed(12.9)
     assert health.may_be_probed(13.0)
+    # Nor does the end of a task that ran before allow work.
+    health.record_start(2.0)
+    health.record_success()
+    assert health.is_quarantined(12.9)
+
+
+def test_one_probe_at_a_time_ends_a_quarantine_by_its_success():
+    for succeeds in (False, True):
+        health = ExecutorHealth()
+        for _ in range(2):
+            health.quarantine(0.0)
+        assert health.may_be_probed(INITIAL_QUARANTINE_S)
+        health.record_start(INITIAL_QUARANTINE_S)
+        assert not health.may_be_probed(INITIAL_QUARANTINE_S + PROBE_S - 0.1)
+        if succeeds:
+            health.record_success()
+            assert not health.is_quarantined(INITIAL_QUARANTINE_S)
+        else:
+            assert health.is_quarantined(INITIAL_QUARANTINE_S)
+            assert health.may_be_probed(INITIAL_QUARANTINE_S + PROBE_S)
 
 
 def test_lasting_task_that_has_worked_counts_as_a_success_before_it_fails():
