Bound the connections of an owner to each executor

Cause: an owner opened a connection for each order without an idle one, kept all, and closed none when it lost the cell or an executor left or moved. Executors accept 64 and reset the others: 50,062 to 63,426 connections.

Change: a client has a limit of connections; requests beyond it wait for a free one. An owner has one connection to an executor for long polls and up to three for orders, of which one stays when they are idle. It closes them when it ends, and those to an executor that leaves or moves.

Tests of cell, transport and platform/tests/test_connections pass.

--- a/gypsumring/cell/executor_polling.py
+++ b/gypsumring/cell/executor_polling.py
@@ -78,6 +78,7 @@
         if executor is None:
             executor = self.add(entry, inherited=False)
         if entry.address != executor.entry.address:
+            self.close_client(entry.executor_id)
             self.state.clients[entry.executor_id] = self.connect(
                 entry.executor_id, entry.address
             )
@@ -187,12 +188,18 @@
         executor_id = executor.executor_id
         if self.state.fleet.get(executor_id) is executor:
             del self.state.fleet[executor_id]
-            self.state.clients.pop(executor_id, None)
+            self.close_client(executor_id)
             self.state.enrolled.discard(executor_id)
             if self.state.authority.executors.may_be_recorded(executor_id):
                 self.write_record(executor_id, b"")
         log.info("executor evicted: it has left", executor=executor_id)
 
+    def close_client(self, executor_id: str) -> None:
+        """Close the connections to an executor in a background task."""
+        client = self.state.clients.pop(executor_id, None)
+        if client is not None:
+            self.state.group.start_soon(client.aclose)
+
     async def poll(self, executor: ExecutorState) -> None:
         """Extend the lease with one long poll and apply the lists in its answer."""
         is_first_poll = executor.first_response_at is None
--- a/gypsumring/cell/owner.py
+++ b/gypsumring/cell/owner.py
@@ -181,6 +181,14 @@
             self.loaded = False
             self.stopped.set()
             log.info("cell released", cell=self.partition, fence=self.fence)
+            with anyio.CancelScope(shield=True):
+                await self.close_clients()
+
+    async def close_clients(self) -> None:
+        """Close the connections to all executors, which accept a limited number."""
+        while self.state.clients:
+            _, client = self.state.clients.popitem()
+            await client.aclose()
 
     def is_store_slow(self) -> bool:
         """Return whether the store answers appends slowly or not at all."""
--- a/gypsumring/platform/executors.py
+++ b/gypsumring/platform/executors.py
@@ -1,5 +1,6 @@
 """HTTP client for orders to executors."""
 
+import anyio
 import msgspec
 
 from gypsumring.ports.tasks import (
@@ -23,6 +24,12 @@
 
 __all__ = ["PlatformExecutor"]
 
+# Executors accept a limited number of connections. Those of an owner that has lost its
+# power stay open there, so that many owners in a row have to fit beside each other.
+MAX_ORDER_CONNECTIONS = 3
+# All connections for orders but one are closed once they are idle for this time.
+MAX_IDLE_S = 5.0
+
 
 class OrderReply(msgspec.Struct, rename="camel"):
     """Reply to an order; ``reason`` says why the executor refused it."""
@@ -120,21 +127,32 @@
 
 
 class PlatformExecutor:
-    """HTTP client of one executor; implements the port ``TaskExecutor``."""
+    """HTTP client of one executor; implements the port ``TaskExecutor``.
+
+    Long polls have a connection of their own, so that they and orders do not wait for
+    each other.
+    """
 
-    __slots__ = ("client", "executor_id")
+    __slots__ = ("executor_id", "order_client", "poll_client")
 
     def __init__(self, executor_id: str, address: str):
         self.executor_id = executor_id
-        self.client = HttpClient(address)
+        self.order_client = HttpClient(address, MAX_ORDER_CONNECTIONS)
+        self.poll_client = HttpClient(address, 1)
 
-    async def call(self, path: str, body: bytes, deadline: float) -> HttpResponse:
+    async def order(self, path: str, body: bytes, deadline: float) -> HttpResponse:
         """Send an order to this incarnation.
 
         Raise ``ExecutorSilent`` or ExecutorGone.
         """
+        return await self.call(self.order_client, path, body, deadline)
+
+    async def call(
+        self, client: HttpClient, path: str, body: bytes, deadline: float
+    ) -> HttpResponse:
+        """Call this incarnation; raise ``ExecutorSilent`` or ExecutorGone."""
         try:
-            response = await self.client.request(
+            response = await client.request(
                 "POST", path, deadline, body, {"Target-Instance": self.executor_id}
             )
         except (ConnectFailed, NoResponse) as error:
@@ -154,7 +172,7 @@
             checkpoint=start.checkpoint,
             ticket=start.ticket,
         )
-        response = await self.call("/-/run-start", msgspec.json.encode(body), deadline)
+        response = await self.order("/-/run-start", msgspec.json.encode(body), deadline)
         if response.status == 200:
             return
         if response.status in (429, 503):
@@ -164,7 +182,7 @@
     async def stop(self, task: str, attempt: int, fence: int, deadline: float) -> None:
         """Stop an attempt and block a late start of it."""
         body = StopBody(task=task, attempt=attempt, fencing_token=fence)
-        response = await self.call("/-/run-stop", msgspec.json.encode(body), deadline)
+        response = await self.order("/-/run-stop", msgspec.json.encode(body), deadline)
         if response.status == 200:
             return
         if response.status == 409:
@@ -176,7 +194,7 @@
     ) -> None:
         """Set the speed of a filling task to 0 to 100 percent of its full speed."""
         body = msgspec.json.encode(PaceBody(task, attempt, percent, fence))
-        response = await self.call("/-/pace", body, deadline)
+        response = await self.order("/-/pace", body, deadline)
         if response.status == 409:
             raise_refusal_error(response)
         if response.status != 200:
@@ -195,8 +213,11 @@
         The executor discards ends up to ``last_seen``. Without ``lease_until_ms`` the
         lease stays as it is.
         """
-        body = HoldBody(fence, last_seen, lease_until_ms, int(wait_s * 1000))
-        response = await self.call("/-/hold", msgspec.json.encode(body), deadline)
+        await self.order_client.close_idle(anyio.current_time() - MAX_IDLE_S)
+        body = msgspec.json.encode(
+            HoldBody(fence, last_seen, lease_until_ms, int(wait_s * 1000))
+        )
+        response = await self.call(self.poll_client, "/-/hold", body, deadline)
         if response.status == 200:
             return decode_task_lists(response.body)
         if response.status == 409:
@@ -205,7 +226,8 @@
 
     async def aclose(self) -> None:
         """Close the connections."""
-        await self.client.aclose()
+        await self.order_client.aclose()
+        await self.poll_client.aclose()
 
 
 def raise_refusal_error(response: HttpResponse) -> None:
--- a/gypsumring/transport/http_client.py
+++ b/gypsumring/transport/http_client.py
@@ -103,14 +103,33 @@
     )
 
 
+class IdleConnection:
+    """Connection without a request, and the time of its last response."""
+
+    __slots__ = ("idle_since", "stream")
+
+    def __init__(self, stream: anyio.abc.SocketStream):
+        self.stream = stream
+        self.idle_since = anyio.current_time()
+
+
 class HttpClient:
-    """HTTP client of one address with a pool of persistent connections."""
+    """HTTP client of one address with a pool of persistent connections.
 
-    __slots__ = ("address", "idle_streams")
+    It never has more than ``max_connections`` open; without them, as many as there are
+    requests at one time.
+    """
 
-    def __init__(self, address: str):
+    __slots__ = ("address", "closed", "free_slots", "idle_connections")
+
+    def __init__(self, address: str, max_connections: int | None = None):
         self.address = address
-        self.idle_streams: list[anyio.abc.SocketStream] = []
+        self.closed = False
+        self.free_slots: anyio.Semaphore | None = None
+        if max_connections is not None:
+            self.free_slots = anyio.Semaphore(max_connections)
+        # The connection that was used last comes last.
+        self.idle_connections: list[IdleConnection] = []
 
     async def request(
         self,
@@ -126,6 +145,23 @@
         Raise ConnectFailed if nothing was sent and NoResponse if the request may
         have been executed.
         """
+        message = self.encode_head(method, path, body, headers, content_type) + body
+        await self.acquire_slot(deadline)
+        try:
+            return await self.exchange(message, deadline)
+        finally:
+            if self.free_slots is not None:
+                self.free_slots.release()
+
+    def encode_head(
+        self,
+        method: str,
+        path: str,
+        body: bytes,
+        headers: dict[str, str] | None,
+        content_type: str,
+    ) -> bytes:
+        """Return the head of a request; raise ConnectFailed if it would be odd."""
         lines = [f"{method} {path} HTTP/1.1", f"Host: {self.address}"]
         if body or method != "GET":
             lines.append(f"Content-Type: {content_type}")
@@ -135,20 +171,38 @@
         if any(LINE_END.search(line) for line in lines):
             raise ConnectFailed(f"{self.address}: line end in a header")
         try:
-            head = ("\r\n".join(lines) + "\r\n\r\n").encode("latin-1")
+            return ("\r\n".join(lines) + "\r\n\r\n").encode("latin-1")
         except UnicodeEncodeError as error:
             raise ConnectFailed(f"{self.address}: odd header: {error}") from error
+
+    async def acquire_slot(self, deadline: float) -> None:
+        """Wait until a connection may be used; raise ConnectFailed at the deadline."""
+        if self.free_slots is None:
+            return
+        try:
+            self.free_slots.acquire_nowait()
+        except anyio.WouldBlock:
+            try:
+                with anyio.fail_after(max(0.0, deadline - anyio.current_time())):
+                    await self.free_slots.acquire()
+            except TimeoutError as error:
+                raise ConnectFailed(
+                    f"{self.address}: all connections in use"
+                ) from error
+
+    async def exchange(self, message: bytes, deadline: float) -> HttpResponse:
+        """Send a request over an idle or a new connection and return the response."""
         stream = (
-            self.idle_streams.pop()
-            if self.idle_streams
+            self.idle_connections.pop().stream
+            if self.idle_connections
             else await self.connect(deadline)
         )
         reusable = False
         try:
             with anyio.fail_after(max(0.0, deadline - anyio.current_time())):
-                await stream.send(head + body)
+                await stream.send(message)
                 response = await read_response(stream)
-            reusable = not response.closes_connection
+            reusable = not (response.closes_connection or self.closed)
             return response
         except TimeoutError as error:
             raise NoResponse(
@@ -158,7 +212,7 @@
             raise NoResponse(f"{self.address}: {error!r}") from error
         finally:
             if reusable:
-                self.idle_streams.append(stream)
+                self.idle_connections.append(IdleConnection(stream))
             else:
                 await anyio.aclose_forcefully(stream)
 
@@ -177,7 +231,16 @@
         set_socket_timeouts(stream)
         return stream
 
+    async def close_idle(self, idle_since: float) -> None:
+        """Close all connections but one that have been idle since then or longer."""
+        while (
+            len(self.idle_connections) > 1
+            and self.idle_connections[0].idle_since <= idle_since
+        ):
+            await anyio.aclose_forcefully(self.idle_connections.pop(0).stream)
+
     async def aclose(self) -> None:
-        """Close the idle connections."""
-        while self.idle_streams:
-            await anyio.aclose_forcefully(self.idle_streams.pop())
+        """Close the idle connections now, and the others after their response."""
+        self.closed = True
+        while self.idle_connections:
+            await anyio.aclose_forcefully(self.idle_connections.pop().stream)
--- a/stand_ins/platform/memory.py
+++ b/stand_ins/platform/memory.py
@@ -143,7 +143,7 @@
 class MemoryExecutor:
     """Implementation of the port ``TaskExecutor`` for one node."""
 
-    __slots__ = ("faults", "group", "model")
+    __slots__ = ("closed", "faults", "group", "model")
 
     def __init__(
         self, model: ExecutorModel, faults: Faults, group: anyio.abc.TaskGroup
@@ -151,6 +151,7 @@
         self.model = model
         self.faults = faults
         self.group = group
+        self.closed = False
 
     async def order(
         self,
@@ -240,7 +241,8 @@
         return self.model.lists()
 
     async def aclose(self) -> None:
-        """Do nothing."""
+        """Record that the client needs no connections any more."""
+        self.closed = True
 
 
 class MemoryPolicy:
