Record the new address of an executor that has moved

Cause: the durable record of an executor kept its first address. The next owner polled it there before it had read the entries, and took the answer of another executor (421) for the end of the tasks.

Change: an executor with a new address takes work only once its record with that address is durable. The answer of another executor counts only from the current address, and once the owner has read the entries; answers to polls of a former address are ignored.

--- a/gypsumring/cell/executor_polling.py
+++ b/gypsumring/cell/executor_polling.py
@@ -82,6 +82,9 @@
             self.state.clients[entry.executor_id] = self.connect(
                 entry.executor_id, entry.address
             )
+            # The next owner polls the recorded address, and would take the answer of
+            # another executor there for the end of what runs at this one.
+            self.state.enrolled.discard(entry.executor_id)
         if entry.draining and not executor.entry.draining:
             log.info("executor is draining", executor=entry.executor_id)
         executor.record_draining(entry)
@@ -114,31 +117,46 @@
             self.state.wake()
 
     def enroll_new(self, executor: ExecutorState) -> None:
-        """Make the entry durable, so that a later owner polls the executor."""
+        """Make a new entry or address durable, so that a later owner polls it."""
         entry = executor.entry
-        is_new = executor.listed and entry.executor_id not in self.state.enrolled
-        if not is_new or not self.state.authority.may_add_executors():
+        if not executor.listed or entry.executor_id in self.state.enrolled:
             return
-        self.write_record(entry.executor_id, encode(entry))
+        authority = self.state.authority
+        is_recorded = authority.executors.may_be_recorded(entry.executor_id)
+        if is_recorded or authority.may_add_executors():
+            self.write_record(entry)
 
     def enroll_all(self) -> None:
         """Make the entries durable of all executors that wait for it."""
         for executor in self.state.fleet.values():
             self.enroll_new(executor)
 
-    def write_record(self, executor_id: str, value: bytes) -> None:
-        """Write the record of an executor, or delete it with an empty value."""
-        is_recorded = bool(value)
-        witnesses = self.state.authority.executors
+    def write_record(self, entry: ExecutorEntry) -> None:
+        """Write the record of an executor, which takes work once it is durable."""
+        executor_id = entry.executor_id
 
-        def apply_written() -> None:
-            witnesses.end_change(executor_id, is_recorded)
-            if is_recorded and executor_id in self.state.fleet:
+        def enroll() -> None:
+            self.state.authority.executors.end_change(executor_id, True)
+            executor = self.state.fleet.get(executor_id)
+            if executor is not None and executor.entry.address == entry.address:
                 self.state.enrolled.add(executor_id)
                 self.state.wake()
 
-        witnesses.begin_change(executor_id)
-        self.state.journal.put(EXECUTOR_KEY + executor_id, value, apply_written)
+        self.put_record(executor_id, encode(entry), enroll)
+
+    def delete_record(self, executor_id: str) -> None:
+        """Delete the record of an executor that has left."""
+        witnesses = self.state.authority.executors
+        self.put_record(
+            executor_id, b"", lambda: witnesses.end_change(executor_id, False)
+        )
+
+    def put_record(
+        self, executor_id: str, value: bytes, on_durable: Callable[[], None]
+    ) -> None:
+        """Put a record of an executor, or delete it with an empty value."""
+        self.state.authority.executors.begin_change(executor_id)
+        self.state.journal.put(EXECUTOR_KEY + executor_id, value, on_durable)
 
     async def poll_until_left(self, executor: ExecutorState) -> None:
         """Poll one executor until it has left and no attempt can run there."""
@@ -146,14 +164,18 @@
             if not executor.listed and self.may_evict(executor):
                 self.evict(executor)
                 return
+            client = self.state.clients[executor.executor_id]
             try:
-                await self.poll(executor)
+                await self.poll(executor, client)
             except ExecutorSilent:
                 self.state.metrics.count("cell.holds.unanswered")
                 executor.unanswered_polls += 1
                 self.mark_unresponsive(executor)
                 await anyio.sleep(RETRY_PAUSE_S)
             except (ExecutorGone, StartRefused):
+                if not self.proves_end(executor, client):
+                    await anyio.sleep(RETRY_PAUSE_S)
+                    continue
                 self.request_release(executor, "another incarnation answered")
                 await anyio.sleep(LONG_POLL_S)
             except FenceRefused as error:
@@ -172,6 +194,15 @@
                 self.mark_unresponsive(executor)
                 await anyio.sleep(LONG_POLL_S)
 
+    def proves_end(self, executor: ExecutorState, client: TaskExecutor) -> bool:
+        """Return whether the answer of another incarnation shows that this one ended.
+
+        It does not at an address that the executor has left, nor before this owner has
+        read the entries: records of earlier builds may name such an address.
+        """
+        is_current = self.state.clients.get(executor.executor_id) is client
+        return is_current and self.state.entries_read_at > float("-inf")
+
     def may_evict(self, executor: ExecutorState) -> bool:
         """Return whether an executor without a directory entry can be evicted."""
         if self.has_unreleased_attempts(executor):
@@ -191,7 +222,7 @@
             self.close_client(executor_id)
             self.state.enrolled.discard(executor_id)
             if self.state.authority.executors.may_be_recorded(executor_id):
-                self.write_record(executor_id, b"")
+                self.delete_record(executor_id)
         log.info("executor evicted: it has left", executor=executor_id)
 
     def close_client(self, executor_id: str) -> None:
@@ -200,7 +231,7 @@
         if client is not None:
             self.state.group.start_soon(client.aclose)
 
-    async def poll(self, executor: ExecutorState) -> None:
+    async def poll(self, executor: ExecutorState, client: TaskExecutor) -> None:
         """Extend the lease with one long poll and apply the lists in its answer."""
         is_first_poll = executor.first_response_at is None
         has_undurable_ends = executor.last_durable_end < executor.last_seen_end
@@ -218,7 +249,6 @@
         ):
             lease_until = executor.extend_lease(self.state.lease_ms(), now)
         requested_at = anyio.current_time()
-        client = self.state.clients[executor.executor_id]
         # After an unanswered poll another incarnation may answer, which numbers its
         # ends anew. An acknowledgement would make it discard ends that the owner has
         # not received.
--- a/stand_ins/platform/cluster.py
+++ b/stand_ins/platform/cluster.py
@@ -51,7 +51,7 @@
 # An executor that a task has crashed starts again after this time.
 RESTART_S = 2.0
 
-# Executors are reached by their id; the entry needs an address of the usual form.
+# Address of an executor that has not moved; another one answers at any other address.
 EXECUTOR_ADDRESS = "memory:1"
 
 
@@ -216,7 +216,12 @@
     def connect(self, executor_id: str, address: str) -> TaskExecutor:
         """Return the port to an executor."""
         model = self.cluster.executors[executor_id]
-        return MemoryExecutor(model, self.faults, self.cluster.group)
+        return MemoryExecutor(
+            model,
+            self.faults,
+            self.cluster.group,
+            lambda: self.cluster.find_address(executor_id) == address,
+        )
 
     async def query_policy_proxy(
         self, name: str, step: str, executor_ids: list[str], deadline: float
@@ -283,6 +288,7 @@
     """Nodes and executors that run in one process on the anyio clock."""
 
     __slots__ = (
+        "addresses",
         "departed",
         "desired",
         "executors",
@@ -321,6 +327,8 @@
         self.node_start_count = 0
         self.store = StoreModel()
         self.executors: dict[str, ExecutorModel] = {}
+        # Addresses of the executors that have moved.
+        self.addresses: dict[str, str] = {}
         # Ids of executors that have left permanently.
         self.departed: set[str] = set()
         # Whether an owner also queries the policy service through other nodes.
@@ -439,9 +447,13 @@
         """Write the executor's entry to the store, unless the executor has left."""
         if model.executor_id in self.departed:
             return
-        value = encode_entry(model, EXECUTOR_ADDRESS, draining)
+        value = encode_entry(model, self.find_address(model.executor_id), draining)
         self.store.append(ENTRIES_TOPIC, 0, [(model.executor_id, value)], None)
 
+    def find_address(self, executor_id: str) -> str:
+        """Return the address at which an executor answers."""
+        return self.addresses.get(executor_id, EXECUTOR_ADDRESS)
+
     def owner_node(self) -> MemoryNode | None:
         """Return the node whose owner has the highest fence number."""
         rows = [
--- a/stand_ins/platform/memory.py
+++ b/stand_ins/platform/memory.py
@@ -143,15 +143,22 @@
 class MemoryExecutor:
     """Implementation of the port ``TaskExecutor`` for one node."""
 
-    __slots__ = ("closed", "faults", "group", "model")
+    __slots__ = ("closed", "faults", "group", "is_at_address", "model")
 
     def __init__(
-        self, model: ExecutorModel, faults: Faults, group: anyio.abc.TaskGroup
+        self,
+        model: ExecutorModel,
+        faults: Faults,
+        group: anyio.abc.TaskGroup,
+        is_at_address: Callable[[], bool] = lambda: True,
     ):
         self.model = model
         self.faults = faults
         self.group = group
         self.closed = False
+        # Returns whether the executor itself answers at the address of this client,
+        # and no other executor does.
+        self.is_at_address = is_at_address
 
     async def order(
         self,
@@ -164,6 +171,9 @@
         An executor with the fault ``trouble`` carries the order out late and does
         not answer.
         """
+        if not self.is_at_address():
+            await anyio.sleep(NETWORK_LATENCY_S)
+            raise ExecutorGone(self.model.executor_id)
         cut = self.faults.cuts_executor(self.model.executor_id)
         if cut or self.model.trouble is Trouble.SILENT or not self.model.is_up:
             await self.faults.wait_without_answer(deadline)
