Give long tasks time to report progress

Cause: a task counted as standing still once its percent had not risen for 1.3 s, whatever its duration. Executors report whole percents; each stop began the work anew with the same limit.

Change: the limit is ten times the time of one percent by the estimate, and 1.3 s at least. It doubles with each attempt of the task that was stopped for it, also at 100%, since estimates are rough. Only the first of them quarantines its executor. The stand-in reports whole percents, as executors do.

--- a/gypsumring/cell/lists.py
+++ b/gypsumring/cell/lists.py
@@ -14,13 +14,18 @@
 
 log = EventLogger("executors")
 
-# A task without progress for this time is started on another executor.
+# A task without progress for this time is started on another executor, or for this
+# multiple of the time that one percent takes by its estimated duration: executors
+# report whole percents, may be slow, and estimates are rough.
 STALL_TIMEOUT_S = 1.3
+PERCENT_TIMEOUT_FACTOR = 10.0
 FULL_PERCENT = 100
 # A task at 100% is started on another executor after this time plus its estimated
 # duration times FULL_PROGRESS_TIMEOUT_FACTOR.
 FULL_PROGRESS_TIMEOUT_S = 3.0
 FULL_PROGRESS_TIMEOUT_FACTOR = 2.0
+# These times double with each attempt of a task that was stopped for want of progress.
+MAX_STALL_DOUBLINGS = 10
 # An executor reports at most this many ends in one answer.
 MAX_LISTED_ENDS = 500
 
@@ -212,7 +217,11 @@
             run.step.save_checkpoint(run.index, listed.checkpoint)
 
     def stop_stalled(self, executor: ExecutorState, run: Run) -> None:
-        """Stop an attempt without progress, and quarantine its executor."""
+        """Stop an attempt without progress, and quarantine its executor.
+
+        If earlier attempts of the task stood still elsewhere, the task is the cause and
+        the executor is not quarantined.
+        """
         spec = run.step.spec
         if run.state is not RunState.RUNNING or spec.long_running or run.pace < 100:
             return
@@ -223,7 +232,10 @@
             still_s=round(anyio.current_time() - run.progress_at, 3),
         )
         self.state.metrics.count("cell.attempts.stalled")
-        executor.health.quarantine(self.state.clock())
+        stalls = run.step.stalls.get(run.index, 0)
+        run.step.stalls[run.index] = stalls + 1
+        if not stalls:
+            executor.health.quarantine(self.state.clock())
         run.step.avoided.setdefault(run.index, set()).add(run.executor_id)
         self.orders.stop(run)
 
@@ -403,9 +415,10 @@
     Executors compute the progress from the estimated duration, so a task whose estimate
     is too low stays at 100% for a while.
     """
+    estimated_s = run.step.spec.estimated_ms / 1000
     if run.percent < FULL_PERCENT:
-        return STALL_TIMEOUT_S
-    return (
-        FULL_PROGRESS_TIMEOUT_S
-        + FULL_PROGRESS_TIMEOUT_FACTOR * run.step.spec.estimated_ms / 1000
-    )
+        percent_s = estimated_s / FULL_PERCENT
+        timeout_s = max(STALL_TIMEOUT_S, PERCENT_TIMEOUT_FACTOR * percent_s)
+    else:
+        timeout_s = FULL_PROGRESS_TIMEOUT_S + FULL_PROGRESS_TIMEOUT_FACTOR * estimated_s
+    return timeout_s * 2 ** min(run.step.stalls.get(run.index, 0), MAX_STALL_DOUBLINGS)
--- a/gypsumring/pipelines/state.py
+++ b/gypsumring/pipelines/state.py
@@ -161,6 +161,7 @@
         "reserved",
         "runs",
         "spec",
+        "stalls",
         "states",
         "suspects",
         "tickets",
@@ -194,6 +195,8 @@
         self.checkpoints: dict[int, str] = {}
         # Executors on which a task failed or stalled, by task index.
         self.avoided: dict[int, set[str]] = {}
+        # Number of attempts that were stopped for want of progress, by task index.
+        self.stalls: dict[int, int] = {}
         # Time of the latest failure of each of these tasks, and the tasks whose next
         # failure fails the job.
         self.failed_at: dict[int, float] = {}
--- a/stand_ins/platform/executor.py
+++ b/stand_ins/platform/executor.py
@@ -437,7 +437,8 @@
         running = []
         for run in self.runs.values():
             share = run.worked_s(now) / run.work_s if run.work_s else 0.0
-            percent = min(99.0, 100 * share) if run.ends_at < float("inf") else 0.0
+            # Executors report whole percents.
+            percent = min(99, int(100 * share)) if run.ends_at < float("inf") else 0
             load = self.loads.get(run.task, 0.0)
             checkpoint = self.make_checkpoint(run, now)
             running.append(ListedRun(run.task, run.attempt, checkpoint, percent, load))
