Send a job's queue with its submission

Cause: a submission only named its queue. The operator had dropped it between the submission and its acceptance, so that the owner knew no form of it and used one without a policy.

Change: SubmitJob carries the queue as the receiving node knows it; an owner that does not know the queue uses and records it.

--- a/gypsumring/cell/commands.py
+++ b/gypsumring/cell/commands.py
@@ -6,7 +6,7 @@
 from gypsumring.cell.orders import Orders
 from gypsumring.cell.state import JOB_KEY, CellState
 from gypsumring.dispatch.ordering import job_target_s
-from gypsumring.pipelines import Job, JobPhase, PipelineSpec, encode
+from gypsumring.pipelines import Job, JobPhase, PipelineSpec, Queue, encode
 from gypsumring.utils.logs import EventLogger
 
 __all__ = ["Commands"]
@@ -46,9 +46,13 @@
         # Jobs whose records are being stored, by id.
         self.accepting: dict[str, PendingSubmission] = {}
 
-    async def submit(self, spec: PipelineSpec, time_limit_s: float) -> JobAnswer:
+    async def submit(
+        self, spec: PipelineSpec, time_limit_s: float, queue: Queue | None = None
+    ) -> JobAnswer:
         """Accept a job once and answer when its record is durable.
 
+        ``queue`` is the job's queue as the node knows it that has received the job.
+
         While the store is unavailable, a job whose record has not been sent waits for
         a share of the caller's time. It is then withdrawn and refused, so that the
         caller may submit it again.
@@ -63,7 +67,7 @@
             return JobAnswer(Outcome.OTHER_ACCOUNT)
         if job_id in self.state.table.jobs:
             return JobAnswer(Outcome.OK)
-        submission = self.accepting.get(job_id) or self.accept(spec)
+        submission = self.accepting.get(job_id) or self.accept(spec, queue)
         await wait_until(submission.settled, began_at + STORE_WAIT_SHARE * time_left_s)
         if not submission.settled.is_set() and self.is_store_unavailable():
             self.withdraw(submission)
@@ -85,7 +89,9 @@
         """Return whether the store has left an append unanswered for too long."""
         return self.state.journal.unanswered_s() > STORE_UNAVAILABLE_S
 
-    def accept(self, spec: PipelineSpec) -> PendingSubmission:
+    def accept(
+        self, spec: PipelineSpec, queue: Queue | None = None
+    ) -> PendingSubmission:
         """Queue the record of a new job; the job is added once it is durable."""
         if spec.account:
             spec = self.state.accounts.mark_rate(spec, self.state.wall_clock())
@@ -104,7 +110,7 @@
             submission.settled.set()
             self.state.wake()
 
-        self.state.queues.start_accepting(spec.queue)
+        self.state.queues.start_accepting(spec.queue, queue)
         if spec.account:
             self.state.accounts.start_accepting(spec.account)
         self.state.journal.put(JOB_KEY + spec.job_id, encode(spec), add_job)
--- a/gypsumring/cell/messages.py
+++ b/gypsumring/cell/messages.py
@@ -4,7 +4,7 @@
 
 import msgspec
 
-from gypsumring.pipelines.model import JobPhase, PipelineSpec
+from gypsumring.pipelines.model import JobPhase, PipelineSpec, Queue
 from gypsumring.transport import HttpCall
 from gypsumring.utils.ranges import (
     Fence,
@@ -130,10 +130,14 @@
 
 
 class SubmitJob(msgspec.Struct, tag=True, array_like=True):
-    """Request to accept a job; ``time_limit_s`` is how long the caller waits."""
+    """Request to accept a job; ``time_limit_s`` is how long the caller waits.
+
+    ``queue`` is the job's queue as the node knows it that has received the request.
+    """
 
     spec: PipelineSpec
     time_limit_s: SignedMeasure
+    queue: Queue | None = None
 
 
 class QueryJob(msgspec.Struct, tag=True, array_like=True):
--- a/gypsumring/cell/queues.py
+++ b/gypsumring/cell/queues.py
@@ -76,9 +76,15 @@
             )
         return queue
 
-    def start_accepting(self, name: str) -> None:
-        """Store the queue of a job whose record is being stored."""
+    def start_accepting(self, name: str, received: Queue | None = None) -> None:
+        """Store the queue of a job whose record is being stored.
+
+        ``received`` is used if this owner does not know the queue: the operator may
+        have removed it since the job was submitted.
+        """
         self.refresh()
+        if received is not None and received.name == name:
+            self.queues.setdefault(name, received)
         self.accepting[name] += 1
         self.record(name)
 
--- a/gypsumring/cell/tests/test_queues.py
+++ b/gypsumring/cell/tests/test_queues.py
@@ -1,6 +1,7 @@
 """Jobs keep their queue after it was removed from the desired state."""
 
 import anyio
+import msgspec
 
 from gypsumring.cell.messages import Outcome
 from gypsumring.cell.owner import EVICTION_PERIOD_S
@@ -93,4 +94,32 @@
         assert list(owner.state.queues.recorded) == ["batch"]
 
 
+# A job whose queue was removed between its submission and its acceptance never ran: the
+# owner had no form of the queue, and sent its starts without tickets.
+async def test_job_of_a_queue_that_is_removed_before_its_acceptance_runs():
+    async with running_cluster(steady_behaviour(0.8), policy_share=1.0) as cluster:
+        for model in cluster.executors.values():
+            model.tickets = {}
+        queue = cluster.desired.queues[0]
+        cluster.desired = NO_QUEUES
+        await anyio.sleep(0.5)
+        spec = cluster.world.jobs["a" * 16] = make_job("a" * 16, BATCH, DEPENDENT)
+        commands = cluster.owner_node().owner().commands
+        answer = await commands.submit(spec, 3.0, queue)
+        assert answer.outcome is Outcome.OK
+        await restart_all(cluster)
+        assert await cluster.wait_final("a" * 16) is JobPhase.COMPLETED
+
+
+async def test_queue_that_the_owner_knows_is_not_replaced_by_a_received_one():
+    async with running_cluster() as cluster:
+        queues = cluster.owner_node().owner().state.queues
+        known = cluster.desired.queues[0]
+        received = msgspec.structs.replace(known, priority=known.priority + 1)
+        queues.start_accepting(known.name, received)
+        assert queues.queues[known.name] == known
+        queues.start_accepting("other", received)
+        assert "other" not in queues.queues
+
+
 load_tests = make_load_tests(globals())
--- a/gypsumring/node/app.py
+++ b/gypsumring/node/app.py
@@ -221,7 +221,7 @@
         )
         time_limit_s = deadline - anyio.current_time()
         return render_submit(
-            await self.node.forward(SubmitJob(spec, time_limit_s), deadline)
+            await self.node.forward(SubmitJob(spec, time_limit_s, queue), deadline)
         )
 
 
--- a/gypsumring/node/node.py
+++ b/gypsumring/node/node.py
@@ -394,9 +394,9 @@
                 return owner.commands.query(job_id, fresh, account)
             case CountWaiting(queue=queue):
                 return owner.commands.count_waiting(queue)
-            case SubmitJob(spec=spec, time_limit_s=time_limit_s):
+            case SubmitJob(spec=spec, time_limit_s=time_limit_s, queue=queue):
                 return await run_until_stopped(
-                    owner, lambda: owner.commands.submit(spec, time_limit_s)
+                    owner, lambda: owner.commands.submit(spec, time_limit_s, queue)
                 )
             case CancelJob(job_id=job_id, time_limit_s=time_limit_s, account=account):
                 return await run_until_stopped(
--- a/gypsumring/node/tests/test_accounts.py
+++ b/gypsumring/node/tests/test_accounts.py
@@ -108,6 +108,7 @@
         assert await call(app, method, f"/q/{path}", [b"key-a2"], BODY) == 200
     submit, query, cancel, count = app.node.commands
     assert isinstance(submit, SubmitJob) and submit.spec.account == "a"
+    assert submit.queue == app.node.desired.current.find_queue("q")
     assert isinstance(query, QueryJob) and query.account == "a"
     assert isinstance(cancel, CancelJob) and cancel.account == "a"
     assert isinstance(count, CountWaiting)
--- a/stand_ins/platform/cluster.py
+++ b/stand_ins/platform/cluster.py
@@ -470,13 +470,15 @@
         it.
         """
         self.world.jobs[spec.job_id] = spec
+        # The node that receives a request knows its queue.
+        queue = self.desired.find_queue(spec.queue)
         deadline = anyio.current_time() + limit_s
         was_unanswered = False
         while anyio.current_time() < deadline:
             node = self.owner_node()
             if node is not None and not node.pause.count:
                 answer = await self.command(
-                    node, lambda owner: owner.commands.submit(spec, limit_s)
+                    node, lambda owner: owner.commands.submit(spec, limit_s, queue)
                 )
                 if answer.outcome is Outcome.REFUSED and was_unanswered:
                     return Outcome.UNCERTAIN
