Open due occurrences in portions, and bound the records of jobs

Cause: all due occurrences opened at once. Their progress was a record that the store refuses, and its append was repeated for ever in front of all others. All steps were looked at in one turn, so that the membership expired.

--- a/gypsumring/cell/journal.py
+++ b/gypsumring/cell/journal.py
@@ -21,6 +21,10 @@
 log = EventLogger("journal")
 
 MAX_BATCH_BYTES = 512 * 1024
+# Stores take records of 256 KB. A larger one would be repeated before all others.
+MAX_RECORD_BYTES = 256 * 1024
+# Bytes of a record beside its key and value.
+RECORD_OVERHEAD_BYTES = 5
 # Records that are not urgent are batched for at most this time.
 BATCH_DELAY_S = 0.05
 # Another copy of an append is sent if the store does not answer within the average
@@ -142,8 +146,13 @@
         """Queue a record; ``on_durable`` is called once it is in the store.
 
         A new record replaces a queued record with the same key. Records that are not
-        ``urgent`` are batched for up to BATCH_DELAY_S.
+        ``urgent`` are batched for up to BATCH_DELAY_S. A record that is too large for
+        the store is not written, and never durable.
         """
+        size = len(key) + len(value) + RECORD_OVERHEAD_BYTES
+        if size > MAX_RECORD_BYTES:
+            log.error("record is too large for the store", key=key, size=size)
+            return
         now = anyio.current_time()
         self.next_append_at = min(
             self.next_append_at, now if urgent else now + BATCH_DELAY_S
@@ -224,7 +233,7 @@
         size = 0
         batch: list[PendingRecord] = []
         for entry in self.queue.values():
-            size += len(entry.value) + len(entry.key) + 5
+            size += len(entry.key) + len(entry.value) + RECORD_OVERHEAD_BYTES
             if batch and size > MAX_BATCH_BYTES:
                 break
             batch.append(entry)
--- a/gypsumring/cell/state.py
+++ b/gypsumring/cell/state.py
@@ -13,7 +13,14 @@
 from gypsumring.cell.queues import QueueRegistry
 from gypsumring.fleet import ExecutorState, FleetKnowledge
 from gypsumring.metrics import Metrics
-from gypsumring.pipelines import DesiredState, Job, JobTable, Queue, Run, encode
+from gypsumring.pipelines import (
+    DesiredState,
+    Job,
+    JobTable,
+    Queue,
+    Run,
+    encode_progress,
+)
 from gypsumring.ports.tasks import TaskExecutor
 from gypsumring.utils.clock import Clock, WallClock
 from gypsumring.utils.logs import EventLogger
@@ -276,7 +283,7 @@
 
         self.journal.put(
             PROGRESS_KEY + job.spec.job_id,
-            encode(job.progress()),
+            encode_progress(job.progress()),
             publish,
             urgent=urgent or phase.is_final,
         )
--- a/gypsumring/pipelines/__init__.py
+++ b/gypsumring/pipelines/__init__.py
@@ -16,7 +16,12 @@
     format_task,
     parse_task,
 )
-from gypsumring.pipelines.records import decode_progress, decode_spec, encode
+from gypsumring.pipelines.records import (
+    decode_progress,
+    decode_spec,
+    encode,
+    encode_progress,
+)
 from gypsumring.pipelines.state import Job, Run, RunState, Step
 from gypsumring.pipelines.table import JobTable
 
@@ -41,6 +46,7 @@
     "decode_progress",
     "decode_spec",
     "encode",
+    "encode_progress",
     "format_task",
     "parse_task",
 ]
--- a/gypsumring/pipelines/records.py
+++ b/gypsumring/pipelines/records.py
@@ -1,5 +1,7 @@
 """Encoding and decoding of the durable records of jobs."""
 
+import zlib
+
 import msgspec
 
 from gypsumring.pipelines.exceptions import PipelineError
@@ -13,8 +15,18 @@
     "decode_progress",
     "decode_spec",
     "encode",
+    "encode_progress",
 ]
 
+# Stores take records of 256 KB; larger progress is compressed, and written without its
+# checkpoints if that is not enough.
+COMPRESSION_THRESHOLD_BYTES = 100_000
+MAX_PROGRESS_BYTES = 200_000
+# A byte that never occurs in msgpack.
+COMPRESSED_MARK = b"\xc1"
+# More than the progress of the largest job takes.
+MAX_DECOMPRESSED_BYTES = 64 * 1024 * 1024
+
 # Records encode fields by name rather than by position so that nodes of different
 # versions can read each other's records.
 STEP_NAMES = {
@@ -114,8 +126,39 @@
         raise PipelineError(f"unreadable job record: {error}") from error
 
 
+def encode_progress(progress: Progress) -> bytes:
+    """Encode the progress of a job.
+
+    Checkpoints are left out if the record would be too large with them: their work is
+    repeated after the loss of an executor.
+    """
+    value = encode(progress)
+    if len(value) <= COMPRESSION_THRESHOLD_BYTES:
+        return value
+    compressed = COMPRESSED_MARK + zlib.compress(value, 1)
+    if len(compressed) <= MAX_PROGRESS_BYTES:
+        return compressed
+    steps = [msgspec.structs.replace(step, checkpoints={}) for step in progress.steps]
+    value = encode(msgspec.structs.replace(progress, steps=steps))
+    return COMPRESSED_MARK + zlib.compress(value, 1)
+
+
+def decompress(value: bytes) -> bytes:
+    """Return the content of a compressed record; raise PipelineError if unreadable."""
+    decompressor = zlib.decompressobj()
+    try:
+        content = decompressor.decompress(value, MAX_DECOMPRESSED_BYTES)
+    except zlib.error as error:
+        raise PipelineError(f"unreadable progress record: {error}") from error
+    if not decompressor.eof:
+        raise PipelineError("unreadable progress record: cut off or too large")
+    return content
+
+
 def decode_progress(value: bytes) -> Progress:
     """Decode the progress record of a job; raise PipelineError if unreadable."""
+    if value.startswith(COMPRESSED_MARK):
+        value = decompress(value[len(COMPRESSED_MARK) :])
     try:
         return progress_decoder.decode(value)
     except DECODE_ERRORS as error:
--- a/gypsumring/pipelines/state.py
+++ b/gypsumring/pipelines/state.py
@@ -21,6 +21,9 @@
 # Tasks of a job that may be open at once, as many as one occurrence may have. A
 # schedule that lies in the past would otherwise fill the memory of each owner.
 MAX_OPEN_TASKS = MAX_STEPS * MAX_STEP_TASKS
+# Steps of a scheduled job that may be open at once, if one occurrence has no more: all
+# are looked at in one pass, and written in one record.
+MAX_OPEN_STEPS = 1_000
 
 
 class TaskState(enum.IntEnum):
@@ -400,9 +403,11 @@
     def open_due_occurrences(self, now_ms: int, now: float) -> bool:
         """Open the occurrences due by a Unix time; return whether there were any.
 
-        Those that would exceed ``MAX_OPEN_TASKS`` open once earlier ones are done.
+        Those that would exceed ``MAX_OPEN_TASKS`` or ``MAX_OPEN_STEPS`` open once
+        earlier ones are done.
         """
         opened = self.opened
+        step_count = len(self.spec.steps)
         occurrence_tasks = sum(step.task_count for step in self.spec.steps)
         open_tasks: int | None = None
         while self.opened < self.spec.repeats:
@@ -414,6 +419,8 @@
             open_tasks += occurrence_tasks
             if open_tasks > MAX_OPEN_TASKS:
                 break
+            if self.steps and len(self.steps) + step_count > MAX_OPEN_STEPS:
+                break
             for step in self.open_next():
                 step.opened_at = now - (now_ms - due_ms) / 1000
         return self.opened > opened
@@ -486,11 +493,16 @@
         self.durable_phase = progress.phase
         self.started = progress.phase is not JobPhase.QUEUED
         self.final_since_ms = progress.ended_ms
-        while self.opened < progress.opened:
-            self.open_next()
         saved_steps = {
             (saved.occurrence, saved.number): saved for saved in progress.steps
         }
+        saved_occurrences = {saved.occurrence for saved in progress.steps}
+        while self.opened < progress.opened:
+            if self.opened in saved_occurrences:
+                self.open_next()
+            else:
+                # All its steps are done.
+                self.opened += 1
         for step in self.steps:
             saved = saved_steps.get((step.occurrence, step.number))
             if saved is None:
--- a/stand_ins/platform/memory.py
+++ b/stand_ins/platform/memory.py
@@ -33,6 +33,8 @@
 NETWORK_LATENCY_S = 0.001
 ENTRIES_TOPIC = "executors"
 APPEND_LATENCY_S = 0.004
+# The store accepts no larger records.
+MAX_RECORD_BYTES = 262_144
 
 
 async def carry_out_late(faults: Faults, operation: Callable[[], Any]) -> None:
@@ -89,6 +91,8 @@
     ) -> int:
         """Append keyed records and return the end offset."""
         await anyio.sleep(APPEND_LATENCY_S)
+        if any(len(key) + len(value) >= MAX_RECORD_BYTES for key, value in records):
+            raise StoreUnavailable("append answered with status 400")
         producer_copy = None
         if producer is not None:
             producer_copy = Producer(producer.name, producer.epoch, producer.sequence)
