Count jobs as waiting until an executor has begun a task

Cause: a job counted as begun, and was shown as running, when a start was decided; a refusal did not take it back.

Change: a job has begun once an executor has answered a start, or reports a task as running or ended.

--- a/gypsumring/cell/lists.py
+++ b/gypsumring/cell/lists.py
@@ -196,7 +196,7 @@
                         self.orders.stop_unknown_run, executor, *key
                     )
                 continue
-            run.has_begun = True
+            self.state.table.mark_begun(run)
             if run.state is RunState.STARTING:
                 run.state = RunState.RUNNING
                 run.answered_at = now
--- a/gypsumring/cell/orders.py
+++ b/gypsumring/cell/orders.py
@@ -211,7 +211,7 @@
     def record_started(self, run: Run) -> None:
         """Record that the executor has confirmed the start of an attempt."""
         run.answered_at = anyio.current_time()
-        run.has_begun = True
+        self.state.table.mark_begun(run)
         if run.state is RunState.STARTING:
             run.state = RunState.RUNNING
         self.state.metrics.count("cell.starts")
--- a/gypsumring/pipelines/table.py
+++ b/gypsumring/pipelines/table.py
@@ -113,12 +113,17 @@
         self.changed_steps[step] = None
         if step.states[index] != TaskState.DONE:
             step.states[index] = TaskState.PLACED
-        step.job.started = True
-        if step.job.phase is JobPhase.QUEUED:
-            step.job.phase = JobPhase.RUNNING
-            step.job.durable_phase = JobPhase.RUNNING
         return run
 
+    def mark_begun(self, run: Run) -> None:
+        """Record that an executor has begun an attempt, and so the job."""
+        run.has_begun = True
+        job = run.step.job
+        job.started = True
+        if job.phase is JobPhase.QUEUED:
+            job.phase = JobPhase.RUNNING
+            job.durable_phase = JobPhase.RUNNING
+
     def adopt(
         self, task: str, attempt: int, executor_id: str, now: float, running: bool
     ) -> Run | None:
@@ -132,7 +137,7 @@
         step, index = found
         run = self.place(step, index, attempt, executor_id, now)
         run.state = RunState.RUNNING
-        run.has_begun = True
+        self.mark_begun(run)
         run.ran_under_this_owner = running
         run.has_full_time = False
         if running:
@@ -155,6 +160,7 @@
         self, run: Run, outcome: str, checkpoint: str, max_attempts: int
     ) -> EndEffects:
         """Apply the end of an attempt and return its effects."""
+        self.mark_begun(run)
         step = run.step
         step.save_checkpoint(run.index, checkpoint)
         if outcome == "done" and not step.spec.long_running:
--- a/gypsumring/pipelines/tests/test_table.py
+++ b/gypsumring/pipelines/tests/test_table.py
@@ -204,4 +204,27 @@
     assert job.opened == 74
 
 
+# A job counted as begun once a start was decided: jobs whose starts were refused, one
+# after the other, were missing from the number of waiting jobs.
+def test_job_waits_until_an_executor_has_begun_a_task():
+    table = JobTable()
+    job = table.add(make_spec(TASK), 0.0)
+    run = table.place(job.steps[0], 0, 1, "i-0", 0.0)
+    assert table.count_waiting("q") == 1 and job.phase is JobPhase.QUEUED
+    table.release(run)
+    assert table.count_waiting("q") == 1
+    run = table.place(job.steps[0], 0, 2, "i-0", 0.0)
+    table.mark_begun(run)
+    assert table.count_waiting("q") == 0 and job.phase is JobPhase.RUNNING
+    table.release(run)
+    assert table.count_waiting("q") == 0
+
+
+def test_job_has_begun_if_only_the_end_of_a_task_is_reported():
+    table = JobTable()
+    job = table.add(make_spec(StepSpec(task_count=2)), 0.0)
+    table.end(table.place(job.steps[0], 0, 1, "i-0", 0.0), "failed", "", 3)
+    assert table.count_waiting("q") == 0 and job.phase is JobPhase.RUNNING
+
+
 load_tests = make_load_tests(globals())
