Let orders wait for slots before their time limit begins

Cause: all orders of a pass were sent at once with a limit of 0.2 s each. More than the processor sends in that time were overdue before they were sent, were repeated, and put executors that were well into back-off; starts were abandoned after 4 s.

Change: at most 96 orders are on their way, and three to each executor; the others wait, and their time begins when they are sent. What has changed meanwhile is checked after the wait. A start that was never sent to an executor in back-off is withdrawn.

--- a/gypsumring/cell/orders.py
+++ b/gypsumring/cell/orders.py
@@ -4,6 +4,7 @@
 
 from gypsumring.cell.crashes import CrashAttribution
 from gypsumring.cell.exceptions import OwnershipLost
+from gypsumring.cell.order_slots import OrderSlots
 from gypsumring.cell.state import CellState
 from gypsumring.fleet import MAX_ORDER_DELAY_S, ExecutorState
 from gypsumring.pipelines import Run, RunState
@@ -43,10 +44,11 @@
 class Orders:
     """Sender of start and stop orders, which are repeated until answered."""
 
-    __slots__ = ("crashes", "state")
+    __slots__ = ("crashes", "slots", "state")
 
     def __init__(self, state: CellState):
         self.state = state
+        self.slots = OrderSlots()
         self.crashes = CrashAttribution(state, self.stop_all)
 
     def start(self, run: Run, ticket: str) -> None:
@@ -88,11 +90,14 @@
             self.back_off_if_unanswered(executor, run.unanswered_orders)
             self.stop_gang(run, "a member has not started")
             return True
-        if (
-            run.unanswered_orders
-            and not executor.is_unresponsive
-            and self.is_start_overdue(run)
-        ):
+        if not self.is_start_overdue(run):
+            return False
+        if not run.was_sent and executor.health.is_quarantined(self.state.clock()):
+            self.withdraw_start(
+                run, executor, "start withdrawn: executor does not answer orders"
+            )
+            return True
+        if run.unanswered_orders and not executor.is_unresponsive:
             log.warning(
                 "start abandoned: executor does not answer the order",
                 **run.log_fields(),
@@ -120,65 +125,76 @@
 
     async def start_run(self, run: Run, ticket: str) -> None:
         """Send a start until it is answered or the attempt is not starting any more."""
-        while True:
-            executor = self.find_executor(run)
-            if executor is None or run.state is not RunState.STARTING:
-                return
-            if self.abandon_late_start(run, executor):
-                return
-            if executor.is_overfull():
-                self.withdraw_start(run, executor)
-                return
-            account = run.step.job.spec.account
-            if account and self.state.is_above_cap(account):
-                # Its cap was lowered after the start was decided.
-                self.withdraw_start(
-                    run, executor, "start withdrawn: account is above its cap"
-                )
-                return
-            now = self.state.clock()
-            if (
-                executor.is_unresponsive
-                or executor.is_unconfirmed
-                or not executor.has_current_entry()
-                or not self.state.knows_capacities()
-                or not self.state.authority.may_extend_leases(now)
-            ):
-                await anyio.sleep(RETRY_PAUSE_S)
-                continue
-            client = self.state.clients[run.executor_id]
-            order = self.make_start(run, executor, ticket, now)
-            sent_at = anyio.current_time()
-            sent_clock = self.state.clock()
-            deadline = sent_at + ORDER_TIMEOUT_S
-            run.start_sent_by = float("inf")
-            run.was_sent = True
-            try:
-                await client.start(order, self.state.fence, deadline)
-            except ExecutorSilent:
-                run.start_sent_by = anyio.current_time()
-                run.unanswered_orders += 1
-                executor.unconfirmed_starts[(run.task, run.attempt)] = sent_at
-                self.state.metrics.count("cell.starts.unanswered")
-                if run.state is RunState.STARTING:
-                    self.back_off_if_unanswered(executor, run.unanswered_orders)
-                await anyio.sleep(RETRY_PAUSE_S)
-                continue
-            except FenceRefused as error:
-                raise OwnershipLost(
-                    f"executor {run.executor_id} has accepted a higher fence number"
-                ) from error
-            except ExecutorGone:
-                run.start_sent_by = anyio.current_time()
-                run.unanswered_orders += 1
-                await anyio.sleep(ORDER_TIMEOUT_S)
-                continue
-            except StartRefused as error:
-                self.handle_refusal(run, executor, error.reason)
-                return
-            executor.health.record_accepted(sent_clock)
-            self.record_started(run)
-            return
+        pause_s: float | None = 0.0
+        while pause_s is not None:
+            if pause_s:
+                await anyio.sleep(pause_s)
+            async with self.slots.reserve(run.executor_id):
+                pause_s = await self.try_start(run, ticket)
+
+    def may_start(self, run: Run, executor: ExecutorState) -> bool:
+        """Return whether a start may be sent; withdraw or stop one that is obsolete."""
+        if self.abandon_late_start(run, executor):
+            return False
+        if executor.is_overfull():
+            self.withdraw_start(run, executor)
+            return False
+        account = run.step.job.spec.account
+        if account and self.state.is_above_cap(account):
+            # Its cap was lowered after the start was decided.
+            self.withdraw_start(
+                run, executor, "start withdrawn: account is above its cap"
+            )
+            return False
+        return True
+
+    async def try_start(self, run: Run, ticket: str) -> float | None:
+        """Send a start once; return the pause before the next copy, None if settled."""
+        executor = self.find_executor(run)
+        if executor is None or run.state is not RunState.STARTING:
+            return None
+        if not self.may_start(run, executor):
+            return None
+        now = self.state.clock()
+        if (
+            executor.is_unresponsive
+            or executor.is_unconfirmed
+            or not executor.has_current_entry()
+            or not self.state.knows_capacities()
+            or not self.state.authority.may_extend_leases(now)
+        ):
+            return RETRY_PAUSE_S
+        client = self.state.clients[run.executor_id]
+        order = self.make_start(run, executor, ticket, now)
+        sent_at = anyio.current_time()
+        sent_clock = self.state.clock()
+        deadline = sent_at + ORDER_TIMEOUT_S
+        run.start_sent_by = float("inf")
+        run.was_sent = True
+        try:
+            await client.start(order, self.state.fence, deadline)
+        except ExecutorSilent:
+            run.start_sent_by = anyio.current_time()
+            run.unanswered_orders += 1
+            executor.unconfirmed_starts[(run.task, run.attempt)] = sent_at
+            self.state.metrics.count("cell.starts.unanswered")
+            if run.state is RunState.STARTING:
+                self.back_off_if_unanswered(executor, run.unanswered_orders)
+            return RETRY_PAUSE_S
+        except FenceRefused as error:
+            raise OwnershipLost(
+                f"executor {run.executor_id} has accepted a higher fence number"
+            ) from error
+        except ExecutorGone:
+            run.start_sent_by = anyio.current_time()
+            run.unanswered_orders += 1
+            return ORDER_TIMEOUT_S
+        except StartRefused as error:
+            self.handle_refusal(run, executor, error.reason)
+            return None
+        executor.health.record_accepted(sent_clock)
+        self.record_started(run)
+        return None
 
     def withdraw_start(
         self,
@@ -355,12 +371,13 @@
 
     async def send_stop(self, executor_id: str, task: str, attempt: int) -> bool:
         """Send one stop and return whether it was answered; pause if it was not."""
-        client = self.state.clients.get(executor_id)
-        deadline = anyio.current_time() + ORDER_TIMEOUT_S
         try:
-            if client is not None:
-                await client.stop(task, attempt, self.state.fence, deadline)
-                return True
+            async with self.slots.reserve(executor_id):
+                client = self.state.clients.get(executor_id)
+                if client is not None:
+                    deadline = anyio.current_time() + ORDER_TIMEOUT_S
+                    await client.stop(task, attempt, self.state.fence, deadline)
+                    return True
         except FenceRefused as error:
             raise OwnershipLost(
                 f"executor {executor_id} has accepted a higher fence number"
--- /dev/null
+++ b/gypsumring/cell/tests/test_order_bursts.py
@@ -0,0 +1,107 @@
+"""Bursts of orders that are more than the owner's processor sends in their time."""
+
+from collections.abc import Iterator
+from contextlib import contextmanager
+from unittest import mock
+
+import anyio
+
+from gypsumring.cell.messages import Outcome
+from gypsumring.cell.order_slots import MAX_ORDERS_IN_FLIGHT, OrderSlots
+from gypsumring.cell.tests.test_recovery import running_cluster
+from gypsumring.pipelines import StepSpec
+from gypsumring.ports.tasks import MAX_CONCURRENT_ORDERS, ExecutorSilent
+from gypsumring.utils.testing import make_load_tests
+from stand_ins.platform.cluster import MemoryCluster, make_job
+from stand_ins.platform.memory import MemoryExecutor
+from stand_ins.platform.world import steady_behaviour
+
+# Processor time of one order on a small machine.
+ORDER_WORK_S = 0.002
+TASKS = 600
+STEPS = [
+    StepSpec(task_count=100, cpu_millis=200, estimated_ms=60_000, long_running=True)
+] * (TASKS // 100)
+
+
+@contextmanager
+def busy_processor() -> Iterator[None]:
+    """Let each order take processor time of the owner, also one that is overdue."""
+    processor = anyio.Lock()
+    start, stop = MemoryExecutor.start, MemoryExecutor.stop
+
+    async def work(deadline: float) -> None:
+        with anyio.CancelScope(shield=True):
+            async with processor:
+                await anyio.sleep(ORDER_WORK_S)
+        if anyio.current_time() > deadline:
+            raise ExecutorSilent("no answer in time")
+
+    async def start_slowly(client, order, fence, deadline) -> None:
+        await work(deadline)
+        await start(client, order, fence, deadline)
+
+    async def stop_slowly(client, task, attempt, fence, deadline) -> None:
+        await work(deadline)
+        await stop(client, task, attempt, fence, deadline)
+
+    with (
+        mock.patch.object(MemoryExecutor, "start", start_slowly),
+        mock.patch.object(MemoryExecutor, "stop", stop_slowly),
+    ):
+        yield
+
+
+async def wait_until_running(cluster: MemoryCluster, count: int, limit_s: float):
+    """Wait until so many tasks run."""
+    with anyio.fail_after(limit_s):
+        while sum(len(each.runs) for each in cluster.executors.values()) < count:
+            await anyio.sleep(0.05)
+
+
+# After a loss of power of all machines, so many lasting tasks were started at one time
+# that all their orders were overdue before they were sent, again and again.
+async def test_large_burst_of_starts_is_carried_out():
+    with busy_processor():
+        async with running_cluster(
+            steady_behaviour(600.0), executors=8, cpu_millis=32_000
+        ) as cluster:
+            await anyio.sleep(1.0)
+            assert await cluster.submit(make_job("a" * 16, *STEPS)) is Outcome.OK
+            await wait_until_running(cluster, TASKS, 2 * TASKS * ORDER_WORK_S + 1.0)
+            assert cluster.metrics.counters["cell.starts.unanswered"] == 0
+
+
+# Orders to executors that do not answer must not keep up those to all others.
+async def test_slots_of_one_executor_are_few_of_all():
+    slots = OrderSlots()
+    held = []
+
+    async def hold(executor_id: str) -> None:
+        async with slots.reserve(executor_id):
+            held.append(executor_id)
+            await anyio.sleep(1.0)
+
+    async with anyio.create_task_group() as group:
+        for _ in range(2 * MAX_ORDERS_IN_FLIGHT):
+            group.start_soon(hold, "i-0")
+        await anyio.sleep(0.1)
+        assert held == ["i-0"] * MAX_CONCURRENT_ORDERS
+        group.start_soon(hold, "i-1")
+        await anyio.sleep(0.1)
+        assert held[-1] == "i-1"
+        group.cancel_scope.cancel()
+
+
+async def test_slots_are_free_again_after_cancelled_orders():
+    slots = OrderSlots()
+    for _ in range(MAX_ORDERS_IN_FLIGHT + 1):
+        with anyio.move_on_after(0.1):
+            async with slots.reserve("i-0"):
+                await anyio.sleep_forever()
+    with anyio.fail_after(0.1):
+        async with slots.reserve("i-0"):
+            pass
+
+
+load_tests = make_load_tests(globals())
--- a/gypsumring/platform/executors.py
+++ b/gypsumring/platform/executors.py
@@ -4,6 +4,7 @@
 import msgspec
 
 from gypsumring.ports.tasks import (
+    MAX_CONCURRENT_ORDERS,
     ExecutorGone,
     ExecutorSilent,
     FenceRefused,
@@ -24,9 +25,6 @@
 
 __all__ = ["PlatformExecutor"]
 
-# Executors accept a limited number of connections. Those of an owner that has lost its
-# power stay open there, so that many owners in a row have to fit beside each other.
-MAX_ORDER_CONNECTIONS = 3
 # All connections for orders but one are closed once they are idle for this time.
 MAX_IDLE_S = 5.0
 
@@ -137,7 +135,7 @@
 
     def __init__(self, executor_id: str, address: str):
         self.executor_id = executor_id
-        self.order_client = HttpClient(address, MAX_ORDER_CONNECTIONS)
+        self.order_client = HttpClient(address, MAX_CONCURRENT_ORDERS)
         self.poll_client = HttpClient(address, 1)
 
     async def order(self, path: str, body: bytes, deadline: float) -> HttpResponse:
--- a/gypsumring/ports/tasks.py
+++ b/gypsumring/ports/tasks.py
@@ -10,6 +10,7 @@
     "FenceRefused",
     "ListedEnd",
     "ListedRun",
+    "MAX_CONCURRENT_ORDERS",
     "PolicyBusy",
     "PolicyService",
     "PolicyUnavailable",
@@ -20,6 +21,11 @@
     "Ticket",
 ]
 
+# Orders that a client sends to one executor at one time, beside a long poll. Executors
+# accept a limited number of connections. Those of an owner that has lost its power stay
+# open there, so that many owners in a row have to fit beside each other.
+MAX_CONCURRENT_ORDERS = 3
+
 
 class ExecutorSilent(PortError):
     """Raised when an order got no answer; it may take effect now or later."""
