Move the state of attempts out of pipelines/state.py

Run and RunState stand in pipelines/runs.py; behaviour and names are the same. Tests of pipelines, dispatch, fleet, external names and cell/tests/test_lists pass.

--- a/gypsumring/dispatch/gang_capacity.py
+++ b/gypsumring/dispatch/gang_capacity.py
@@ -10,7 +10,8 @@
 from gypsumring.dispatch.openings import forecast_capacity
 from gypsumring.dispatch.placing import count_fitting_eventually, place_step
 from gypsumring.fleet import ExecutorState
-from gypsumring.pipelines.state import Run, Step
+from gypsumring.pipelines.runs import Run
+from gypsumring.pipelines.state import Step
 
 __all__ = ["choose_free_capacity", "choose_earliest_capacity"]
 
--- a/gypsumring/dispatch/openings.py
+++ b/gypsumring/dispatch/openings.py
@@ -5,7 +5,8 @@
 from gypsumring.dispatch.placing import count_fitting_on, count_fitting_when_empty
 from gypsumring.fleet import ExecutorState
 from gypsumring.fleet.executor import accounted_cpu_millis, count_fitting
-from gypsumring.pipelines.state import Run, Step
+from gypsumring.pipelines.runs import Run
+from gypsumring.pipelines.state import Step
 
 __all__ = ["estimate_end", "forecast_capacity"]
 
--- a/gypsumring/dispatch/placing.py
+++ b/gypsumring/dispatch/placing.py
@@ -6,7 +6,8 @@
 from gypsumring.dispatch.isolation import Isolation
 from gypsumring.fleet import ExecutorState
 from gypsumring.fleet.executor import accounted_cpu_millis, count_fitting
-from gypsumring.pipelines.state import RunState, Step
+from gypsumring.pipelines.runs import RunState
+from gypsumring.pipelines.state import Step
 
 __all__ = [
     "Packing",
--- a/gypsumring/dispatch/preempting.py
+++ b/gypsumring/dispatch/preempting.py
@@ -13,7 +13,8 @@
 from gypsumring.dispatch.placing import waits_for_locality
 from gypsumring.fleet import ExecutorState
 from gypsumring.fleet.executor import accounted_cpu_millis, count_fitting
-from gypsumring.pipelines.state import Run, RunState, Step
+from gypsumring.pipelines.runs import Run, RunState
+from gypsumring.pipelines.state import Step
 
 __all__ = [
     "Candidate",
--- a/gypsumring/dispatch/reserving.py
+++ b/gypsumring/dispatch/reserving.py
@@ -19,7 +19,8 @@
 from gypsumring.dispatch.placing import count_fitting_eventually, has_label
 from gypsumring.fleet import ExecutorState
 from gypsumring.pipelines.model import Queue
-from gypsumring.pipelines.state import Run, Step
+from gypsumring.pipelines.runs import Run
+from gypsumring.pipelines.state import Step
 
 __all__ = ["Reservation", "needs_reservation", "reserve_executors"]
 
--- a/gypsumring/dispatch/tests/test_preempting.py
+++ b/gypsumring/dispatch/tests/test_preempting.py
@@ -15,7 +15,7 @@
     may_be_preempted,
 )
 from gypsumring.dispatch.tests.fleets import change_capacity, make_executor, make_step
-from gypsumring.pipelines.state import Run, RunState
+from gypsumring.pipelines.runs import Run, RunState
 from gypsumring.utils.testing import make_load_tests
 
 NOW = 100.0
--- a/gypsumring/fleet/executor.py
+++ b/gypsumring/fleet/executor.py
@@ -10,7 +10,8 @@
 from gypsumring.fleet.knowledge import FleetKnowledge
 from gypsumring.fleet.profiles import ExecutorProfile
 from gypsumring.pipelines.model import StepSpec
-from gypsumring.pipelines.state import Run, Step
+from gypsumring.pipelines.runs import Run
+from gypsumring.pipelines.state import Step
 
 __all__ = ["CONTACT_TIMEOUT_S", "ExecutorEntry", "ExecutorState", "MAX_ORDER_DELAY_S"]
 
--- a/gypsumring/pipelines/__init__.py
+++ b/gypsumring/pipelines/__init__.py
@@ -22,7 +22,8 @@
     encode,
     encode_progress,
 )
-from gypsumring.pipelines.state import Job, Run, RunState, Step
+from gypsumring.pipelines.runs import Run, RunState
+from gypsumring.pipelines.state import Job, Step
 from gypsumring.pipelines.table import JobTable
 
 __all__ = [
--- a/gypsumring/pipelines/crashes.py
+++ b/gypsumring/pipelines/crashes.py
@@ -9,7 +9,8 @@
 from gypsumring.pipelines.records import CrashRecord, SuspectRecord
 
 if TYPE_CHECKING:
-    from gypsumring.pipelines.state import Job, Run, Step
+    from gypsumring.pipelines.runs import Run
+    from gypsumring.pipelines.state import Job, Step
 
 __all__ = ["CrashRegister", "Suspect"]
 
--- a/gypsumring/pipelines/table.py
+++ b/gypsumring/pipelines/table.py
@@ -2,7 +2,8 @@
 
 from gypsumring.pipelines.crashes import CrashRegister
 from gypsumring.pipelines.model import JobPhase, PipelineSpec, parse_task
-from gypsumring.pipelines.state import Job, Run, RunState, Step, TaskState
+from gypsumring.pipelines.runs import Run, RunState
+from gypsumring.pipelines.state import Job, Step, TaskState
 from gypsumring.utils.clock import WallClock, unix_ms
 
 __all__ = ["EndEffects", "JobTable"]
