Give stops slots of their own

Result: test_stops_do_not_wait_behind_a_burst_of_starts fails with one queue and passes; tests of orders, departed executors and closed clients pass.

--- a/gypsumring/cell/executor_polling.py
+++ b/gypsumring/cell/executor_polling.py
@@ -220,7 +220,7 @@
         if self.state.fleet.get(executor_id) is executor:
             del self.state.fleet[executor_id]
             self.close_client(executor_id)
-            self.list_reader.orders.slots.discard(executor_id)
+            self.list_reader.orders.discard_slots(executor_id)
             self.state.enrolled.discard(executor_id)
             if self.state.authority.executors.may_be_recorded(executor_id):
                 self.delete_record(executor_id)
--- a/gypsumring/cell/order_slots.py
+++ b/gypsumring/cell/order_slots.py
@@ -14,12 +14,12 @@
 
 __all__ = ["OrderSlots"]
 
-# Orders of an owner that are on their way to all executors together.
-MAX_ORDERS_IN_FLIGHT = 96
+# Orders of one kind that are on their way to all executors together.
+MAX_ORDERS_IN_FLIGHT = 64
 
 
 class OrderSlots:
-    """Slots for orders, in all and for each executor; the first to wait goes first."""
+    """Slots for orders of one kind; the first order to wait goes first."""
 
     __slots__ = ("by_executor", "total")
 
--- a/gypsumring/cell/orders.py
+++ b/gypsumring/cell/orders.py
@@ -44,11 +44,13 @@
 class Orders:
     """Sender of start and stop orders, which are repeated until answered."""
 
-    __slots__ = ("crashes", "slots", "state")
+    __slots__ = ("crashes", "start_slots", "state", "stop_slots")
 
     def __init__(self, state: CellState):
         self.state = state
-        self.slots = OrderSlots()
+        self.start_slots = OrderSlots()
+        # Stops do not wait behind a burst of starts: cancelled work has to end in time.
+        self.stop_slots = OrderSlots()
         self.crashes = CrashAttribution(state, self.stop_all)
 
     def start(self, run: Run, ticket: str) -> None:
@@ -129,7 +131,7 @@
         while pause_s is not None:
             if pause_s:
                 await anyio.sleep(pause_s)
-            async with self.slots.reserve(run.executor_id):
+            async with self.start_slots.reserve(run.executor_id):
                 pause_s = await self.try_start(run, ticket)
 
     def may_start(self, run: Run, executor: ExecutorState) -> bool:
@@ -341,6 +343,11 @@
             unanswered = 0 if executor.is_unresponsive else unanswered + 1
             self.back_off_if_unanswered(executor, unanswered)
 
+    def discard_slots(self, executor_id: str) -> None:
+        """Discard the slots for orders to an executor that has left."""
+        self.start_slots.discard(executor_id)
+        self.stop_slots.discard(executor_id)
+
     async def block_late_start(
         self, executor: ExecutorState, task: str, attempt: int
     ) -> None:
@@ -372,7 +379,7 @@
     async def send_stop(self, executor_id: str, task: str, attempt: int) -> bool:
         """Send one stop and return whether it was answered; pause if it was not."""
         try:
-            async with self.slots.reserve(executor_id):
+            async with self.stop_slots.reserve(executor_id):
                 client = self.state.clients.get(executor_id)
                 if client is not None:
                     deadline = anyio.current_time() + ORDER_TIMEOUT_S
--- a/gypsumring/cell/tests/test_order_bursts.py
+++ b/gypsumring/cell/tests/test_order_bursts.py
@@ -72,6 +72,25 @@
             assert cluster.metrics.counters["cell.starts.unanswered"] == 0
 
 
+# The stops of a cancelled job waited behind a burst of starts.
+async def test_stops_do_not_wait_behind_a_burst_of_starts():
+    with busy_processor():
+        async with running_cluster(
+            steady_behaviour(600.0), executors=8, cpu_millis=32_000
+        ) as cluster:
+            await anyio.sleep(1.0)
+            short = StepSpec(task_count=8, cpu_millis=200, estimated_ms=60_000)
+            assert await cluster.submit(make_job("b" * 16, short)) is Outcome.OK
+            await wait_until_running(cluster, 8, 1.0)
+            assert await cluster.submit(make_job("a" * 16, *STEPS)) is Outcome.OK
+            await anyio.sleep(0.1)
+            assert await cluster.cancel("b" * 16)
+            cancelled_at = anyio.current_time()
+            while cluster.metrics.counters["cell.stops"] < 8:
+                await anyio.sleep(0.01)
+            assert anyio.current_time() - cancelled_at < 0.5
+
+
 # Orders to executors that do not answer must not keep up those to all others.
 async def test_slots_of_one_executor_are_few_of_all():
     slots = OrderSlots()
