--- a/soak/tests/test_cell_faults.py
+++ b/soak/tests/test_cell_faults.py
@@ -115,8 +115,8 @@
 def test_jobs_refused_after_they_were_queued_are_found():
     sound_submit = Commands.submit
 
-    async def submit(self, spec, limit):
-        await sound_submit(self, spec, limit)
+    async def submit(self, *args):
+        await sound_submit(self, *args)
         return JobAnswer(Outcome.REFUSED)
 
     assert_found("REFUSED", lambda: mock.patch.object(Commands, "submit", submit))
