Share the busy cluster of the tests of order bursts

Two tests set the same cluster up. They use one fixture now; assertions, load and bounds are as they were. The module passes, and test_stops_do_not_wait_behind_a_burst_of_starts still fails if starts and stops share their slots.

--- a/gypsumring/cell/tests/test_order_bursts.py
+++ b/gypsumring/cell/tests/test_order_bursts.py
@@ -1,7 +1,7 @@
 """Bursts of orders that are more than the owner's processor sends in their time."""
 
-from collections.abc import Iterator
-from contextlib import contextmanager
+from collections.abc import AsyncIterator, Iterator
+from contextlib import asynccontextmanager, contextmanager
 from unittest import mock
 
 import anyio
@@ -52,6 +52,17 @@
         yield
 
 
+@asynccontextmanager
+async def busy_cluster() -> AsyncIterator[MemoryCluster]:
+    """Run a cluster whose owner has a busy processor and has settled."""
+    with busy_processor():
+        async with running_cluster(
+            steady_behaviour(600.0), executors=8, cpu_millis=32_000
+        ) as cluster:
+            await anyio.sleep(1.0)
+            yield cluster
+
+
 async def wait_until_running(cluster: MemoryCluster, count: int, limit_s: float):
     """Wait until so many tasks run."""
     with anyio.fail_after(limit_s):
@@ -62,33 +73,25 @@
 # After a loss of power of all machines, so many lasting tasks were started at one time
 # that all their orders were overdue before they were sent, again and again.
 async def test_large_burst_of_starts_is_carried_out():
-    with busy_processor():
-        async with running_cluster(
-            steady_behaviour(600.0), executors=8, cpu_millis=32_000
-        ) as cluster:
-            await anyio.sleep(1.0)
-            assert await cluster.submit(make_job("a" * 16, *STEPS)) is Outcome.OK
-            await wait_until_running(cluster, TASKS, 2 * TASKS * ORDER_WORK_S + 1.0)
-            assert cluster.metrics.counters["cell.starts.unanswered"] == 0
+    async with busy_cluster() as cluster:
+        assert await cluster.submit(make_job("a" * 16, *STEPS)) is Outcome.OK
+        await wait_until_running(cluster, TASKS, 2 * TASKS * ORDER_WORK_S + 1.0)
+        assert cluster.metrics.counters["cell.starts.unanswered"] == 0
 
 
 # The stops of a cancelled job waited behind a burst of starts.
 async def test_stops_do_not_wait_behind_a_burst_of_starts():
-    with busy_processor():
-        async with running_cluster(
-            steady_behaviour(600.0), executors=8, cpu_millis=32_000
-        ) as cluster:
-            await anyio.sleep(1.0)
-            short = StepSpec(task_count=8, cpu_millis=200, estimated_ms=60_000)
-            assert await cluster.submit(make_job("b" * 16, short)) is Outcome.OK
-            await wait_until_running(cluster, 8, 1.0)
-            assert await cluster.submit(make_job("a" * 16, *STEPS)) is Outcome.OK
-            await anyio.sleep(0.1)
-            assert await cluster.cancel("b" * 16)
-            cancelled_at = anyio.current_time()
-            while cluster.metrics.counters["cell.stops"] < 8:
-                await anyio.sleep(0.01)
-            assert anyio.current_time() - cancelled_at < 0.5
+    async with busy_cluster() as cluster:
+        short = StepSpec(task_count=8, cpu_millis=200, estimated_ms=60_000)
+        assert await cluster.submit(make_job("b" * 16, short)) is Outcome.OK
+        await wait_until_running(cluster, 8, 1.0)
+        assert await cluster.submit(make_job("a" * 16, *STEPS)) is Outcome.OK
+        await anyio.sleep(0.1)
+        assert await cluster.cancel("b" * 16)
+        cancelled_at = anyio.current_time()
+        while cluster.metrics.counters["cell.stops"] < 8:
+            await anyio.sleep(0.01)
+        assert anyio.current_time() - cancelled_at < 0.5
 
 
 # Orders to executors that do not answer must not keep up those to all others.
