Count the bytes of a process by purpose, and log what fills its link

Change: LinkTraffic counts the bytes sent and received by purpose, estimates the queue at the link from the rate in the settings (limits.link_mbps), and gives one log line a second while the link is busy. Callers name the purpose in a context variable, and messages between nodes in their type. No decision depends on it yet.

--- a/gypsumring/cell/discovery.py
+++ b/gypsumring/cell/discovery.py
@@ -14,6 +14,7 @@
     StoreRefused,
     StoreUnavailable,
 )
+from gypsumring.transport import Purpose, sending_for
 from gypsumring.utils.logs import DependencyLogger, EventLogger
 
 __all__ = ["ExecutorDirectory"]
@@ -90,7 +91,8 @@
             self.state.entries_read_at = requested_at
             return
         try:
-            batch = await self.store.read(self.topic, 0, self.offset, 0.0, deadline)
+            with sending_for(Purpose.ENTRIES):
+                batch = await self.store.read(self.topic, 0, self.offset, 0.0, deadline)
         except OffsetExpired:
             self.offset = None
             return
@@ -102,7 +104,8 @@
 
     async def read_all(self, deadline: float) -> None:
         """Read the newest entry of each executor."""
-        records, end_offset = await self.store.newest(self.topic, 0, deadline)
+        with sending_for(Purpose.ENTRIES):
+            records, end_offset = await self.store.newest(self.topic, 0, deadline)
         present_ids = set()
         for record in records:
             if record.value:
--- a/gypsumring/cell/executor_polling.py
+++ b/gypsumring/cell/executor_polling.py
@@ -17,6 +17,7 @@
     StartRefused,
     TaskExecutor,
 )
+from gypsumring.transport import Purpose, sending_for
 from gypsumring.utils.logs import EventLogger
 from gypsumring.utils.supervision import describe_error
 
@@ -255,13 +256,14 @@
         # not received.
         acknowledged_end = 0 if executor.is_unresponsive else executor.last_durable_end
         time_limit_s = poll_duration_s + self.answer_limit_s(executor)
-        task_lists = await client.hold(
-            self.state.fence,
-            acknowledged_end,
-            lease_until,
-            poll_duration_s,
-            requested_at + time_limit_s,
-        )
+        with sending_for(Purpose.POLLS):
+            task_lists = await client.hold(
+                self.state.fence,
+                acknowledged_end,
+                lease_until,
+                poll_duration_s,
+                requested_at + time_limit_s,
+            )
         executor.unanswered_polls = max(0, executor.unanswered_polls - 1)
         self.list_reader.apply(executor, task_lists, requested_at)
         self.state.authority.executors.record_answer(
--- a/gypsumring/cell/journal.py
+++ b/gypsumring/cell/journal.py
@@ -13,6 +13,7 @@
     StoreRefused,
     StoreUnavailable,
 )
+from gypsumring.transport import Purpose, sending_for
 from gypsumring.utils.clock import Clock
 from gypsumring.utils.logs import EventLogger
 
@@ -68,6 +69,7 @@
         "answer_received",
         "latency_s",
         "was_refused",
+        "was_sent",
     )
 
     def __init__(self):
@@ -76,6 +78,8 @@
         self.copies = 0
         self.error: OwnershipLost | None = None
         self.was_refused = False
+        # Whether the first copy has been sent.
+        self.was_sent = False
         self.answer_received = anyio.Event()
 
 
@@ -282,12 +286,18 @@
     ) -> None:
         """Send one copy of an append and record its outcome."""
         attempt.copies += 1
+        is_first, attempt.was_sent = not attempt.was_sent, True
         sent_at = anyio.current_time()
         try:
             producer = Producer(self.producer, self.epoch, self.sequence)
-            await self.store.append(
-                self.topic, self.partition, records, producer, sent_at + COPY_TIMEOUT_S
-            )
+            with sending_for(Purpose.RECORDS if is_first else Purpose.RECORDS_REPEATED):
+                await self.store.append(
+                    self.topic,
+                    self.partition,
+                    records,
+                    producer,
+                    sent_at + COPY_TIMEOUT_S,
+                )
         except AppendFenced as error:
             attempt.error = OwnershipLost(str(error))
         except SequenceMismatch as error:
--- a/gypsumring/cell/messages.py
+++ b/gypsumring/cell/messages.py
@@ -1,11 +1,12 @@
 """Messages between the nodes of a cell."""
 
 import enum
+from typing import ClassVar
 
 import msgspec
 
 from gypsumring.pipelines.model import JobPhase, PipelineSpec, Queue
-from gypsumring.transport import HttpCall
+from gypsumring.transport import HttpCall, Purpose
 from gypsumring.utils.ranges import (
     Fence,
     MachineSize,
@@ -63,6 +64,7 @@
     process; it is empty if the process does not vote.
     """
 
+    purpose: ClassVar[Purpose] = Purpose.LIVENESS
     node: str
     address: str
     size: MachineSize = 0
@@ -90,6 +92,7 @@
     recorded. ``vote`` is present once the receiver has answered on this channel.
     """
 
+    purpose: ClassVar[Purpose] = Purpose.LIVENESS
     nodes_version: Number = 0
     vote: VoteMessage | None = None
 
@@ -102,6 +105,7 @@
     which has a meaning only for the sender.
     """
 
+    purpose: ClassVar[Purpose] = Purpose.LIVENESS
     owns: bool
     fence: Fence
     owner_address: str = ""
@@ -113,6 +117,7 @@
 class Announce(msgspec.Struct, tag=True, array_like=True):
     """Notification of the current owner of the cell."""
 
+    purpose: ClassVar[Purpose] = Purpose.LIVENESS
     owner_address: str
     fence: Fence
 
@@ -123,6 +128,7 @@
     ``node_count`` is the number of nodes without the owner, as recorded by ``node``.
     """
 
+    purpose: ClassVar[Purpose] = Purpose.LIVENESS
     node: str
     owner_address: str
     fence: int
@@ -135,6 +141,7 @@
     ``queue`` is the job's queue as the node knows it that has received the request.
     """
 
+    purpose: ClassVar[Purpose] = Purpose.COMMANDS
     spec: PipelineSpec
     time_limit_s: SignedMeasure
     queue: Queue | None = None
@@ -143,6 +150,7 @@
 class QueryJob(msgspec.Struct, tag=True, array_like=True):
     """Request for the state of a job by a client account, None without accounts."""
 
+    purpose: ClassVar[Purpose] = Purpose.QUERIES
     job_id: str
     account: Text | None = None
 
@@ -150,6 +158,7 @@
 class CancelJob(msgspec.Struct, tag=True, array_like=True):
     """Request to cancel a job by a client account, None without accounts."""
 
+    purpose: ClassVar[Purpose] = Purpose.COMMANDS
     job_id: str
     time_limit_s: SignedMeasure
     account: Text | None = None
@@ -158,12 +167,14 @@
 class CountWaiting(msgspec.Struct, tag=True, array_like=True):
     """Request for the number of jobs of a queue of which no task has started."""
 
+    purpose: ClassVar[Purpose] = Purpose.QUERIES
     queue: str
 
 
 class JobAnswer(msgspec.Struct, tag=True, array_like=True):
     """Answer to a caller's command; ``retry_after_s`` is set if it was refused."""
 
+    purpose: ClassVar[Purpose] = Purpose.COMMANDS
     outcome: Outcome
     phase: JobPhase = JobPhase.QUEUED
     count: Quantity = 0
@@ -173,6 +184,7 @@
 class AskPolicy(msgspec.Struct, tag=True, array_like=True):
     """Request to the peer to query the policy service for a step."""
 
+    purpose: ClassVar[Purpose] = Purpose.POLICY
     step: str
     executor_ids: list[str]
     timeout_s: SignedMeasure
@@ -181,6 +193,7 @@
 class PolicyAnswer(msgspec.Struct, tag=True, array_like=True):
     """Policy answer as rows of executor id and ticket; ``failed`` if none arrived."""
 
+    purpose: ClassVar[Purpose] = Purpose.POLICY
     failed: bool
     rows: list[tuple[str, str]] = []
 
@@ -188,6 +201,7 @@
 class RelayCall(msgspec.Struct, tag=True, array_like=True):
     """Request to the peer to relay a call to a store that refuses the sender."""
 
+    purpose: ClassVar[Purpose] = Purpose.RELAYS
     call: HttpCall
     timeout_s: SignedMeasure
 
@@ -198,6 +212,7 @@
     ``sent`` is true if the request may have been executed.
     """
 
+    purpose: ClassVar[Purpose] = Purpose.RELAYS
     sent: bool
     status: int = 0
     body: bytes = b""
--- a/gypsumring/cell/orders.py
+++ b/gypsumring/cell/orders.py
@@ -15,6 +15,7 @@
     StartRefused,
     TaskStart,
 )
+from gypsumring.transport import Purpose, sending_for
 from gypsumring.utils.logs import EventLogger
 
 __all__ = ["Orders"]
@@ -174,7 +175,10 @@
         run.start_sent_by = float("inf")
         run.was_sent = True
         try:
-            await client.start(order, self.state.fence, deadline)
+            with sending_for(
+                Purpose.STARTS_REPEATED if run.unanswered_orders else Purpose.STARTS
+            ):
+                await client.start(order, self.state.fence, deadline)
         except ExecutorSilent:
             run.start_sent_by = anyio.current_time()
             run.unanswered_orders += 1
@@ -383,7 +387,8 @@
                 client = self.state.clients.get(executor_id)
                 if client is not None:
                     deadline = anyio.current_time() + ORDER_TIMEOUT_S
-                    await client.stop(task, attempt, self.state.fence, deadline)
+                    with sending_for(Purpose.STOPS):
+                        await client.stop(task, attempt, self.state.fence, deadline)
                     return True
         except FenceRefused as error:
             raise OwnershipLost(
--- a/gypsumring/cell/owner.py
+++ b/gypsumring/cell/owner.py
@@ -51,6 +51,7 @@
 )
 from gypsumring.ports.store import KeyedRecord, Store, StoreRefused, StoreUnavailable
 from gypsumring.ports.tasks import TaskExecutor
+from gypsumring.transport import LinkTraffic, Purpose, sending_for
 from gypsumring.utils.clock import Clock, WallClock
 from gypsumring.utils.decoding import DECODE_ERRORS
 from gypsumring.utils.logs import EventLogger
@@ -121,7 +122,9 @@
         clock: Clock,
         wall_clock: WallClock,
         peers: Peers,
+        traffic: LinkTraffic | None = None,
     ):
+        traffic = traffic or LinkTraffic(metrics)
         self.store = store
         self.topic = topic
         self.partition = partition
@@ -137,6 +140,7 @@
             clock,
             wall_clock,
             self.authority,
+            traffic,
         )
         self.orders = Orders(self.state)
         self.executor_poller = ExecutorPoller(self.state, self.orders, connect)
@@ -285,9 +289,10 @@
         timeout_s = READ_TIMEOUT_S
         while True:
             try:
-                records, _ = await self.store.newest(
-                    self.topic, self.partition, anyio.current_time() + timeout_s
-                )
+                with sending_for(Purpose.TAKEOVER):
+                    records, _ = await self.store.newest(
+                        self.topic, self.partition, anyio.current_time() + timeout_s
+                    )
                 return records
             except (StoreUnavailable, StoreRefused) as error:
                 log.warning(
--- a/gypsumring/cell/pacing.py
+++ b/gypsumring/cell/pacing.py
@@ -12,6 +12,7 @@
     FenceRefused,
     StartRefused,
 )
+from gypsumring.transport import Purpose, sending_for
 from gypsumring.utils.logs import EventLogger
 
 __all__ = ["Pacer", "next_pace"]
@@ -92,7 +93,10 @@
         client = self.state.clients[executor.executor_id]
         deadline = anyio.current_time() + CALL_TIMEOUT_S
         try:
-            await client.pace(run.task, run.attempt, pace, self.state.fence, deadline)
+            with sending_for(Purpose.STOPS):
+                await client.pace(
+                    run.task, run.attempt, pace, self.state.fence, deadline
+                )
         except FenceRefused as error:
             raise OwnershipLost(
                 f"executor {executor.executor_id} has accepted a higher fence number"
--- a/gypsumring/cell/state.py
+++ b/gypsumring/cell/state.py
@@ -22,6 +22,7 @@
     encode_progress,
 )
 from gypsumring.ports.tasks import TaskExecutor
+from gypsumring.transport import LinkTraffic
 from gypsumring.utils.clock import Clock, WallClock
 from gypsumring.utils.logs import EventLogger
 
@@ -105,6 +106,7 @@
         "queues",
         "table",
         "timing",
+        "traffic",
         "unreconciled",
         "usage",
         "wall_clock",
@@ -120,7 +122,9 @@
         clock: Clock,
         wall_clock: WallClock,
         authority: Authority,
+        traffic: LinkTraffic | None = None,
     ):
+        self.traffic = traffic or LinkTraffic(metrics)
         self.fence = fence
         self.journal = journal
         self.desired_state = desired_state
--- a/gypsumring/node/desired.py
+++ b/gypsumring/node/desired.py
@@ -8,7 +8,13 @@
 from gypsumring.exceptions import GypsumringError
 from gypsumring.pipelines import DesiredState
 from gypsumring.ports.exceptions import OffsetExpired
-from gypsumring.ports.store import Store, StoreRefused, StoreUnavailable
+from gypsumring.ports.store import (
+    KeyedRecord,
+    Store,
+    StoreRefused,
+    StoreUnavailable,
+)
+from gypsumring.transport import Purpose, sending_for
 from gypsumring.utils.logs import DependencyLogger, EventLogger
 
 __all__ = ["DesiredStateWatch"]
@@ -60,25 +66,30 @@
 
     async def read_next(self) -> None:
         """Read the latest version first, then wait for the next records."""
+        with sending_for(Purpose.ENTRIES):
+            records = await self.read_records()
+        for record in records:
+            if record.key == self.key and record.value:
+                self.apply(record.value)
+
+    async def read_records(self) -> list[KeyedRecord]:
+        """Return the latest version, or the records after those that were read."""
         now = anyio.current_time()
         if self.offset is None:
             deadline = now + LONG_POLL_S
             records, self.offset = await self.store.newest(self.topic, 0, deadline)
-        else:
-            deadline = now + LONG_POLL_S + CALL_MARGIN_S
-            try:
-                batch = await self.store.read(
-                    self.topic, 0, self.offset, LONG_POLL_S, deadline
-                )
-            except OffsetExpired:
-                self.offset = None
-                return
-            records = batch.records
-            if records:
-                self.offset = records[-1].offset + 1
-        for record in records:
-            if record.key == self.key and record.value:
-                self.apply(record.value)
+            return records
+        deadline = now + LONG_POLL_S + CALL_MARGIN_S
+        try:
+            batch = await self.store.read(
+                self.topic, 0, self.offset, LONG_POLL_S, deadline
+            )
+        except OffsetExpired:
+            self.offset = None
+            return []
+        if batch.records:
+            self.offset = batch.records[-1].offset + 1
+        return batch.records
 
     def apply(self, value: bytes) -> None:
         """Apply a version unless it is unreadable or not newer than the current one."""
--- a/gypsumring/node/link.py
+++ b/gypsumring/node/link.py
@@ -34,6 +34,8 @@
     ChannelClosed,
     ConnectFailed,
     ConnectRefused,
+    Purpose,
+    sending_for,
 )
 from gypsumring.utils.logs import EventLogger
 
@@ -269,9 +271,10 @@
         If the store is unavailable or refuses the call, query other nodes.
         """
         try:
-            owners = await self.store.owners(
-                self.group_name, anyio.current_time() + LOOKUP_TIMEOUT_S
-            )
+            with sending_for(Purpose.MEMBERSHIP):
+                owners = await self.store.owners(
+                    self.group_name, anyio.current_time() + LOOKUP_TIMEOUT_S
+                )
         except (StoreUnavailable, StoreRefused) as error:
             log.debug("owner not found in the store", error=str(error))
             self.largest_member = None
--- a/gypsumring/node/main.py
+++ b/gypsumring/node/main.py
@@ -15,7 +15,7 @@
 from gypsumring.platform import PlatformPolicyService, PlatformStore
 from gypsumring.settings import SettingsError, load_settings
 from gypsumring.settings.node import NodeSettings
-from gypsumring.transport import HttpClient, RelayedClient
+from gypsumring.transport import HttpClient, LinkTraffic, RelayedClient
 from gypsumring.utils.logs import EventLogger, set_up_logs
 from gypsumring.utils.signals import SignalQueue, hold_signals, ignore_signals
 from gypsumring.utils.stopping import follow_signals
@@ -91,11 +91,21 @@
 ) -> None:
     """Run the node and its HTTP server until a stop signal."""
     metrics = Metrics()
+    traffic = LinkTraffic(metrics, settings.limits.link_mbps)
     policy = None
     if settings.policy_address:
-        policy = PlatformPolicyService(settings.policy_address)
-    store_path = RelayedClient(HttpClient(settings.store.address), "path to the store")
-    node = Node(settings, PlatformStore(store_path), policy, metrics, store_path)
+        policy = PlatformPolicyService(settings.policy_address, traffic)
+    store_path = RelayedClient(
+        HttpClient(settings.store.address, traffic=traffic), "path to the store"
+    )
+    node = Node(
+        settings,
+        PlatformStore(store_path),
+        policy,
+        metrics,
+        store_path,
+        traffic=traffic,
+    )
     app = NodeApp(node)
     config = hypercorn.config.Config()
     config.bind = [settings.caller_address, settings.readiness_address]
--- a/gypsumring/node/membership.py
+++ b/gypsumring/node/membership.py
@@ -8,6 +8,7 @@
 from gypsumring.cell import CellOwner
 from gypsumring.node.response_times import ResponseTimes
 from gypsumring.ports.store import Assignment, Store, StoreRefused, StoreUnavailable
+from gypsumring.transport import Purpose, sending_for
 from gypsumring.utils.clock import Clock
 from gypsumring.utils.logs import EventLogger
 from gypsumring.utils.ranges import parse_machine_size
@@ -207,14 +208,15 @@
 
     async def join(self) -> Assignment:
         """Join the group or renew the membership, for longer if answers are late."""
-        return await self.store.join(
-            self.group_name,
-            self.member,
-            self.topic,
-            self.membership_s(),
-            self.generation,
-            anyio.current_time() + JOIN_TIMEOUT_S,
-        )
+        with sending_for(Purpose.MEMBERSHIP):
+            return await self.store.join(
+                self.group_name,
+                self.member,
+                self.topic,
+                self.membership_s(),
+                self.generation,
+                anyio.current_time() + JOIN_TIMEOUT_S,
+            )
 
     def membership_s(self) -> float:
         """Return for how long the next join asks the group to keep this member."""
--- a/gypsumring/node/node.py
+++ b/gypsumring/node/node.py
@@ -1,5 +1,6 @@
 """Node that forwards commands to the owner of the cell, or owns the cell itself."""
 
+import functools
 import uuid
 from collections.abc import Callable
 from typing import Any
@@ -51,6 +52,7 @@
     Channel,
     ChannelClosed,
     ChannelLimits,
+    LinkTraffic,
     RelayedClient,
     serve_channels,
 )
@@ -98,6 +100,7 @@
         "settings",
         "stopping",
         "store",
+        "traffic",
         "voter",
         "votes",
     )
@@ -110,7 +113,9 @@
         metrics: Metrics,
         store_path: RelayedClient,
         clock: Clock = suspend_aware_time,
+        traffic: LinkTraffic | None = None,
     ):
+        self.traffic = traffic or LinkTraffic(metrics)
         # Includes the time while the process or the machine is suspended.
         self.clock = clock
         self.settings = settings
@@ -160,6 +165,7 @@
             member,
             self.own_fence,
             self.handle,
+            functools.partial(Channel.connect, traffic=self.traffic),
             size=size,
             data_centre=settings.data_centre,
             metrics=metrics,
@@ -222,7 +228,7 @@
             fence,
             self.make_timing(),
             self.desired.get,
-            PlatformExecutor,
+            functools.partial(PlatformExecutor, traffic=self.traffic),
             EXECUTORS_TOPIC,
             decode_executor_entry,
             self.list_policy_proxies,
@@ -237,6 +243,7 @@
                 lambda: list(self.peer_voters.values()),
                 self.link.knows_other_nodes,
             ),
+            self.traffic,
         )
 
     def apply_settings(self, settings: NodeSettings) -> list[str]:
@@ -291,6 +298,7 @@
             ChannelLimits(
                 limits.peer_channels, limits.opening_bytes, self.metrics.count
             ),
+            self.traffic,
         )
 
     async def update_gauges(self) -> None:
@@ -304,6 +312,7 @@
             if owner is not None:
                 for name, value in owner.measure().items():
                     self.metrics.set_gauge(name, value)
+            self.log_traffic()
             due_at = anyio.current_time() + GAUGE_PERIOD_S
             await anyio.sleep_until(due_at)
             late_s = anyio.current_time() - due_at
@@ -311,6 +320,12 @@
             if late_s > LATE_TIMER_S:
                 log.warning("timers are late", late_s=round(late_s, 3))
 
+    def log_traffic(self) -> None:
+        """Log what the link has carried in the last period, if it was busy."""
+        summary = self.traffic.summarize(GAUGE_PERIOD_S)
+        if summary is not None:
+            log.info("link is busy", owns=self.own_fence() is not None, **summary)
+
     async def stop(self, answer_deadline: float) -> None:
         """Become not ready, hand the cell over and answer all callers by a deadline."""
         self.stopping = True
--- a/gypsumring/platform/executors.py
+++ b/gypsumring/platform/executors.py
@@ -18,6 +18,7 @@
     ConnectFailed,
     HttpClient,
     HttpResponse,
+    LinkTraffic,
     NoResponse,
 )
 from gypsumring.utils.decoding import DECODE_ERRORS
@@ -133,10 +134,12 @@
 
     __slots__ = ("executor_id", "order_client", "poll_client")
 
-    def __init__(self, executor_id: str, address: str):
+    def __init__(
+        self, executor_id: str, address: str, traffic: LinkTraffic | None = None
+    ):
         self.executor_id = executor_id
-        self.order_client = HttpClient(address, MAX_CONCURRENT_ORDERS)
-        self.poll_client = HttpClient(address, 1)
+        self.order_client = HttpClient(address, MAX_CONCURRENT_ORDERS, traffic)
+        self.poll_client = HttpClient(address, 1, traffic)
 
     async def order(self, path: str, body: bytes, deadline: float) -> HttpResponse:
         """Send an order to this incarnation.
--- a/gypsumring/platform/policy.py
+++ b/gypsumring/platform/policy.py
@@ -3,7 +3,14 @@
 import msgspec
 
 from gypsumring.ports.tasks import PolicyBusy, PolicyUnavailable
-from gypsumring.transport import ConnectFailed, HttpClient, NoResponse
+from gypsumring.transport import (
+    ConnectFailed,
+    HttpClient,
+    LinkTraffic,
+    NoResponse,
+    Purpose,
+    sending_for,
+)
 from gypsumring.utils.decoding import DECODE_ERRORS
 
 __all__ = ["PlatformPolicyService"]
@@ -35,8 +42,8 @@
 
     __slots__ = ("client",)
 
-    def __init__(self, address: str):
-        self.client = HttpClient(address)
+    def __init__(self, address: str, traffic: LinkTraffic | None = None):
+        self.client = HttpClient(address, traffic=traffic)
 
     async def advise(
         self, step: str, executor_ids: list[str], deadline: float
@@ -44,7 +51,10 @@
         """Return id and ticket of each executor that may run the step."""
         body = msgspec.json.encode(AdviceBody(step, executor_ids))
         try:
-            response = await self.client.request("POST", "/-/advise", deadline, body)
+            with sending_for(Purpose.POLICY):
+                response = await self.client.request(
+                    "POST", "/-/advise", deadline, body
+                )
         except (ConnectFailed, NoResponse) as error:
             raise PolicyUnavailable(str(error)) from error
         if response.status == 429:
--- a/gypsumring/settings/node.py
+++ b/gypsumring/settings/node.py
@@ -60,10 +60,15 @@
 
 
 class MachineLimits(msgspec.Struct, forbid_unknown_fields=True, frozen=True):
-    """Memory and descriptors that the process may use; beyond them it is ended."""
+    """Memory, descriptors and link of the machine.
+
+    A process that uses more memory or descriptors is ended.
+    """
 
     memory_mb: Annotated[int, msgspec.Meta(ge=32)] = 160
     descriptors: Annotated[int, msgspec.Meta(ge=300)] = 1_638
+    # Megabits a second that the link carries in each direction, 0 if unknown.
+    link_mbps: Annotated[float, msgspec.Meta(ge=0)] = 0
 
 
 class DoorSettings(msgspec.Struct, forbid_unknown_fields=True, frozen=True):
--- a/gypsumring/transport/__init__.py
+++ b/gypsumring/transport/__init__.py
@@ -10,6 +10,7 @@
 )
 from gypsumring.transport.http_client import HttpClient, HttpResponse
 from gypsumring.transport.relayed import HttpCall, RelayedClient
+from gypsumring.transport.traffic import LinkTraffic, Purpose, sending_for
 
 __all__ = [
     "Channel",
@@ -20,8 +21,11 @@
     "HttpCall",
     "HttpClient",
     "HttpResponse",
+    "LinkTraffic",
     "NoResponse",
+    "Purpose",
     "RelayedClient",
     "TransportError",
+    "sending_for",
     "serve_channels",
 ]
--- a/gypsumring/transport/channel.py
+++ b/gypsumring/transport/channel.py
@@ -18,6 +18,7 @@
     ConnectRefused,
 )
 from gypsumring.transport.http_client import set_socket_timeouts
+from gypsumring.transport.traffic import LinkTraffic, Purpose
 from gypsumring.utils.addresses import split_address
 from gypsumring.utils.decoding import DECODE_ERRORS
 from gypsumring.utils.logs import EventLogger
@@ -77,6 +78,7 @@
         "peer",
         "send_lock",
         "stream",
+        "traffic",
     )
 
     def __init__(
@@ -84,8 +86,10 @@
         stream: anyio.abc.SocketStream,
         decoder: msgspec.msgpack.Decoder,
         handler: "Callable[[Channel, Any], Awaitable[Any]]",
+        traffic: LinkTraffic | None = None,
     ):
         self.stream = stream
+        self.traffic = traffic or LinkTraffic()
         # What was received of the next frame.
         self.buffer = bytearray()
         self.decoder = decoder
@@ -106,6 +110,7 @@
         decoder: msgspec.msgpack.Decoder,
         handler: "Callable[[Channel, Any], Awaitable[Any]]",
         deadline: float,
+        traffic: LinkTraffic | None = None,
     ) -> "Channel":
         """Open a channel to ``host:port``; raise ConnectFailed."""
         try:
@@ -120,7 +125,7 @@
         except (OSError, TimeoutError) as error:
             raise ConnectFailed(f"{address}: {error!r}") from error
         set_socket_timeouts(stream)
-        return cls(stream, decoder, handler)
+        return cls(stream, decoder, handler, traffic)
 
     async def call(self, message: Any, deadline: float) -> Any:
         """Send a request and return the reply.
@@ -149,11 +154,16 @@
     async def send(self, call_id: int, is_reply: bool, message: Any) -> None:
         """Send one frame; raise ChannelClosed."""
         payload = encode(Frame(call_id, is_reply, msgspec.Raw(encode(message))))
+        purpose = find_purpose(message)
+        began_at = anyio.current_time()
         try:
             async with self.send_lock:
+                self.traffic.record_sent(LENGTH.size + len(payload), purpose)
                 await self.stream.send(LENGTH.pack(len(payload)) + payload)
         except STREAM_ERRORS as error:
             raise ChannelClosed(repr(error)) from error
+        if purpose is Purpose.LIVENESS:
+            self.traffic.record_liveness_send(anyio.current_time() - began_at)
 
     async def run(self) -> None:
         """Read frames until the channel ends; handle requests concurrently."""
@@ -191,6 +201,7 @@
             frame = decode_frame(bytes(buffer[LENGTH.size : end]))
             del buffer[:end]
             message = self.decoder.decode(frame.message)
+            self.traffic.record_received(end, find_purpose(message))
             if frame.is_reply:
                 pending = self.pending_calls.get(frame.call_id)
                 if pending is not None:
@@ -228,6 +239,11 @@
         await anyio.aclose_forcefully(self.stream)
 
 
+def find_purpose(message: Any) -> Purpose:
+    """Return the purpose that the type of a message declares."""
+    return getattr(type(message), "purpose", Purpose.OTHER)
+
+
 class ChannelLimits:
     """Limits of the channels that others open.
 
@@ -284,6 +300,7 @@
     on_open: Callable[[Channel], None],
     on_close: Callable[[Channel], None],
     limits: ChannelLimits,
+    traffic: LinkTraffic | None = None,
 ) -> None:
     """Accept and serve channels from peers at ``host:port`` until cancelled."""
     host, _, port = address.rpartition(":")
@@ -291,7 +308,7 @@
 
     async def serve(stream: anyio.abc.SocketStream) -> None:
         set_socket_timeouts(stream)
-        channel = Channel(stream, decoder, handler)
+        channel = Channel(stream, decoder, handler, traffic)
         channel.note_received = table.check_opening
         superfluous = table.admit(channel)
         if superfluous is not None:
--- a/gypsumring/transport/http_client.py
+++ b/gypsumring/transport/http_client.py
@@ -12,6 +12,7 @@
 import httptools
 
 from gypsumring.transport.exceptions import ConnectFailed, NoResponse
+from gypsumring.transport.traffic import LinkTraffic
 from gypsumring.utils.addresses import split_address
 
 __all__ = ["HttpClient", "HttpResponse"]
@@ -67,13 +68,18 @@
         self.complete = True
 
 
-async def read_response(stream: anyio.abc.ByteReceiveStream) -> HttpResponse:
+async def read_response(
+    stream: anyio.abc.ByteReceiveStream, traffic: LinkTraffic | None = None
+) -> HttpResponse:
     """Read one response; raise NoResponse if the connection fails before its end."""
     collector = ResponseCollector()
     parser = collector.parser
     try:
         while not collector.complete:
-            parser.feed_data(await stream.receive(READ_BYTES))
+            received = await stream.receive(READ_BYTES)
+            if traffic is not None:
+                traffic.record_received(len(received))
+            parser.feed_data(received)
             if collector.size > MAX_RESPONSE_BYTES:
                 raise NoResponse(f"response of more than {MAX_RESPONSE_BYTES} bytes")
     except (
@@ -120,10 +126,16 @@
     requests at one time.
     """
 
-    __slots__ = ("address", "closed", "free_slots", "idle_connections")
+    __slots__ = ("address", "closed", "free_slots", "idle_connections", "traffic")
 
-    def __init__(self, address: str, max_connections: int | None = None):
+    def __init__(
+        self,
+        address: str,
+        max_connections: int | None = None,
+        traffic: LinkTraffic | None = None,
+    ):
         self.address = address
+        self.traffic = traffic or LinkTraffic()
         self.closed = False
         self.free_slots: anyio.Semaphore | None = None
         if max_connections is not None:
@@ -200,8 +212,9 @@
         reusable = False
         try:
             with anyio.fail_after(max(0.0, deadline - anyio.current_time())):
+                self.traffic.record_sent(len(message))
                 await stream.send(message)
-                response = await read_response(stream)
+                response = await read_response(stream, self.traffic)
             reusable = not (response.closes_connection or self.closed)
             return response
         except TimeoutError as error:
--- /dev/null
+++ b/gypsumring/transport/traffic.py
@@ -0,0 +1,145 @@
+"""Traffic of a process over the link of its machine, by purpose.
+
+On a small machine the link is the narrowest resource. Whatever the kernel has accepted
+is sent in order, so messages on which others wait are delayed by all bytes before them.
+"""
+
+import enum
+import math
+from collections import Counter
+from collections.abc import Iterator
+from contextlib import contextmanager
+from contextvars import ContextVar
+
+import anyio
+
+from gypsumring.metrics import Metrics
+
+__all__ = ["LinkTraffic", "Purpose", "sending_for"]
+
+# Bytes of headers beside each message.
+MESSAGE_OVERHEAD_BYTES = 60
+BYTES_PER_S_PER_MBPS = 1_000_000 / 8
+# A link counts as busy if it has carried this share of what it can carry.
+BUSY_SHARE = 0.3
+
+
+class Purpose(enum.StrEnum):
+    """What a message is sent for."""
+
+    # Pings, announcements, and reports of owners that do not answer.
+    LIVENESS = "liveness"
+    # Membership in the group of nodes, and lookups of the owner there.
+    MEMBERSHIP = "membership"
+    RECORDS = "records"
+    RECORDS_REPEATED = "records_repeated"
+    # Records that a node reads to take the cell over.
+    TAKEOVER = "takeover"
+    # Directory of executors and desired state.
+    ENTRIES = "entries"
+    STARTS = "starts"
+    STARTS_REPEATED = "starts_repeated"
+    # Stops, and changes of the pace of tasks.
+    STOPS = "stops"
+    POLLS = "polls"
+    POLICY = "policy"
+    # Submissions and cancellations that nodes forward.
+    COMMANDS = "commands"
+    QUERIES = "queries"
+    # Calls to the store through other nodes.
+    RELAYS = "relays"
+    OTHER = "other"
+
+
+current_purpose: ContextVar[Purpose] = ContextVar("purpose", default=Purpose.OTHER)
+
+
+@contextmanager
+def sending_for(purpose: Purpose) -> Iterator[None]:
+    """Set the purpose of the requests that are sent inside the block."""
+    token = current_purpose.set(purpose)
+    try:
+        yield
+    finally:
+        current_purpose.reset(token)
+
+
+class LinkTraffic:
+    """Counter of the bytes of a process, and estimate of its queue at the link.
+
+    ``bytes_per_s`` is what the link carries in each direction, infinity if unknown.
+    """
+
+    __slots__ = (
+        "bytes_per_s",
+        "idle_at",
+        "longest_send_s",
+        "metrics",
+        "received_bytes",
+        "sent_bytes",
+    )
+
+    def __init__(self, metrics: Metrics | None = None, link_mbps: float | None = None):
+        self.metrics = metrics or Metrics()
+        self.bytes_per_s = math.inf
+        if link_mbps:
+            self.bytes_per_s = link_mbps * BYTES_PER_S_PER_MBPS
+        # When all bytes sent so far have left the machine, by the rate of its link.
+        self.idle_at = 0.0
+        # Bytes since the last summary, by purpose, and the longest time for which the
+        # kernel did not accept a message about liveness.
+        self.sent_bytes: Counter[Purpose] = Counter()
+        self.received_bytes: Counter[Purpose] = Counter()
+        self.longest_send_s = 0.0
+
+    def record_sent(self, size: int, purpose: Purpose | None = None) -> None:
+        """Record a message that is sent now, by default for the current purpose."""
+        purpose = purpose or current_purpose.get()
+        self.sent_bytes[purpose] += size
+        self.metrics.count(f"traffic.sent_bytes.{purpose}", size)
+        self.metrics.count(f"traffic.sent_messages.{purpose}")
+        now = anyio.current_time()
+        self.idle_at = max(self.idle_at, now) + self.transfer_s(size)
+
+    def record_received(self, size: int, purpose: Purpose | None = None) -> None:
+        """Record bytes that were received, by default for the current purpose."""
+        purpose = purpose or current_purpose.get()
+        self.received_bytes[purpose] += size
+        self.metrics.count(f"traffic.received_bytes.{purpose}", size)
+
+    def record_liveness_send(self, seconds: float) -> None:
+        """Record how long the kernel took to accept a message about liveness."""
+        self.longest_send_s = max(self.longest_send_s, seconds)
+
+    def transfer_s(self, size: int) -> float:
+        """Return the time that the link takes for one message, in seconds."""
+        return (size + MESSAGE_OVERHEAD_BYTES) / self.bytes_per_s
+
+    def backlog_s(self) -> float:
+        """Return the time until the bytes sent so far have left the machine."""
+        return max(0.0, self.idle_at - anyio.current_time())
+
+    def summarize(self, period_s: float) -> dict[str, object] | None:
+        """Return the bytes since the last summary if the link was busy, else None.
+
+        The period is the time since the last summary.
+        """
+        sent, self.sent_bytes = self.sent_bytes, Counter()
+        received, self.received_bytes = self.received_bytes, Counter()
+        longest_send_s, self.longest_send_s = self.longest_send_s, 0.0
+        most = max(sent.total(), received.total())
+        if most < BUSY_SHARE * self.bytes_per_s * period_s:
+            return None
+        return {
+            "sent_kb": describe_bytes(sent),
+            "received_kb": describe_bytes(received),
+            "backlog_ms": round(self.backlog_s() * 1000),
+            "liveness_send_ms": round(longest_send_s * 1000),
+        }
+
+
+def describe_bytes(counts: Counter[Purpose]) -> dict[str, float]:
+    """Return kilobytes by purpose, the largest first."""
+    return {
+        purpose.value: round(size / 1000, 1) for purpose, size in counts.most_common()
+    }
