Repeat an append only once the link can have carried the first copy

After a takeover the submissions that had waited became one append of 514 KB; the link of the owner needs 0.4 s for it.

Cause: time limits after which work begins again, without regard for how long the link takes for it.

Change: a copy waits until the link can have carried the first one twice, by the size and the estimated queue, and comes out of a credit: a fifth of what was sent first and a twentieth of what the link carries. An append takes the link for 0.1 s at most, unless one record is larger. A direct call counts as unanswered only after the time of its transfer, and of the large responses that are under way.

--- a/gypsumring/cell/journal.py
+++ b/gypsumring/cell/journal.py
@@ -13,7 +13,7 @@
     StoreRefused,
     StoreUnavailable,
 )
-from gypsumring.transport import Purpose, sending_for
+from gypsumring.transport import LinkTraffic, Purpose, sending_for
 from gypsumring.utils.clock import Clock
 from gypsumring.utils.logs import EventLogger
 
@@ -22,6 +22,9 @@
 log = EventLogger("journal")
 
 MAX_BATCH_BYTES = 512 * 1024
+# An append takes the link of the machine for at most about this time, so that other
+# messages do not wait for long behind it, unless a single record takes longer.
+MAX_BATCH_TRANSFER_S = 0.1
 # Stores take records of 256 KB. A larger one would be repeated before all others.
 MAX_RECORD_BYTES = 256 * 1024
 # Bytes of a record beside its key and value.
@@ -29,7 +32,8 @@
 # Records that are not urgent are batched for at most this time.
 BATCH_DELAY_S = 0.05
 # Another copy of an append is sent if the store does not answer within the average
-# latency times this factor.
+# latency times this factor, but not before the first copy can have been carried by the
+# link twice.
 COPY_INTERVAL_FACTOR = 4.0
 COPY_INTERVAL_GROWTH = 1.25
 MIN_COPY_INTERVAL_S = 0.03
@@ -37,6 +41,7 @@
 # At most this many copies of an append are in flight, each for at most COPY_TIMEOUT_S.
 MAX_COPIES = 16
 COPY_TIMEOUT_S = 2.0
+COPY_TRANSFERS = 2
 MAX_REFUSED_PAUSE_S = 0.1
 
 
@@ -105,6 +110,7 @@
         "sequence",
         "store",
         "topic",
+        "traffic",
         "average_latency_s",
         "wake",
     )
@@ -117,7 +123,9 @@
         producer: str,
         epoch: int,
         clock: Clock = anyio.current_time,
+        traffic: LinkTraffic | None = None,
     ):
+        self.traffic = traffic or LinkTraffic()
         self.store = store
         self.topic = topic
         self.partition = partition
@@ -235,10 +243,13 @@
     def take_batch(self) -> list[PendingRecord]:
         """Remove the records of the next append from the queue."""
         size = 0
+        max_bytes = min(
+            MAX_BATCH_BYTES, MAX_BATCH_TRANSFER_S * self.traffic.bytes_per_s
+        )
         batch: list[PendingRecord] = []
         for entry in self.queue.values():
             size += len(entry.key) + len(entry.value) + RECORD_OVERHEAD_BYTES
-            if batch and size > MAX_BATCH_BYTES:
+            if batch and size > max_bytes:
                 break
             batch.append(entry)
         for entry in batch:
@@ -251,27 +262,39 @@
         """Append records, waiting for an answer; raise ``OwnershipLost`` when fenced.
 
         Copies of the append are sent until one is answered. They have the same sequence
-        number, so that the store executes only one of them.
+        number, so that the store executes only one of them. While the link is full, the
+        next copy waits.
         """
         attempt = AppendAttempt()
         began_at = anyio.current_time()
         sent_at = self.clock()
+        size = sum(
+            len(key) + len(value) + RECORD_OVERHEAD_BYTES for key, value in records
+        )
+        shortest_s = COPY_TRANSFERS * self.traffic.send_s(size)
         interval_s = max(
-            MIN_COPY_INTERVAL_S, self.average_latency_s * COPY_INTERVAL_FACTOR
+            MIN_COPY_INTERVAL_S,
+            shortest_s,
+            self.average_latency_s * COPY_INTERVAL_FACTOR,
         )
         async with anyio.create_task_group() as group:
             while attempt.answered_at is None:
                 if anyio.current_time() > began_at:
                     self.unanswered_since = self.unanswered_since or began_at
                 attempt.answer_received = anyio.Event()
-                if attempt.copies < MAX_COPIES:
+                if attempt.copies < MAX_COPIES and (
+                    not attempt.was_sent or self.traffic.spend_repeat(size)
+                ):
                     group.start_soon(self.send_copy, attempt, records)
                 with anyio.move_on_after(interval_s):
                     await attempt.answer_received.wait()
                 if attempt.was_refused:
                     attempt.was_refused = False
                     await anyio.sleep(min(interval_s, MAX_REFUSED_PAUSE_S))
-                interval_s = min(interval_s * COPY_INTERVAL_GROWTH, MAX_COPY_INTERVAL_S)
+                interval_s = max(
+                    shortest_s,
+                    min(interval_s * COPY_INTERVAL_GROWTH, MAX_COPY_INTERVAL_S),
+                )
             group.cancel_scope.cancel()
         if attempt.error is not None:
             raise attempt.error
--- a/gypsumring/cell/owner.py
+++ b/gypsumring/cell/owner.py
@@ -129,7 +129,9 @@
         self.topic = topic
         self.partition = partition
         self.fence = fence
-        journal = Journal(store, topic, partition, f"cell-{partition}", fence, clock)
+        journal = Journal(
+            store, topic, partition, f"cell-{partition}", fence, clock, traffic
+        )
         self.authority = Authority(fence, journal, peers, clock)
         self.state = CellState(
             fence,
--- a/gypsumring/cell/tests/test_journal.py
+++ b/gypsumring/cell/tests/test_journal.py
@@ -14,6 +14,7 @@
     StoreRefused,
     StoreUnavailable,
 )
+from gypsumring.transport import LinkTraffic
 from gypsumring.utils.testing import make_load_tests
 
 ANSWER_LATENCY_S = 0.004
@@ -147,6 +148,77 @@
         assert await write(journal, "d") < 0.01
 
 
+class StoreBehindLink(ScriptedStore):
+    """Store at the end of a link that carries all that is sent, in order."""
+
+    __slots__ = ("carried_bytes", "traffic")
+
+    def __init__(self, traffic: LinkTraffic):
+        super().__init__()
+        self.traffic = traffic
+        self.carried_bytes = 0
+
+    async def append(self, topic, partition, records, producer, deadline):
+        """Append the records once the link has carried them."""
+        size = sum(len(key) + len(value) for key, value in records)
+        self.carried_bytes += size
+        self.traffic.record_sent(size)
+        await anyio.sleep(self.traffic.backlog_s())
+        return await super().append(topic, partition, records, producer, deadline)
+
+
+@asynccontextmanager
+async def running_behind_link(
+    link_mbps: float,
+) -> AsyncIterator[tuple[Journal, StoreBehindLink]]:
+    """Run an open journal with a store behind a link."""
+    traffic = LinkTraffic(link_mbps=link_mbps)
+    store = StoreBehindLink(traffic)
+    journal = Journal(store, "cells", 0, "cell-0", 7, traffic=traffic)
+    await journal.open("owner", b"7")
+    async with anyio.create_task_group() as group:
+        group.start_soon(journal.run)
+        yield journal, store
+        group.cancel_scope.cancel()
+
+
+async def test_large_backlog_of_records_does_not_fill_the_link_with_copies():
+    # The submissions that had waited for a takeover were one append of 514 KB, of which
+    # copies were sent every 0.15 s while the link needed 0.4 s for each: LOST 892.
+    for link_mbps in (2, 10, 100):
+        async with running_behind_link(link_mbps) as (journal, store):
+            done = anyio.Event()
+            for number in range(200):
+                journal.put(f"j/{number}", bytes(2_500))
+            journal.put("last", b"value", done.set)
+            with anyio.fail_after(1.3 * 500_000 / store.traffic.bytes_per_s + 1):
+                await done.wait()
+            assert store.carried_bytes < 1.1 * 505_000, (link_mbps, store.carried_bytes)
+
+
+async def test_backlog_of_records_leaves_the_link_free_for_short_messages():
+    async with running_behind_link(10) as (journal, store):
+        done = anyio.Event()
+        for number in range(200):
+            journal.put(f"j/{number}", bytes(2_500))
+        journal.put("last", b"value", done.set)
+        longest_s = 0.0
+        while not done.is_set():
+            await anyio.sleep(0.01)
+            longest_s = max(longest_s, store.traffic.backlog_s())
+        assert longest_s < 0.15
+
+
+async def test_lost_answers_on_a_slow_link_are_made_up_for_by_copies():
+    async with running_behind_link(10) as (journal, store):
+        store.script = ["lost"] * 3
+        done = anyio.Event()
+        journal.put("a", bytes(20_000), done.set)
+        with anyio.fail_after(1.0):
+            await done.wait()
+        assert len(store.sequences) == 2
+
+
 async def test_journal_of_an_earlier_owner_is_fenced():
     store = ScriptedStore()
     earlier = Journal(store, "cells", 0, "cell-0", 7)
--- a/gypsumring/node/main.py
+++ b/gypsumring/node/main.py
@@ -96,7 +96,9 @@
     if settings.policy_address:
         policy = PlatformPolicyService(settings.policy_address, traffic)
     store_path = RelayedClient(
-        HttpClient(settings.store.address, traffic=traffic), "path to the store"
+        HttpClient(settings.store.address, traffic=traffic),
+        "path to the store",
+        traffic,
     )
     node = Node(
         settings,
--- a/gypsumring/platform/store.py
+++ b/gypsumring/platform/store.py
@@ -44,6 +44,8 @@
 
 RECORD_LENGTH = struct.Struct(">I")
 READ_HEADER = struct.Struct(">QQ")
+# Largest page of the newest records.
+PAGE_BYTES = 1_000_000
 BINARY_CONTENT_TYPE = "application/octet-stream"
 
 
@@ -166,13 +168,15 @@
         body: bytes = b"",
         content_type: str = "application/json",
         waits: bool = False,
+        reply_bytes: int = 0,
     ) -> HttpResponse:
         """Send one request; raise StoreUnavailable or StoreRefused.
 
-        ``waits`` says that the store may delay the response until records arrive.
+        ``waits`` says that the store may delay the response until records arrive, and
+        ``reply_bytes`` is the size of a response that may be large.
         """
         target = f"{path}?{urlencode(query)}" if query else path
-        call = HttpCall(method, target, body, content_type, waits)
+        call = HttpCall(method, target, body, content_type, waits, reply_bytes)
         try:
             response = await self.client.request(call, deadline)
         except ConnectFailed as error:
@@ -222,7 +226,13 @@
         initial_end_offset = None
         query: dict[str, str | int] = {"topic": topic, "part": partition}
         while True:
-            response = await self.call("GET", "/-/log-newest", deadline, query)
+            response = await self.call(
+                "GET",
+                "/-/log-newest",
+                deadline,
+                query,
+                reply_bytes=PAGE_BYTES,
+            )
             if response.status != 200:
                 raise StoreUnavailable(
                     f"read of newest records answered with status {response.status}"
--- a/gypsumring/transport/relayed.py
+++ b/gypsumring/transport/relayed.py
@@ -7,6 +7,7 @@
 
 from gypsumring.transport.exceptions import ConnectFailed, NoResponse
 from gypsumring.transport.http_client import HttpClient, HttpResponse
+from gypsumring.transport.traffic import LinkTraffic
 from gypsumring.utils.logs import DependencyLogger, EventLogger
 
 __all__ = ["HttpCall", "Relay", "RelayedClient"]
@@ -20,23 +21,40 @@
 PROBE_TIMEOUT_S = 0.1
 # This node relays calls of peers only if the server has answered it within this time.
 MAX_HEALTHY_ANSWER_AGE_S = 0.6
-# A direct call unanswered for longer than this makes the path count as failing.
+# A direct call unanswered for longer than this makes the path count as failing, beside
+# the time that the link of this machine takes for it, times the factor.
 MAX_ANSWER_DELAY_S = 0.05
+TRANSFER_FACTOR = 2
 
 
 class HttpCall(msgspec.Struct, array_like=True):
-    """HTTP request; if ``waits``, the server may delay the response (long poll)."""
+    """HTTP request; if ``waits``, the server may delay the response (long poll).
+
+    ``reply_bytes`` is the size of a response that may be large.
+    """
 
     method: str
     path: str
     body: bytes = b""
     content_type: str = "application/json"
     waits: bool = False
+    reply_bytes: int = 0
 
 
 Relay = Callable[[HttpCall, float], Awaitable[HttpResponse]]
 
 
+class DirectCall:
+    """Direct call in flight, and the time from which its response is overdue."""
+
+    __slots__ = ("due_at", "reply_bytes", "sent_at")
+
+    def __init__(self, sent_at: float, due_at: float, reply_bytes: int):
+        self.sent_at = sent_at
+        self.due_at = due_at
+        self.reply_bytes = reply_bytes
+
+
 class RelayedClient:
     """HTTP client for idempotent requests to one server, directly or through a peer.
 
@@ -51,19 +69,26 @@
         "last_call_failed",
         "next_probe_at",
         "relay",
-        "sent_at_in_flight",
+        "calls_in_flight",
+        "traffic",
         "was_failing",
     )
 
-    def __init__(self, client: HttpClient, dependency_name: str):
+    def __init__(
+        self,
+        client: HttpClient,
+        dependency_name: str,
+        traffic: LinkTraffic | None = None,
+    ):
         self.client = client
+        self.traffic = traffic or LinkTraffic()
         self.relay: Relay | None = None
         # Whether the newest direct call failed or was refused.
         self.last_call_failed = False
         self.was_failing = False
         self.last_answer_at = float("-inf")
-        # Send times of the direct calls in flight, without long polls.
-        self.sent_at_in_flight: list[float] = []
+        # Direct calls in flight, without long polls.
+        self.calls_in_flight: list[DirectCall] = []
         self.next_probe_at = 0.0
         self.dependency = DependencyLogger(log, dependency_name)
 
@@ -72,15 +97,15 @@
         if self.last_call_failed:
             return True
         # Calls sent before the newest answer say nothing about the current state.
-        newer_sent_at = [
-            sent_at
-            for sent_at in self.sent_at_in_flight
-            if sent_at > self.last_answer_at
+        due_times = [
+            call.due_at
+            for call in self.calls_in_flight
+            if call.sent_at > self.last_answer_at
         ]
-        return (
-            min(newer_sent_at, default=float("inf"))
-            < anyio.current_time() - MAX_ANSWER_DELAY_S
-        )
+        # Large responses delay all others on the link.
+        reply_bytes = sum(call.reply_bytes for call in self.calls_in_flight)
+        reply_s = TRANSFER_FACTOR * self.traffic.transfer_s(reply_bytes)
+        return min(due_times, default=float("inf")) + reply_s < anyio.current_time()
 
     def is_healthy(self) -> bool:
         """Return whether the direct path works and has answered recently."""
@@ -145,8 +170,14 @@
     async def send_direct(self, call: HttpCall, deadline: float) -> HttpResponse:
         """Send a call to the server and record whether the path works."""
         sent_at = anyio.current_time()
+        transfer_s = self.traffic.send_s(len(call.body))
+        in_flight = DirectCall(
+            sent_at,
+            sent_at + MAX_ANSWER_DELAY_S + TRANSFER_FACTOR * transfer_s,
+            call.reply_bytes,
+        )
         if not call.waits:
-            self.sent_at_in_flight.append(sent_at)
+            self.calls_in_flight.append(in_flight)
         try:
             response = await self.client.request(
                 call.method,
@@ -161,7 +192,7 @@
             raise
         finally:
             if not call.waits:
-                self.sent_at_in_flight.remove(sent_at)
+                self.calls_in_flight.remove(in_flight)
         if response.status in REFUSAL_STATUSES:
             self.record_failed_call(ConnectFailed(f"status {response.status}"))
         else:
--- a/gypsumring/transport/tests/test_relayed.py
+++ b/gypsumring/transport/tests/test_relayed.py
@@ -6,6 +6,7 @@
     ConnectFailed,
     HttpCall,
     HttpResponse,
+    LinkTraffic,
     NoResponse,
     RelayedClient,
 )
@@ -19,12 +20,13 @@
 class ScriptedClient:
     """HTTP client that answers with a status or fails, as ``outcome`` says."""
 
-    __slots__ = ("calls", "outcome")
+    __slots__ = ("calls", "outcome", "took_s")
 
     def __init__(self):
         self.calls = 0
         # ``silent`` (no response), ``unreachable`` or the status of the response.
         self.outcome: str | int = 200
+        self.took_s = 0.0
 
     async def request(self, method, path, deadline, body, content_type):
         """Answer one request."""
@@ -35,13 +37,14 @@
                 raise NoResponse("no response in time")
             case "unreachable":
                 raise ConnectFailed("refused")
+        await anyio.sleep(self.took_s)
         return HttpResponse(self.outcome, b"direct", {}, False)
 
 
-def make_client(peer_status: int = 200):
+def make_client(peer_status: int = 200, link_mbps: float | None = None):
     """Return a client, its scripted direct path and the list of relayed calls."""
     path = ScriptedClient()
-    client = RelayedClient(path, "server")
+    client = RelayedClient(path, "server", LinkTraffic(link_mbps=link_mbps))
     relayed = []
 
     async def relay(call, deadline):
@@ -129,6 +132,35 @@
         group.cancel_scope.cancel()
 
 
+async def send_beside(client, call, after_s):
+    """Send a call, and another one a while later; return the second response."""
+    async with anyio.create_task_group() as group:
+        group.start_soon(client.request, call, anyio.current_time() + 5)
+        await anyio.sleep(after_s)
+        response = await send(client)
+        group.cancel_scope.cancel()
+    return response
+
+
+async def test_slow_transfer_does_not_make_the_path_count_as_failing():
+    # An owner sent each copy of a large append to other nodes too, over the same link.
+    body = HttpCall("POST", "/append", bytes(400_000), "application/octet-stream")
+    client, path, relayed = make_client(link_mbps=10)
+    path.took_s = 0.35
+    assert (await send_beside(client, body, 0.3)).body == b"direct"
+    page = HttpCall("GET", "/newest", reply_bytes=1_000_000)
+    assert (await send_beside(client, page, 0.3)).body == b"direct"
+    assert relayed == []
+
+
+async def test_path_that_takes_longer_than_the_transfer_counts_as_failing():
+    body = HttpCall("POST", "/append", bytes(40_000), "application/octet-stream")
+    client, path, relayed = make_client(link_mbps=10)
+    path.outcome = "silent"
+    assert (await send_beside(client, body, 0.3)).body == b"relayed"
+    assert relayed == [CALL]
+
+
 async def test_failing_path_is_probed_and_used_again():
     client, path, _ = make_client()
     path.outcome = 503
--- a/gypsumring/transport/tests/test_traffic.py
+++ b/gypsumring/transport/tests/test_traffic.py
@@ -68,6 +68,29 @@
     assert traffic.summarize(1.0) is None
 
 
+async def test_repeats_use_up_a_credit_that_first_sends_earn():
+    traffic = LinkTraffic(Metrics(), 8)
+    assert traffic.spend_repeat(250_000)
+    assert not traffic.spend_repeat(60_000)
+    traffic.record_sent(300_000, Purpose.RECORDS)
+    assert not traffic.spend_repeat(50_000), "the first copy has not left the machine"
+    await anyio.sleep(0.3)
+    assert traffic.spend_repeat(60_000)
+    assert not traffic.spend_repeat(60_000)
+    await anyio.sleep(1.0)
+    assert traffic.spend_repeat(50_000)
+    assert traffic.metrics.counters["traffic.repeats_deferred"] == 3
+
+
+async def test_repeat_that_exceeds_all_credit_is_sent_once_the_credit_is_full():
+    traffic = LinkTraffic(Metrics(), 2)
+    assert traffic.spend_repeat(250_000)
+    await anyio.sleep(5)
+    assert not traffic.spend_repeat(250_000)
+    await anyio.sleep(30)
+    assert traffic.spend_repeat(250_000)
+
+
 def test_messages_between_nodes_declare_their_purpose():
     assert find_purpose(Ping()) is Purpose.LIVENESS
     assert find_purpose(QueryJob("00")) is Purpose.QUERIES
--- a/gypsumring/transport/traffic.py
+++ b/gypsumring/transport/traffic.py
@@ -22,6 +22,15 @@
 BYTES_PER_S_PER_MBPS = 1_000_000 / 8
 # A link counts as busy if it has carried this share of what it can carry.
 BUSY_SHARE = 0.3
+# Repeats may take this share of the bytes that are sent first, and in addition this
+# share of what the link carries. Unused credit is kept for as much as the link carries
+# in MAX_REPEAT_CREDIT_S.
+REPEAT_SHARE = 0.2
+REPEAT_LINK_SHARE = 0.05
+MAX_REPEAT_CREDIT_S = 0.25
+# Nothing is repeated while the queue at the link is longer than this: the first copy
+# may still be in it.
+MAX_REPEAT_BACKLOG_S = 0.05
 
 
 class Purpose(enum.StrEnum):
@@ -51,6 +60,8 @@
     OTHER = "other"
 
 
+REPEATS = (Purpose.RECORDS_REPEATED, Purpose.STARTS_REPEATED)
+
 current_purpose: ContextVar[Purpose] = ContextVar("purpose", default=Purpose.OTHER)
 
 
@@ -76,6 +87,8 @@
         "longest_send_s",
         "metrics",
         "received_bytes",
+        "repeat_credit",
+        "repeat_credit_at",
         "sent_bytes",
     )
 
@@ -86,6 +99,9 @@
             self.bytes_per_s = link_mbps * BYTES_PER_S_PER_MBPS
         # When all bytes sent so far have left the machine, by the rate of its link.
         self.idle_at = 0.0
+        # Bytes that may be repeated, as of a time.
+        self.repeat_credit = MAX_REPEAT_CREDIT_S * self.bytes_per_s
+        self.repeat_credit_at = 0.0
         # Bytes since the last summary, by purpose, and the longest time for which the
         # kernel did not accept a message about liveness.
         self.sent_bytes: Counter[Purpose] = Counter()
@@ -100,6 +116,8 @@
         self.metrics.count(f"traffic.sent_messages.{purpose}")
         now = anyio.current_time()
         self.idle_at = max(self.idle_at, now) + self.transfer_s(size)
+        if purpose not in REPEATS:
+            self.repeat_credit += REPEAT_SHARE * size
 
     def record_received(self, size: int, purpose: Purpose | None = None) -> None:
         """Record bytes that were received, by default for the current purpose."""
@@ -119,6 +137,32 @@
         """Return the time until the bytes sent so far have left the machine."""
         return max(0.0, self.idle_at - anyio.current_time())
 
+    def send_s(self, size: int) -> float:
+        """Return the time until a message that is sent now has left the machine."""
+        return self.backlog_s() + self.transfer_s(size)
+
+    def spend_repeat(self, size: int) -> bool:
+        """Return whether a message may be sent again now; this uses up credit.
+
+        A message that is larger than all credit may be repeated too, but delays others.
+        """
+        if math.isinf(self.bytes_per_s):
+            return True
+        now = anyio.current_time()
+        limit = MAX_REPEAT_CREDIT_S * self.bytes_per_s
+        earned = (now - self.repeat_credit_at) * REPEAT_LINK_SHARE * self.bytes_per_s
+        self.repeat_credit = min(self.repeat_credit + earned, limit)
+        self.repeat_credit_at = now
+        is_allowed = (
+            self.backlog_s() <= MAX_REPEAT_BACKLOG_S
+            and self.repeat_credit >= min(size, limit)
+        )
+        if is_allowed:
+            self.repeat_credit -= size
+        else:
+            self.metrics.count("traffic.repeats_deferred")
+        return is_allowed
+
     def summarize(self, period_s: float) -> dict[str, object] | None:
         """Return the bytes since the last summary if the link was busy, else None.
 
