Send the table of nodes to those that have another one, not with each change

Cause: each node that came to an owner, or left it for a moment, changed the version of the table, and each change was sent in full to all nodes: the square of the fleet's size, on the link of one machine.

Change: the version is a digest of the content. A new owner begins with the table that it has followed with, a node that leaves is listed for 5 s, changes of 0.5 s are published together, and a table waits for a later ping while the link has a queue. Older builds send and receive the same messages.

Measured: a takeover in a model of 38 nodes sent 38 tables, and sends at most 3 now (test_node_table).

--- a/gypsumring/node/node.py
+++ b/gypsumring/node/node.py
@@ -36,6 +36,7 @@
 from gypsumring.node.forwarding import Command, Forwarder
 from gypsumring.node.link import OwnerLink
 from gypsumring.node.membership import Member, Membership
+from gypsumring.node.node_table import NodeTable
 from gypsumring.node.relay import StoreRelay
 from gypsumring.platform import (
     DESIRED_STATE_KEY,
@@ -69,6 +70,8 @@
 NODES_TOPIC = "keyed.nodes"
 MIN_MEMBERSHIP_S = 1.0
 GAUGE_PERIOD_S = 1.0
+# The table of nodes is not sent while the queue at the link is longer than this.
+MAX_TABLE_BACKLOG_S = 0.02
 # A timer that fires later than this is logged: the process gets too little of its core.
 LATE_TIMER_S = 0.1
 # A node without a link to an owner for this time reports that it is not ready.
@@ -90,8 +93,7 @@
         "link",
         "membership",
         "metrics",
-        "nodes_version",
-        "peer_addresses",
+        "node_table",
         "peer_sizes",
         "peer_voters",
         "peers",
@@ -126,16 +128,14 @@
         self.policy = policy
         self.metrics = metrics
         self.stopping = False
-        # Channels that other nodes have opened to this node, and the addresses on which
-        # those nodes listen, by node name.
+        # Channels that other nodes have opened to this node, by node name.
         self.peers: dict[str, Channel] = {}
-        self.peer_addresses: dict[str, str] = {}
+        self.node_table = NodeTable()
         # Machine sizes of those nodes, by node name.
         self.peer_sizes: dict[str, int] = {}
         # Processes of those nodes that vote, by node name.
         self.peer_voters: dict[str, Voter] = {}
         self.votes = VoteRegister()
-        self.nodes_version = unix_ms()
         self.desired = DesiredStateWatch(
             store, DESIRED_STATE_TOPIC, DESIRED_STATE_KEY, decode_desired_state
         )
@@ -221,6 +221,8 @@
         From now on this node votes for no earlier owner.
         """
         self.link.promised_fence = max(self.link.promised_fence, fence)
+        self.node_table.add(self.settings.node, self.settings.peer_address)
+        self.node_table.inherit(self.link.node_addresses)
         return CellOwner(
             self.store,
             CELL_TOPIC,
@@ -337,10 +339,9 @@
         """Discard the entry of a peer whose channel has ended."""
         if self.peers.get(channel.peer) is channel:
             del self.peers[channel.peer]
-            del self.peer_addresses[channel.peer]
             del self.peer_sizes[channel.peer]
             self.peer_voters.pop(channel.peer, None)
-            self.nodes_version += 1
+            self.node_table.remove(channel.peer)
 
     async def handle(self, channel: Channel, message: Any) -> Any:
         """Return the reply to a message of a peer."""
@@ -354,9 +355,8 @@
                         node, message.incarnation, address, message.data_centre
                     )
                 self.peers[node] = channel
-                self.peer_addresses[node] = address
-                self.nodes_version += 1
-                return self.make_pong(self.nodes_version)
+                self.node_table.add(node, address)
+                return self.make_pong()
             case Ping(nodes_version=version, vote=vote):
                 if vote is not None:
                     self.votes.record(
@@ -366,10 +366,10 @@
             case Announce():
                 await self.link.record_announced_owner(message)
                 await self.membership.stop_superseded(message.fence)
-                return self.make_pong(self.nodes_version)
+                return self.make_pong()
             case ReportOwner():
                 await self.link.record_report(message)
-                return self.make_pong(self.nodes_version)
+                return self.make_pong()
             case AskPolicy():
                 return await self.answer_policy(message)
             case RelayCall():
@@ -379,8 +379,12 @@
         log.warning("unexpected message", kind=type(message).__name__)
         return None
 
-    def make_pong(self, known_version: int) -> Pong:
-        """Return a reply that states the owner and, if changed, its list of nodes."""
+    def make_pong(self, known_version: int | None = None) -> Pong:
+        """Return a reply that states the owner and, if they differ, its table of nodes.
+
+        Tables are sent to all nodes at about the same time. While the link has a queue,
+        they are left to the answers to later pings.
+        """
         owner = self.membership.active_owner()
         if owner is None:
             return Pong(
@@ -389,12 +393,18 @@
                 self.link.owner_address,
                 sent_at=self.clock(),
             )
+        self.node_table.refresh()
+        version = self.node_table.version
+        is_sent = (
+            known_version not in (None, version)
+            and self.traffic.backlog_s() <= MAX_TABLE_BACKLOG_S
+        )
         return Pong(
             True,
             owner.fence,
             self.settings.peer_address,
-            self.nodes_version,
-            None if known_version == self.nodes_version else self.peer_addresses,
+            version,
+            self.node_table.published if is_sent else None,
             self.clock(),
         )
 
--- /dev/null
+++ b/gypsumring/node/tests/test_node_table.py
@@ -0,0 +1,85 @@
+"""The table of nodes is sent to nodes that have another one, and to no others."""
+
+import anyio
+
+from gypsumring.node.node_table import RETENTION_S, NodeTable
+from gypsumring.utils.testing import make_load_tests
+from stand_ins.platform.fleet import running_fleet
+
+
+def make_table(names):
+    """Return a published table of some nodes."""
+    table = NodeTable()
+    for name in names:
+        table.add(name, f"{name}:1")
+    table.refresh()
+    return table
+
+
+async def test_equal_tables_have_the_same_version():
+    assert make_table("abc").version == make_table("cab").version
+    assert make_table("abc").version != make_table("ab").version
+    assert make_table("").version > 0
+
+
+async def test_node_that_returns_at_the_same_address_changes_nothing():
+    # A follower that had left an owner for a moment and came back changed the version
+    # twice, and each change was sent to all 96 nodes.
+    table = make_table("abc")
+    version = table.version
+    table.remove("b")
+    await anyio.sleep(RETENTION_S - 1)
+    table.refresh()
+    table.add("b", "b:1")
+    await anyio.sleep(RETENTION_S + 1)
+    table.refresh()
+    assert table.version == version
+
+
+async def test_node_that_has_left_is_dropped():
+    table = make_table("abc")
+    table.remove("b")
+    await anyio.sleep(RETENTION_S)
+    table.refresh()
+    assert table.published == {"a": "a:1", "c": "c:1"}
+
+
+async def test_changes_are_published_together():
+    table = make_table("a")
+    versions = set()
+    for number in range(100):
+        table.add(f"n{number}", "address")
+        table.refresh()
+        versions.add(table.version)
+        await anyio.sleep(0.01)
+    assert len(versions) <= 3
+
+
+async def test_inherited_nodes_are_listed_until_they_are_known_to_have_left():
+    table = NodeTable()
+    table.inherit(make_table("abc").published)
+    assert table.version == make_table("abc").version
+    table.add("a", "a:1")
+    await anyio.sleep(RETENTION_S)
+    table.refresh()
+    assert table.published == {"a": "a:1"}
+
+
+async def test_takeover_sends_no_tables_to_nodes_that_followed_the_earlier_owner():
+    # A new owner began with an empty table, and sent it to all nodes with each of them
+    # that came: 0.5 MB/s on a link of 1.25 MB/s.
+    async with running_fleet(38) as fleet:
+        await anyio.sleep(5.0)
+        owner = fleet.owner()
+        fleet.clear_calls()
+        owner.kill()
+        owner.start()
+        assert await fleet.wait_until_settled(3.0) is not None
+        assert fleet.owner() is not owner
+        await anyio.sleep(2 * RETENTION_S)
+        tables = sum(machine.calls["table"] for machine in fleet.running())
+        # The restarted node knows no table.
+        assert tables <= 3, tables
+
+
+load_tests = make_load_tests(globals())
--- a/stand_ins/platform/fleet.py
+++ b/stand_ins/platform/fleet.py
@@ -18,6 +18,7 @@
 import anyio.abc
 import msgspec
 
+from gypsumring.cell.messages import Pong
 from gypsumring.metrics import Metrics
 from gypsumring.node.node import CELL_TOPIC, GROUP, Node
 from gypsumring.settings.node import NodeSettings
@@ -186,6 +187,8 @@
         if far_end.closed or far.node is None:
             return
         reply = await far.node.handle(far_end, message)
+        if isinstance(reply, Pong) and reply.nodes is not None:
+            far.calls["table"] += 1
         await anyio.sleep(LATENCY_S + fleet.draw_delay_s(near))
         if reply is None or far.is_lost(near):
             return
