Start tasks as the link carries their orders, and refuse what it cannot carry

Cause: bulk on a full link has no place in which it waits, so that it waits before what is urgent, and accepting a job did not ask whether its starts can be sent.

Change: a start is sent while the estimated queue at the link is at most 0.03 s, and repeated only from the credit of repeats. The scheduler places no more while the starts that wait need the link for 0.5 s. A submission is refused, before anything is written, while the starts before it, of its priority and higher ones, need the link for longer than the target time of its queue, at least 1 s. Work that waits for executors does not count. Where the rate of the link is unknown nothing changes.

--- a/gypsumring/cell/commands.py
+++ b/gypsumring/cell/commands.py
@@ -18,6 +18,7 @@
 # The store counts as unavailable if it has not answered an append for this time.
 STORE_UNAVAILABLE_S = 0.5
 STORE_RETRY_AFTER_S = 1.0
+MIN_LINK_RETRY_AFTER_S = 1.0
 # Share of a caller's time for which a submission waits for a store that is unavailable.
 # The rest is left for retries.
 STORE_WAIT_SHARE = 0.45
@@ -67,7 +68,14 @@
             return JobAnswer(Outcome.OTHER_ACCOUNT)
         if job_id in self.state.table.jobs:
             return JobAnswer(Outcome.OK)
-        submission = self.accepting.get(job_id) or self.accept(spec, queue)
+        submission = self.accepting.get(job_id)
+        if submission is None:
+            known_queue = queue or self.state.queues.find(spec)
+            excess_s = self.state.start_demand.excess_s(known_queue)
+            if excess_s:
+                return self.refuse_for_link(spec, excess_s)
+            self.state.start_demand.add(spec, known_queue.priority)
+            submission = self.accept(spec, queue)
         await wait_until(submission.settled, began_at + STORE_WAIT_SHARE * time_left_s)
         if not submission.settled.is_set() and self.is_store_unavailable():
             self.withdraw(submission)
@@ -85,6 +93,20 @@
         )
         return JobAnswer(Outcome.UNCERTAIN)
 
+    def refuse_for_link(self, spec: PipelineSpec, excess_s: float) -> JobAnswer:
+        """Refuse a job whose starts the link of this machine cannot carry in time."""
+        self.state.metrics.count("cell.jobs.refused.link_full")
+        log.info(
+            "job refused",
+            job=spec.job_id,
+            queue=spec.queue,
+            reason="the link of the owner is full",
+            excess_s=round(excess_s, 3),
+        )
+        return JobAnswer(
+            Outcome.REFUSED, retry_after_s=max(MIN_LINK_RETRY_AFTER_S, excess_s)
+        )
+
     def is_store_unavailable(self) -> bool:
         """Return whether the store has left an append unanswered for too long."""
         return self.state.journal.unanswered_s() > STORE_UNAVAILABLE_S
--- a/gypsumring/cell/journal.py
+++ b/gypsumring/cell/journal.py
@@ -24,7 +24,7 @@
 MAX_BATCH_BYTES = 512 * 1024
 # An append takes the link of the machine for at most about this time, so that other
 # messages do not wait for long behind it, unless a single record takes longer.
-MAX_BATCH_TRANSFER_S = 0.1
+MAX_BATCH_TRANSFER_S = 0.05
 # Stores take records of 256 KB. A larger one would be repeated before all others.
 MAX_RECORD_BYTES = 256 * 1024
 # Bytes of a record beside its key and value.
--- a/gypsumring/cell/orders.py
+++ b/gypsumring/cell/orders.py
@@ -5,6 +5,7 @@
 from gypsumring.cell.crashes import CrashAttribution
 from gypsumring.cell.exceptions import OwnershipLost
 from gypsumring.cell.order_slots import OrderSlots
+from gypsumring.cell.start_demand import start_bytes
 from gypsumring.cell.state import CellState
 from gypsumring.fleet import MAX_ORDER_DELAY_S, ExecutorState
 from gypsumring.pipelines import Run, RunState
@@ -56,9 +57,12 @@
 
     def start(self, run: Run, ticket: str) -> None:
         """Start an attempt in a background task."""
-        self.crashes.record_start(
-            run, lambda: self.state.group.start_soon(self.start_run, run, ticket)
-        )
+        self.crashes.record_start(run, lambda: self.begin_start(run, ticket))
+
+    def begin_start(self, run: Run, ticket: str) -> None:
+        """Start the background task that sends the start of an attempt."""
+        self.state.start_demand.unsent_bytes += start_bytes(run.step.job.spec)
+        self.state.group.start_soon(self.start_run, run, ticket)
 
     def stop(self, run: Run) -> None:
         """Stop an attempt in a background task, unless it is stopping already."""
@@ -129,11 +133,16 @@
     async def start_run(self, run: Run, ticket: str) -> None:
         """Send a start until it is answered or the attempt is not starting any more."""
         pause_s: float | None = 0.0
-        while pause_s is not None:
-            if pause_s:
-                await anyio.sleep(pause_s)
-            async with self.start_slots.reserve(run.executor_id):
-                pause_s = await self.try_start(run, ticket)
+        try:
+            while pause_s is not None:
+                if pause_s:
+                    await anyio.sleep(pause_s)
+                async with self.start_slots.reserve(run.executor_id):
+                    await self.state.traffic.wait_for_room()
+                    pause_s = await self.try_start(run, ticket)
+        finally:
+            if not run.was_sent:
+                self.state.start_demand.unsent_bytes -= start_bytes(run.step.job.spec)
 
     def may_start(self, run: Run, executor: ExecutorState) -> bool:
         """Return whether a start may be sent; withdraw or stop one that is obsolete."""
@@ -167,13 +176,24 @@
             or not self.state.authority.may_extend_leases(now)
         ):
             return RETRY_PAUSE_S
+        traffic = self.state.traffic
+        if run.unanswered_orders and not traffic.spend_repeat(
+            start_bytes(run.step.job.spec)
+        ):
+            return RETRY_PAUSE_S
         client = self.state.clients[run.executor_id]
         order = self.make_start(run, executor, ticket, now)
         sent_at = anyio.current_time()
         sent_clock = self.state.clock()
-        deadline = sent_at + ORDER_TIMEOUT_S
+        deadline = (
+            sent_at + ORDER_TIMEOUT_S + traffic.send_s(start_bytes(run.step.job.spec))
+        )
         run.start_sent_by = float("inf")
-        run.was_sent = True
+        if not run.was_sent:
+            run.was_sent = True
+            self.state.start_demand.unsent_bytes -= start_bytes(run.step.job.spec)
+        if not run.unanswered_orders:
+            traffic.reserve(start_bytes(run.step.job.spec))
         try:
             with sending_for(
                 Purpose.STARTS_REPEATED if run.unanswered_orders else Purpose.STARTS
--- a/gypsumring/cell/scheduling.py
+++ b/gypsumring/cell/scheduling.py
@@ -54,6 +54,7 @@
         "accepting_executors",
         "backlog",
         "caps",
+        "deferred",
         "evaluated_at",
         "orders",
         "policy_client",
@@ -78,6 +79,8 @@
         self.backlog = Backlog(state.find_queue)
         self.caps = CapLimiter(state)
         self.preemption = Preemption(state, orders, self.find_usable, self.caps)
+        # Steps that wait for the next pass, as the link has no room for more starts.
+        self.deferred: set[Step] = set()
         # Reservations for large tasks, by executor id.
         self.reserved: dict[str, Reservation] = {}
         # Time of the last evaluation of the whole fleet.
@@ -114,10 +117,17 @@
         if now - self.evaluated_at >= EVALUATION_PERIOD_S:
             self.evaluated_at = now
             self.evaluate_fleet(now)
-        due_steps = set(self.backlog.pop_due_steps(now))
+        due_steps = self.deferred.union(self.backlog.pop_due_steps(now))
+        self.deferred = set()
+        link_deferred: list[tuple[Step, Queue]] = []
         freed_executors = self.state.pop_freed_executors()
         candidate_steps = self.backlog.find_steps_for_capacity(freed_executors)
-        for step, queue in self.backlog.order(due_steps.union(candidate_steps), now):
+        ordered = self.backlog.order(due_steps.union(candidate_steps), now)
+        for step, queue in ordered:
+            if self.state.start_demand.is_link_full():
+                link_deferred.append((step, queue))
+                self.deferred.add(step)
+                continue
             try:
                 self.backlog.record_evaluation(step, now)
                 if step in due_steps:
@@ -134,6 +144,7 @@
                 self.state.metrics.count("cell.placements.failed")
                 log.error("placement failed", step=step.name, **describe_error(error))
                 self.backlog.reschedule(step, now)
+        self.state.start_demand.review(link_deferred)
 
     def evaluate_step(self, step: Step, queue: Queue, now: float) -> None:
         """Place the pending tasks of a step or query the policy service about them.
--- a/gypsumring/cell/state.py
+++ b/gypsumring/cell/state.py
@@ -11,6 +11,7 @@
 from gypsumring.cell.authority import Authority
 from gypsumring.cell.journal import Journal
 from gypsumring.cell.queues import QueueRegistry
+from gypsumring.cell.start_demand import StartDemand
 from gypsumring.fleet import ExecutorState, FleetKnowledge
 from gypsumring.metrics import Metrics
 from gypsumring.pipelines import (
@@ -104,6 +105,7 @@
         "metrics",
         "owned_since",
         "queues",
+        "start_demand",
         "table",
         "timing",
         "traffic",
@@ -125,6 +127,7 @@
         traffic: LinkTraffic | None = None,
     ):
         self.traffic = traffic or LinkTraffic(metrics)
+        self.start_demand = StartDemand(self.traffic)
         self.fence = fence
         self.journal = journal
         self.desired_state = desired_state
--- a/gypsumring/transport/traffic.py
+++ b/gypsumring/transport/traffic.py
@@ -31,6 +31,8 @@
 # Nothing is repeated while the queue at the link is longer than this: the first copy
 # may still be in it.
 MAX_REPEAT_BACKLOG_S = 0.05
+# Messages of bulk are sent while the queue at the link is no longer than this.
+MAX_BULK_BACKLOG_S = 0.03
 
 
 class Purpose(enum.StrEnum):
@@ -61,6 +63,8 @@
 
 
 REPEATS = (Purpose.RECORDS_REPEATED, Purpose.STARTS_REPEATED)
+# Messages whose room at the link was reserved before they are sent.
+RESERVED = (Purpose.STARTS,)
 
 current_purpose: ContextVar[Purpose] = ContextVar("purpose", default=Purpose.OTHER)
 
@@ -82,6 +86,7 @@
     """
 
     __slots__ = (
+        "bulk_lock",
         "bytes_per_s",
         "idle_at",
         "longest_send_s",
@@ -97,6 +102,8 @@
         self.bytes_per_s = math.inf
         if link_mbps:
             self.bytes_per_s = link_mbps * BYTES_PER_S_PER_MBPS
+        # The first message of bulk that waits is sent first.
+        self.bulk_lock = anyio.Lock()
         # When all bytes sent so far have left the machine, by the rate of its link.
         self.idle_at = 0.0
         # Bytes that may be repeated, as of a time.
@@ -114,8 +121,8 @@
         self.sent_bytes[purpose] += size
         self.metrics.count(f"traffic.sent_bytes.{purpose}", size)
         self.metrics.count(f"traffic.sent_messages.{purpose}")
-        now = anyio.current_time()
-        self.idle_at = max(self.idle_at, now) + self.transfer_s(size)
+        if purpose not in RESERVED:
+            self.reserve(size)
         if purpose not in REPEATS:
             self.repeat_credit += REPEAT_SHARE * size
 
@@ -141,6 +148,22 @@
         """Return the time until a message that is sent now has left the machine."""
         return self.backlog_s() + self.transfer_s(size)
 
+    def reserve(self, size: int) -> None:
+        """Add a message that is about to be sent to the queue at the link."""
+        now = anyio.current_time()
+        self.idle_at = max(self.idle_at, now) + self.transfer_s(size)
+
+    async def wait_for_room(self) -> None:
+        """Wait until the link has room for a message of bulk.
+
+        The caller reserves the room, without a pause in between, if it still sends.
+        """
+        if math.isinf(self.bytes_per_s):
+            return
+        async with self.bulk_lock:
+            while (room_at := self.idle_at - MAX_BULK_BACKLOG_S) > anyio.current_time():
+                await anyio.sleep_until(room_at)
+
     def spend_repeat(self, size: int) -> bool:
         """Return whether a message may be sent again now; this uses up credit.
 
