Bound the time of a scheduling pass

Cause: a pass evaluates all due steps at once, on a machine with half a core.

Change: a pass ends after 0.05 s of evaluations; the steps that it had no time for go first in the next one, oldest first. The whole fleet is evaluated in a tenth of the time at most. A pass of more than 0.1 s is logged, with its parts.

--- a/gypsumring/cell/scheduling.py
+++ b/gypsumring/cell/scheduling.py
@@ -40,6 +40,12 @@
 # The scheduler waits at least this many times the duration of a pass before the next
 # one, so that the event loop has time for other tasks.
 BATCH_DELAY_FACTOR = 4.0
+# Steps that are not evaluated in this time go first in the next pass: nodes leave an
+# owner that does not answer their pings for as long as a long pass takes.
+MAX_PASS_S = 0.05
+# The whole fleet is evaluated at most in this share of the time.
+MAX_FLEET_SHARE = 0.1
+LONG_PASS_S = 0.1
 # Tasks with checkpoints are stopped this long before their executor leaves, plus the
 # time that a stop takes.
 EVACUATION_LEAD_S = 0.5
@@ -55,8 +61,9 @@
         "backlog",
         "caps",
         "deferred",
-        "evaluated_at",
+        "evaluate_fleet_at",
         "orders",
+        "overdue",
         "policy_client",
         "preemption",
         "probed_executors",
@@ -79,12 +86,14 @@
         self.backlog = Backlog(state.find_queue)
         self.caps = CapLimiter(state)
         self.preemption = Preemption(state, orders, self.find_usable, self.caps)
-        # Steps that wait for the next pass, as the link has no room for more starts.
+        # Steps that wait for the next pass: those whose starts the link has no room
+        # for, and those that the last pass had no time for, the oldest first.
         self.deferred: set[Step] = set()
+        self.overdue: dict[Step, None] = {}
         # Reservations for large tasks, by executor id.
         self.reserved: dict[str, Reservation] = {}
-        # Time of the last evaluation of the whole fleet.
-        self.evaluated_at = float("-inf")
+        # Time of the next evaluation of the whole fleet.
+        self.evaluate_fleet_at = float("-inf")
         # Executors that accepted work at the last evaluation of the fleet, by service.
         self.accepting_executors: dict[str, list[ExecutorState]] = {}
         # Executors in quarantine that could be probed then, by service.
@@ -114,20 +123,31 @@
         now = anyio.current_time()
         self.state.table.open_due_occurrences(now)
         self.backlog.refresh(self.state.table.pop_changed_steps(), now)
-        if now - self.evaluated_at >= EVALUATION_PERIOD_S:
-            self.evaluated_at = now
+        if now >= self.evaluate_fleet_at:
             self.evaluate_fleet(now)
+            fleet_s = anyio.current_time() - now
+            self.evaluate_fleet_at = now + max(
+                EVALUATION_PERIOD_S, fleet_s / MAX_FLEET_SHARE
+            )
         due_steps = self.deferred.union(self.backlog.pop_due_steps(now))
-        self.deferred = set()
+        overdue, self.overdue, self.deferred = self.overdue, {}, set()
         link_deferred: list[tuple[Step, Queue]] = []
         freed_executors = self.state.pop_freed_executors()
         candidate_steps = self.backlog.find_steps_for_capacity(freed_executors)
-        ordered = self.backlog.order(due_steps.union(candidate_steps), now)
+        ordered = self.backlog.list_rows(overdue)
+        due_steps.update(overdue)
+        ordered += self.backlog.order(
+            due_steps.union(candidate_steps).difference(overdue), now
+        )
+        ordered_at = anyio.current_time()
         for step, queue in ordered:
             if self.state.start_demand.is_link_full():
                 link_deferred.append((step, queue))
                 self.deferred.add(step)
                 continue
+            if anyio.current_time() > ordered_at + MAX_PASS_S:
+                self.overdue[step] = None
+                continue
             try:
                 self.backlog.record_evaluation(step, now)
                 if step in due_steps:
@@ -145,6 +165,22 @@
                 log.error("placement failed", step=step.name, **describe_error(error))
                 self.backlog.reschedule(step, now)
         self.state.start_demand.review(link_deferred)
+        self.log_long_pass(now, ordered_at, len(ordered))
+
+    def log_long_pass(self, began_at: float, ordered_at: float, steps: int) -> None:
+        """Log a pass for which the process has answered nothing else for long."""
+        took_s = anyio.current_time() - began_at
+        self.state.metrics.record_seconds("cell.pass", took_s)
+        if took_s < LONG_PASS_S:
+            return
+        log.warning(
+            "scheduling pass is long",
+            took_ms=round(took_s * 1000),
+            before_steps_ms=round((ordered_at - began_at) * 1000),
+            step_count=steps,
+            overdue=len(self.overdue),
+            waiting=len(self.backlog.waiting),
+        )
 
     def evaluate_step(self, step: Step, queue: Queue, now: float) -> None:
         """Place the pending tasks of a step or query the policy service about them.
