Keep the pages of a takeover that were read, and give each page its own time limit

On a link of 10 Mbit/s the read of 2,880 records at a takeover took 10 s; on a slower one 12.7 s.

Cause: the newest records were read in one call of 5 s, which began again from the first page when it ran out, or when any page was lost, on the link that was full.

Change: the port has a read of one page, which begins after a key. The owner keeps the pages that it has, and asks for the next one again. The limit of 5 s is that of one page; it is doubled by a failure, and the next page has at least twice the time that the one before took. The log is fenced before, so that the pages are consistent.

--- a/gypsumring/cell/owner.py
+++ b/gypsumring/cell/owner.py
@@ -64,10 +64,11 @@
 
 # Attempt numbers of a term are lower than those of the next term.
 ATTEMPTS_PER_TERM = 100_000
-# Time limit of the first attempt to read the records; each further one has twice the
-# time, as many records on a slow link may need it.
-READ_TIMEOUT_S = 5.0
-MAX_READ_TIMEOUT_S = 80.0
+# Time limit of one page of the records. It is doubled after each failure, as a page of
+# 1 MB may need it on a slow link; the next page has at least twice the time that the
+# one before it took.
+PAGE_TIMEOUT_S = 5.0
+MAX_PAGE_TIMEOUT_S = 80.0
 # The store counts as slow if appends take longer than this.
 SLOW_APPEND_S = 0.1
 RETRY_PAUSE_S = 0.1
@@ -287,23 +288,36 @@
         )
 
     async def read_records(self) -> list[KeyedRecord]:
-        """Read the newest record of each key, retrying until the store answers."""
-        timeout_s = READ_TIMEOUT_S
-        while True:
+        """Read the newest record of each key, retrying until the store answers.
+
+        The pages that were read are kept when the next one fails. They are consistent,
+        as nobody but this owner appends once the log is fenced.
+        """
+        records: list[KeyedRecord] = []
+        next_key: str | None = ""
+        timeout_s = PAGE_TIMEOUT_S
+        while next_key is not None:
+            sent_at = anyio.current_time()
             try:
                 with sending_for(Purpose.TAKEOVER):
-                    records, _ = await self.store.newest(
-                        self.topic, self.partition, anyio.current_time() + timeout_s
+                    page = await self.store.read_newest_page(
+                        self.topic, self.partition, next_key, sent_at + timeout_s
                     )
-                return records
             except (StoreUnavailable, StoreRefused) as error:
                 log.warning(
                     "reading the cell's records failed",
                     cell=self.partition,
+                    records=len(records),
                     error=str(error),
                 )
-                timeout_s = min(2 * timeout_s, MAX_READ_TIMEOUT_S)
+                timeout_s = min(2 * timeout_s, MAX_PAGE_TIMEOUT_S)
                 await anyio.sleep(RETRY_PAUSE_S)
+                continue
+            records += page.records
+            next_key = page.next_key
+            took_s = anyio.current_time() - sent_at
+            timeout_s = min(max(PAGE_TIMEOUT_S, 2 * took_s), MAX_PAGE_TIMEOUT_S)
+        return records
 
     def restore_lease(self, value: bytes | None) -> None:
         """Set the longest lease that earlier owners may have requested."""
--- a/gypsumring/platform/store.py
+++ b/gypsumring/platform/store.py
@@ -14,6 +14,7 @@
     Assignment,
     KeyedRecord,
     LogBatch,
+    NewestPage,
     Producer,
     SequenceMismatch,
     StoreRefused,
@@ -222,30 +223,34 @@
         self, topic: str, partition: int, deadline: float
     ) -> tuple[list[KeyedRecord], int]:
         """Return the newest record of each key and the end offset before the read."""
-        records: list[KeyedRecord] = []
-        initial_end_offset = None
-        query: dict[str, str | int] = {"topic": topic, "part": partition}
-        while True:
-            response = await self.call(
-                "GET",
-                "/-/log-newest",
-                deadline,
-                query,
-                reply_bytes=PAGE_BYTES,
+        page = await self.read_newest_page(topic, partition, "", deadline)
+        records, end_offset = page.records, page.end_offset
+        while page.next_key is not None:
+            page = await self.read_newest_page(
+                topic, partition, page.next_key, deadline
             )
-            if response.status != 200:
-                raise StoreUnavailable(
-                    f"read of newest records answered with status {response.status}"
-                )
-            reply = decode_reply(response, NewestReply)
-            if initial_end_offset is None:
-                initial_end_offset = reply.end_offset
-            for item in reply.items:
-                records.append(decode_item(item))
-            if not reply.has_more or not reply.items:
-                return records, initial_end_offset
+            records += page.records
+        return records, end_offset
+
+    async def read_newest_page(
+        self, topic: str, partition: int, after_key: str, deadline: float
+    ) -> NewestPage:
+        """Return one page of the newest records, from the keys after one on."""
+        query: dict[str, str | int] = {"topic": topic, "part": partition}
+        if after_key:
             # In this request, ``dependsOn`` is the last key of the previous page.
-            query["dependsOn"] = reply.items[-1].key
+            query["dependsOn"] = after_key
+        response = await self.call(
+            "GET", "/-/log-newest", deadline, query, reply_bytes=PAGE_BYTES
+        )
+        if response.status != 200:
+            raise StoreUnavailable(
+                f"read of newest records answered with status {response.status}"
+            )
+        reply = decode_reply(response, NewestReply)
+        records = [decode_item(item) for item in reply.items]
+        next_key = records[-1].key if reply.has_more and records else None
+        return NewestPage(reply.end_offset, records, next_key)
 
     async def read(
         self, topic: str, partition: int, offset: int, wait_s: float, deadline: float
--- a/gypsumring/ports/store.py
+++ b/gypsumring/ports/store.py
@@ -9,6 +9,7 @@
     "Assignment",
     "KeyedRecord",
     "LogBatch",
+    "NewestPage",
     "Producer",
     "SequenceMismatch",
     "Store",
@@ -59,6 +60,22 @@
         self.value = value
 
 
+class NewestPage:
+    """Newest records of some keys of a partition, and its end offset at that time.
+
+    ``next_key`` is the key after which the next page begins; None on the last page.
+    """
+
+    __slots__ = ("end_offset", "next_key", "records")
+
+    def __init__(
+        self, end_offset: int, records: list[KeyedRecord], next_key: str | None
+    ):
+        self.end_offset = end_offset
+        self.records = records
+        self.next_key = next_key
+
+
 class LogBatch:
     """Records of one read and the end offset of the partition."""
 
@@ -104,6 +121,15 @@
     ) -> tuple[list[KeyedRecord], int]:
         """Return the newest record of each key and the end offset before the read."""
 
+    async def read_newest_page(
+        self, topic: str, partition: int, after_key: str, deadline: float
+    ) -> NewestPage:
+        """Return one page of ``newest``, from the keys after ``after_key`` on.
+
+        An empty key begins the read. Pages are not a snapshot, so that the end offset
+        before the read is that of the first page.
+        """
+
     async def read(
         self, topic: str, partition: int, offset: int, wait_s: float, deadline: float
     ) -> LogBatch:
--- a/stand_ins/platform/fleet.py
+++ b/stand_ins/platform/fleet.py
@@ -21,6 +21,7 @@
 from gypsumring.cell.messages import Pong
 from gypsumring.metrics import Metrics
 from gypsumring.node.node import CELL_TOPIC, GROUP, Node
+from gypsumring.ports.store import NewestPage
 from gypsumring.settings.node import NodeSettings
 from gypsumring.transport import ChannelClosed, ConnectFailed, ConnectRefused
 from stand_ins.platform.faults import Faults
@@ -111,11 +112,13 @@
         await self.machine.wait_until_reachable(deadline)
         await super().pass_faults(deadline)
 
-    async def newest(self, topic: str, partition: int, deadline: float) -> Any:
-        """Return the newest records; those of the cell take time to read."""
-        if topic == CELL_TOPIC:
+    async def read_newest_page(
+        self, topic: str, partition: int, after_key: str, deadline: float
+    ) -> NewestPage:
+        """Return a page of records; those of the cell take time to read."""
+        if topic == CELL_TOPIC and not after_key:
             await self.machine.processor.receive(self.machine.fleet.cell_read_s)
-        return await super().newest(topic, partition, deadline)
+        return await super().read_newest_page(topic, partition, after_key, deadline)
 
 
 class StorePath:
--- a/stand_ins/platform/memory.py
+++ b/stand_ins/platform/memory.py
@@ -11,6 +11,7 @@
     Assignment,
     KeyedRecord,
     LogBatch,
+    NewestPage,
     Producer,
     StoreRefused,
     StoreUnavailable,
@@ -35,6 +36,8 @@
 APPEND_LATENCY_S = 0.004
 # The store accepts no larger records.
 MAX_RECORD_BYTES = 262_144
+# Largest number of records in a page of the newest records.
+PAGE_RECORDS = 500
 
 
 async def carry_out_late(faults: Faults, operation: Callable[[], Any]) -> None:
@@ -110,6 +113,18 @@
             await anyio.sleep(self.entries_delay_s)
         return self.model.newest(topic, partition)
 
+    async def read_newest_page(
+        self, topic: str, partition: int, after_key: str, deadline: float
+    ) -> NewestPage:
+        """Return one page of the newest records, from the keys after one on."""
+        await self.pass_faults(deadline)
+        records, end_offset = self.model.newest(topic, partition)
+        rest = [record for record in records if record.key > after_key]
+        rest.sort(key=lambda record: record.key)
+        page = rest[:PAGE_RECORDS]
+        next_key = page[-1].key if len(rest) > PAGE_RECORDS else None
+        return NewestPage(end_offset, page, next_key)
+
     async def read(
         self, topic: str, partition: int, offset: int, wait_s: float, deadline: float
     ) -> LogBatch:
