Trim the records of a job once its end is durable

Cause: the record of a job kept its payload of up to 4 KB, and its progress the checkpoints, until it was evicted, minutes after its end.

Steps are kept, since attempts that may still run are adopted and count for capacities and caps. A final progress has no checkpoints and failures; that of a completed job has no steps, which means that all are done; that of others keeps which tasks were done, and the suspects, as a crash beside one that still runs must not name another task.

A record without payload must never lead to a start. The trimmed record is queued only after the answer to the final progress; a job that was evicted meanwhile is skipped; a trimmed record without a final progress is deleted at a takeover; and an eviction waits while a progress is queued, in whose place the deletion would be written ahead of that of the job.

--- a/gypsumring/cell/owner.py
+++ b/gypsumring/cell/owner.py
@@ -36,6 +36,7 @@
     CellState,
     CellTiming,
 )
+from gypsumring.cell.trimming import RecordTrimmer
 from gypsumring.cell.voters import Electorate
 from gypsumring.cell.wait_monitor import WaitMonitor
 from gypsumring.fleet import ExecutorEntry
@@ -171,6 +172,7 @@
                 group.start_soon(self.directory.run)
                 group.start_soon(self.scheduler.run)
                 group.start_soon(self.evict_ended_jobs)
+                group.start_soon(RecordTrimmer(self.state).run)
                 group.start_soon(self.wait_monitor.run)
                 group.start_soon(Pacer(self.state).run)
         except* OwnershipLost as errors:
@@ -429,6 +431,11 @@
             self.state.metrics.count("cell.records.unreadable")
             log.error("job record cannot be decoded", job=job_id, error=str(error))
             return
+        if spec.trimmed and (progress is None or not progress.phase.is_final):
+            log.warning("record of an evicted job deleted", job=job_id)
+            self.state.journal.put(JOB_KEY + job_id, b"")
+            self.state.journal.put(PROGRESS_KEY + job_id, b"")
+            return
         waited_s = max(0.0, (self.state.wall_clock() - spec.accepted_ms) / 1000)
         job = self.state.table.add(
             spec, anyio.current_time() - waited_s, inherited=True
@@ -441,6 +448,8 @@
         if job.phase.is_final:
             job.ended_at = anyio.current_time()
             self.state.table.finish(job)
+            if not spec.trimmed:
+                self.state.untrimmed.append(job)
 
     def restore_executor(self, key: str, value: bytes) -> None:
         """Start polling an executor that an earlier owner has used."""
@@ -484,7 +493,11 @@
             ended = [
                 job_id
                 for job_id, job in self.state.table.jobs.items()
-                if job.ended_at is not None and now - job.ended_at > retention_s
+                if job.ended_at is not None
+                and now - job.ended_at > retention_s
+                # Its deletion would take the earlier place of a queued record, before
+                # the deletion of the job's record, which is never without a progress.
+                and PROGRESS_KEY + job_id not in self.state.journal.queue
             ]
             for job_id in ended:
                 del self.state.table.jobs[job_id]
--- a/gypsumring/cell/state.py
+++ b/gypsumring/cell/state.py
@@ -1,5 +1,6 @@
 """State shared by the components of a cell on the node that owns it."""
 
+from collections import deque
 from collections.abc import Callable
 
 import anyio
@@ -108,6 +109,7 @@
         "timing",
         "traffic",
         "unreconciled",
+        "untrimmed",
         "usage",
         "wall_clock",
     )
@@ -146,6 +148,8 @@
         # What was learned about executors and kinds of work, lost with the owner.
         self.knowledge = FleetKnowledge()
         self.clients: dict[str, TaskExecutor] = {}
+        # Jobs whose end is durable and whose record still has the payload.
+        self.untrimmed: deque[Job] = deque()
         # Executors with capacity that was released since the last evaluation.
         self.freed_executors: set[str] = set()
         # Executors whose entry is durable, so that a later owner polls them for tasks.
@@ -281,6 +285,7 @@
         def publish() -> None:
             job.durable_phase = phase
             if has_ended:
+                self.untrimmed.append(job)
                 self.log_ended(job)
             if on_durable is not None:
                 on_durable()
--- a/gypsumring/pipelines/model.py
+++ b/gypsumring/pipelines/model.py
@@ -103,6 +103,16 @@
     account: str = ""
     # Whether the account had exceeded its rate when it submitted the job.
     beyond_rate: bool = False
+    # Whether the job has ended and this record has lost its payload. Without a final
+    # progress beside it, such a job is never started.
+    trimmed: bool = False
+
+    def trim(self) -> "PipelineSpec":
+        """Return the record of the job after its end, without the payload.
+
+        The steps are kept: attempts may still run and count for capacities and caps.
+        """
+        return msgspec.structs.replace(self, payload="", trimmed=True)
 
 
 class PolicyTiming(msgspec.Struct, frozen=True):
--- a/gypsumring/pipelines/state.py
+++ b/gypsumring/pipelines/state.py
@@ -380,17 +380,23 @@
         return [run for step in self.steps for run in step.active_runs()]
 
     def progress(self) -> Progress:
-        """Return the durable state of the job."""
+        """Return the durable state of the job.
+
+        After the end, only what later owners need of attempts that may still run: which
+        tasks were not done, and which are suspects.
+        """
+        is_final = self.phase.is_final
         steps = [
             StepProgress(
                 step.number,
                 bytes(state == TaskState.DONE for state in step.states),
                 step.occurrence,
-                step.failures,
-                step.checkpoints,
+                {} if is_final else step.failures,
+                {} if is_final else step.checkpoints,
                 {index: suspect.record() for index, suspect in step.suspects.items()},
             )
             for step in self.steps
+            if self.phase is not JobPhase.COMPLETED
         ]
         return Progress(self.phase, steps, self.final_since_ms, self.opened)
 
