--- a/benchmarks/topics.py
+++ b/benchmarks/topics.py
@@ -20,6 +20,7 @@
     "requests": Topic("benchmarks.requests", True),
     "recovery": Topic("benchmarks.recovery", True),
     "takeover": Topic("benchmarks.takeover", True),
+    "takeover_reads": Topic("benchmarks.takeover_reads", True),
     "outage": Topic("benchmarks.outage", True),
     "placement": Topic("benchmarks.placement", False),
     "decisions": Topic("benchmarks.decisions", False),
--- a/stand_ins/platform/servers.py
+++ b/stand_ins/platform/servers.py
@@ -45,12 +45,16 @@
 
 
 class StoreApp:
-    """ASGI app of a store model; ``status`` other than 200 refuses all calls."""
+    """ASGI app of a store model; ``status`` other than 200 refuses all calls.
 
-    __slots__ = ("model", "status")
+    Pages of the newest records are so small by default that clients have to page.
+    """
 
-    def __init__(self, model: StoreModel):
+    __slots__ = ("model", "page_records", "status")
+
+    def __init__(self, model: StoreModel, page_records: int = 2):
         self.model = model
+        self.page_records = page_records
         self.status = 200
 
     async def __call__(self, scope: dict[str, Any], receive: Any, send: Any) -> None:
@@ -115,7 +119,7 @@
         return 200, {"offset": end - len(records), "endOffset": end}
 
     def newest(self, query: dict[str, str]) -> tuple[int, Any]:
-        """Return one page; pages hold two records so that clients have to page."""
+        """Return one page of the newest records."""
         records, end = self.model.newest(query["topic"], int(query["part"]))
         records.sort(key=lambda record: record.key)
         rest = [record for record in records if record.key > query.get("dependsOn", "")]
@@ -125,9 +129,10 @@
                 "value": base64.b64encode(record.value).decode(),
                 "offset": record.offset,
             }
-            for record in rest[:2]
+            for record in rest[: self.page_records]
         ]
-        return 200, {"items": items, "hasMore": len(rest) > 2, "endOffset": end}
+        has_more = len(rest) > len(items)
+        return 200, {"items": items, "hasMore": has_more, "endOffset": end}
 
     async def read(self, query: dict[str, str]) -> tuple[int, Any]:
         """Return the records from an offset on, waiting up to ``waitMs`` for one."""
