--- a/gypsumring/cell/owner.py
+++ b/gypsumring/cell/owner.py
@@ -36,6 +36,7 @@
     CellState,
     CellTiming,
 )
+from gypsumring.cell.trimming import RecordTrimmer
 from gypsumring.cell.voters import Electorate
 from gypsumring.cell.wait_monitor import WaitMonitor
 from gypsumring.fleet import ExecutorEntry
@@ -64,10 +65,11 @@
 
 # Attempt numbers of a term are lower than those of the next term.
 ATTEMPTS_PER_TERM = 100_000
-# Time limit of the first attempt to read the records; each further one has twice the
-# time, as many records on a slow link may need it.
-READ_TIMEOUT_S = 5.0
-MAX_READ_TIMEOUT_S = 80.0
+# Time limit of one page of the records. It is doubled after each failure, as a page of
+# 1 MB may need it on a slow link; the next page has at least twice the time that the
+# one before it took.
+PAGE_TIMEOUT_S = 5.0
+MAX_PAGE_TIMEOUT_S = 80.0
 # The store counts as slow if appends take longer than this.
 SLOW_APPEND_S = 0.1
 RETRY_PAUSE_S = 0.1
@@ -170,6 +172,7 @@
                 group.start_soon(self.directory.run)
                 group.start_soon(self.scheduler.run)
                 group.start_soon(self.evict_ended_jobs)
+                group.start_soon(RecordTrimmer(self.state).run)
                 group.start_soon(self.wait_monitor.run)
                 group.start_soon(Pacer(self.state).run)
         except* OwnershipLost as errors:
@@ -287,23 +290,36 @@
         )
 
     async def read_records(self) -> list[KeyedRecord]:
-        """Read the newest record of each key, retrying until the store answers."""
-        timeout_s = READ_TIMEOUT_S
-        while True:
+        """Read the newest record of each key, retrying until the store answers.
+
+        The pages that were read are kept when the next one fails. They are consistent,
+        as nobody but this owner appends once the log is fenced.
+        """
+        records: list[KeyedRecord] = []
+        next_key: str | None = ""
+        timeout_s = PAGE_TIMEOUT_S
+        while next_key is not None:
+            sent_at = anyio.current_time()
             try:
                 with sending_for(Purpose.TAKEOVER):
-                    records, _ = await self.store.newest(
-                        self.topic, self.partition, anyio.current_time() + timeout_s
+                    page = await self.store.read_newest_page(
+                        self.topic, self.partition, next_key, sent_at + timeout_s
                     )
-                return records
             except (StoreUnavailable, StoreRefused) as error:
                 log.warning(
                     "reading the cell's records failed",
                     cell=self.partition,
+                    records=len(records),
                     error=str(error),
                 )
-                timeout_s = min(2 * timeout_s, MAX_READ_TIMEOUT_S)
+                timeout_s = min(2 * timeout_s, MAX_PAGE_TIMEOUT_S)
                 await anyio.sleep(RETRY_PAUSE_S)
+                continue
+            records += page.records
+            next_key = page.next_key
+            took_s = anyio.current_time() - sent_at
+            timeout_s = min(max(PAGE_TIMEOUT_S, 2 * took_s), MAX_PAGE_TIMEOUT_S)
+        return records
 
     def restore_lease(self, value: bytes | None) -> None:
         """Set the longest lease that earlier owners may have requested."""
@@ -415,6 +431,11 @@
             self.state.metrics.count("cell.records.unreadable")
             log.error("job record cannot be decoded", job=job_id, error=str(error))
             return
+        if spec.trimmed and (progress is None or not progress.phase.is_final):
+            log.warning("record of an evicted job deleted", job=job_id)
+            self.state.journal.put(JOB_KEY + job_id, b"")
+            self.state.journal.put(PROGRESS_KEY + job_id, b"")
+            return
         waited_s = max(0.0, (self.state.wall_clock() - spec.accepted_ms) / 1000)
         job = self.state.table.add(
             spec, anyio.current_time() - waited_s, inherited=True
@@ -427,6 +448,8 @@
         if job.phase.is_final:
             job.ended_at = anyio.current_time()
             self.state.table.finish(job)
+            if not spec.trimmed:
+                self.state.untrimmed.append(job)
 
     def restore_executor(self, key: str, value: bytes) -> None:
         """Start polling an executor that an earlier owner has used."""
@@ -470,7 +493,11 @@
             ended = [
                 job_id
                 for job_id, job in self.state.table.jobs.items()
-                if job.ended_at is not None and now - job.ended_at > retention_s
+                if job.ended_at is not None
+                and now - job.ended_at > retention_s
+                # Its deletion would take the earlier place of a queued record, before
+                # the deletion of the job's record, which is never without a progress.
+                and PROGRESS_KEY + job_id not in self.state.journal.queue
             ]
             for job_id in ended:
                 del self.state.table.jobs[job_id]
