Give an owner that accepts connections the time that its replacement would need

Cause: one fixed limit for owners that are dead and owners that are slow.

Change: the owner says in its answers how long its link takes for the records of the cell (gauges cell.records.bytes and cell.records.read_s). A node whose ping is overdue opens a new connection, and gives an owner that accepts it so much time for its answer, 2 s at most. One that accepts none is reported as before. Waiting for no longer than the replacement takes at most doubles the outage of an owner that is dead.

Measured: test_slow_owner_has_as_much_time_as_its_replacement_would_take fails without the change (reported after 0.66 s).

--- a/gypsumring/cell/journal.py
+++ b/gypsumring/cell/journal.py
@@ -29,6 +29,9 @@
 MAX_RECORD_BYTES = 256 * 1024
 # Bytes of a record beside its key and value.
 RECORD_OVERHEAD_BYTES = 5
+# Bytes of a stored record, as it is read, beside its key and value, and of the value.
+READ_OVERHEAD_BYTES = 50
+READ_VALUE_FACTOR = 4 / 3
 # Records that are not urgent are batched for at most this time.
 BATCH_DELAY_S = 0.05
 # Another copy of an append is sent if the store does not answer within the average
@@ -109,6 +112,8 @@
         "queue",
         "sequence",
         "store",
+        "stored_bytes",
+        "stored_sizes",
         "topic",
         "traffic",
         "average_latency_s",
@@ -139,6 +144,9 @@
         self.in_flight: list[PendingRecord] = []
         self.wake = anyio.Event()
         self.average_latency_s = MIN_COPY_INTERVAL_S / COPY_INTERVAL_FACTOR
+        # Bytes of the newest records as a later owner reads them, by key, and in all.
+        self.stored_sizes: dict[str, int] = {}
+        self.stored_bytes = 0
         self.appended = 0
         self.answered_at = anyio.current_time()
         self.unanswered_since: float | None = None
@@ -229,10 +237,24 @@
                 )
                 self.appended += len(self.in_flight)
                 durable_entries, self.in_flight = self.in_flight, []
+                for entry in durable_entries:
+                    self.record_stored(entry.key, entry.value)
                 for entry in durable_entries:
                     for on_durable in entry.callbacks + entry.later_callbacks:
                         on_durable()
 
+    def record_stored(self, key: str, value: bytes) -> None:
+        """Record the size of the newest record of a key, which an empty one deletes."""
+        self.stored_bytes -= self.stored_sizes.pop(key, 0)
+        if value:
+            size = round(READ_VALUE_FACTOR * len(value)) + READ_OVERHEAD_BYTES
+            self.stored_sizes[key] = size + len(key)
+            self.stored_bytes += size + len(key)
+
+    def read_s(self) -> float:
+        """Return how long the link of such a machine takes for all stored records."""
+        return self.stored_bytes / self.traffic.bytes_per_s
+
     async def wait_for_batch(self) -> None:
         """Wait for more records until the next append is due."""
         while self.queue and (now := anyio.current_time()) < self.next_append_at:
--- a/gypsumring/cell/messages.py
+++ b/gypsumring/cell/messages.py
@@ -102,7 +102,8 @@
 
     ``nodes`` contains the addresses of the owner's peers by name if ``nodes_version``
     of the ping was a different one. ``sent_at`` is in seconds of the sender's clock,
-    which has a meaning only for the sender.
+    which has a meaning only for the sender. ``takeover_s`` is about how long another
+    node would take to read the records of the cell.
     """
 
     purpose: ClassVar[Purpose] = Purpose.LIVENESS
@@ -112,6 +113,7 @@
     nodes_version: Number = 0
     nodes: dict[str, str] | None = None
     sent_at: Measure | None = None
+    takeover_s: Measure = 0.0
 
 
 class Announce(msgspec.Struct, tag=True, array_like=True):
--- a/gypsumring/cell/owner.py
+++ b/gypsumring/cell/owner.py
@@ -234,6 +234,8 @@
                 executor.is_overfull() for executor in fleet
             ),
             "cell.journal.waiting": len(state.journal.queue),
+            "cell.records.bytes": state.journal.stored_bytes,
+            "cell.records.read_s": state.journal.read_s(),
             "cell.journal.unanswered_s": state.journal.unanswered_s(),
             **measure_knowledge(state),
             **self.wait_monitor.measure(),
@@ -250,6 +252,8 @@
         records = await self.read_records()
         read_at = anyio.current_time()
         by_key = {record.key: record.value for record in records if record.value}
+        for key, value in by_key.items():
+            self.state.journal.record_stored(key, value)
         term = self.read_term(by_key.get(TERM_KEY))
         is_bounded = term == self.read_bounded_terms(by_key.get(BOUNDED_KEY))
         self.state.table = JobTable(self.state.wall_clock, term * ATTEMPTS_PER_TERM + 1)
--- a/gypsumring/cell/tests/test_journal.py
+++ b/gypsumring/cell/tests/test_journal.py
@@ -219,6 +219,18 @@
         assert len(store.sequences) == 2
 
 
+async def test_journal_knows_how_long_a_takeover_reads():
+    async with running_behind_link(10) as (journal, _):
+        for number in range(100):
+            journal.put(f"j/{number}", bytes(9_000))
+        await write(journal, "k")
+        assert 0.9 < journal.read_s() < 1.1
+        for number in range(100):
+            journal.put(f"j/{number}", b"")
+        await write(journal, "l")
+        assert journal.read_s() < 0.001
+
+
 async def test_journal_of_an_earlier_owner_is_fenced():
     store = ScriptedStore()
     earlier = Journal(store, "cells", 0, "cell-0", 7)
--- a/gypsumring/node/link.py
+++ b/gypsumring/node/link.py
@@ -51,6 +51,9 @@
 SHORTEST_PING_TIMEOUT_S = 0.2
 LONGEST_PING_TIMEOUT_S = 0.8
 HELLO_TIMEOUT_S = 0.25
+# An owner whose answer is overdue, and whose machine accepts connections, has as much
+# time to answer as another node would need to read the cell, up to this time.
+LONGEST_HELLO_TIMEOUT_S = 2.0
 LOOKUP_TIMEOUT_S = 0.5
 # A node that takes over the cell may be slow to answer while it reads the records.
 TAKEOVER_ANSWER_TIMEOUT_S = 2.0
@@ -103,6 +106,7 @@
         "response_times",
         "size",
         "store",
+        "takeover_s",
         "term",
     )
 
@@ -171,6 +175,8 @@
         self.has_announced = False
         # Term of the owner that this node was linked to last.
         self.term: OwnerTerm | None = None
+        # How long a takeover takes, as the owner has said last.
+        self.takeover_s = 0.0
         self.response_times = ResponseTimes()
         # Reports of other nodes that do not reach the owner.
         self.reports = OwnerReports()
@@ -486,7 +492,9 @@
         connect_s = CONNECT_TIMEOUT_S
         hello_s = self.response_times.timeout_s(HELLO_TIMEOUT_S, LONGEST_PING_TIMEOUT_S)
         is_known = self.term is not None and self.term.address == address
-        if not is_known:
+        if is_known:
+            hello_s = max(hello_s, min(self.takeover_s, LONGEST_HELLO_TIMEOUT_S))
+        else:
             connect_s = hello_s = TAKEOVER_ANSWER_TIMEOUT_S
         self.metrics.count("link.connections_to_owners")
         deadline = anyio.current_time() + connect_s
@@ -564,6 +572,7 @@
         self.last_linked_at = now
         self.has_linked = True
         self.fence = max(self.fence, pong.fence)
+        self.takeover_s = pong.takeover_s
         if pong.nodes is not None:
             self.node_addresses = {**pong.nodes, **self.list_owner_address(address)}
             self.nodes_version = pong.nodes_version
--- a/gypsumring/node/node.py
+++ b/gypsumring/node/node.py
@@ -406,6 +406,7 @@
             version,
             self.node_table.published if is_sent else None,
             self.clock(),
+            owner.state.journal.read_s(),
         )
 
     async def execute(self, message: Command) -> JobAnswer:
--- a/gypsumring/node/tests/test_link.py
+++ b/gypsumring/node/tests/test_link.py
@@ -156,6 +156,33 @@
             assert rig.store.left == [str(OWNER)], state
 
 
+# An owner whose process stood still for 0.45 s was reported by a majority, and replaced
+# by one that read the cell for 3.5 s.
+async def test_slow_owner_has_as_much_time_as_its_replacement_would_take():
+    async with running_link(SERVED_S) as rig:
+        rig.peers["a1"].pong = Pong(True, 7, "a1", 1, takeover_s=1.5)
+        await anyio.sleep(0.5)
+        rig.peers["a1"].state = "frozen"
+        await anyio.sleep(1.0)
+        counters = rig.link.metrics.counters
+        assert counters["link.owners_reported"] == 0
+        rig.peers["a1"].state = "up"
+        await anyio.sleep(1.5)
+        assert rig.link.owner_address == "a1"
+        rig.peers["a1"].state = "frozen"
+        await anyio.sleep(3.0)
+        assert counters["link.owners_reported"] >= 1
+
+
+async def test_owner_without_a_network_is_reported_at_once_whatever_a_takeover_takes():
+    async with running_link(SERVED_S) as rig:
+        rig.peers["a1"].pong = Pong(True, 7, "a1", 1, takeover_s=1.5)
+        await anyio.sleep(0.5)
+        rig.peers["a1"].state = "dark"
+        await anyio.sleep(0.9)
+        assert rig.link.metrics.counters["link.owners_reported"] >= 1
+
+
 # Each next owner was removed while it was busy with its takeover.
 async def test_owner_that_has_not_served_yet_is_not_removed():
     for served_s in (0.0, 1.0):
