Withdraw starts whose ticket has expired, and share a pass with overdue steps

Cause: the wait of a start at the owner was not part of the time for which its ticket has to be valid; overdue steps went before all others.

Change: a ticket has to outlast the wait for the link, and a start whose ticket has expired is not sent. Half of a pass is for steps in order of service, the other half for overdue ones, oldest first. Steps that the scheduler has no time for count as demand, so that submissions are refused while it cannot look at what it has.

--- a/gypsumring/cell/orders.py
+++ b/gypsumring/cell/orders.py
@@ -144,7 +144,7 @@
             if not run.was_sent:
                 self.state.start_demand.unsent_bytes -= start_bytes(run.step.job.spec)
 
-    def may_start(self, run: Run, executor: ExecutorState) -> bool:
+    def may_start(self, run: Run, executor: ExecutorState, ticket: str = "") -> bool:
         """Return whether a start may be sent; withdraw or stop one that is obsolete."""
         if self.abandon_late_start(run, executor):
             return False
@@ -158,6 +158,11 @@
                 run, executor, "start withdrawn: account is above its cap"
             )
             return False
+        remaining_s = run.step.ticket_remaining_s(run.executor_id, anyio.current_time())
+        if ticket and not run.was_sent and remaining_s <= 0:
+            # The executor would refuse the start, which takes the link all the same.
+            self.withdraw_start(run, executor, "start withdrawn: ticket has expired")
+            return False
         return True
 
     async def try_start(self, run: Run, ticket: str) -> float | None:
@@ -165,7 +170,7 @@
         executor = self.find_executor(run)
         if executor is None or run.state is not RunState.STARTING:
             return None
-        if not self.may_start(run, executor):
+        if not self.may_start(run, executor, ticket):
             return None
         now = self.state.clock()
         if (
--- a/gypsumring/cell/scheduling.py
+++ b/gypsumring/cell/scheduling.py
@@ -1,6 +1,6 @@
 """Place ready steps on executors that the policy service allows."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterable, Iterator
 
 import anyio
 
@@ -40,8 +40,11 @@
 # The scheduler waits at least this many times the duration of a pass before the next
 # one, so that the event loop has time for other tasks.
 BATCH_DELAY_FACTOR = 4.0
-# Steps that are not evaluated in this time go first in the next pass: nodes leave an
-# owner that does not answer their pings for as long as a long pass takes.
+# The same if the pass had no time for all steps.
+OVERDUE_DELAY_FACTOR = 1.5
+# Steps that are not evaluated in this time are overdue in the next pass, half of which
+# is theirs: nodes leave an owner that does not answer their pings for as long as a long
+# pass takes.
 MAX_PASS_S = 0.05
 # The whole fleet is evaluated at most in this share of the time.
 MAX_FLEET_SHARE = 0.1
@@ -114,9 +117,10 @@
             self.schedule()
             # Passes over a long queue take long; the delay leaves most of the time to
             # other tasks of the event loop.
-            batch_delay_s = max(
-                BATCH_DELAY_S, BATCH_DELAY_FACTOR * (anyio.current_time() - began)
-            )
+            factor = OVERDUE_DELAY_FACTOR if self.overdue else BATCH_DELAY_FACTOR
+            batch_delay_s = max(BATCH_DELAY_S, factor * (anyio.current_time() - began))
+            if self.overdue:
+                self.state.wake()
 
     def schedule(self) -> None:
         """Assign free capacity to the ready steps in order of service."""
@@ -131,21 +135,20 @@
             )
         due_steps = self.deferred.union(self.backlog.pop_due_steps(now))
         overdue, self.overdue, self.deferred = self.overdue, {}, set()
-        link_deferred: list[tuple[Step, Queue]] = []
+        unstarted: list[tuple[Step, Queue]] = []
         freed_executors = self.state.pop_freed_executors()
         candidate_steps = self.backlog.find_steps_for_capacity(freed_executors)
-        ordered = self.backlog.list_rows(overdue)
         due_steps.update(overdue)
-        ordered += self.backlog.order(
-            due_steps.union(candidate_steps).difference(overdue), now
-        )
+        ordered = self.backlog.order(due_steps.union(candidate_steps), now)
         ordered_at = anyio.current_time()
-        for step, queue in ordered:
+        half_at = ordered_at + MAX_PASS_S / 2
+        for step, queue in share_time(ordered, overdue, half_at):
             if self.state.start_demand.is_link_full():
-                link_deferred.append((step, queue))
+                unstarted.append((step, queue))
                 self.deferred.add(step)
                 continue
             if anyio.current_time() > ordered_at + MAX_PASS_S:
+                unstarted.append((step, queue))
                 self.overdue[step] = None
                 continue
             try:
@@ -164,7 +167,7 @@
                 self.state.metrics.count("cell.placements.failed")
                 log.error("placement failed", step=step.name, **describe_error(error))
                 self.backlog.reschedule(step, now)
-        self.state.start_demand.review(link_deferred)
+        self.state.start_demand.review(unstarted)
         self.log_long_pass(now, ordered_at, len(ordered))
 
     def log_long_pass(self, began_at: float, ordered_at: float, steps: int) -> None:
@@ -377,10 +380,11 @@
         record_avoiding(step, allowed, now)
         if allowed and step.waiting_since is None:
             step.waiting_since = now
+        needed_s = TICKET_MARGIN_S + self.state.start_demand.start_wait_s()
         ticketed = [
             executor
             for executor in allowed
-            if step.ticket_remaining_s(executor.executor_id, now) > TICKET_MARGIN_S
+            if step.ticket_remaining_s(executor.executor_id, now) > needed_s
         ]
         if may_start and has_capacity(step, ticketed):
             self.start_placements(step, self.place(step, ticketed), now)
@@ -475,3 +479,19 @@
                 )
             ticket = step.tickets.get(placement.executor.executor_id)
             self.orders.start(run, ticket.value if ticket else "")
+
+
+def share_time(
+    ordered: list[tuple[Step, Queue]], overdue: Iterable[Step], half_at: float
+) -> Iterator[tuple[Step, Queue]]:
+    """Yield steps in order of service, and from a time on the overdue ones first."""
+    remaining = dict(ordered)
+    for step, queue in ordered:
+        if anyio.current_time() > half_at:
+            break
+        del remaining[step]
+        yield step, queue
+    for step in [*overdue, *remaining]:
+        queue = remaining.pop(step, None)
+        if queue is not None:
+            yield step, queue
--- a/gypsumring/cell/start_demand.py
+++ b/gypsumring/cell/start_demand.py
@@ -19,7 +19,7 @@
 # Nothing more is started while the starts that wait, and the queue at the link of this
 # machine, need the link for longer than this. On a slow machine there may be as much
 # time between scheduling passes, in which the link should not be idle.
-MAX_START_WAIT_S = 0.5
+MAX_START_WAIT_S = 0.25
 # Bytes of a start order beside the payload of the job.
 START_OVERHEAD_BYTES = 350
 
@@ -28,7 +28,8 @@
     """Bytes of the starts that wait for the link.
 
     ``unsent_bytes`` are those of tasks that have been placed, ``bytes_by_priority``
-    those of tasks that were not, since the link has no room for their starts.
+    those of tasks that were not, since the link has no room for their starts, or the
+    scheduler no time for them.
     """
 
     __slots__ = ("bytes_by_priority", "traffic", "unsent_bytes")
@@ -38,10 +39,10 @@
         self.bytes_by_priority: Counter[int] = Counter()
         self.unsent_bytes = 0
 
-    def review(self, deferred: Iterable[tuple[Step, Queue]]) -> None:
-        """Count the starts of the steps that the last scheduling pass has deferred."""
+    def review(self, unstarted: Iterable[tuple[Step, Queue]]) -> None:
+        """Count the starts of the steps that the last scheduling pass left out."""
         self.bytes_by_priority = Counter()
-        for step, queue in deferred:
+        for step, queue in unstarted:
             size = len(step.pending) * start_bytes(step.job.spec)
             self.bytes_by_priority[queue.priority] += size
 
@@ -63,8 +64,12 @@
 
     def is_link_full(self) -> bool:
         """Return whether further starts would wait for the link of this machine."""
+        return self.start_wait_s() > MAX_START_WAIT_S
+
+    def start_wait_s(self) -> float:
+        """Return for how long the start of a task that is placed now waits."""
         unsent_s = self.unsent_bytes / self.traffic.bytes_per_s
-        return self.traffic.backlog_s() + unsent_s > MAX_START_WAIT_S
+        return self.traffic.backlog_s() + unsent_s
 
     def excess_s(self, queue: Queue) -> float:
         """Return by how much a new job of a queue would wait too long, 0 if not."""
--- a/gypsumring/dispatch/backlog.py
+++ b/gypsumring/dispatch/backlog.py
@@ -164,12 +164,6 @@
         )
         return [(waiting.step, waiting.queue) for waiting in waiting_steps]
 
-    def list_rows(self, steps: Iterable[Step]) -> list[tuple[Step, Queue]]:
-        """Return those of the steps that are waiting, with their queues."""
-        return [
-            (step, self.waiting[step].queue) for step in steps if step in self.waiting
-        ]
-
     def list_accounts(self) -> set[str]:
         """Return the names of the client accounts with waiting steps."""
         return {step.job.spec.account for step in self.waiting}
