Model links with a byte rate in the stand-in of a cell

`LinkModel` has one queue for each direction of a process, shared by all its connections. Sizes are close to those on the wire. `MemoryCluster(link_mbps=...)` gives each node such a link and the estimate of it that the product keeps (`LinkTraffic`); `python -m soak.cells` has the option `--link-mbps`.

Connections open at once. Users' connections may open sooner, and the product must not depend on it.

With a rate, nodes also report an owner that does not answer pings for LONGEST_PING_TIMEOUT_S, and remove it by the product's `OwnerReports`, since an owner with a full link keeps its membership otherwise: its joins arrive, only late. One register stands for all monitors.

No product file is changed.

--- a/soak/cells.py
+++ b/soak/cells.py
@@ -3,6 +3,7 @@
 Run with ``python -m soak.cells --seed N --seconds N``.
 """
 
+import functools
 import json
 import random
 import sys
@@ -492,6 +493,7 @@
     seconds: float,
     soak_class: type[CellSoak] = CellSoak,
     behave: BehaviourFactory | None = None,
+    link_mbps: float | None = None,
 ) -> dict[str, object]:
     """Run one seed and return what was seen."""
     usual = draw_long_behaviour(seed, random_behaviour(seed, 0.8, 0.05))
@@ -501,7 +503,7 @@
         counts = soak_class.node_counts
         nodes = counts[seed // 2 % len(counts)]
         cluster = MemoryCluster(
-            world, group, nodes, EXECUTORS, 8_000, policy_share, seed
+            world, group, nodes, EXECUTORS, 8_000, policy_share, seed, link_mbps
         )
         soak = soak_class(cluster, cluster.random_source, seed)
         async with anyio.create_task_group() as load:
@@ -514,27 +516,35 @@
 
 
 def make_command(
-    run: Callable[[int, float], Awaitable[dict[str, object]]], seconds: float
+    run: Callable[..., Awaitable[dict[str, object]]],
+    seconds: float,
+    *params: click.Option,
 ) -> click.Command:
-    """Return a command that prints one line a seed."""
+    """Return a command that prints one line a seed; ``run`` gets further options."""
 
     @click.command()
     @click.option("--seed", default=7, help="First seed.")
     @click.option("--seeds", default=1, help="Number of seeds.")
     @click.option("--seconds", default=seconds, help="Simulated seconds of load.")
-    def main(seed: int, seeds: int, seconds: float) -> None:
+    def main(seed: int, seeds: int, seconds: float, **options: object) -> None:
         """Run seeds one after the other; exit with 1 if a check has failed."""
         failed = False
+        run_seed = functools.partial(run, **options)
         for each in range(seed, seed + seeds):
-            result = run_on_mock_clock(run, each, seconds, seed=each)
+            result = run_on_mock_clock(run_seed, each, seconds, seed=each)
             failed = failed or bool(result["invariant_violations"])
             click.echo(json.dumps(result))
         sys.exit(1 if failed else 0)
 
+    main.params.extend(params)
     return main
 
 
-main = make_command(run_cell_soak, seconds=30.0)
+main = make_command(
+    run_cell_soak,
+    30.0,
+    click.Option(["--link-mbps"], type=float, help="Rate of the link of each node."),
+)
 
 if __name__ == "__main__":
     main()
--- a/stand_ins/platform/cluster.py
+++ b/stand_ins/platform/cluster.py
@@ -1,7 +1,7 @@
 """Cluster of nodes that share one cell on the in-process platform."""
 
 import random
-from collections.abc import Callable, Iterator
+from collections.abc import Awaitable, Callable, Iterator
 from contextlib import contextmanager
 from typing import Any
 
@@ -14,6 +14,8 @@
 from gypsumring.cell.state import CellTiming
 from gypsumring.cell.voters import Voter, VoteRegister
 from gypsumring.metrics import Metrics
+from gypsumring.node.failure_detection import OwnerReports, OwnerTerm
+from gypsumring.node.link import LONGEST_PING_TIMEOUT_S, LOOKUP_TIMEOUT_S
 from gypsumring.node.membership import Membership
 from gypsumring.pipelines import (
     DesiredState,
@@ -22,17 +24,24 @@
     PolicyTiming,
     Queue,
     StepSpec,
+    encode,
 )
 from gypsumring.platform import decode_executor_entry
+from gypsumring.ports.store import StoreRefused, StoreUnavailable
 from gypsumring.ports.tasks import PolicyBusy, PolicyUnavailable, TaskExecutor
+from gypsumring.transport import LinkTraffic, Purpose
+from gypsumring.transport.traffic import BYTES_PER_S_PER_MBPS
 from stand_ins.platform.entries import encode_entry
 from stand_ins.platform.executor import ExecutorModel, TaskRun
 from stand_ins.platform.faults import Faults
+from stand_ins.platform.links import Connections, LinkModel
 from stand_ins.platform.memory import (
     ENTRIES_TOPIC,
     MemoryExecutor,
     MemoryPolicy,
     MemoryStore,
+    measure_advice,
+    measure_advice_answer,
 )
 from stand_ins.platform.peers import Cut, Partition, PeerNetwork
 from stand_ins.platform.policy import PolicyModel
@@ -50,6 +59,12 @@
 PING_TIMEOUT_S = 0.5
 # An executor that a task has crashed starts again after this time.
 RESTART_S = 2.0
+# Sizes of messages between nodes on the wire, in bytes.
+PING_BYTES, PONG_BYTES = 90, 80
+# Size of a command beside the specification of a job, and of its answer.
+COMMAND_BYTES, ANSWER_BYTES = 100, 100
+# Callers of a cell whose links are modelled wait for so long for the state of a job.
+QUERY_TIMEOUT_S = 3.0
 
 # Address of an executor that has not moved; another one answers at any other address.
 EXECUTOR_ADDRESS = "memory:1"
@@ -90,6 +105,8 @@
         "followers",
         "highest_fence",
         "killed",
+        "last_answer_at",
+        "link",
         "membership",
         "name",
         "pause",
@@ -97,6 +114,7 @@
         "process",
         "scope",
         "store",
+        "traffic",
         "voter",
         "votes",
     )
@@ -109,10 +127,19 @@
         self.pause = Cut()
         # What ``register_process`` of the cluster has returned for this process.
         self.process: Any = None
-        self.store = MemoryStore(cluster.store, self.faults, cluster.group)
+        # Without a rate, the links of the nodes are not modelled.
+        self.link: LinkModel | None = None
+        if cluster.link_mbps is not None:
+            self.link = LinkModel(cluster.link_mbps * BYTES_PER_S_PER_MBPS)
+        self.traffic = LinkTraffic(cluster.metrics, cluster.link_mbps)
+        self.store = MemoryStore(
+            cluster.store, self.faults, cluster.group, self.make_connections()
+        )
         self.policy = None
         if cluster.policy is not None:
-            self.policy = MemoryPolicy(cluster.policy, self.faults)
+            self.policy = MemoryPolicy(
+                cluster.policy, self.faults, self.make_connections()
+            )
         self.killed = anyio.Event()
         self.scope = anyio.CancelScope()
         cluster.node_start_count += 1
@@ -122,6 +149,8 @@
         # Processes that have sent pings, by node name.
         self.followers: dict[str, Voter] = {}
         self.highest_fence = 0
+        # When the owner has sent the last answer to a ping.
+        self.last_answer_at = float("-inf")
         self.membership = Membership(
             self.store,
             GROUP,
@@ -132,6 +161,43 @@
             self.make_owner,
         )
 
+    def make_connections(self) -> Connections | None:
+        """Return the connections of one more client, if the link is modelled."""
+        if self.link is None:
+            return None
+        return Connections(self.link, self.traffic, self.cluster.group)
+
+    async def send(self, size: int, purpose: Purpose) -> None:
+        """Send a message to another node, as far as the link of this one."""
+        if self.link is not None:
+            self.traffic.record_sent(size, purpose)
+            await self.link.send(size)
+
+    async def receive(self, size: int, purpose: Purpose) -> None:
+        """Receive a message of another node or a caller over the link of this one."""
+        if self.link is not None:
+            await self.link.receive(size)
+            self.traffic.record_received(size, purpose)
+
+    async def answer(
+        self,
+        command: Callable[[], Awaitable[JobAnswer]],
+        size: int,
+        deadline: float,
+    ) -> JobAnswer:
+        """Carry out a command of a caller that comes and is answered over the link.
+
+        The caller gives up at the deadline.
+        """
+        if self.link is None:
+            return await command()
+        with anyio.move_on_after(max(0.0, deadline - anyio.current_time())):
+            await self.receive(size, Purpose.COMMANDS)
+            answer = await command()
+            await self.send(ANSWER_BYTES, Purpose.COMMANDS)
+            return answer
+        return JobAnswer(Outcome.UNCERTAIN)
+
     def make_owner(self, fence: int) -> CellOwner:
         """Return an owner of the cell that runs on this node."""
         self.highest_fence = max(self.highest_fence, fence)
@@ -157,6 +223,7 @@
                 lambda: list(self.followers.values()),
                 lambda: len(self.cluster.nodes) > 1,
             ),
+            self.traffic,
         )
 
     def find_owner(self) -> "MemoryNode | None":
@@ -181,22 +248,49 @@
     async def follow(self, node: "MemoryNode") -> None:
         """Ping an owner until it does not answer or a later one is reached."""
         answers_sent_at: float | None = None
+        owner = node.owner()
+        timeout_s = PING_TIMEOUT_S if self.link is None else LONGEST_PING_TIMEOUT_S
         while self.owner() is None and self.find_owner() in (None, node):
             answer = PingAnswer()
             self.cluster.group.start_soon(self.ping, node, answers_sent_at, answer)
-            with anyio.move_on_after(PING_TIMEOUT_S):
+            with anyio.move_on_after(timeout_s):
                 await answer.received.wait()
             if answer.sent_at is None:
+                if self.link is not None:
+                    await self.report(node, owner)
                 return
-            answers_sent_at = answer.sent_at
+            answers_sent_at = self.last_answer_at = answer.sent_at
             await anyio.sleep(PING_PERIOD_S)
 
+    async def report(self, node: "MemoryNode", owner: CellOwner) -> None:
+        """Report an owner that does not answer; remove it once most nodes have.
+
+        Where links are modelled, owners are removed as by the product. One register
+        takes the place of the monitors.
+        """
+        reports, now = self.cluster.owner_reports, anyio.current_time()
+        member = node.membership.member
+        term = OwnerTerm(member, owner.fence, owner.state.owned_since)
+        if not term.is_reportable(member, self.highest_fence, self.last_answer_at):
+            return
+        reports.record(self.name, member, owner.fence, now)
+        if not reports.is_confirmed(len(self.cluster.nodes) - 1, now):
+            return
+        reports.clear()
+        try:
+            await self.store.leave(GROUP, member, now + LOOKUP_TIMEOUT_S)
+        except (StoreUnavailable, StoreRefused):
+            # The next reports are confirmed again.
+            return
+
     async def ping(
         self, node: "MemoryNode", answers_sent_at: float | None, answer: PingAnswer
     ) -> None:
         """Send one ping with a vote, which may arrive late, and receive its answer."""
         fence = self.highest_fence
+        await self.send(PING_BYTES, Purpose.LIVENESS)
         await self.cluster.peers.carry(self.name, node.name)
+        await node.receive(PING_BYTES, Purpose.LIVENESS)
         await node.pause.wait_until_open()
         if node.killed.is_set():
             return
@@ -206,7 +300,9 @@
         owner, sent_at = node.owner(), anyio.current_time()
         if owner is None:
             return
+        await node.send(PONG_BYTES, Purpose.LIVENESS)
         await self.cluster.peers.carry(node.name, self.name)
+        await self.receive(PONG_BYTES, Purpose.LIVENESS)
         await self.pause.wait_until_open()
         if not self.killed.is_set():
             self.highest_fence = max(self.highest_fence, owner.fence)
@@ -221,6 +317,7 @@
             self.faults,
             self.cluster.group,
             lambda: self.cluster.find_address(executor_id) == address,
+            self.make_connections(),
         )
 
     async def query_policy_proxy(
@@ -234,8 +331,14 @@
         errors = []
 
         async def query_node() -> None:
+            size = measure_advice(executor_ids)
+            await self.send(size, Purpose.POLICY)
+            await node.receive(size, Purpose.POLICY)
             try:
                 rows = await node.policy.advise(step, executor_ids, deadline)
+                size = measure_advice_answer(rows)
+                await node.send(size, Purpose.POLICY)
+                await self.receive(size, Purpose.POLICY)
                 answers.append(rows)
             except (PolicyUnavailable, PolicyBusy) as error:
                 errors.append(error)
@@ -293,9 +396,11 @@
         "desired",
         "executors",
         "group",
+        "link_mbps",
         "metrics",
         "node_start_count",
         "nodes",
+        "owner_reports",
         "peers",
         "policy",
         "random_source",
@@ -315,7 +420,10 @@
         cpu_millis: int = 8_000,
         policy_share: float | None = None,
         seed: int = 0,
+        link_mbps: float | None = None,
     ):
+        # What the link of each node carries in each direction; None is not modelled.
+        self.link_mbps = link_mbps
         self.world = world
         world.schedule_crash = self.schedule_crash
         self.restart_s = RESTART_S
@@ -335,6 +443,7 @@
         self.shares_advice = False
         self.nodes: dict[str, MemoryNode] = {}
         self.peers = PeerNetwork()
+        self.owner_reports = OwnerReports()
         self.policy: PolicyModel | None = None
         for number in range(executors):
             clock_drift = (number % 3) * 0.01
@@ -477,9 +586,7 @@
         while anyio.current_time() < deadline:
             node = self.owner_node()
             if node is not None and not node.pause.count:
-                answer = await self.command(
-                    node, lambda owner: owner.commands.submit(spec, limit_s, queue)
-                )
+                answer = await self.submit_once(node, spec, queue, limit_s, deadline)
                 if answer.outcome is Outcome.REFUSED and was_unanswered:
                     return Outcome.UNCERTAIN
                 if answer.outcome is not Outcome.NOT_OWNER:
@@ -488,6 +595,24 @@
             await anyio.sleep(RETRY_INTERVAL_S)
         return Outcome.UNCERTAIN
 
+    async def submit_once(
+        self,
+        node: MemoryNode,
+        spec: PipelineSpec,
+        queue: Queue | None,
+        limit_s: float,
+        deadline: float,
+    ) -> JobAnswer:
+        """Submit a job to the owner on a node."""
+        return await self.command(
+            node,
+            lambda owner: node.answer(
+                lambda: owner.commands.submit(spec, limit_s, queue),
+                len(encode(spec)) + COMMAND_BYTES,
+                deadline,
+            ),
+        )
+
     async def command(self, node: MemoryNode, call) -> JobAnswer:
         """Run a command on a node's owner; return NOT_OWNER if the owner stops."""
         answer = JobAnswer(Outcome.NOT_OWNER)
@@ -510,8 +635,12 @@
             return False
         answer = await self.command(
             node,
-            lambda owner: owner.commands.cancel(
-                job_id, limit_s, node.membership.is_recently_confirmed()
+            lambda owner: node.answer(
+                lambda: owner.commands.cancel(
+                    job_id, limit_s, node.membership.is_recently_confirmed()
+                ),
+                COMMAND_BYTES,
+                anyio.current_time() + limit_s,
             ),
         )
         if answer.outcome is Outcome.OK:
@@ -523,19 +652,41 @@
         node = self.owner_node()
         if node is None or node.pause.count:
             return None
+        return self.phase_at(node, job_id)
+
+    def phase_at(self, node: MemoryNode, job_id: str) -> JobPhase | None:
+        """Return the phase of a job that the owner on a node reports, or None."""
+        if node.owner() is None:
+            return None
         answer = node.owner().commands.query(
             job_id, node.membership.is_recently_confirmed()
         )
         return answer.phase if answer.outcome is Outcome.OK else None
 
+    async def query(self, job_id: str) -> JobPhase | None:
+        """Return the phase of a job once the link of the owner has carried it.
+
+        Return None if the caller has given up before.
+        """
+        node = self.owner_node()
+        if node is None or node.link is None:
+            return self.phase(job_id)
+        with anyio.move_on_after(QUERY_TIMEOUT_S):
+            await node.receive(COMMAND_BYTES, Purpose.QUERIES)
+            await node.pause.wait_until_open()
+            phase = self.phase_at(node, job_id)
+            await node.send(ANSWER_BYTES, Purpose.QUERIES)
+            return phase
+        return None
+
     async def wait_final(self, job_id: str, limit_s: float = 60.0) -> JobPhase | None:
         """Wait until the owner reports a final phase, and return the last phase."""
         deadline = anyio.current_time() + limit_s
         while anyio.current_time() < deadline:
-            phase = self.phase(job_id)
+            phase = await self.query(job_id)
             if phase is not None and phase.is_final:
                 if phase is JobPhase.COMPLETED and not self.world.is_complete(job_id):
                     self.world.violate("MIXED", f"{job_id} reported complete too early")
                 return phase
             await anyio.sleep(RETRY_INTERVAL_S)
-        return self.phase(job_id)
+        return await self.query(job_id)
