End cancelled connections without tracebacks, and log errors of the event loop

Cause: the door passed a coroutine to asyncio.start_server, which runs it in a task of its own and reports that task when it was cancelled. Cancelling is how the table and a node that stops end a connection. On the way out, hypercorn wrote the ends of the requests to the aborted transport and started a timer in a task group that had ended (RuntimeWarning: _idle_timeout was never awaited). A cancelled connection whose transport was not aborted waited until its answer was read.

Change: the door runs connections in its own tasks, awaits them when it stops and records an unexpected end (node.door.failed, "connection failed"). Events of an aborted connection are dropped. At the deadline of a stop, connections are aborted; a door that is cancelled leaves none behind. What else the event loop reports is one log line and counted (node.loop.errors), and warnings of libraries and of the interpreter are log lines too.

--- a/gypsumring/door/server.py
+++ b/gypsumring/door/server.py
@@ -18,9 +18,13 @@
 from gypsumring.door.exceptions import Http2Refused
 from gypsumring.door.request import ConnectionApp
 from gypsumring.door.table import ConnectionTable
+from gypsumring.utils.logs import EventLogger
+from gypsumring.utils.supervision import describe_error
 
 __all__ = ["serve_callers"]
 
+log = EventLogger("door")
+
 # What one connection may have received and not yet parsed, and sent and not yet read.
 READ_BYTES = 16 * 1024
 UNSENT_BYTES = 16 * 1024
@@ -80,8 +84,18 @@
 class Http1Server(TCPServer):
     """Server of one connection that ends it when the caller asks for HTTP/2."""
 
+    def __init__(self, connection: Connection, *args: Any):
+        super().__init__(*args)
+        self.connection = connection
+
     async def protocol_send(self, event: Event) -> None:
-        """Send an event of the protocol; raise Http2Refused."""
+        """Send an event of the protocol; raise Http2Refused.
+
+        The requests of an aborted connection still send their ends. It has no transport
+        for them, and its task group takes no timer for the next request.
+        """
+        if self.connection.closed:
+            return
         is_upgrade = isinstance(event, RawData) and event.data.startswith(UPGRADE)
         if is_upgrade or isinstance(self.protocol.protocol, H2Protocol):
             raise Http2Refused("HTTP/2")
@@ -89,9 +103,14 @@
 
 
 class DoorServer:
-    """Server that admits connections and hands them to hypercorn."""
+    """Server that admits connections and hands them to hypercorn.
 
-    __slots__ = ("app", "config", "context", "table", "tasks")
+    Each connection is served in a task of the door's own. asyncio reports a task that
+    it has started for a connection as an error when it is cancelled, which is how the
+    table ends a connection.
+    """
+
+    __slots__ = ("app", "config", "context", "stopped", "table", "tasks")
 
     def __init__(
         self, app: Any, config: hypercorn.config.Config, table: ConnectionTable
@@ -101,21 +120,40 @@
         self.table = table
         self.context = WorkerContext(None)
         self.tasks: set[asyncio.Task] = set()
+        self.stopped = False
 
-    async def serve_connection(
+    def start_connection(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
-        """Serve one connection, or refuse it."""
-        task = asyncio.current_task()
-        server = writer.get_extra_info("sockname")
+        """Start the task of a connection that was made."""
         client = writer.get_extra_info("peername")
-        if client is None:
+        if client is None or self.stopped:
             writer.transport.abort()
             return
+        task = asyncio.create_task(self.serve_connection(reader, writer, client))
+        self.tasks.add(task)
+        task.add_done_callback(self.record_end)
+
+    def record_end(self, task: asyncio.Task) -> None:
+        """Forget the task of a connection that has ended; log an unexpected error."""
+        self.tasks.discard(task)
+        error = None if task.cancelled() else task.exception()
+        if error is not None:
+            self.table.metrics.count("node.door.failed")
+            log.error("connection failed", **describe_error(error))
+
+    async def serve_connection(
+        self,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+        client: tuple[Any, ...],
+    ) -> None:
+        """Serve one connection, or refuse it."""
+        server = writer.get_extra_info("sockname")
         connection = Connection(
             f"{server[0]}:{server[1]}",
             client[0],
-            task,
+            asyncio.current_task(),
             writer.transport,
             self.table.read_clock(),
         )
@@ -123,19 +161,17 @@
             writer.write(REFUSAL)
             writer.close()
             return
-        self.tasks.add(task)
         writer.transport.set_write_buffer_limits(high=UNSENT_BYTES)
         app = ASGIWrapper(ConnectionApp(self.app, connection, self.table))
         loop = asyncio.get_running_loop()
         accounted = AccountedReader(reader, connection, self.table)
         try:
             await Http1Server(
-                app, loop, self.config, self.context, {}, accounted, writer
+                connection, app, loop, self.config, self.context, {}, accounted, writer
             )
         except (Exception, BaseExceptionGroup) as error:
             self.report_error(error, connection)
         finally:
-            self.tasks.discard(task)
             self.table.remove(connection)
             writer.transport.abort()
 
@@ -151,13 +187,26 @@
         await self.context.terminated.set()
         for server in servers:
             server.close()
-        tasks = set(self.tasks)
-        if tasks:
-            _, pending = await asyncio.wait(tasks, timeout=self.config.graceful_timeout)
-            for task in pending:
-                task.cancel()
-            if pending:
-                await asyncio.wait(pending)
+        now = asyncio.get_running_loop().time
+        deadline = now() + self.config.graceful_timeout
+        # The listeners may have accepted connections that are made only now.
+        while self.tasks and (left_s := deadline - now()) > 0:
+            await asyncio.wait(self.tasks, timeout=left_s)
+        self.abort(servers)
+        while self.tasks:
+            await asyncio.wait(self.tasks)
+
+    def abort(self, servers: list[asyncio.Server]) -> None:
+        """Stop to accept, and end all connections.
+
+        Answers that callers have not read by now would keep their connections open.
+        """
+        self.stopped = True
+        for server in servers:
+            server.close()
+        self.table.abort_all()
+        for task in self.tasks:
+            task.cancel()
 
 
 async def serve_callers(
@@ -176,14 +225,17 @@
                 listener.setsockopt(socket.SOL_SOCKET, option, KERNEL_BYTES)
         servers.append(
             await asyncio.start_server(
-                door.serve_connection,
+                door.start_connection,
                 sock=listener,
                 limit=BUFFER_BYTES,
                 backlog=config.backlog,
             )
         )
-    async with anyio.create_task_group() as group:
-        group.start_soon(table.sweep)
-        await wait_stopped()
-        await door.stop(servers)
-        group.cancel_scope.cancel()
+    try:
+        async with anyio.create_task_group() as group:
+            group.start_soon(table.sweep)
+            await wait_stopped()
+            await door.stop(servers)
+            group.cancel_scope.cancel()
+    finally:
+        door.abort(servers)
--- a/gypsumring/door/table.py
+++ b/gypsumring/door/table.py
@@ -176,11 +176,20 @@
 
     def close(self, connection: Connection, reason: str) -> None:
         """Close a connection; its memory is free once its task has ended."""
-        if connection.closed:
-            return
-        self.note("closed", reason, connection.host)
-        self.closing_bytes += connection.charged
-        connection.abort()
+        if not connection.closed:
+            self.note("closed", reason, connection.host)
+            self.abort(connection)
+
+    def abort(self, connection: Connection) -> None:
+        """Close a connection for no fault of its caller."""
+        if not connection.closed:
+            self.closing_bytes += connection.charged
+            connection.abort()
+
+    def abort_all(self) -> None:
+        """Close all connections for no fault of their callers."""
+        for connection in self.connections:
+            self.abort(connection)
 
     async def sweep(self) -> None:
         """Close connections that exceed a time limit, until cancelled."""
--- a/gypsumring/node/main.py
+++ b/gypsumring/node/main.py
@@ -19,6 +19,7 @@
 from gypsumring.utils.logs import EventLogger, set_up_logs
 from gypsumring.utils.signals import SignalQueue, hold_signals, ignore_signals
 from gypsumring.utils.stopping import follow_signals
+from gypsumring.utils.supervision import log_loop_errors
 
 __all__ = ["main"]
 
@@ -91,6 +92,7 @@
 ) -> None:
     """Run the node and its HTTP server until a stop signal."""
     metrics = Metrics()
+    log_loop_errors(metrics.count)
     traffic = LinkTraffic(metrics, settings.limits.link_mbps)
     policy = None
     if settings.policy_address:
--- a/gypsumring/platform/tests/rig.py
+++ b/gypsumring/platform/tests/rig.py
@@ -49,7 +49,16 @@
 class NodeProcess:
     """Process of one node program, with its addresses and settings file."""
 
-    __slots__ = ("caller", "metrics", "name", "peer", "process", "ready", "settings")
+    __slots__ = (
+        "caller",
+        "errors",
+        "metrics",
+        "name",
+        "peer",
+        "process",
+        "ready",
+        "settings",
+    )
 
     def __init__(
         self,
@@ -64,6 +73,8 @@
         self.metrics = f"127.0.0.1:{find_free_port()}"
         self.peer = f"127.0.0.1:{find_free_port()}"
         self.settings = folder / f"{name}.json"
+        # Standard error of all processes of the node.
+        self.errors = folder / f"{name}.errors"
         content = {
             "node": name,
             "data_centre": "a",
@@ -83,12 +94,13 @@
 
     def start(self) -> None:
         """Start the process."""
-        self.process = subprocess.Popen(
-            [sys.executable, "-m", "gypsumring.node", "--settings", self.settings],
-            stdout=subprocess.DEVNULL,
-            stderr=subprocess.DEVNULL,
-            env={**os.environ, "PYTHONHASHSEED": "0"},
-        )
+        with self.errors.open("ab") as errors:
+            self.process = subprocess.Popen(
+                [sys.executable, "-m", "gypsumring.node", "--settings", self.settings],
+                stdout=subprocess.DEVNULL,
+                stderr=errors,
+                env={**os.environ, "PYTHONHASHSEED": "0"},
+            )
 
     def restart(self) -> "NodeProcess":
         """Start the process again after it ended and return this node."""
@@ -182,7 +194,11 @@
 async def running_programs(
     nodes: int = 2, changes: dict[str, Any] | None = None
 ) -> AsyncIterator[ProgramRig]:
-    """Run the stand-ins and ``nodes`` node processes with changed settings."""
+    """Run the stand-ins and ``nodes`` node processes with changed settings.
+
+    Nodes write log lines of JSON to standard output; anything on their standard error
+    fails the test.
+    """
     world = World(steady_behaviour(0.2))
     store = StoreModel()
     models = [ExecutorModel(world, f"i-{number}") for number in range(3)]
@@ -209,3 +225,6 @@
                 for node in rig.nodes:
                     node.end(signal.SIGKILL)
                     node.process.wait()
+            for node in rig.nodes:
+                errors = node.errors.read_text()
+                assert errors == "", f"standard error of {node.name}:\n{errors}"
--- a/gypsumring/platform/tests/test_programs.py
+++ b/gypsumring/platform/tests/test_programs.py
@@ -7,7 +7,9 @@
 import anyio
 
 from gypsumring.pipelines import PipelineSpec, StepSpec
+from gypsumring.platform.tests.crowds import make_head
 from gypsumring.platform.tests.rig import running_programs
+from gypsumring.utils.addresses import split_address
 from gypsumring.utils.testing import make_load_tests
 
 JOB_ID = "00112233445566aa"
@@ -167,6 +169,28 @@
             assert stopping.process.returncode == 0, number
 
 
+@run_in_real_time
+async def test_node_stops_with_connections_open():
+    # Such a node wrote a traceback for each of them; the rig checks standard error.
+    head = make_head("POST", f"/batch/{JOB_ID}", f"Content-Length: {len(BODY)}")
+    async with running_programs(nodes=1) as rig:
+        (node,) = rig.nodes
+        ready = make_head("GET", "/-/ready")
+        contents = [b"", b"POST /ba", head + BODY[:-1], ready, ready * 2]
+        host, port = split_address(node.caller)
+        streams = [await anyio.connect_tcp(host, port) for _ in contents]
+        for stream, content in zip(streams, contents, strict=True):
+            await stream.send(content)
+        assert (await streams[3].receive()).startswith(b"HTTP/1.1 200")
+        node.end(signal.SIGTERM)
+        with anyio.fail_after(20):
+            while node.process.poll() is None:
+                await anyio.sleep(0.05)
+        assert node.process.returncode == 0
+        for stream in streams:
+            await stream.aclose()
+
+
 @run_in_real_time
 async def test_node_refused_by_the_store_keeps_serving_through_a_peer():
     # Without relayed calls, jobs would be refused until another node takes over.
--- a/gypsumring/utils/logs.py
+++ b/gypsumring/utils/logs.py
@@ -1,5 +1,6 @@
 """Log output that is bounded in rate and size and never blocks the program."""
 
+import logging
 import os
 import sys
 import time
@@ -7,6 +8,7 @@
 from typing import Any
 
 import logbook
+import logbook.compat
 import msgspec
 
 from gypsumring.settings import LogOutputSettings
@@ -149,7 +151,10 @@
 
 
 def set_up_logs(settings: LogOutputSettings) -> None:
-    """Send log records to standard output as JSON, or to standard error as text."""
+    """Send log records to standard output as JSON, or to standard error as text.
+
+    Warnings of libraries and of the interpreter become log records too.
+    """
     if settings.json:
         handler: logbook.Handler = BoundedHandler(settings.level)
     else:
@@ -157,3 +162,7 @@
             sys.stderr, level=settings.level, format_string=TEXT_FORMAT
         )
     handler.push_application()
+    library_handler = logbook.compat.RedirectLoggingHandler()
+    library_handler.setLevel(logging.WARNING)
+    logging.root.handlers = [library_handler]
+    logging.captureWarnings(True)
--- a/gypsumring/utils/tests/test_logs.py
+++ b/gypsumring/utils/tests/test_logs.py
@@ -2,6 +2,8 @@
 
 import json
 import os
+import subprocess
+import sys
 from unittest import mock
 
 import logbook
@@ -81,4 +83,24 @@
     assert regained["what"] == "desired state"
 
 
+def test_warnings_of_libraries_are_log_lines():
+    # They went to standard error as text.
+    program = """
+import logging, warnings
+from gypsumring.settings import LogOutputSettings
+from gypsumring.utils.logs import set_up_logs
+set_up_logs(LogOutputSettings(json=True))
+logging.getLogger("library").warning("%d sends failed", 5)
+logging.getLogger("library").info("not written")
+warnings.warn("never awaited", RuntimeWarning)
+"""
+    result = subprocess.run([sys.executable, "-c", program], capture_output=True)
+    assert result.stderr == b""
+    first, second = map(json.loads, result.stdout.splitlines())
+    assert (first["part"], first["message"]) == ("library", "5 sends failed")
+    assert first["level"] == "WARNING"
+    assert second["part"] == "py.warnings"
+    assert "never awaited" in second["message"]
+
+
 load_tests = make_load_tests(globals())
