Test that a node refused by the store stops with exit status 0

That function ends by an error in an asyncio.TaskGroup, which in Python 3.11.7 cancels its parent while it already waits in __aexit__, and never takes the request back: Task.cancelling() of the caller stays 1 (printed after serve, with and without an open request).

Change: tests only. The node is stopped with requests in flight while the store refuses it, and the door must leave its caller no request to cancel it.

--- a/gypsumring/door/tests/test_server.py
+++ b/gypsumring/door/tests/test_server.py
@@ -22,6 +22,7 @@
 from gypsumring.utils.testing import make_load_tests
 
 LIMIT_S = 30.0
+GRACEFUL_S = 0.1
 # Far above what the kernel buffers for a connection whose caller reads nothing.
 LARGE_BYTES = 8 * 1024 * 1024
 HEAD = b"GET /%s HTTP/1.1\r\nhost: a\r\n\r\n"
@@ -86,16 +87,22 @@
     await send({"type": "http.response.body", "body": b"x" * size})
 
 
-@asynccontextmanager
-async def running_door(graceful_s: float = 0.1) -> AsyncIterator[Door]:
-    """Serve a door on a free port; stop it at the end and check what was reported."""
+def bind_door() -> tuple[str, hypercorn.config.Config]:
+    """Return a free address and the configuration of a door that listens there."""
     listener = socket.create_server(("127.0.0.1", 0))
     address = f"127.0.0.1:{listener.getsockname()[1]}"
     config = hypercorn.config.Config()
     config.bind = [f"fd://{listener.detach()}"]
-    config.graceful_timeout = graceful_s
+    config.graceful_timeout = GRACEFUL_S
     config.keep_alive_timeout = 10 * LIMIT_S
     config.errorlog = None
+    return address, config
+
+
+@asynccontextmanager
+async def running_door() -> AsyncIterator[Door]:
+    """Serve a door on a free port; stop it at the end and check what was reported."""
+    address, config = bind_door()
     settings = DoorSettings()
     limits = DoorLimits(MachineLimits(160, 1_638), settings)
     table = ConnectionTable(address, limits, settings, Metrics())
@@ -191,12 +198,9 @@
 async def test_cancelled_door_leaves_no_connection_behind():
     # The event loop would otherwise end them, after what they use has ended.
     async with running_door() as door:
+        address, config = bind_door()
+        other = Door(address, door.table)
         async with anyio.create_task_group() as group:
-            listener = socket.create_server(("127.0.0.1", 0))
-            other = Door(f"127.0.0.1:{listener.getsockname()[1]}", door.table)
-            config = hypercorn.config.Config()
-            config.bind = [f"fd://{listener.detach()}"]
-            config.errorlog = None
             group.start_soon(
                 serve_callers, other.serve, config, other.table, other.stop.wait
             )
@@ -207,4 +211,25 @@
         await stream.aclose()
 
 
+@run_in_real_time
+async def test_stopped_door_leaves_its_caller_no_request_to_cancel_it():
+    # anyio takes the end of a group around such a caller for one from outside, so that
+    # the node ended with CancelledError.
+    async with running_door() as door:
+        address, config = bind_door()
+        other = Door(address, door.table)
+
+        async def stop_while_serving() -> None:
+            (stream,) = await other.open(HEAD % b"wait")
+            await door.wait_for(lambda: other.served == ["/wait"])
+            other.stop.set()
+            await anyio.sleep_forever()
+
+        async with anyio.create_task_group() as group:
+            group.start_soon(stop_while_serving)
+            await serve_callers(other.serve, config, other.table, other.stop.wait)
+            assert asyncio.current_task().cancelling() == 0
+            group.cancel_scope.cancel()
+
+
 load_tests = make_load_tests(globals())
--- a/gypsumring/platform/tests/test_programs.py
+++ b/gypsumring/platform/tests/test_programs.py
@@ -1,14 +1,16 @@
 """Node programs as separate processes that use the platform's wire format."""
 
+import contextlib
 import functools
 import json
 import signal
 
 import anyio
+import httpx
 
 from gypsumring.pipelines import PipelineSpec, StepSpec
 from gypsumring.platform.tests.crowds import make_head
-from gypsumring.platform.tests.rig import running_programs
+from gypsumring.platform.tests.rig import NodeProcess, running_programs
 from gypsumring.utils.addresses import split_address
 from gypsumring.utils.testing import make_load_tests
 
@@ -191,6 +193,33 @@
             await stream.aclose()
 
 
+@run_in_real_time
+async def test_nodes_refused_by_the_store_stop_with_exit_status_zero():
+    # Such nodes ended with CancelledError and status 1: hypercorn's own server had left
+    # a request to cancel its caller, and parts of the node took a moment to end.
+    async with running_programs(nodes=2) as rig:
+
+        async def send_requests(node: NodeProcess, limit_ms: int) -> None:
+            with contextlib.suppress(httpx.HTTPError):
+                while True:
+                    await rig.call(node, "GET", JOB_ID, limit_ms=limit_ms)
+
+        async with anyio.create_task_group() as group:
+            for node in rig.nodes:
+                for limit_ms in (300, 2_000, 20_000):
+                    group.start_soon(send_requests, node, limit_ms)
+            await anyio.sleep(0.3)
+            rig.refuse_store_requests(*rig.nodes)
+            await anyio.sleep(0.3)
+            for node in rig.nodes:
+                node.end(signal.SIGTERM)
+            with anyio.fail_after(20):
+                while any(node.process.poll() is None for node in rig.nodes):
+                    await anyio.sleep(0.05)
+            group.cancel_scope.cancel()
+        assert [node.process.returncode for node in rig.nodes] == [0, 0]
+
+
 @run_in_real_time
 async def test_node_refused_by_the_store_keeps_serving_through_a_peer():
     # Without relayed calls, jobs would be refused until another node takes over.
