--- a/gypsumring/platform/tests/test_programs.py
+++ b/gypsumring/platform/tests/test_programs.py
@@ -1,13 +1,17 @@
 """Node programs as separate processes that use the platform's wire format."""
 
+import contextlib
 import functools
 import json
 import signal
 
 import anyio
+import httpx
 
 from gypsumring.pipelines import PipelineSpec, StepSpec
-from gypsumring.platform.tests.rig import running_programs
+from gypsumring.platform.tests.crowds import make_head
+from gypsumring.platform.tests.rig import NodeProcess, running_programs
+from gypsumring.utils.addresses import split_address
 from gypsumring.utils.testing import make_load_tests
 
 JOB_ID = "00112233445566aa"
@@ -138,7 +142,7 @@
             group.start_soon(send_request)
             await anyio.sleep(0.5)
             other.end(signal.SIGTERM)
-        assert statuses == [503]
+        assert statuses == [503], statuses
 
 
 @run_in_real_time
@@ -163,10 +167,59 @@
                     while stopping.process.poll() is None:
                         await anyio.sleep(0.1)
                         stopping.end(number)
-            assert statuses == [503]
+            assert statuses == [503], statuses
             assert stopping.process.returncode == 0, number
 
 
+@run_in_real_time
+async def test_node_stops_with_connections_open():
+    # Such a node wrote a traceback for each of them; the rig checks standard error.
+    head = make_head("POST", f"/batch/{JOB_ID}", f"Content-Length: {len(BODY)}")
+    async with running_programs(nodes=1) as rig:
+        (node,) = rig.nodes
+        ready = make_head("GET", "/-/ready")
+        contents = [b"", b"POST /ba", head + BODY[:-1], ready, ready * 2]
+        host, port = split_address(node.caller)
+        streams = [await anyio.connect_tcp(host, port) for _ in contents]
+        for stream, content in zip(streams, contents, strict=True):
+            await stream.send(content)
+        assert (await streams[3].receive()).startswith(b"HTTP/1.1 200")
+        node.end(signal.SIGTERM)
+        with anyio.fail_after(20):
+            while node.process.poll() is None:
+                await anyio.sleep(0.05)
+        assert node.process.returncode == 0
+        for stream in streams:
+            await stream.aclose()
+
+
+@run_in_real_time
+async def test_nodes_refused_by_the_store_stop_with_exit_status_zero():
+    # Such nodes ended with CancelledError and status 1: hypercorn's own server had left
+    # a request to cancel its caller, and parts of the node took a moment to end.
+    async with running_programs(nodes=2) as rig:
+
+        async def send_requests(node: NodeProcess, limit_ms: int) -> None:
+            with contextlib.suppress(httpx.HTTPError):
+                while True:
+                    await rig.call(node, "GET", JOB_ID, limit_ms=limit_ms)
+
+        async with anyio.create_task_group() as group:
+            for node in rig.nodes:
+                for limit_ms in (300, 2_000, 20_000):
+                    group.start_soon(send_requests, node, limit_ms)
+            await anyio.sleep(0.3)
+            rig.refuse_store_requests(*rig.nodes)
+            await anyio.sleep(0.3)
+            for node in rig.nodes:
+                node.end(signal.SIGTERM)
+            with anyio.fail_after(20):
+                while any(node.process.poll() is None for node in rig.nodes):
+                    await anyio.sleep(0.05)
+            group.cancel_scope.cancel()
+        assert [node.process.returncode for node in rig.nodes] == [0, 0]
+
+
 @run_in_real_time
 async def test_node_refused_by_the_store_keeps_serving_through_a_peer():
     # Without relayed calls, jobs would be refused until another node takes over.
