Look first at steps with new tickets

Cause: a pass had time for a third of the 165 waiting steps, so that a step was looked at every 2.5 s, while its tickets are valid for 2 s: it asked for them again and again.

Change: the half of a pass that is not in order of service begins with the steps that have got tickets since the last one. The pause after a pass that was too short is 0.8 times its length.

--- a/gypsumring/cell/policy_client.py
+++ b/gypsumring/cell/policy_client.py
@@ -49,6 +49,7 @@
     """Client of the policy service that selects executors and stores the tickets."""
 
     __slots__ = (
+        "answered",
         "list_policy_proxies",
         "place",
         "policy_proxies",
@@ -69,6 +70,8 @@
         self.place = place
         self.list_policy_proxies = list_policy_proxies
         self.query_policy_proxy = query_policy_proxy
+        # Steps with new tickets, which are valid for a short time.
+        self.answered: dict[Step, None] = {}
         self.policy_proxies = PolicyProxyPool()
         self.shares = AllowedShares()
         self.random_source = random.Random(state.fence)
@@ -120,6 +123,11 @@
                 self.call_policy, step, queue.name, timing, executor_ids
             )
 
+    def pop_answered(self) -> dict[Step, None]:
+        """Return the steps that have got tickets since the last call, oldest first."""
+        answered, self.answered = self.answered, {}
+        return answered
+
     def choose_further(
         self,
         step: Step,
@@ -224,6 +232,7 @@
             took_ms=round((anyio.current_time() - now) * 1000),
         )
         expires_at = anyio.current_time() + timing.valid_s
+        self.answered[step] = None
         step.queried.update(executor_ids)
         self.shares.record_answer(queue, len(executor_ids), len(granted))
         for executor_id, value in granted:
--- a/gypsumring/cell/scheduling.py
+++ b/gypsumring/cell/scheduling.py
@@ -41,10 +41,10 @@
 # one, so that the event loop has time for other tasks.
 BATCH_DELAY_FACTOR = 4.0
 # The same if the pass had no time for all steps.
-OVERDUE_DELAY_FACTOR = 1.5
+OVERDUE_DELAY_FACTOR = 0.8
 # Steps that are not evaluated in this time are overdue in the next pass, half of which
-# is theirs: nodes leave an owner that does not answer their pings for as long as a long
-# pass takes.
+# is theirs, and of steps with new tickets: nodes leave an owner that does not answer
+# their pings for as long as a long pass takes.
 MAX_PASS_S = 0.05
 # The whole fleet is evaluated at most in this share of the time.
 MAX_FLEET_SHARE = 0.1
@@ -134,7 +134,8 @@
                 EVALUATION_PERIOD_S, fleet_s / MAX_FLEET_SHARE
             )
         due_steps = self.deferred.union(self.backlog.pop_due_steps(now))
-        overdue, self.overdue, self.deferred = self.overdue, {}, set()
+        overdue = {**self.policy_client.pop_answered(), **self.overdue}
+        self.overdue, self.deferred = {}, set()
         unstarted: list[tuple[Step, Queue]] = []
         freed_executors = self.state.pop_freed_executors()
         candidate_steps = self.backlog.find_steps_for_capacity(freed_executors)
