Let a node know the others while the link of the owner has bulk

While starts waited for the link, no answer to a ping carried the table of nodes. A node that restarted then knew no other one, was its own monitor, and removed an owner that served on its own report. Reports expired before a node that gives the owner up to 2 s repeated them, and nodes that had left counted for the majority for 5 s.

Cause: the table was held back at a shorter queue (0.02 s) than bulk leaves (0.03 s); limits that depend on each other stood in different places.

Change: the table is sent up to twice the queue of bulk, and at once to a node that has none. A report counts for as much longer as an owner has to answer. Nodes that have left are listed for 2.5 s, less than the 3 s after which an owner may be reported.

Measured: the two new tests of test_node_table fail without the change.

--- a/gypsumring/node/failure_detection.py
+++ b/gypsumring/node/failure_detection.py
@@ -18,8 +18,9 @@
 MONITOR_COUNT = 3
 # An owner that has served for less than this time is not reported.
 MIN_SERVICE_S = 3.0
-# A report counts for this time; a node that still gets no answer repeats it sooner
-# unless its lookups in the store are slow.
+# A report counts for this time, and as much longer as an owner has to answer a new
+# connection. A node that still gets no answer repeats it sooner unless its lookups in
+# the store are slow.
 REPORT_VALID_S = 1.3
 
 
@@ -59,15 +60,20 @@
         # Time until which the report of a node counts, by the name of the node.
         self.valid_until: dict[str, float] = {}
 
-    def record(self, node: str, address: str, fence: int, now: float) -> None:
-        """Record the report of a node; reports of an earlier owner are dropped."""
+    def record(
+        self, node: str, address: str, fence: int, now: float, answer_s: float = 0.0
+    ) -> None:
+        """Record the report of a node; reports of an earlier owner are dropped.
+
+        ``answer_s`` is how long an owner has to answer a new connection.
+        """
         if fence < self.fence:
             return
         if (fence, address) != (self.fence, self.address):
             self.fence = fence
             self.address = address
             self.valid_until.clear()
-        self.valid_until[node] = now + REPORT_VALID_S
+        self.valid_until[node] = now + REPORT_VALID_S + answer_s
 
     def is_confirmed(self, node_count: int, now: float) -> bool:
         """Return whether a majority of the nodes has reported the owner.
--- a/gypsumring/node/link.py
+++ b/gypsumring/node/link.py
@@ -398,7 +398,9 @@
             return
         now = anyio.current_time()
         address = message.owner_address
-        self.reports.record(message.node, address, message.fence, now)
+        self.reports.record(
+            message.node, address, message.fence, now, self.owner_answer_s()
+        )
         if self.owner_address == address:
             return
         known_count = len(self.list_other_nodes(without=address)) + 1
@@ -493,7 +495,7 @@
         hello_s = self.response_times.timeout_s(HELLO_TIMEOUT_S, LONGEST_PING_TIMEOUT_S)
         is_known = self.term is not None and self.term.address == address
         if is_known:
-            hello_s = max(hello_s, min(self.takeover_s, LONGEST_HELLO_TIMEOUT_S))
+            hello_s = max(hello_s, self.owner_answer_s())
         else:
             connect_s = hello_s = TAKEOVER_ANSWER_TIMEOUT_S
         self.metrics.count("link.connections_to_owners")
@@ -521,6 +523,10 @@
                 group.cancel_scope.cancel()
         return has_answered
 
+    def owner_answer_s(self) -> float:
+        """Return how long an owner has to answer at least, by what a takeover takes."""
+        return min(self.takeover_s, LONGEST_HELLO_TIMEOUT_S)
+
     async def is_owner_or_candidate(self, channel: Channel, address: str) -> bool:
         """Ping a peer; return whether it owns the cell or may still take it over."""
         if self.own_fence() is not None:
--- a/gypsumring/node/node.py
+++ b/gypsumring/node/node.py
@@ -57,6 +57,7 @@
     RelayedClient,
     serve_channels,
 )
+from gypsumring.transport.traffic import MAX_BULK_BACKLOG_S
 from gypsumring.utils.clock import Clock, suspend_aware_time, unix_ms
 from gypsumring.utils.logs import EventLogger
 from gypsumring.utils.supervision import keep_running
@@ -70,8 +71,11 @@
 NODES_TOPIC = "keyed.nodes"
 MIN_MEMBERSHIP_S = 1.0
 GAUGE_PERIOD_S = 1.0
-# The table of nodes is not sent while the queue at the link is longer than this.
-MAX_TABLE_BACKLOG_S = 0.02
+# The table of nodes is not sent while the queue at the link is longer than this, which
+# is more than bulk leaves there, unless the node has none.
+MAX_TABLE_BACKLOG_S = 2 * MAX_BULK_BACKLOG_S
+# Upper limit of the time for a takeover that is sent to other nodes.
+MAX_TAKEOVER_S = 3600.0
 # A timer that fires later than this is logged: the process gets too little of its core.
 LATE_TIMER_S = 0.1
 # A node without a link to an owner for this time reports that it is not ready.
@@ -395,9 +399,8 @@
             )
         self.node_table.refresh()
         version = self.node_table.version
-        is_sent = (
-            known_version not in (None, version)
-            and self.traffic.backlog_s() <= MAX_TABLE_BACKLOG_S
+        is_sent = known_version not in (None, version) and (
+            not known_version or self.traffic.backlog_s() <= MAX_TABLE_BACKLOG_S
         )
         return Pong(
             True,
@@ -406,7 +409,7 @@
             version,
             self.node_table.published if is_sent else None,
             self.clock(),
-            owner.state.journal.read_s(),
+            min(owner.state.journal.read_s(), MAX_TAKEOVER_S),
         )
 
     async def execute(self, message: Command) -> JobAnswer:
--- a/gypsumring/node/node_table.py
+++ b/gypsumring/node/node_table.py
@@ -15,8 +15,9 @@
 
 __all__ = ["NodeTable"]
 
-# A node that has left is listed for this time. Most return at the same address.
-RETENTION_S = 5.0
+# A node that has left is listed for this time. Most return at the same address. Nodes
+# that are listed count for the majority that reports an owner, from 3 s of service on.
+RETENTION_S = 2.5
 # Changes of this time are sent together, since each one is sent to all nodes.
 PUBLICATION_PERIOD_S = 0.5
 
--- a/gypsumring/node/tests/test_node_table.py
+++ b/gypsumring/node/tests/test_node_table.py
@@ -2,7 +2,10 @@
 
 import anyio
 
+from gypsumring.metrics import Metrics
+from gypsumring.node.failure_detection import MIN_SERVICE_S
 from gypsumring.node.node_table import RETENTION_S, NodeTable
+from gypsumring.transport import LinkTraffic
 from gypsumring.utils.testing import make_load_tests
 from stand_ins.platform.fleet import running_fleet
 
@@ -82,4 +85,42 @@
         assert tables <= 3, tables
 
 
+# While starts waited, no answer carried a table. A node that had restarted knew no
+# other node, so that its own report of the owner was that of a majority.
+async def test_restarted_node_learns_the_table_while_starts_wait_for_the_link():
+    async with running_fleet(8) as fleet:
+        await anyio.sleep(6.0)
+        owner = fleet.owner()
+        traffic = owner.node.traffic = LinkTraffic(Metrics(), 10)
+
+        async def send_starts() -> None:
+            while True:
+                await traffic.wait_for_room()
+                traffic.reserve(2_350)
+
+        fleet.group.start_soon(send_starts)
+        await anyio.sleep(0.5)
+        machine = next(each for each in fleet.running() if each is not owner)
+        machine.kill()
+        await anyio.sleep(0.2)
+        machine.start()
+        await anyio.sleep(5.0)
+        assert len(machine.node.link.node_addresses) == 8
+        machine.hold_from([owner])
+        await anyio.sleep(3.0)
+        machine.release_from([owner])
+        assert fleet.owner() is owner
+
+
+# Nodes that had left were counted for 5 s, so that the others were no majority.
+async def test_nodes_that_have_left_are_dropped_before_an_owner_may_be_reported():
+    table = make_table("abcdef")
+    table.inherit({"g": "g:1", "h": "h:1"})
+    for name in "cdef":
+        table.remove(name)
+    await anyio.sleep(MIN_SERVICE_S)
+    table.refresh()
+    assert sorted(table.published) == ["a", "b"]
+
+
 load_tests = make_load_tests(globals())
