--- a/gypsumring/platform/store.py
+++ b/gypsumring/platform/store.py
@@ -45,8 +45,9 @@
 
 RECORD_LENGTH = struct.Struct(">I")
 READ_HEADER = struct.Struct(">QQ")
-# Largest page of the newest records.
+# Largest page of the newest records of a cell, and of other topics.
 PAGE_BYTES = 1_000_000
+SMALL_PAGE_BYTES = 200_000
 BINARY_CONTENT_TYPE = "application/octet-stream"
 
 
@@ -223,11 +224,11 @@
         self, topic: str, partition: int, deadline: float
     ) -> tuple[list[KeyedRecord], int]:
         """Return the newest record of each key and the end offset before the read."""
-        page = await self.read_newest_page(topic, partition, "", deadline)
+        page = await self.read_page(topic, partition, "", deadline, SMALL_PAGE_BYTES)
         records, end_offset = page.records, page.end_offset
         while page.next_key is not None:
-            page = await self.read_newest_page(
-                topic, partition, page.next_key, deadline
+            page = await self.read_page(
+                topic, partition, page.next_key, deadline, SMALL_PAGE_BYTES
             )
             records += page.records
         return records, end_offset
@@ -236,12 +237,23 @@
         self, topic: str, partition: int, after_key: str, deadline: float
     ) -> NewestPage:
         """Return one page of the newest records, from the keys after one on."""
+        return await self.read_page(topic, partition, after_key, deadline, PAGE_BYTES)
+
+    async def read_page(
+        self,
+        topic: str,
+        partition: int,
+        after_key: str,
+        deadline: float,
+        page_bytes: int,
+    ) -> NewestPage:
+        """Read one page of about a size, which may be larger."""
         query: dict[str, str | int] = {"topic": topic, "part": partition}
         if after_key:
             # In this request, ``dependsOn`` is the last key of the previous page.
             query["dependsOn"] = after_key
         response = await self.call(
-            "GET", "/-/log-newest", deadline, query, reply_bytes=PAGE_BYTES
+            "GET", "/-/log-newest", deadline, query, reply_bytes=page_bytes
         )
         if response.status != 200:
             raise StoreUnavailable(
