Count only starts that wait for the link as its demand

With four of eight executors silent no task started for 5 s, and submissions were refused for a link that was idle: starts that wait for their executor counted as waiting for the link. A pass forgot the jobs that were being stored. A gang that the link needs more than 1.5 s for was stopped and started for ever. Sizes were counted in characters.

Change: an unsent start counts for 1 s at most. Jobs count while they are stored, by id. The time limit of a gang includes up to 1 s for the link. Sizes are those of JSON. A start carries the newest ticket of its executor.

--- a/gypsumring/cell/commands.py
+++ b/gypsumring/cell/commands.py
@@ -74,7 +74,7 @@
             excess_s = self.state.start_demand.excess_s(known_queue)
             if excess_s:
                 return self.refuse_for_link(spec, excess_s)
-            self.state.start_demand.add(spec, known_queue.priority)
+            self.state.start_demand.begin_accepting(spec, known_queue.priority)
             submission = self.accept(spec, queue)
         await wait_until(submission.settled, began_at + STORE_WAIT_SHARE * time_left_s)
         if not submission.settled.is_set() and self.is_store_unavailable():
@@ -140,6 +140,7 @@
 
     def finish_accepting(self, spec: PipelineSpec) -> None:
         """Record that a job is in the job table or has been withdrawn."""
+        self.state.start_demand.end_accepting(spec)
         self.state.queues.finish_accepting(spec.queue)
         if spec.account:
             self.state.accounts.finish_accepting(spec.account)
--- a/gypsumring/cell/orders.py
+++ b/gypsumring/cell/orders.py
@@ -31,6 +31,8 @@
 # If not all members of a gang have started within this time, the owner stops them. This
 # is shorter than the time after which executors end a member that runs alone.
 GANG_START_TIMEOUT_S = 1.5
+# Beside it, the link has this time at most for the starts of the whole gang.
+MAX_GANG_TRANSFER_S = 1.0
 # The owner abandons a start that has been unanswered for this time while the executor
 # answers long polls. A copy of the order may still be executed later.
 START_TIMEOUT_S = 4.0
@@ -61,7 +63,7 @@
 
     def begin_start(self, run: Run, ticket: str) -> None:
         """Start the background task that sends the start of an attempt."""
-        self.state.start_demand.unsent_bytes += start_bytes(run.step.job.spec)
+        self.state.start_demand.add_unsent(run)
         self.state.group.start_soon(self.start_run, run, ticket)
 
     def stop(self, run: Run) -> None:
@@ -119,15 +121,17 @@
     ) -> TaskStart:
         """Return a start order, which also extends the lease of the executor.
 
-        The lease counts from ``now``, a reading of the cell's clock.
+        The lease counts from ``now``, a reading of the cell's clock. A ticket that has
+        been renewed takes the place of the one with which the task was placed.
         """
+        renewed = run.step.tickets.get(run.executor_id)
         return TaskStart(
             run.task,
             run.attempt,
             run.step.job.spec.payload,
             executor.extend_lease(self.state.lease_ms(), now),
             run.step.checkpoint_of(run.index),
-            ticket,
+            renewed.value if ticket and renewed is not None else ticket,
         )
 
     async def start_run(self, run: Run, ticket: str) -> None:
@@ -141,8 +145,7 @@
                     await self.state.traffic.wait_for_room()
                     pause_s = await self.try_start(run, ticket)
         finally:
-            if not run.was_sent:
-                self.state.start_demand.unsent_bytes -= start_bytes(run.step.job.spec)
+            self.state.start_demand.remove_unsent(run)
 
     def may_start(self, run: Run, executor: ExecutorState, ticket: str = "") -> bool:
         """Return whether a start may be sent; withdraw or stop one that is obsolete."""
@@ -182,23 +185,19 @@
         ):
             return RETRY_PAUSE_S
         traffic = self.state.traffic
-        if run.unanswered_orders and not traffic.spend_repeat(
-            start_bytes(run.step.job.spec)
-        ):
+        size = start_bytes(run.step.job.spec)
+        if run.unanswered_orders and not traffic.spend_repeat(size):
             return RETRY_PAUSE_S
         client = self.state.clients[run.executor_id]
         order = self.make_start(run, executor, ticket, now)
         sent_at = anyio.current_time()
         sent_clock = self.state.clock()
-        deadline = (
-            sent_at + ORDER_TIMEOUT_S + traffic.send_s(start_bytes(run.step.job.spec))
-        )
+        deadline = sent_at + ORDER_TIMEOUT_S + traffic.send_s(size)
         run.start_sent_by = float("inf")
-        if not run.was_sent:
-            run.was_sent = True
-            self.state.start_demand.unsent_bytes -= start_bytes(run.step.job.spec)
+        run.was_sent = True
+        self.state.start_demand.remove_unsent(run)
         if not run.unanswered_orders:
-            traffic.reserve(start_bytes(run.step.job.spec))
+            traffic.reserve(size)
         try:
             with sending_for(
                 Purpose.STARTS_REPEATED if run.unanswered_orders else Purpose.STARTS
@@ -331,7 +330,11 @@
 
     def is_member_start_late(self, run: Run) -> bool:
         """Return whether a member of a gang has not started in time."""
-        return anyio.current_time() - run.started_at > GANG_START_TIMEOUT_S
+        spec = run.step.job.spec
+        size = run.step.spec.task_count * start_bytes(spec)
+        transfer_s = min(self.state.traffic.transfer_s(size), MAX_GANG_TRANSFER_S)
+        limit_s = GANG_START_TIMEOUT_S + transfer_s
+        return anyio.current_time() - run.started_at > limit_s
 
     def stop_gang(self, run: Run, reason: str) -> None:
         """Stop all members of a gang's attempt because of a failure of one member."""
--- a/gypsumring/cell/start_demand.py
+++ b/gypsumring/cell/start_demand.py
@@ -5,10 +5,14 @@
 late for them. Work that waits for executors, and not for the link, does not count.
 """
 
+import functools
 from collections import Counter
 from collections.abc import Iterable
 
-from gypsumring.pipelines import PipelineSpec, Queue, Step
+import anyio
+import msgspec
+
+from gypsumring.pipelines import PipelineSpec, Queue, Run, Step
 from gypsumring.transport import LinkTraffic
 
 __all__ = ["StartDemand", "start_bytes"]
@@ -20,23 +24,37 @@
 # machine, need the link for longer than this. On a slow machine there may be as much
 # time between scheduling passes, in which the link should not be idle.
 MAX_START_WAIT_S = 0.25
+# A start that has not been sent for this time waits for something else than the link.
+MAX_UNSENT_S = 1.0
 # Bytes of a start order beside the payload of the job.
 START_OVERHEAD_BYTES = 350
 
 
+class UnsentStart:
+    """Start that has not been sent yet, and when the task was placed."""
+
+    __slots__ = ("placed_at", "size")
+
+    def __init__(self, size: int, placed_at: float):
+        self.size = size
+        self.placed_at = placed_at
+
+
 class StartDemand:
     """Bytes of the starts that wait for the link.
 
-    ``unsent_bytes`` are those of tasks that have been placed, ``bytes_by_priority``
-    those of tasks that were not, since the link has no room for their starts, or the
-    scheduler no time for them.
+    ``unsent`` are those of tasks that have been placed, oldest first. For those in
+    ``bytes_by_priority`` the link has no room, or the scheduler no time. ``accepting``
+    are those of jobs that are being stored, by id, with their priority.
     """
 
-    __slots__ = ("bytes_by_priority", "traffic", "unsent_bytes")
+    __slots__ = ("accepting", "bytes_by_priority", "traffic", "unsent", "unsent_bytes")
 
     def __init__(self, traffic: LinkTraffic):
         self.traffic = traffic
         self.bytes_by_priority: Counter[int] = Counter()
+        self.accepting: dict[str, tuple[int, int]] = {}
+        self.unsent: dict[Run, UnsentStart] = {}
         self.unsent_bytes = 0
 
     def review(self, unstarted: Iterable[tuple[Step, Queue]]) -> None:
@@ -46,20 +64,45 @@
             size = len(step.pending) * start_bytes(step.job.spec)
             self.bytes_by_priority[queue.priority] += size
 
-    def add(self, spec: PipelineSpec, priority: int) -> None:
-        """Add the starts that a new job needs at once, until the next pass."""
+    def begin_accepting(self, spec: PipelineSpec, priority: int) -> None:
+        """Add the starts that a new job needs at once, until it is stored."""
         if not spec.repeats:
             tasks = sum(step.task_count for step in spec.steps if not step.after)
-            self.bytes_by_priority[priority] += tasks * start_bytes(spec)
+            self.accepting[spec.job_id] = (priority, tasks * start_bytes(spec))
+
+    def end_accepting(self, spec: PipelineSpec) -> None:
+        """Remove the starts of a job that is stored or withdrawn."""
+        self.accepting.pop(spec.job_id, None)
+
+    def add_unsent(self, run: Run) -> None:
+        """Add the start of a task that has been placed."""
+        size = start_bytes(run.step.job.spec)
+        self.unsent[run] = UnsentStart(size, anyio.current_time())
+        self.unsent_bytes += size
+
+    def remove_unsent(self, run: Run) -> None:
+        """Remove a start that is sent now, or not at all."""
+        start = self.unsent.pop(run, None)
+        if start is not None:
+            self.unsent_bytes -= start.size
+
+    def drop_stuck(self) -> None:
+        """Remove the starts that wait for their executors, and not for the link."""
+        oldest_at = anyio.current_time() - MAX_UNSENT_S
+        while self.unsent:
+            run, start = next(iter(self.unsent.items()))
+            if start.placed_at >= oldest_at:
+                return
+            self.remove_unsent(run)
 
     def wait_s(self, priority: int) -> float:
         """Return for how long new starts of a priority wait for the link, in seconds.
 
         Starts of higher priorities, which are lower numbers, go first.
         """
-        size = self.unsent_bytes + sum(
-            size for each, size in self.bytes_by_priority.items() if each <= priority
-        )
+        self.drop_stuck()
+        rows = [*self.bytes_by_priority.items(), *self.accepting.values()]
+        size = self.unsent_bytes + sum(size for each, size in rows if each <= priority)
         return size / self.traffic.bytes_per_s
 
     def is_link_full(self) -> bool:
@@ -68,6 +111,7 @@
 
     def start_wait_s(self) -> float:
         """Return for how long the start of a task that is placed now waits."""
+        self.drop_stuck()
         unsent_s = self.unsent_bytes / self.traffic.bytes_per_s
         return self.traffic.backlog_s() + unsent_s
 
@@ -79,4 +123,10 @@
 
 def start_bytes(spec: PipelineSpec) -> int:
     """Return about how many bytes the start of one task has."""
-    return len(spec.payload) + START_OVERHEAD_BYTES
+    return payload_bytes(spec.payload) + START_OVERHEAD_BYTES
+
+
+@functools.lru_cache(maxsize=4_096)
+def payload_bytes(payload: str) -> int:
+    """Return the size of a payload as it is sent, in JSON."""
+    return len(msgspec.json.encode(payload))
