Replace a connection to a peer at once after a call on it was reset

What callers saw: a call to a scheduler that had just been replaced ended with PeerUnreachable ("not sent") after its whole time limit, though its successor listened.

Cause, by a trace: when a pipe ends, nng first ends the calls on it with ConnectionReset and reports the end of the pipe 0.1 to 1 ms later, on another thread. A call that began in between took the connection for whole (is_broken False, one pipe) and waited there for another pipe, which the redial delay of an hour never gives.

Change: a call that ends with ConnectionReset marks its connection as broken, so that the next call connects anew.

--- a/gypsumring/peers/nng.py
+++ b/gypsumring/peers/nng.py
@@ -240,6 +240,7 @@
             )
         state = self.connection_states.setdefault(address, PeerConnectionState())
         is_sent = False
+        connection: Connection | None = None
         context: pynng.Context | None = None
         try:
             with anyio.fail_after(max(0.0, deadline - anyio.current_time())):
@@ -252,6 +253,10 @@
                     payload = await run_nng(context.arecv())
                     count_frame(self.metrics, "received", payload)
         except (pynng.NNGException, TimeoutError) as error:
+            if isinstance(error, pynng.ConnectionReset) and connection is not None:
+                # nng may report the end of the pipe only later. Until then, a call on
+                # this connection would wait for another pipe until its deadline.
+                connection.is_broken = True
             if is_sent:
                 self.metrics.count("peers.timeouts")
                 raise PeerTimeout(f"{address}: no reply: {error}") from error
--- a/gypsumring/peers/tests/test_nng.py
+++ b/gypsumring/peers/tests/test_nng.py
@@ -1,6 +1,7 @@
 """Tests of peer messages over TCP on loopback, on asyncio and trio."""
 
 from contextlib import asynccontextmanager
+from unittest import mock
 
 import anyio
 import pynng
@@ -14,6 +15,7 @@
 )
 from gypsumring.metrics import Metrics
 from gypsumring.peers import NngPeerClient, PeerServer
+from gypsumring.peers.nng import Connection
 from gypsumring.ports import PeerRejected, PeerTimeout, PeerUnreachable
 from gypsumring.utils.testing import make_load_tests
 
@@ -222,6 +224,40 @@
     run_on_both_backends(run)
 
 
+def test_call_after_a_reset_connects_before_the_end_of_the_pipe_is_reported():
+    """Guard against a call that waits for a pipe on a connection that was reset.
+
+    nng reports the end of a pipe on a thread of its own, after it has ended the calls.
+    """
+
+    async def run():
+        async with running_server_and_client() as (server, client, recorder, metrics):
+            async with anyio.create_task_group() as group:
+
+                async def restart_server():
+                    await recorder.message_received.wait()
+                    server.socket.close()
+                    successor = PeerServer(
+                        server.address, recorder.handle, incarnation=9, metrics=metrics
+                    )
+                    successor.listen()
+                    group.start_soon(successor.run)
+
+                group.start_soon(restart_server)
+                await expect_error(
+                    PeerTimeout,
+                    client.call(server.address, make_explain("hang"), deadline_after()),
+                )
+                await client.call(server.address, make_explain("new"), deadline_after())
+                group.cancel_scope.cancel()
+            assert recorder.handled == ["hang", "new"]
+
+    with mock.patch.object(
+        Connection, "on_pipe_removed", lambda connection, pipe: None
+    ):
+        run_on_both_backends(run)
+
+
 def test_malformed_and_oversized_frames_are_dropped():
     """Guard against invalid bytes of an unknown client that stop the server."""
 
