Hold the ports of the nodes in the tests of programs

What was seen: beside load, a node of test_programs was not ready within 30 s (1 of 9 recorded runs, four at a time, TimeoutError of wait_ready). The test did not say why.

Cause, possible and not shown for that run: the rig probed free ports and let them go, so that another process, or an outgoing connection, could take one before the node listened or while it was down between a kill and a restart.

Change: the rig holds each port with a bound socket, as the fleet of soak.nodes does, and a node that has ended while it is awaited fails the test with its standard error.

--- a/gypsumring/platform/tests/rig.py
+++ b/gypsumring/platform/tests/rig.py
@@ -46,12 +46,25 @@
         return probe.getsockname()[1]
 
 
+def hold_free_port() -> socket.socket:
+    """Return a socket that keeps a free port from being chosen by others.
+
+    A process that sets SO_REUSEADDR can still listen on the port.
+    """
+    held = socket.socket()
+    held.bind(("127.0.0.1", 0))
+    # With the option set before, the kernel may choose a port that others hold.
+    held.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    return held
+
+
 class NodeProcess:
     """Process of one node program, with its addresses and settings file."""
 
     __slots__ = (
         "caller",
         "errors",
+        "held_ports",
         "metrics",
         "name",
         "peer",
@@ -68,10 +81,11 @@
         changes: dict[str, Any] | None = None,
     ):
         self.name = name
-        self.caller = f"127.0.0.1:{find_free_port()}"
-        self.ready = f"127.0.0.1:{find_free_port()}"
-        self.metrics = f"127.0.0.1:{find_free_port()}"
-        self.peer = f"127.0.0.1:{find_free_port()}"
+        # Others could take the ports before the process listens, and while it is down.
+        self.held_ports = [hold_free_port() for _ in range(4)]
+        self.caller, self.ready, self.metrics, self.peer = (
+            f"127.0.0.1:{held.getsockname()[1]}" for held in self.held_ports
+        )
         self.settings = folder / f"{name}.json"
         # Standard error of all processes of the node.
         self.errors = folder / f"{name}.errors"
@@ -107,6 +121,11 @@
         self.start()
         return self
 
+    def release_ports(self) -> None:
+        """Let others use the ports of the node."""
+        for held in self.held_ports:
+            held.close()
+
     def end(self, signal_number: int) -> None:
         """Send a signal to the process."""
         if self.process.poll() is None:
@@ -141,6 +160,7 @@
         with anyio.fail_after(START_LIMIT_S):
             for node in self.nodes:
                 while not await self.is_ready(node):
+                    assert node.process.poll() is None, node.errors.read_text()
                     await anyio.sleep(0.05)
 
     async def is_ready(self, node: NodeProcess) -> bool:
@@ -225,6 +245,7 @@
                 for node in rig.nodes:
                     node.end(signal.SIGKILL)
                     node.process.wait()
+                    node.release_ports()
             for node in rig.nodes:
                 errors = node.errors.read_text()
                 assert errors == "", f"standard error of {node.name}:\n{errors}"
--- a/gypsumring/platform/tests/test_programs.py
+++ b/gypsumring/platform/tests/test_programs.py
@@ -1,9 +1,11 @@
 """Node programs as separate processes that use the platform's wire format."""
 
 import contextlib
+import errno
 import functools
 import json
 import signal
+import socket
 
 import anyio
 import httpx
@@ -240,6 +242,26 @@
             assert rig.world.violations == []
 
 
+@run_in_real_time
+async def test_ports_of_a_node_that_is_down_are_not_free():
+    # Guards against tests whose nodes cannot listen again, or that talk to a node of
+    # another test, since their ports were only probed.
+    async with running_programs(nodes=1) as rig:
+        (node,) = rig.nodes
+        node.end(signal.SIGKILL)
+        node.process.wait()
+        for address in (node.caller, node.ready, node.metrics, node.peer):
+            with socket.socket() as other:
+                try:
+                    other.bind(split_address(address))
+                except OSError as error:
+                    assert error.errno == errno.EADDRINUSE
+                else:
+                    raise AssertionError(f"{address} is free")
+        node.restart()
+        await rig.wait_ready()
+
+
 @run_in_real_time
 async def test_accepted_jobs_survive_the_kill_of_all_nodes():
     async with running_programs(nodes=2) as rig:
