Wait for a late answer as long as a takeover takes before all nodes reconnect

Cause: the limit of a ping, 0.2 s, knows nothing of what a takeover costs, and its end costs the owner more than the pause that it reacts to.

Change: a ping is overdue after what a takeover takes, 0.8 s at most, if that is longer. The objects of the program itself are left out of full collections, which run every 60 s at least.

--- a/gypsumring/node/link.py
+++ b/gypsumring/node/link.py
@@ -47,7 +47,7 @@
 # Period of the announcements to voters that have not answered this owner.
 VOTER_ANNOUNCEMENT_PERIOD_S = 0.5
 # A ping to the owner is overdue after a time between these, according to how long the
-# owner takes to answer.
+# owner takes to answer, and how long a takeover takes.
 SHORTEST_PING_TIMEOUT_S = 0.2
 LONGEST_PING_TIMEOUT_S = 0.8
 HELLO_TIMEOUT_S = 0.25
@@ -523,6 +523,10 @@
                 group.cancel_scope.cancel()
         return has_answered
 
+    def shortest_patience_s(self) -> float:
+        """Return how long to wait for an answer before all nodes open new channels."""
+        return min(self.takeover_s, LONGEST_PING_TIMEOUT_S)
+
     def owner_answer_s(self) -> float:
         """Return how long an owner has to answer at least, by what a takeover takes."""
         return min(self.takeover_s, LONGEST_HELLO_TIMEOUT_S)
@@ -535,7 +539,8 @@
         timeout_s = TAKEOVER_ANSWER_TIMEOUT_S
         if is_linked:
             timeout_s = self.response_times.timeout_s(
-                SHORTEST_PING_TIMEOUT_S, LONGEST_PING_TIMEOUT_S
+                max(SHORTEST_PING_TIMEOUT_S, self.shortest_patience_s()),
+                LONGEST_PING_TIMEOUT_S,
             )
         ping = Ping(self.nodes_version, self.make_vote())
         pong = await self.call_owner(channel, ping, timeout_s, is_linked)
--- a/gypsumring/utils/garbage.py
+++ b/gypsumring/utils/garbage.py
@@ -16,7 +16,7 @@
 # ended jobs refer to their steps and back, and use memory until then.
 MAX_SHARE = 0.005
 MIN_PERIOD_S = 5.0
-MAX_PERIOD_S = 30.0
+MAX_PERIOD_S = 60.0
 # The interpreter never reaches this number of collections of the middle generation.
 NEVER = 1_000_000_000
 
@@ -25,6 +25,9 @@
     """Run full collections in place of the interpreter until cancelled."""
     youngest, middle, oldest = gc.get_threshold()
     gc.set_threshold(youngest, middle, NEVER)
+    # The objects of the program itself are never garbage.
+    gc.collect()
+    gc.freeze()
     try:
         period_s = MIN_PERIOD_S
         while True:
@@ -36,3 +39,4 @@
             period_s = min(max(MIN_PERIOD_S, took_s / MAX_SHARE), MAX_PERIOD_S)
     finally:
         gc.set_threshold(youngest, middle, oldest)
+        gc.unfreeze()
