Read the rate of the link from the limits that the platform states

The template of the settings named limits.linkMbps; where an installation does not state it, the settings are no JSON, and no node starts.

Change: the template passes the whole table, and platform/limits.py reads the rate from it, 0 if it is missing or odd.

--- a/gypsumring/node/main.py
+++ b/gypsumring/node/main.py
@@ -12,7 +12,11 @@
 from gypsumring.metrics import Metrics
 from gypsumring.node.app import NodeApp
 from gypsumring.node.node import Node
-from gypsumring.platform import PlatformPolicyService, PlatformStore
+from gypsumring.platform import (
+    PlatformPolicyService,
+    PlatformStore,
+    read_link_mbps,
+)
 from gypsumring.settings import SettingsError, load_settings
 from gypsumring.settings.node import NodeSettings
 from gypsumring.transport import HttpClient, LinkTraffic, RelayedClient
@@ -94,7 +98,8 @@
     """Run the node and its HTTP server until a stop signal."""
     metrics = Metrics()
     log_loop_errors(metrics.count)
-    traffic = LinkTraffic(metrics, settings.limits.link_mbps)
+    link_mbps = settings.limits.link_mbps or read_link_mbps(settings.platform_limits)
+    traffic = LinkTraffic(metrics, link_mbps)
     policy = None
     if settings.policy_address:
         policy = PlatformPolicyService(settings.policy_address, traffic)
--- a/gypsumring/platform/__init__.py
+++ b/gypsumring/platform/__init__.py
@@ -10,6 +10,7 @@
     read_account_key,
     read_time_limit_s,
 )
+from gypsumring.platform.limits import read_link_mbps
 from gypsumring.platform.policy import PlatformPolicyService
 from gypsumring.platform.store import (
     DESIRED_STATE_KEY,
@@ -31,5 +32,6 @@
     "encode_phase",
     "encode_waiting",
     "read_account_key",
+    "read_link_mbps",
     "read_time_limit_s",
 ]
--- a/gypsumring/settings/node.py
+++ b/gypsumring/settings/node.py
@@ -1,6 +1,6 @@
 """Settings of a node that runs on the platform's machines."""
 
-from typing import Annotated, Literal
+from typing import Annotated, Any, Literal
 
 import msgspec
 
@@ -67,7 +67,8 @@
 
     memory_mb: Annotated[int, msgspec.Meta(ge=32)] = 160
     descriptors: Annotated[int, msgspec.Meta(ge=300)] = 1_638
-    # Megabits a second that the link carries in each direction, 0 if unknown.
+    # Megabits a second that the link carries in each direction. If 0, that of the
+    # platform's limits counts.
     link_mbps: Annotated[float, msgspec.Meta(ge=0)] = 0
 
 
@@ -105,6 +106,8 @@
     bounds: BoundSettings
     processor: ProcessorSettings = ProcessorSettings()
     limits: MachineLimits = MachineLimits()
+    # Limits of the machine as the platform states them; some may be missing.
+    platform_limits: dict[str, Any] = {}
     door: DoorSettings = DoorSettings()
     task_lease_ms: Annotated[int, msgspec.Meta(ge=500)] = 5_000
     # Where tasks with checkpoints are stopped for others; ``accounts`` means only in
