--- a/gypsumring/cell/journal.py
+++ b/gypsumring/cell/journal.py
@@ -171,7 +171,7 @@
         ``urgent`` are batched for up to BATCH_DELAY_S. A record that is too large for
         the store is not written, and never durable.
         """
-        size = len(key) + len(value) + RECORD_OVERHEAD_BYTES
+        size = record_bytes(key, value)
         if size > MAX_RECORD_BYTES:
             log.error("record is too large for the store", key=key, size=size)
             return
@@ -273,7 +273,7 @@
         max_bytes = min(MAX_BATCH_BYTES, transfer_s * self.traffic.bytes_per_s)
         batch: list[PendingRecord] = []
         for entry in self.queue.values():
-            size += len(entry.key) + len(entry.value) + RECORD_OVERHEAD_BYTES
+            size += record_bytes(entry.key, entry.value)
             if batch and size > max_bytes:
                 break
             batch.append(entry)
@@ -293,9 +293,7 @@
         attempt = AppendAttempt()
         began_at = anyio.current_time()
         sent_at = self.clock()
-        size = sum(
-            len(key) + len(value) + RECORD_OVERHEAD_BYTES for key, value in records
-        )
+        size = sum(record_bytes(key, value) for key, value in records)
         # A copy is given up after its time limit, whatever was sent before it.
         shortest_s = min(COPY_TRANSFERS * self.traffic.send_s(size), COPY_TIMEOUT_S)
         interval_s = max(
@@ -367,3 +365,8 @@
         attempt.answered_at = anyio.current_time()
         attempt.latency_s = attempt.answered_at - sent_at
         attempt.answer_received.set()
+
+
+def record_bytes(key: str, value: bytes) -> int:
+    """Return the size of a record in an append."""
+    return len(key) + len(value) + RECORD_OVERHEAD_BYTES
--- a/gypsumring/cell/tests/test_trimmed_records.py
+++ b/gypsumring/cell/tests/test_trimmed_records.py
@@ -1,14 +1,12 @@
 """Records of ended jobs, which lose what only active jobs need."""
 
-from collections.abc import AsyncIterator
-from contextlib import asynccontextmanager
-
 import anyio
 import msgspec
 
 from gypsumring.cell.messages import Outcome
 from gypsumring.cell.owner import EVICTION_PERIOD_S
 from gypsumring.cell.state import JOB_KEY, PROGRESS_KEY
+from gypsumring.cell.tests import test_recovery as recovery
 from gypsumring.cell.trimming import (
     MAX_TRIMMED_RECORDS,
     TRIM_PERIOD_S,
@@ -28,7 +26,7 @@
 from gypsumring.pipelines.crashes import Suspect
 from gypsumring.utils.testing import make_load_tests
 from stand_ins.platform.cluster import CELL_TOPIC, MemoryCluster, make_job
-from stand_ins.platform.world import World, steady_behaviour
+from stand_ins.platform.world import steady_behaviour
 
 PAYLOAD = "x" * 2_400
 TASKS = StepSpec(task_count=4, cpu_millis=500, estimated_ms=300)
@@ -57,17 +55,9 @@
         await anyio.sleep(0.1)
 
 
-@asynccontextmanager
-async def running_cluster(task_s: float = 0.3, **options) -> AsyncIterator:
-    """Run a cluster and assert that its checks found no violation."""
-    world = World(steady_behaviour(task_s))
-    async with anyio.create_task_group() as group:
-        cluster = MemoryCluster(world, group, **options)
-        while cluster.owner_node() is None:
-            await anyio.sleep(0.1)
-        yield cluster
-        assert world.violations == [], world.violations
-        group.cancel_scope.cancel()
+def running_cluster(task_s: float = 0.3, **options):
+    """Return a cluster whose tasks take a time, in seconds."""
+    return recovery.running_cluster(steady_behaviour(task_s), **options)
 
 
 async def test_ended_job_loses_its_payload_and_is_answered_for_by_later_owners():
