Move the network of the partitions and the freezer to the stand-ins

Both stand in for what a process meets outside (the links between machines, and a kernel that suspends a process), and the benchmarks use the freezer too. Tests and checks are as they were, in their new folders.

--- a/benchmarks/cells.py
+++ b/benchmarks/cells.py
@@ -18,11 +18,11 @@
 from soak.callers import Callers
 from soak.cell import SoakCell
 from soak.checks import FINAL_JOB_STATES, Checks
-from soak.freezing import Freezer
 from soak.load import Load, SubmittedJob
 from soak.process import SNAPSHOT_EVERY_S, NodeProcess
 from soak.run import WARM_UP_S, recorded_violations
 from soak.trace import Trace
+from stand_ins.freezing import Freezer
 
 __all__ = [
     "BenchCell",
--- a/gypsumring/platform/tests/rig.py
+++ b/gypsumring/platform/tests/rig.py
@@ -3,7 +3,6 @@
 import json
 import os
 import signal
-import socket
 import subprocess
 import sys
 import tempfile
@@ -21,6 +20,7 @@
 from stand_ins.platform.servers import ExecutorApp, PolicyApp, StoreApp
 from stand_ins.platform.store import StoreModel
 from stand_ins.platform.world import World, steady_behaviour
+from stand_ins.servers.ports import hold_free_port
 from stand_ins.servers.serving import serve_apps
 
 __all__ = ["NodeProcess", "ProgramRig", "running_programs"]
@@ -39,25 +39,6 @@
 }
 
 
-def find_free_port() -> int:
-    """Return a TCP port that was free when it was probed."""
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return probe.getsockname()[1]
-
-
-def hold_free_port() -> socket.socket:
-    """Return a socket that keeps a free port from being chosen by others.
-
-    A process that sets SO_REUSEADDR can still listen on the port.
-    """
-    held = socket.socket()
-    held.bind(("127.0.0.1", 0))
-    # With the option set before, the kernel may choose a port that others hold.
-    held.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-    return held
-
-
 class NodeProcess:
     """Process of one node program, with its addresses and settings file."""
 
--- a/soak/cell.py
+++ b/soak/cell.py
@@ -9,10 +9,10 @@
 from gypsumring.peers import InMemoryPeers
 from gypsumring.ports import VmRole
 from gypsumring.settings import CellSettings, TeamSettings
-from soak.freezing import Freezer
 from soak.platform import DATA_CENTRES, REGION, Platform, make_vm
 from soak.process import NodeProcess
 from soak.trace import Trace
+from stand_ins.freezing import Freezer
 
 __all__ = ["SCHEDULERS", "TEAMS", "SoakCell"]
 
--- a/soak/cells.py
+++ b/soak/cells.py
@@ -16,7 +16,7 @@
 from gypsumring.cell.messages import Outcome
 from gypsumring.pipelines import JobPhase, PipelineSpec, StepSpec
 from gypsumring.utils.testing import run_on_mock_clock
-from soak.freezing import Freezer
+from stand_ins.freezing import Freezer
 from stand_ins.platform.cluster import MemoryCluster, MemoryNode, make_job
 from stand_ins.platform.memory import ENTRIES_TOPIC
 from stand_ins.platform.peers import Partition
--- a/soak/nodes/fleet.py
+++ b/soak/nodes/fleet.py
@@ -3,7 +3,6 @@
 import json
 import os
 import signal
-import socket
 import subprocess
 import sys
 from collections.abc import AsyncIterator
@@ -25,7 +24,7 @@
 from stand_ins.platform.world import World, steady_behaviour
 from stand_ins.servers.serving import serve_apps
 
-__all__ = ["Fleet", "Machine", "end_machines", "reserve_port", "running_fleet"]
+__all__ = ["Fleet", "Machine", "end_machines", "running_fleet"]
 
 EXECUTORS = 6
 WORK_S = 0.2
@@ -35,19 +34,10 @@
 # How often the processes are stopped or continued.
 SLICE_S = 0.004
 # Phases of jobs outlive a run, so that an answer 410 always means a lost job.
-BOUNDS = {"longest_lease_ms": 10_000, "status_s": 3_600}
-
-
-def reserve_port(address: str) -> socket.socket:
-    """Return a socket that keeps a port from being chosen for other connections.
-
-    A process that sets SO_REUSEADDR can still listen on the port.
-    """
-    host, _, port = address.rpartition(":")
-    held = socket.socket()
-    held.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-    held.bind((host, int(port)))
-    return held
+CHANGED_SETTINGS = {
+    "bounds": {"longest_lease_ms": 10_000, "status_s": 3_600},
+    "log_output": {"level": "INFO", "json": True},
+}
 
 
 def read_cpu_s(pid: int) -> float:
@@ -67,7 +57,6 @@
         "lock",
         "log",
         "period_ends_at",
-        "reserved",
         "running_shares",
         "share",
     )
@@ -75,13 +64,12 @@
     def __init__(self, name: str, addresses: dict[str, str], folder: Path):
         self.log = folder / f"{name}.log"
         self.lock = anyio.Lock()
-        self.reserved: list[socket.socket] = []
         # Number of freezes, and the share of each period that each slowdown leaves.
         self.freezes = 0
         self.running_shares: list[float] = []
         # Share of a core; a share of 1 is not limited.
         self.share = 1.0
-        super().__init__(name, addresses, folder)
+        super().__init__(name, addresses, folder, CHANGED_SETTINGS)
 
     def write_settings(self, **changes: Any) -> None:
         """Replace the settings file by one with changed settings."""
@@ -90,20 +78,8 @@
         temporary.write_text(json.dumps(content))
         temporary.replace(self.settings)
 
-    @property
-    def peer_address(self) -> str:
-        """Address at which the node listens for its peers."""
-        content = json.loads(self.settings.read_text())
-        return f"{content['peer_host']}:{content['peer_ports'][0]}"
-
     def start(self) -> None:
         """Start the process and append its output to the log file."""
-        if not self.reserved:
-            self.write_settings(
-                bounds=BOUNDS, log_output={"level": "INFO", "json": True}
-            )
-            addresses = (self.caller, self.ready, self.peer_address)
-            self.reserved = [reserve_port(address) for address in addresses]
         self.is_stopped = False
         # Whether the process has served, and whether it was told to end.
         self.has_served = False
@@ -204,8 +180,7 @@
     for machine in machines:
         machine.end(signal.SIGKILL)
         machine.process.wait()
-        for held in machine.reserved:
-            held.close()
+        machine.release_ports()
 
 
 @asynccontextmanager
--- a/soak/partitions/faults.py
+++ b/soak/partitions/faults.py
@@ -9,8 +9,8 @@
 import anyio
 
 from soak.nodes.fleet import Machine
-from soak.partitions.network import Network
 from stand_ins.platform.executor import ExecutorModel, TaskRun
+from stand_ins.platform.network import Network
 from stand_ins.platform.peers import Cut
 
 __all__ = ["FaultPlayer", "Kind", "RecordingExecutor"]
--- a/soak/partitions/tests/test_faults.py
+++ b/soak/partitions/tests/test_faults.py
@@ -14,7 +14,7 @@
     Kind,
     RecordingExecutor,
 )
-from soak.partitions.network import Network
+from stand_ins.platform.network import Network
 from stand_ins.platform.store import StoreModel
 from stand_ins.platform.world import World, steady_behaviour
 
--- a/soak/partitions/trial.py
+++ b/soak/partitions/trial.py
@@ -16,7 +16,7 @@
 from soak.nodes.fleet import Machine, end_machines
 from soak.nodes.ownership import TAKEOVER, OwnershipLog
 from soak.partitions.faults import FaultPlayer, Kind, RecordingExecutor
-from soak.partitions.network import Network, find_address
+from stand_ins.platform.network import Network, find_address
 from stand_ins.platform.policy import PolicyModel
 from stand_ins.platform.servers import PolicyApp
 from stand_ins.platform.store import StoreModel
@@ -139,7 +139,7 @@
         try:
             for name in names:
                 machines.append(Machine(name, addresses, folder))
-            network.add_links({each.name: each.peer_address for each in machines})
+            network.add_links({each.name: each.peer for each in machines})
             for link in network.links.values():
                 group.start_soon(link.run)
             yield PartitionTrial(world, machines, network, client, source, kinds)
--- a/soak/process.py
+++ b/soak/process.py
@@ -20,8 +20,8 @@
     SchedulerSettings,
 )
 from gypsumring.shards import ShardContext, ShardService
-from soak.freezing import Freezer
 from soak.platform import DATA_CENTRES, REGION, Platform
+from stand_ins.freezing import Freezer
 from stand_ins.memory import MemoryLog, MemoryUpstreams, MemoryVmList
 
 __all__ = ["SNAPSHOT_EVERY_S", "NodeProcess", "unix_time"]
--- a/soak/run.py
+++ b/soak/run.py
@@ -15,10 +15,10 @@
 from soak.cell import SoakCell
 from soak.checks import IN_FORCE_S, Checks
 from soak.faults import Faults
-from soak.freezing import Freezer
 from soak.load import Load
 from soak.process import SNAPSHOT_EVERY_S
 from soak.trace import Trace
+from stand_ins.freezing import Freezer
 
 __all__ = ["STEP_S", "SoakResult", "run_soak", "steps_of"]
 
--- a/soak/partitions/network.py
+++ b/stand_ins/platform/network.py
@@ -14,13 +14,12 @@
 import anyio
 import anyio.abc
 
-from gypsumring.platform.tests.rig import find_free_port
 from gypsumring.utils.addresses import split_address
-from soak.nodes.fleet import reserve_port
 from stand_ins.platform.executor import ExecutorModel
 from stand_ins.platform.peers import Cut
 from stand_ins.platform.servers import ExecutorApp, StoreApp
 from stand_ins.platform.store import StoreModel
+from stand_ins.servers.ports import find_free_port, hold_free_port
 
 __all__ = ["Network", "PeerLink"]
 
@@ -113,7 +112,7 @@
     def __init__(self, target: str, sent: Cut, returned: Cut):
         self.target = target
         # Keeps the port from being chosen for another link or connection.
-        self.reserved = reserve_port(f"{HOST}:0")
+        self.reserved = hold_free_port()
         self.address = f"{HOST}:{self.reserved.getsockname()[1]}"
         self.sent = sent
         self.returned = returned
--- a/soak/partitions/tests/test_network.py
+++ b/stand_ins/platform/tests/test_network.py
@@ -7,8 +7,8 @@
 
 from gypsumring.utils.addresses import split_address
 from gypsumring.utils.testing import make_load_tests
-from soak.partitions.network import Network, ViewedStoreApp
 from stand_ins.platform.executor import ExecutorModel
+from stand_ins.platform.network import Network, ViewedStoreApp
 from stand_ins.platform.store import StoreModel
 from stand_ins.platform.world import World, steady_behaviour
 
--- a/soak/tests/test_freezing.py
+++ b/stand_ins/tests/test_freezing.py
@@ -3,7 +3,7 @@
 import anyio
 
 from gypsumring.utils.testing import make_load_tests
-from soak.freezing import Freezer
+from stand_ins.freezing import Freezer
 
 
 async def test_frozen_process_does_nothing_until_it_is_thawed():
