Report a lost owner to further monitors if some of the first do not answer

What callers saw: the cell has no owner for as long as its membership lasts, 1 to 4 s and up to 8 s on a slow store, if the machines to which all nodes report a lost owner are lost at the same moment as the owner.

Cause: the three monitors are chosen by the fence number alone. A report that none of them receives is sent to the same three again.

Change: monitors that do not answer are left out, and the next ones in the same order are told, at most three times. All nodes leave out the same machines and choose alike.

Measured: test_owner_is_replaced_in_time_if_its_monitors_are_lost_with_it fails without the change (AssertionError: 18).

--- a/gypsumring/node/link.py
+++ b/gypsumring/node/link.py
@@ -65,6 +65,9 @@
 SHORTEST_PAUSE_S = 0.06
 LONGEST_PAUSE_S = 0.5
 PAUSE_GROWTH = 1.5
+# A report is sent at most this often in all, to the next monitors each time, while some
+# of them do not answer.
+MAX_REPORT_ATTEMPTS = 3
 # Nodes that are queried for the owner at one time while the store does not name it.
 MAX_QUERIED_NODES = 4
 
@@ -342,7 +345,9 @@
         self.next_queried = first + MAX_QUERIED_NODES
         queried = (addresses[first:] + addresses[:first])[:MAX_QUERIED_NODES]
         answers = await self.calls.call_all(queried, Ping())
-        best = max(answers, key=lambda pong: (pong.owns, pong.fence), default=None)
+        best = max(
+            answers.values(), key=lambda pong: (pong.owns, pong.fence), default=None
+        )
         if best is None or not best.owner_address:
             return None
         return best.owner_address
@@ -372,9 +377,9 @@
         if not term.is_reportable(address, self.fence, self.last_linked_at):
             return
         others = self.list_other_nodes(without=address)
-        monitors = choose_monitors(term.fence, [*others, self.member.node])
         message = ReportOwner(self.member.node, address, term.fence, len(others) + 1)
         self.metrics.count("link.owners_reported")
+        monitors = await self.report_to_monitors(message, others)
         log.info(
             "owner reported",
             owner=address,
@@ -382,11 +387,39 @@
             unanswered_s=round(now - self.last_linked_at, 3),
             monitors=monitors,
         )
-        addresses = [others[name] for name in monitors if name in others]
+
+    async def report_to_monitors(
+        self, message: ReportOwner, others: dict[str, str]
+    ) -> list[str]:
+        """Send a report and return the names of the monitors that have answered.
+
+        Monitors may be lost together with the owner. All nodes then choose the same
+        next ones.
+        """
+        names = {*others, self.member.node}
+        reached: list[str] = []
+        for _ in range(MAX_REPORT_ATTEMPTS):
+            monitors = choose_monitors(message.fence, sorted(names))
+            called = [name for name in monitors if name not in reached]
+            if not called:
+                break
+            answered = await self.send_report(message, called, others)
+            reached += answered
+            names.difference_update(set(called) - set(answered))
+        return reached
+
+    async def send_report(
+        self, message: ReportOwner, monitors: list[str], others: dict[str, str]
+    ) -> list[str]:
+        """Send a report to some monitors and return those that have answered."""
+        addresses = {others[name]: name for name in monitors if name in others}
+        answered: list[str] = []
         async with anyio.create_task_group() as group:
-            group.start_soon(self.calls.call_all, addresses, message)
             if self.member.node in monitors:
                 group.start_soon(self.record_report, message)
+                answered.append(self.member.node)
+            answers = await self.calls.call_all(list(addresses), message)
+        return answered + [addresses[address] for address in answers]
 
     async def record_report(self, message: ReportOwner) -> None:
         """Record, as a monitor, that a node gets no answer from the owner.
--- a/gypsumring/node/node_calls.py
+++ b/gypsumring/node/node_calls.py
@@ -32,16 +32,16 @@
         self.handler = handler
         self.metrics = metrics
 
-    async def call_all(self, addresses: list[str], message: Any) -> list[Pong]:
-        """Send a message to nodes, a few at a time, and return their answers."""
-        answers: list[Pong] = []
+    async def call_all(self, addresses: list[str], message: Any) -> dict[str, Pong]:
+        """Send a message to nodes, a few at a time; return their answers by address."""
+        answers: dict[str, Pong] = {}
         limiter = anyio.CapacityLimiter(MAX_CONCURRENT_CALLS)
 
         async def call(address: str) -> None:
             async with limiter:
                 answer = await self.call(address, message)
             if isinstance(answer, Pong):
-                answers.append(answer)
+                answers[address] = answer
 
         async with anyio.create_task_group() as group:
             for address in addresses:
--- a/gypsumring/node/tests/test_fleet.py
+++ b/gypsumring/node/tests/test_fleet.py
@@ -3,6 +3,8 @@
 import anyio
 
 from gypsumring.cell.authority import MAX_EXTENSION_DELAY_S
+from gypsumring.node.failure_detection import choose_monitors
+from gypsumring.node.node_calls import CONNECT_TIMEOUT_S
 from gypsumring.pipelines import DesiredState
 from gypsumring.utils.testing import make_load_tests
 from stand_ins.platform.fleet import FleetModel, running_fleet
@@ -71,6 +73,21 @@
             assert await fleet.wait_until_settled(REPLACEMENT_S) is not None, size
 
 
+# The cell had no owner until the membership of the lost one expired, or its machine was
+# back, if the nodes to which it is reported were lost at the same moment.
+async def test_owner_is_replaced_in_time_if_its_monitors_are_lost_with_it():
+    for size in (18, 38, 97):
+        async with running_fleet(size, membership_ms=4_000) as fleet:
+            await anyio.sleep(5.0)
+            owner = fleet.owner()
+            names = [name for name in fleet.machines if name != owner.name]
+            for name in choose_monitors(owner.node.own_fence(), names):
+                fleet.machines[name].cut_power()
+            owner.cut_power()
+            limit_s = REPLACEMENT_S + CONNECT_TIMEOUT_S
+            assert await fleet.wait_until_settled(limit_s) is not None, size
+
+
 async def test_owner_that_restarts_at_once_is_replaced_at_once():
     async with running_fleet(9) as fleet:
         await anyio.sleep(5.0)
