Start a gang only if the link carries it in time, and refuse one that it never does

A gang of 120 members, the payload 4,000 quotes (8,000 bytes in JSON), was accepted on a link of 2 Mbit/s, started and stopped for ever: 425 starts in 20 s, none of use (trial on the mock clock). So was one with 4,000 bytes beside other traffic of a third of the link: 543 starts.

Cause: members are ended after 3 s without the others (bounds.gang_ms), and nothing compared the time that the link needs for a gang with it.

Change: a submission with a gang whose starts need the idle link for longer than members may wait is refused before anything is written (503, counter jobs.refused.gang_beyond_link, Retry-After 10 s: another owner may have a faster link). If an earlier owner accepted it, it waits, reserves nothing and asks for no tickets. A gang that the link carries in time only without what it carries beside starts (its average of 2 s) is not started; for 4 s nothing is placed after it in the order of service, so that the traffic of that work ends. "step waits" names the reason "link".

Without the refusal test_gang_that_the_link_can_never_carry_in_time_is_refused fails at "assert answer.outcome is Outcome.REFUSED"; without the check of accepted gangs test_gang_that_the_link_of_a_later_owner_cannot_carry_keeps_nothing at "assert not list_gang_starts(cluster)"; without the hold, and with one that does not end, test_gang_waits_while_others_need_the_link at "assert await cluster.submit(later) is Outcome.OK" and "assert phase is JobPhase.COMPLETED".

Not solved: while traffic that is not due to starts lasts, such a gang waits; it is one whose starts need the idle link for about 2 to 2.5 s of the 3 s.

--- a/gypsumring/cell/commands.py
+++ b/gypsumring/cell/commands.py
@@ -2,6 +2,7 @@
 
 import anyio
 
+from gypsumring.cell.gang_starts import can_carry_gangs
 from gypsumring.cell.messages import JobAnswer, Outcome
 from gypsumring.cell.orders import Orders
 from gypsumring.cell.state import JOB_KEY, CellState
@@ -19,6 +20,8 @@
 STORE_UNAVAILABLE_S = 0.5
 STORE_RETRY_AFTER_S = 1.0
 MIN_LINK_RETRY_AFTER_S = 1.0
+# A gang that this owner can never start is accepted by another owner at best.
+GANG_RETRY_AFTER_S = 10.0
 # Share of a caller's time for which a submission waits for a store that is unavailable.
 # The rest is left for retries.
 STORE_WAIT_SHARE = 0.45
@@ -71,6 +74,8 @@
         submission = self.accepting.get(job_id)
         if submission is None:
             known_queue = queue or self.state.queues.find(spec)
+            if not can_carry_gangs(self.state, spec):
+                return self.refuse_gang(spec)
             excess_s = self.state.start_demand.excess_s(known_queue)
             if excess_s:
                 return self.refuse_for_link(spec, excess_s)
@@ -107,6 +112,20 @@
             Outcome.REFUSED, retry_after_s=max(MIN_LINK_RETRY_AFTER_S, excess_s)
         )
 
+    def refuse_gang(self, spec: PipelineSpec) -> JobAnswer:
+        """Refuse a job with a gang that the link of this machine can never start.
+
+        An owner on another machine may accept it.
+        """
+        self.state.metrics.count("cell.jobs.refused.gang_beyond_link")
+        log.info(
+            "job refused",
+            job=spec.job_id,
+            queue=spec.queue,
+            reason="the link of the owner does not carry the starts of a gang in time",
+        )
+        return JobAnswer(Outcome.REFUSED, retry_after_s=GANG_RETRY_AFTER_S)
+
     def is_store_unavailable(self) -> bool:
         """Return whether the store has left an append unanswered for too long."""
         return self.state.journal.unanswered_s() > STORE_UNAVAILABLE_S
--- a/gypsumring/cell/gang_starts.py
+++ b/gypsumring/cell/gang_starts.py
@@ -1,18 +1,25 @@
-"""Time limit for the starts of a gang.
+"""Whether the link of the owner carries the starts of a gang in time.
 
 Executors end a member that has waited for the others for too long. So the starts of a
-gang follow each other without those of single tasks in between.
+gang follow each other without those of single tasks in between, and a gang for which
+the link needs longer than members wait is not started.
 """
 
 import math
+from collections.abc import Container
 
 import anyio
 
 from gypsumring.cell.start_demand import MAX_UNSENT_S, start_bytes
 from gypsumring.cell.state import CellState
-from gypsumring.pipelines import PipelineSpec, Run, StepSpec
+from gypsumring.pipelines import PipelineSpec, Run, Step, StepSpec
+from gypsumring.transport.traffic import OTHER_PERIOD_S
 
 __all__ = [
+    "LinkHolds",
+    "can_carry_gang",
+    "can_carry_gang_now",
+    "can_carry_gangs",
     "is_gang_incomplete",
     "is_member_start_late",
 ]
@@ -22,6 +29,41 @@
 GANG_START_TIMEOUT_S = 1.5
 # Stops are sent at least this long before executors end members that wait.
 GANG_STOP_LEAD_S = 0.5
+# No other task is placed for this time while a gang waits for the link. What the link
+# has carried before for others hardly counts any more then.
+MAX_HOLD_S = 2 * OTHER_PERIOD_S
+
+
+class LinkHolds:
+    """Gangs that have room, but that the link carries in time only without the rest.
+
+    The link is kept free for them for a while: it is held in a scheduling pass once
+    such a gang was evaluated, and steps after it in the order of service are left out.
+    """
+
+    __slots__ = ("is_held", "since", "state")
+
+    def __init__(self, state: CellState):
+        self.state = state
+        self.since: dict[Step, float] = {}
+        self.is_held = False
+
+    def begin_pass(self, waiting: Container[Step]) -> None:
+        """Forget the steps that do not wait any more."""
+        self.is_held = False
+        self.since = {step: at for step, at in self.since.items() if step in waiting}
+
+    def admit(self, step: Step, now: float) -> bool:
+        """Return whether a step may start; hold the link for a gang that may not."""
+        if can_carry_gang_now(self.state, step):
+            self.since.pop(step, None)
+            return True
+        if step not in self.since:
+            self.since[step] = now
+            self.state.metrics.count("cell.gangs.held_for_link")
+        if now - self.since[step] <= MAX_HOLD_S:
+            self.is_held = True
+        return False
 
 
 def longest_start_s(state: CellState) -> float:
@@ -35,6 +77,25 @@
     return step.task_count * state.traffic.transfer_s(start_bytes(spec))
 
 
+def can_carry_gang(state: CellState, spec: PipelineSpec, step: StepSpec) -> bool:
+    """Return whether the link can ever carry the starts of a gang in time."""
+    return not step.gang or transfer_s(state, spec, step) <= longest_start_s(state)
+
+
+def can_carry_gangs(state: CellState, spec: PipelineSpec) -> bool:
+    """Return whether the link can carry the starts of each gang of a job in time."""
+    return all(can_carry_gang(state, spec, step) for step in spec.steps)
+
+
+def can_carry_gang_now(state: CellState, step: Step) -> bool:
+    """Return whether the link carries the starts of a gang in time beside the rest."""
+    if not step.spec.gang:
+        return True
+    free_share = 1 - state.traffic.other_share()
+    needed_s = transfer_s(state, step.job.spec, step.spec)
+    return needed_s <= free_share * longest_start_s(state)
+
+
 def is_member_start_late(state: CellState, run: Run) -> bool:
     """Return whether a member of a gang has not started in time.
 
--- a/gypsumring/cell/scheduling.py
+++ b/gypsumring/cell/scheduling.py
@@ -6,6 +6,7 @@
 
 from gypsumring.accounts import Resources
 from gypsumring.cell.caps import CapLimiter
+from gypsumring.cell.gang_starts import LinkHolds, can_carry_gang
 from gypsumring.cell.observation import review_knowledge
 from gypsumring.cell.orders import Orders
 from gypsumring.cell.policy_client import (
@@ -65,6 +66,7 @@
         "caps",
         "deferred",
         "evaluate_fleet_at",
+        "link_holds",
         "orders",
         "overdue",
         "policy_client",
@@ -88,6 +90,7 @@
         )
         self.backlog = Backlog(state.find_queue)
         self.caps = CapLimiter(state)
+        self.link_holds = LinkHolds(state)
         self.preemption = Preemption(state, orders, self.find_usable, self.caps)
         # Steps that wait for the next pass: those whose starts the link has no room
         # for, and those that the last pass had no time for, the oldest first.
@@ -136,6 +139,7 @@
         due_steps = self.deferred.union(self.backlog.pop_due_steps(now))
         overdue = {**self.policy_client.pop_answered(), **self.overdue}
         self.overdue, self.deferred = {}, set()
+        self.link_holds.begin_pass(self.backlog.waiting)
         unstarted: list[tuple[Step, Queue]] = []
         freed_executors = self.state.pop_freed_executors()
         candidate_steps = self.backlog.find_steps_for_capacity(freed_executors)
@@ -144,7 +148,7 @@
         ordered_at = anyio.current_time()
         half_at = ordered_at + MAX_PASS_S / 2
         for step, queue in share_time(ordered, overdue, half_at):
-            if self.state.start_demand.is_link_full():
+            if self.state.start_demand.is_link_full() or self.link_holds.is_held:
                 unstarted.append((step, queue))
                 self.deferred.add(step)
                 continue
@@ -159,6 +163,7 @@
                 elif (
                     has_capacity(step, freed_executors)
                     and not (step.spec.gang and step.runs)
+                    and can_carry_gang(self.state, step.job.spec, step.spec)
                     and self.caps.admit(step, now)
                 ):
                     # The released capacity was not used by a step earlier in the order.
@@ -193,7 +198,11 @@
         """
         if step.is_ready and step.spec.gang and step.runs:
             self.stop_incomplete_gang(step)
-        elif step.is_ready and self.caps.admit(step, now):
+        elif (
+            step.is_ready
+            and can_carry_gang(self.state, step.job.spec, step.spec)
+            and self.caps.admit(step, now)
+        ):
             allowed = self.start_fitting_tasks(step, queue, now)
             if queue.policy is not None and not self.caps.is_blocked(step):
                 self.query_policy(step, queue, allowed, now)
@@ -213,9 +222,11 @@
             if executor.entry.draining:
                 self.evacuate(executor, now)
         self.update_shares(fleet)
-        starving = self.backlog.list_starving(now, self.caps.blocked)
+        starving = self.drop_excessive_gangs(
+            self.backlog.list_starving(now, self.caps.blocked)
+        )
         steps = self.backlog.order(self.backlog.waiting, now)
-        steps = self.review_caps(steps, now)
+        steps = self.review_caps(self.drop_excessive_gangs(steps), now)
         starving = [row for row in starving if row[0] not in self.caps.blocked]
         factor = self.state.timing.spread_factor
         self.preemption.prepare(steps, fleet, self.backlog.shares, now)
@@ -230,6 +241,16 @@
         )
         self.preemption.evaluate(steps, self.reserved)
 
+    def drop_excessive_gangs(
+        self, steps: list[tuple[Step, Queue]]
+    ) -> list[tuple[Step, Queue]]:
+        """Return the steps whose starts the link of this owner can carry in time."""
+        return [
+            row
+            for row in steps
+            if can_carry_gang(self.state, row[0].job.spec, row[0].spec)
+        ]
+
     def review_caps(
         self, steps: list[tuple[Step, Queue]], now: float
     ) -> list[tuple[Step, Queue]]:
@@ -459,6 +480,9 @@
         placements = self.caps.limit_placements(step, placements, now)
         if not placements:
             return
+        if not self.link_holds.admit(step, now):
+            self.deferred.add(step)
+            return
         account = step.job.spec.account
         if account in self.state.accounts.accounts:
             self.state.accounts.starts[account] += len(placements)
--- a/gypsumring/cell/tests/test_gang_links.py
+++ b/gypsumring/cell/tests/test_gang_links.py
@@ -14,14 +14,18 @@
 
 from gypsumring.cell.gang_starts import (
     GANG_START_TIMEOUT_S,
+    MAX_HOLD_S,
+    can_carry_gang,
     is_member_start_late,
 )
 from gypsumring.cell.messages import Outcome
 from gypsumring.cell.start_demand import start_bytes
 from gypsumring.cell.tests.test_recovery import running_cluster
+from gypsumring.cell.waiting import WaitReason, explain_wait
 from gypsumring.pipelines import JobPhase, JobTable, PipelineSpec, Run, StepSpec
 from gypsumring.ports.tasks import ExecutorSilent
-from gypsumring.transport import LinkTraffic
+from gypsumring.transport import LinkTraffic, Purpose
+from gypsumring.transport.traffic import BYTES_PER_S_PER_MBPS
 from gypsumring.utils.testing import make_load_tests
 from stand_ins.platform.cluster import MemoryCluster, make_job
 from stand_ins.platform.memory import MemoryExecutor
@@ -71,6 +75,14 @@
         yield cluster
 
 
+def set_link(cluster: MemoryCluster, link_mbps: float) -> None:
+    """Change the rate of the owner's link."""
+    node = cluster.owner_node()
+    bytes_per_s = link_mbps * BYTES_PER_S_PER_MBPS
+    node.link.outward.bytes_per_s = node.link.inward.bytes_per_s = bytes_per_s
+    node.owner().state.traffic.bytes_per_s = bytes_per_s
+
+
 def list_gang_starts(cluster: MemoryCluster) -> list[int]:
     """Return how often each member of the gang was started."""
     starts = cluster.world.starts
@@ -112,6 +124,90 @@
         assert starts == [1] * MEMBERS, (max(starts), sum(starts))
 
 
+# A gang for which the link needs longer than members may wait was accepted, and started
+# and stopped for ever.
+async def test_gang_that_the_link_can_never_carry_in_time_is_refused():
+    async with linked_cluster() as cluster:
+        # Each quote takes two bytes, so that the starts need the link for 4 s.
+        gang = make_gang(character='"')
+        owner = cluster.owner_node().owner()
+        answer = await owner.commands.submit(gang, 3.0)
+        assert answer.outcome is Outcome.REFUSED
+        assert answer.retry_after_s > 0
+        counters = cluster.metrics.counters
+        assert counters["cell.jobs.refused.gang_beyond_link"] == 1
+        # Nothing was written of it.
+        assert GANG_ID not in owner.state.table.jobs
+        records, _ = cluster.store.newest("cells", 0)
+        assert not any(GANG_ID in record.key for record in records)
+        # The same tasks one by one, and a smaller gang with this payload, are accepted.
+        step = msgspec.structs.replace(gang.steps[0], gang=False)
+        singles = msgspec.structs.replace(gang, job_id="b" * 16, steps=(step,))
+        assert await cluster.submit(singles) is Outcome.OK
+        assert await cluster.wait_final(singles.job_id, 15.0) is JobPhase.COMPLETED
+        assert await cluster.submit(make_gang(60, '"')) is Outcome.OK
+        assert await cluster.wait_final(GANG_ID, GANG_BOUND_S) is JobPhase.COMPLETED
+
+
+# An owner on a small machine gets the gangs that one on a larger machine has accepted.
+async def test_gang_that_the_link_of_a_later_owner_cannot_carry_keeps_nothing():
+    async with linked_cluster() as cluster:
+        set_link(cluster, 10 * LINK_MBPS)
+        gang = make_gang(character='"')
+        full = StepSpec(task_count=20, cpu_millis=20_000, estimated_ms=2_000)
+        assert await cluster.submit(make_job("f" * 16, full)) is Outcome.OK
+        await anyio.sleep(0.5)
+        assert await cluster.submit(gang) is Outcome.OK
+        set_link(cluster, LINK_MBPS)
+        assert await cluster.wait_final("f" * 16, 5.0) is JobPhase.COMPLETED
+        await anyio.sleep(10.0)
+        owner = cluster.owner_node().owner()
+        step = owner.state.table.jobs[GANG_ID].steps[0]
+        assert not list_gang_starts(cluster)
+        assert not step.reserved
+        report = explain_wait(
+            step, owner.state.find_queue(step.job), owner.scheduler, 0.0, 0.0
+        )
+        assert report.reason is WaitReason.LINK
+        # Other work is not kept from starting.
+        assert await cluster.submit(make_single(1, tasks=10)) is Outcome.OK
+        assert await cluster.wait_final(f"{1:016x}", 3.0) is JobPhase.COMPLETED
+        # The next owner has a faster link.
+        set_link(cluster, 10 * LINK_MBPS)
+        assert await cluster.wait_final(GANG_ID, GANG_BOUND_S) is JobPhase.COMPLETED
+        assert list_gang_starts(cluster) == [1] * MEMBERS
+
+
+# While others need the link, a gang that nearly fills it was started and stopped for
+# ever; kept back, it must not keep back everything else either.
+async def test_gang_waits_while_others_need_the_link():
+    async with linked_cluster() as cluster, anyio.create_task_group() as others:
+        state = cluster.owner_node().owner().state
+
+        async def use_link() -> None:
+            while True:
+                state.traffic.record_sent(10_000, Purpose.QUERIES)
+                await anyio.sleep(0.1)
+
+        others.start_soon(use_link)
+        await anyio.sleep(4.0)
+        assert await cluster.submit(make_gang(estimated_ms=10_000)) is Outcome.OK
+        await anyio.sleep(1.0)
+        # This job is due later than the gang.
+        later = make_single(1, tasks=5, estimated_ms=30_000)
+        assert await cluster.submit(later) is Outcome.OK
+        await anyio.sleep(MAX_HOLD_S - 1.5)
+        assert not cluster.world.starts
+        phase = await cluster.wait_final(later.job_id, 3.0)
+        assert phase is JobPhase.COMPLETED
+        await anyio.sleep(3.0)
+        assert not list_gang_starts(cluster)
+        assert state.metrics.counters["cell.gangs.held_for_link"] == 1
+        others.cancel_scope.cancel()
+        assert await cluster.wait_final(GANG_ID, GANG_BOUND_S) is JobPhase.COMPLETED
+        assert list_gang_starts(cluster) == [1] * MEMBERS
+
+
 # The repeated start of a member waited behind the starts of a large step, until its
 # gang was stopped.
 async def test_repeated_start_of_a_member_precedes_single_tasks():
@@ -169,6 +265,7 @@
         state = SimpleNamespace(timing=timing, traffic=LinkTraffic(link_mbps=0.5))
         await anyio.sleep_until(now + max(gang_s / 2, gang_s - 0.5) + 0.01)
         assert is_member_start_late(state, run), gang_s
+        assert not can_carry_gang(state, step.job.spec, step.spec)
 
 
 load_tests = make_load_tests(globals())
--- a/gypsumring/cell/waiting.py
+++ b/gypsumring/cell/waiting.py
@@ -4,6 +4,7 @@
 from collections import Counter
 from collections.abc import Iterable
 
+from gypsumring.cell.gang_starts import can_carry_gang, can_carry_gang_now
 from gypsumring.cell.policy_client import TICKET_MARGIN_S
 from gypsumring.cell.scheduling import CellScheduler
 from gypsumring.dispatch.ordering import step_due_at
@@ -50,6 +51,8 @@
     NO_FREE_CAPACITY = "room"
     # The client account has as much running as its cap permits.
     CAP = "cap"
+    # The link of the owner does not carry the starts of the whole gang in time.
+    LINK = "link"
     RESERVED = "reserved"
     TICKET = "ticket"
     # Tasks avoid the executors on which they failed.
@@ -249,6 +252,10 @@
     report.reason = find_reason(report, queue, usable, waits_for_better_rack, now)
     if report.reason is WaitReason.NONE and not state.knows_capacities():
         report.reason = WaitReason.ENTRIES_UNREAD
+    if step.pending and not can_carry_gang(state, step.job.spec, step.spec):
+        report.reason = WaitReason.LINK
+    if report.reason is WaitReason.NONE and not can_carry_gang_now(state, step):
+        report.reason = WaitReason.LINK
     return report
 
 
--- a/gypsumring/transport/traffic.py
+++ b/gypsumring/transport/traffic.py
@@ -31,6 +31,8 @@
 # Nothing is repeated while the queue at the link is longer than this: the first copy
 # may still be in it.
 MAX_REPEAT_BACKLOG_S = 0.05
+# The share of the link that messages other than bulk take is averaged over this time.
+OTHER_PERIOD_S = 2.0
 # Messages of bulk are sent while the queue at the link is no longer than this.
 MAX_BULK_BACKLOG_S = 0.03
 
@@ -92,6 +94,8 @@
         "idle_at",
         "longest_send_s",
         "metrics",
+        "other_bytes",
+        "other_bytes_at",
         "received_bytes",
         "repeat_credit",
         "repeat_credit_at",
@@ -111,6 +115,9 @@
         self.urgent_waiting = 0
         # When all bytes sent so far have left the machine, by the rate of its link.
         self.idle_at = 0.0
+        # Bytes beside bulk, as of a time; they lose weight as they age.
+        self.other_bytes = 0.0
+        self.other_bytes_at = 0.0
         # Bytes that may be repeated, as of a time.
         self.repeat_credit = MAX_REPEAT_CREDIT_S * self.bytes_per_s
         self.repeat_credit_at = 0.0
@@ -128,6 +135,8 @@
         self.metrics.count(f"traffic.sent_messages.{purpose}")
         if purpose not in RESERVED:
             self.reserve(size)
+            self.age_other_bytes()
+            self.other_bytes += size + MESSAGE_OVERHEAD_BYTES
         if purpose not in REPEATS:
             self.repeat_credit += REPEAT_SHARE * size
 
@@ -186,6 +195,17 @@
         """Wait until the queue at the link is short, and let other tasks run."""
         await anyio.sleep_until(self.idle_at - MAX_BULK_BACKLOG_S)
 
+    def age_other_bytes(self) -> None:
+        """Reduce the weight of the bytes beside bulk by the time that has passed."""
+        now = anyio.current_time()
+        self.other_bytes *= math.exp((self.other_bytes_at - now) / OTHER_PERIOD_S)
+        self.other_bytes_at = now
+
+    def other_share(self) -> float:
+        """Return the share of the link that messages other than bulk have taken."""
+        self.age_other_bytes()
+        return self.other_bytes / (OTHER_PERIOD_S * self.bytes_per_s)
+
     def spend_repeat(self, size: int) -> bool:
         """Return whether a message may be sent again now; this uses up credit.
 
