Keep the deletion of an evicted job if its resubmission is withdrawn

During an outage of the store a job whose retention has ended is submitted again and refused; after the outage its record is in the store without its progress. A node of an earlier build, which does not know trimmed records, would start it as the next owner, although it was done and the submission was refused.

Cause: a queued record takes the place of an earlier one with its key, here the deletion of the job, and its withdrawal removed the place.

Measured: without the change test_withdrawn_resubmission_of_an_evicted_job_leaves_its_deletion fails with "AssertionError: ['p/']": only the progress was deleted. The modules test_trimmed_records, test_journal and test_store_outage pass with it.

--- a/gypsumring/cell/journal.py
+++ b/gypsumring/cell/journal.py
@@ -53,7 +53,7 @@
 class PendingRecord:
     """Record that has been queued and is not durable yet."""
 
-    __slots__ = ("callbacks", "key", "later_callbacks", "value")
+    __slots__ = ("callbacks", "key", "later_callbacks", "replaced", "value")
 
     def __init__(self, key: str, value: bytes, on_durable: Callable[[], None] | None):
         self.key = key
@@ -61,8 +61,25 @@
         self.callbacks: list[Callable[[], None]] = []
         # Callbacks that wait for all records up to this one.
         self.later_callbacks: list[Callable[[], None]] = []
+        # The queued value that this one has replaced, and the number of its callbacks.
+        self.replaced: tuple[bytes, int] | None = None
         self.call_when_durable(on_durable)
 
+    def replace(self, value: bytes, on_durable: Callable[[], None] | None) -> None:
+        """Replace the value; the callbacks of the earlier one are called with it."""
+        self.replaced = self.value, len(self.callbacks)
+        self.value = value
+        self.call_when_durable(on_durable)
+
+    def restore(self) -> bool:
+        """Return to the value that was replaced, if there is one."""
+        if self.replaced is None:
+            return False
+        self.value, callback_count = self.replaced
+        self.replaced = None
+        del self.callbacks[callback_count:]
+        return True
+
     def call_when_durable(self, on_durable: Callable[[], None] | None) -> None:
         """Call ``on_durable``, if given, once the record is durable."""
         if on_durable is not None:
@@ -183,8 +200,7 @@
         if queued is None:
             self.queue[key] = PendingRecord(key, value, on_durable)
         else:
-            queued.value = value
-            queued.call_when_durable(on_durable)
+            queued.replace(value, on_durable)
         self.wake.set()
 
     def call_when_all_durable(self, on_durable: Callable[[], None]) -> None:
@@ -199,10 +215,14 @@
         """Remove a queued record and return True, or False if it was sent already.
 
         A removed record is never written, and the callbacks of its ``put`` are dropped.
+        A queued record that it had replaced takes its place again.
         """
-        entry = self.queue.pop(key, None)
+        entry = self.queue.get(key)
         if entry is None:
             return False
+        if entry.restore():
+            return True
+        del self.queue[key]
         if not self.queue:
             self.next_append_at = float("inf")
         for on_durable in entry.later_callbacks:
--- a/gypsumring/cell/tests/test_trimmed_records.py
+++ b/gypsumring/cell/tests/test_trimmed_records.py
@@ -148,6 +148,35 @@
         assert deleted == [JOB_KEY + job.job_id, PROGRESS_KEY + job.job_id]
 
 
+async def test_withdrawn_resubmission_of_an_evicted_job_leaves_its_deletion():
+    # The submission took the place of the queued deletion, and the withdrawal removed
+    # both: the record of the ended job stayed without its progress. Builds that don't
+    # know trimmed records would start the job, which callers were told never runs.
+    async with running_cluster(nodes=1) as cluster:
+        job = make_payload_job(1)
+        assert await cluster.submit(job) is Outcome.OK
+        assert await cluster.wait_final(job.job_id) is JobPhase.COMPLETED
+        await anyio.sleep(TRIMMED_AFTER_S)
+        (node,) = cluster.nodes.values()
+        state = node.owner().state
+        node.faults.store_away = True
+        state.journal.put("first", b"record in flight")
+        state.table.jobs[job.job_id].ended_at = float("-inf")
+        await anyio.sleep(EVICTION_PERIOD_S + 1.0)
+        assert job.job_id not in state.table.jobs
+        assert await cluster.submit(job) is Outcome.REFUSED
+        node.faults.store_away = False
+        await anyio.sleep(3.0)
+        deleted = [
+            record.key
+            for record in cluster.store.partition(CELL_TOPIC, 0).records
+            if not record.value
+        ]
+        assert deleted == [JOB_KEY + job.job_id, PROGRESS_KEY + job.job_id], deleted
+        assert not any(key.endswith(job.job_id) for key in read_newest(cluster))
+        assert set(cluster.world.starts.values()) == {1}
+
+
 async def test_records_of_an_earlier_build_are_trimmed_in_small_batches():
     # Thousands of records at once would delay the submissions behind them.
     async with running_cluster(nodes=2) as cluster:
