--- a/gypsumring/cell/tests/test_start_demand.py
+++ b/gypsumring/cell/tests/test_start_demand.py
@@ -14,7 +14,14 @@
 )
 from gypsumring.cell.tests.test_recovery import running_cluster
 from gypsumring.metrics import Metrics
-from gypsumring.pipelines import JobPhase, PipelineSpec, Queue, StepSpec
+from gypsumring.pipelines import (
+    JobPhase,
+    JobTable,
+    PipelineSpec,
+    Queue,
+    Run,
+    StepSpec,
+)
 from gypsumring.transport import LinkTraffic, Purpose
 from gypsumring.transport.traffic import MAX_BULK_BACKLOG_S
 from gypsumring.utils.testing import make_load_tests
@@ -65,6 +72,28 @@
     assert anyio.current_time() - began_at <= 400 * traffic.transfer_s(2_500) + 1e-6
 
 
+# Starts of which others are of no use before them waited behind all that were queued.
+async def test_urgent_messages_of_bulk_go_first():
+    traffic = LinkTraffic(Metrics(), LINK_MBPS)
+    sent: list[bool] = []
+
+    async def send(is_urgent: bool) -> None:
+        await traffic.wait_for_room(is_urgent)
+        traffic.reserve(25_000)
+        sent.append(is_urgent)
+
+    async with anyio.create_task_group() as group:
+        for _ in range(20):
+            group.start_soon(send, False)
+        # No message may be sent at this moment.
+        await anyio.sleep(0.055)
+        waiting = 20 - len(sent)
+        for _ in range(5):
+            group.start_soon(send, True)
+    assert waiting > 10
+    assert sent[20 - waiting :] == [True] * 5 + [False] * waiting, sent
+
+
 async def test_bulk_on_a_link_of_unknown_rate_is_sent_at_once():
     traffic = LinkTraffic(Metrics())
     traffic.record_sent(10**9)
@@ -131,6 +160,20 @@
         assert len(started - {"a" * 16}) == 10, started
 
 
+# The rest of a large step was forgotten after 1 s, while the link still carried it, and
+# further tasks were placed behind it.
+async def test_starts_count_until_the_link_has_had_room_for_them():
+    demand = StartDemand(LinkTraffic(Metrics(), 2))
+    step = JobTable().add(make_large_job("a" * 16), anyio.current_time()).steps[0]
+    for index in range(100):
+        demand.add_unsent(Run(step, index, 1, "i-0", anyio.current_time()))
+    assert demand.start_wait_s() > 1.5
+    await anyio.sleep(MAX_UNSENT_S + 0.1)
+    assert demand.is_link_full()
+    await anyio.sleep(1.8)
+    assert not demand.is_link_full()
+
+
 # A start whose ticket had expired took the link, and the executor refused it.
 async def test_start_with_an_expired_ticket_is_not_sent():
     async with running_cluster(steady_behaviour(0.5), policy_share=1.0) as cluster:
--- a/gypsumring/transport/traffic.py
+++ b/gypsumring/transport/traffic.py
@@ -31,6 +31,8 @@
 # Nothing is repeated while the queue at the link is longer than this: the first copy
 # may still be in it.
 MAX_REPEAT_BACKLOG_S = 0.05
+# The share of the link that messages other than bulk take is averaged over this time.
+OTHER_PERIOD_S = 2.0
 # Messages of bulk are sent while the queue at the link is no longer than this.
 MAX_BULK_BACKLOG_S = 0.03
 
@@ -92,10 +94,14 @@
         "idle_at",
         "longest_send_s",
         "metrics",
+        "other_bytes",
+        "other_bytes_at",
         "received_bytes",
         "repeat_credit",
         "repeat_credit_at",
         "sent_bytes",
+        "urgent_lock",
+        "urgent_waiting",
     )
 
     def __init__(self, metrics: Metrics | None = None, link_mbps: float | None = None):
@@ -103,10 +109,15 @@
         self.bytes_per_s = math.inf
         if link_mbps:
             self.bytes_per_s = link_mbps * BYTES_PER_S_PER_MBPS
-        # The first message of bulk that waits is sent first.
+        # The first message of bulk that waits is sent first, after all urgent ones.
         self.bulk_lock = anyio.Lock()
+        self.urgent_lock = anyio.Lock()
+        self.urgent_waiting = 0
         # When all bytes sent so far have left the machine, by the rate of its link.
         self.idle_at = 0.0
+        # Bytes beside bulk, as of a time; they lose weight as they age.
+        self.other_bytes = 0.0
+        self.other_bytes_at = 0.0
         # Bytes that may be repeated, as of a time.
         self.repeat_credit = MAX_REPEAT_CREDIT_S * self.bytes_per_s
         self.repeat_credit_at = 0.0
@@ -124,6 +135,8 @@
         self.metrics.count(f"traffic.sent_messages.{purpose}")
         if purpose not in RESERVED:
             self.reserve(size)
+            self.age_other_bytes()
+            self.other_bytes += size + MESSAGE_OVERHEAD_BYTES
         if purpose not in REPEATS:
             self.repeat_credit += REPEAT_SHARE * size
 
@@ -154,16 +167,44 @@
         now = anyio.current_time()
         self.idle_at = max(self.idle_at, now) + self.transfer_s(size)
 
-    async def wait_for_room(self) -> None:
-        """Wait until the link has room for a message of bulk.
+    async def wait_for_room(self, is_urgent: bool = False) -> None:
+        """Wait until the link has room for a message of bulk; urgent ones go first.
 
         The caller reserves the room, without a pause in between, if it still sends.
         """
         if math.isinf(self.bytes_per_s):
             return
-        async with self.bulk_lock:
-            while (room_at := self.idle_at - MAX_BULK_BACKLOG_S) > anyio.current_time():
-                await anyio.sleep_until(room_at)
+        if not is_urgent:
+            async with self.bulk_lock:
+                while self.urgent_waiting or self.has_backlog():
+                    await self.wait_for_backlog()
+            return
+        self.urgent_waiting += 1
+        try:
+            async with self.urgent_lock:
+                while self.has_backlog():
+                    await self.wait_for_backlog()
+        finally:
+            self.urgent_waiting -= 1
+
+    def has_backlog(self) -> bool:
+        """Return whether the queue at the link is too long for messages of bulk."""
+        return self.idle_at - MAX_BULK_BACKLOG_S > anyio.current_time()
+
+    async def wait_for_backlog(self) -> None:
+        """Wait until the queue at the link is short, and let other tasks run."""
+        await anyio.sleep_until(self.idle_at - MAX_BULK_BACKLOG_S)
+
+    def age_other_bytes(self) -> None:
+        """Reduce the weight of the bytes beside bulk by the time that has passed."""
+        now = anyio.current_time()
+        self.other_bytes *= math.exp((self.other_bytes_at - now) / OTHER_PERIOD_S)
+        self.other_bytes_at = now
+
+    def other_share(self) -> float:
+        """Return the share of the link that messages other than bulk have taken."""
+        self.age_other_bytes()
+        return self.other_bytes / (OTHER_PERIOD_S * self.bytes_per_s)
 
     def spend_repeat(self, size: int) -> bool:
         """Return whether a message may be sent again now; this uses up credit.
