Count inherited failures only if the lease provably held

By the platform's rules a listed failure counts only if the lease of its executor does not lapse before it is acknowledged.

Cause: ExecutorPoller.add took it for granted that no lease expires before an inherited executor answers first. An owner that is cut off with the executor, an executor that no node reaches during a takeover, and a series of takeovers let it expire. The next owner then counted failures which its acknowledgement made void.

Change: cell/failures.py decides alone. A failure under an earlier owner counts if an attempt runs at the first answer (an expiry would have ended it), if the owner before this one has started the task and the executor answers within 1.6 s (CONTACT_TIMEOUT_S) of the takeover, or if it is recorded already. It is void if the end of an attempt by the lease is listed after it, or the owner has let the lease expire. Otherwise it is made void: the executor gets no work and no lease, and nothing is acknowledged from this failure on, until the lease has expired. Nothing runs there then, so that no work is lost. An executor is not evicted meanwhile.

The lease of the owner before this one is still presumed, not proven: if the cell was without any owner, or that owner without the executor, until its lease expired, and nothing else ran there, a failure may count wrongly, as before.

--- a/gypsumring/cell/executor_polling.py
+++ b/gypsumring/cell/executor_polling.py
@@ -8,7 +8,7 @@
 from gypsumring.cell.lists import TaskListReader
 from gypsumring.cell.orders import Orders
 from gypsumring.cell.state import EXECUTOR_KEY, CellState
-from gypsumring.fleet import ExecutorEntry, ExecutorState
+from gypsumring.fleet import ExecutorEntry, ExecutorState, LeaseEvidence
 from gypsumring.pipelines import encode
 from gypsumring.ports.tasks import (
     ExecutorGone,
@@ -61,7 +61,9 @@
             entry, self.state.clock(), self.state.usage, self.state.knowledge
         )
         # An evicted executor that returns still lists its ends.
-        executor.may_list_lapsed_ends = not inherited
+        executor.lease_evidence = (
+            LeaseEvidence.UNKNOWN if inherited else LeaseEvidence.EXPIRED
+        )
         self.state.fleet[entry.executor_id] = executor
         self.state.clients[entry.executor_id] = self.connect(
             entry.executor_id, entry.address
@@ -210,6 +212,8 @@
             return False
         if self.state.is_lease_expired(executor):
             return True
+        if executor.awaits_lapse:
+            return False
         silent_s = self.state.clock() - executor.last_response_at
         return executor.first_response_at is not None and silent_s >= LONG_POLL_S * 2
 
@@ -235,10 +239,13 @@
 
     async def poll(self, executor: ExecutorState, client: TaskExecutor) -> None:
         """Extend the lease with one long poll and apply the lists in its answer."""
+        self.list_reader.failures.release_withheld(executor)
         is_first_poll = executor.first_response_at is None
-        has_undurable_ends = executor.last_durable_end < executor.last_seen_end
+        has_unacknowledged_ends = (
+            executor.acknowledgeable_end() < executor.last_seen_end
+        )
         expects_immediate_answer = (
-            is_first_poll or has_undurable_ends or executor.is_unresponsive
+            is_first_poll or has_unacknowledged_ends or executor.is_unresponsive
         )
         long_poll_s = LONG_POLL_S if executor.runs else IDLE_LONG_POLL_S
         poll_duration_s = 0.0 if expects_immediate_answer else long_poll_s
@@ -247,6 +254,7 @@
         if (
             not is_first_poll
             and not executor.is_unresponsive
+            and not executor.awaits_lapse
             and self.state.authority.may_extend_leases(now)
         ):
             lease_until = executor.extend_lease(self.state.lease_ms(), now)
@@ -254,7 +262,9 @@
         # After an unanswered poll another incarnation may answer, which numbers its
         # ends anew. An acknowledgement would make it discard ends that the owner has
         # not received.
-        acknowledged_end = 0 if executor.is_unresponsive else executor.last_durable_end
+        acknowledged_end = (
+            0 if executor.is_unresponsive else executor.acknowledgeable_end()
+        )
         time_limit_s = poll_duration_s + self.answer_limit_s(executor)
         with sending_for(Purpose.POLLS):
             task_lists = await client.hold(
@@ -273,6 +283,8 @@
             not executor.is_unconfirmed,
         )
         await self.wait_until_durable(executor)
+        if executor.awaits_lapse:
+            await anyio.sleep(LONG_POLL_S)
 
     def answer_limit_s(self, executor: ExecutorState) -> float:
         """Return how long to wait for an answer that the executor does not delay.
--- a/gypsumring/cell/lists.py
+++ b/gypsumring/cell/lists.py
@@ -2,6 +2,12 @@
 
 import anyio
 
+from gypsumring.cell.failures import (
+    FailureJudge,
+    Verdict,
+    find_last_lapse,
+    is_result,
+)
 from gypsumring.cell.observation import RunObserver
 from gypsumring.cell.orders import Orders
 from gypsumring.cell.state import CellState
@@ -33,12 +39,13 @@
 class TaskListReader:
     """Updater of jobs and executors from the task lists in an executor's answer."""
 
-    __slots__ = ("observer", "orders", "state")
+    __slots__ = ("failures", "observer", "orders", "state")
 
     def __init__(self, state: CellState, orders: Orders):
         self.state = state
         self.orders = orders
         self.observer = RunObserver(state)
+        self.failures = FailureJudge(state)
 
     def release_all(self, executor: ExecutorState, reason: str) -> None:
         """Release all attempts that are recorded on an executor."""
@@ -53,7 +60,7 @@
             )
             self.state.metrics.count("cell.attempts.lost", len(runs))
         executor.runs_were_released = True
-        executor.may_list_lapsed_ends = True
+        executor.record_expiry()
         self.orders.crashes.record_loss(executor)
         for run in runs:
             self.orders.release(run)
@@ -98,6 +105,7 @@
             # The previous owner may have extended the lease just before the takeover.
             inherited_ms = int(self.state.inherited_lease_s * 1000)
             executor.lease_until_ms = task_lists.clock_ms + inherited_ms
+            self.failures.record_first_answer(executor, task_lists)
         # The ends of an earlier owner may take several answers.
         may_adopt = executor.executor_id in self.state.unreconciled
         if has_restarted or runs_were_released:
@@ -116,7 +124,7 @@
             self.orders.crashes.resolve(executor)
         executor.unknown_runs &= listed_keys
         if lists_all_ends:
-            executor.may_list_lapsed_ends = False
+            self.failures.record_all_listed(executor)
             if not executor.is_unconfirmed:
                 self.mark_reconciled(executor)
         self.acknowledge(executor, changed_jobs)
@@ -261,9 +269,8 @@
         """Apply the new ends and return the jobs whose progress is to be stored.
 
         The executor discards an end once it is acknowledged, so that a result is also
-        applied if the cell has no record of the attempt. A failure that is listed
-        before the end of an attempt by an expired lease was not acknowledged under that
-        lease, and does not count.
+        applied if the cell has no record of the attempt. A failure that does not count
+        is applied as an end by an expired lease.
         """
         changed_jobs: set[Job] = set()
         last_lapse = find_last_lapse(ended)
@@ -277,8 +284,7 @@
             if run is None:
                 continue
             self.state.release_capacity(executor, run)
-            is_void = end.how == "failed" and end.number < last_lapse
-            how = "lapsed" if is_void else end.how
+            how = self.outcome_of(executor, run, end, last_lapse)
             self.update_health(executor, run, how)
             job = run.step.job
             was_final = job.phase.is_final
@@ -295,6 +301,20 @@
                 changed_jobs.add(job)
         return changed_jobs
 
+    def outcome_of(
+        self, executor: ExecutorState, run: Run, end: ListedEnd, last_lapse: int
+    ) -> str:
+        """Return how an attempt has ended, with a failure only if it counts."""
+        if end.how != "failed":
+            return end.how
+        verdict = self.failures.judge(executor, run, end, last_lapse)
+        if verdict is Verdict.COUNTS:
+            return end.how
+        self.state.metrics.count(f"cell.failures.{verdict.value}")
+        if verdict is Verdict.UNPROVEN:
+            self.failures.withhold(executor, end)
+        return "lapsed"
+
     def update_health(self, executor: ExecutorState, run: Run, outcome: str) -> None:
         """Update the health of an executor after the end of an attempt."""
         self.observer.record_ended(executor, run, outcome == "done")
@@ -380,22 +400,6 @@
         self.state.write_progress(jobs[-1], mark_durable)
 
 
-def is_result(executor: ExecutorState, end: ListedEnd) -> bool:
-    """Return whether an end counts for its task, whoever started the attempt.
-
-    A failure does not count if the lease may have expired between it and its
-    acknowledgement.
-    """
-    if end.how == "failed":
-        return not executor.may_list_lapsed_ends
-    return end.how == "done"
-
-
-def find_last_lapse(ended: list[ListedEnd]) -> int:
-    """Return the number of the last end by an expired lease, 0 without one."""
-    return max((end.number for end in ended if end.how == "lapsed"), default=0)
-
-
 def is_confirmed_absent(run: Run, requested_at: float) -> bool:
     """Return whether an attempt that is not listed neither runs nor can start later.
 
--- a/gypsumring/cell/owner.py
+++ b/gypsumring/cell/owner.py
@@ -27,6 +27,7 @@
 from gypsumring.cell.queues import QUEUE_KEY
 from gypsumring.cell.scheduling import CellScheduler, QueryPolicyProxy
 from gypsumring.cell.state import (
+    ATTEMPTS_PER_TERM,
     BOUNDED_KEY,
     EXECUTOR_KEY,
     JOB_KEY,
@@ -63,8 +64,6 @@
 
 log = EventLogger("cell")
 
-# Attempt numbers of a term are lower than those of the next term.
-ATTEMPTS_PER_TERM = 100_000
 # Time limit of one page of the records, beside the time that the link takes for the
 # largest page, twice as it carries other messages too. The limit is doubled after each
 # failure; the next page has at least twice the time that the one before it took.
--- a/gypsumring/cell/state.py
+++ b/gypsumring/cell/state.py
@@ -37,6 +37,8 @@
 PROGRESS_KEY = "p/"
 EXECUTOR_KEY = "e/"
 TERM_KEY = "term"
+# Attempt numbers of a term are lower than those of the next term.
+ATTEMPTS_PER_TERM = 100_000
 # The number of terms whose owners act without the store for a bounded time only.
 BOUNDED_KEY = "bounded"
 # The longest lease that any owner has requested, in milliseconds.
--- a/gypsumring/cell/tests/test_isolated_owner.py
+++ b/gypsumring/cell/tests/test_isolated_owner.py
@@ -19,6 +19,9 @@
 PARTITION_S = 14.0
 # The owner's leases expire within this time.
 LAPSED_S = 6.8
+# The executor's lease expires within this time, which is shorter than the next owner
+# waits until it presumes that, by more than a poll that is not answered takes.
+EXPIRED_S = 5.6
 # Messages are held back for a time after which leases have not expired yet.
 LATE_S = 4.0
 # For this time, one node has not followed the owner, or has not been started.
@@ -135,6 +138,72 @@
         )
 
 
+# The same with one takeover: the next owner reached the executor after its lease had
+# expired, and before it presumed that.
+async def test_failures_of_an_executor_that_is_reached_late_do_not_count():
+    def behave(task: str, attempt: int) -> TaskBehaviour:
+        return TaskBehaviour(2.0, "failed")
+
+    async with running_cluster(behave, nodes=3) as cluster:
+        assert await cluster.submit(make_job(JOB)) is Outcome.OK
+        await anyio.sleep(0.5)
+        silent = find_executor(cluster, has_tasks=True)
+        with cluster.partitioned(set(), {silent}):
+            cluster.owner_node().kill()
+            await anyio.sleep(EXPIRED_S)
+        assert await cluster.wait_final(JOB) is JobPhase.FAILED
+        assert list(cluster.world.failed_runs.values()) == [3], (
+            cluster.world.failed_runs
+        )
+
+
+# The same if the owner is replaced while it lets the lease expire. Guards against work
+# that is done again because its end is listed with such a failure, too, and against an
+# executor that is not used any more afterwards.
+async def test_failures_that_may_not_count_are_withheld_across_takeovers():
+    def behave(task: str, attempt: int) -> TaskBehaviour:
+        return TaskBehaviour(2.0, "failed" if task.startswith(JOB) else "done")
+
+    async with running_cluster(behave, nodes=3, executors=1) as cluster:
+        assert await cluster.submit(make_job(JOB)) is Outcome.OK
+        await anyio.sleep(0.1)
+        assert await cluster.submit(make_job("b" * 16)) is Outcome.OK
+        await anyio.sleep(0.4)
+        with cluster.partitioned({cluster.owner_node().name}, set(cluster.executors)):
+            await anyio.sleep(LAPSED_S)
+            await cluster.restart_nodes(sorted(cluster.nodes), 0.1)
+        await anyio.sleep(STRANGER_S)
+        await cluster.restart_nodes(sorted(cluster.nodes), 0.1)
+        assert await cluster.wait_final(JOB) is JobPhase.FAILED
+        assert await cluster.wait_final("b" * 16) is JobPhase.COMPLETED
+        assert cluster.world.failed_runs == {JOB + ".0.0.0": 3}
+        assert cluster.world.starts["b" * 16 + ".0.0.0"] == 1
+
+
+# Guards against an owner that lets the lease of running work expire. This work shows
+# that earlier failures count.
+async def test_failures_beside_a_running_attempt_count_after_two_takeovers():
+    def behave(task: str, attempt: int) -> TaskBehaviour:
+        if task.startswith(JOB):
+            return TaskBehaviour(2.0, "failed")
+        return TaskBehaviour(20.0)
+
+    step = StepSpec(task_count=1, cpu_millis=2000, estimated_ms=20_000)
+    async with running_cluster(behave, nodes=3, executors=1) as cluster:
+        assert await cluster.submit(make_job(JOB)) is Outcome.OK
+        assert await cluster.submit(make_job("b" * 16, step)) is Outcome.OK
+        await anyio.sleep(1.5)
+        # The owner between two takeovers reaches no executor.
+        with cluster.partitioned(set(), set(cluster.executors)):
+            await cluster.restart_nodes(sorted(cluster.nodes), 0.1)
+            await anyio.sleep(1.5)
+            assert cluster.owner_node() is not None
+            await cluster.restart_nodes(sorted(cluster.nodes), 0.1)
+        assert await cluster.wait_final(JOB) is JobPhase.FAILED
+        assert await cluster.wait_final("b" * 16) is JobPhase.COMPLETED
+        assert cluster.world.starts == {JOB + ".0.0.0": 3, "b" * 16 + ".0.0.0": 1}
+
+
 # The same with an attempt that the lease ends: the executor lists its end after the
 # failure, which shows the next owner that the failure does not count.
 async def test_failures_listed_before_an_expired_attempt_do_not_count():
--- a/gypsumring/fleet/__init__.py
+++ b/gypsumring/fleet/__init__.py
@@ -6,6 +6,7 @@
     MAX_ORDER_DELAY_S,
     ExecutorEntry,
     ExecutorState,
+    LeaseEvidence,
 )
 from gypsumring.fleet.health import ExecutorHealth
 from gypsumring.fleet.knowledge import FleetKnowledge
@@ -19,5 +20,6 @@
     "ExecutorState",
     "FleetKnowledge",
     "InvalidEntry",
+    "LeaseEvidence",
     "MAX_ORDER_DELAY_S",
 ]
--- a/gypsumring/fleet/executor.py
+++ b/gypsumring/fleet/executor.py
@@ -1,5 +1,6 @@
 """State of one executor: registration, clock, lease and running attempts."""
 
+import enum
 from collections import deque
 
 import anyio
@@ -13,7 +14,13 @@
 from gypsumring.pipelines.runs import Run
 from gypsumring.pipelines.state import Step
 
-__all__ = ["CONTACT_TIMEOUT_S", "ExecutorEntry", "ExecutorState", "MAX_ORDER_DELAY_S"]
+__all__ = [
+    "CONTACT_TIMEOUT_S",
+    "ExecutorEntry",
+    "ExecutorState",
+    "LeaseEvidence",
+    "MAX_ORDER_DELAY_S",
+]
 
 # Maximum rate by which the clock of an executor may run slow.
 CLOCK_DRIFT = 0.02
@@ -49,6 +56,14 @@
         return self.cpu_millis, self.memory_mb, self.accelerators
 
 
+class LeaseEvidence(enum.Enum):
+    """What is known of the lease since the oldest end that is not listed yet."""
+
+    HELD = "held"
+    EXPIRED = "expired"
+    UNKNOWN = "unknown"
+
+
 class ExecutorState:
     """State of one incarnation of an executor.
 
@@ -70,13 +85,13 @@
         "last_response_at",
         "last_seen_end",
         "lasting_runs",
+        "lease_evidence",
         "lease_until_ms",
         "listed",
         "is_release_pending",
         "is_unconfirmed",
         "knowledge",
         "may_leave_at",
-        "may_list_lapsed_ends",
         "profile",
         "recent_runs",
         "runs",
@@ -91,6 +106,7 @@
         "used_accelerators",
         "used_cpu",
         "used_memory",
+        "withheld_end",
     )
 
     def __init__(
@@ -164,8 +180,9 @@
         self.last_seen_end = 0
         self.last_durable_end = 0
         self.unknown_runs.clear()
-        # Set if ends may be listed that date from before an expiry of the lease.
-        self.may_list_lapsed_ends = False
+        self.lease_evidence = LeaseEvidence.HELD
+        # The first end that is acknowledged only once the lease has expired.
+        self.withheld_end: int | None = None
 
     def record_draining(self, entry: ExecutorEntry) -> None:
         """Record which incarnation a new directory entry reports as draining."""
@@ -190,6 +207,22 @@
             self.clock_ms = clock_ms
             self.clock_read_at = now
 
+    @property
+    def awaits_lapse(self) -> bool:
+        """Return whether the lease is to expire before further acknowledgements."""
+        return self.withheld_end is not None
+
+    def acknowledgeable_end(self) -> int:
+        """Return the number up to which ends may be acknowledged."""
+        if self.withheld_end is None:
+            return self.last_durable_end
+        return min(self.last_durable_end, self.withheld_end - 1)
+
+    def record_expiry(self) -> None:
+        """Record that the lease has expired since all ends that are listed next."""
+        self.lease_evidence = LeaseEvidence.EXPIRED
+        self.withheld_end = None
+
     def mark_ends_durable(self, end_number: int) -> None:
         """Record that the changes caused by ends up to a number are in the store."""
         self.last_durable_end = max(self.last_durable_end, end_number)
@@ -304,6 +337,7 @@
             and not self.unknown_runs
             and not self.starts_to_block
             and not self.is_unconfirmed
+            and not self.awaits_lapse
             and self.has_current_entry()
         )
 
--- a/gypsumring/pipelines/state.py
+++ b/gypsumring/pipelines/state.py
@@ -240,6 +240,14 @@
             return self.checkpoints.get(0, "")
         return self.checkpoints.get(index, "")
 
+    def failure_index(self, index: int) -> int:
+        """Return the index by which the failures of a task count; a gang has one."""
+        return 0 if self.spec.gang else index
+
+    def has_failed(self, index: int, attempt: int) -> bool:
+        """Return whether an attempt of a task has been counted as failed."""
+        return attempt in self.failures.get(self.failure_index(index), ())
+
     def save_checkpoint(self, index: int, checkpoint: str) -> None:
         """Store the latest checkpoint of a task or gang that is not done."""
         if checkpoint and self.states[index] != TaskState.DONE:
--- a/gypsumring/pipelines/table.py
+++ b/gypsumring/pipelines/table.py
@@ -200,7 +200,7 @@
         """Count a failed attempt; fail the job once a task has no attempts left."""
         step = run.step
         step.avoided.setdefault(run.index, set()).add(run.executor_id)
-        failed = step.failures.setdefault(0 if step.spec.gang else run.index, set())
+        failed = step.failures.setdefault(step.failure_index(run.index), set())
         # Every member of a gang may report the same failed attempt, and a new owner
         # may receive the report again, so an attempt number counts once.
         if run.attempt in failed:
