Notice another incarnation by the clock in answers to orders

Trace: the first copy of the start was delayed by the network (sent at 28.920 s), the second one ran on i-4 and was done; its end was noted at 30.088 s. i-4 crashed at 31.718 s and started again at 33.718 s. Its first call was a stop at 33.815 s, which it answered. The owner blocks late starts when it sees another incarnation, but only polls tell it which one answers, and a poll to an executor that is down takes up to 1.85 s: the next one arrived at 34.302 s. The delayed copy arrived at 34.289 s and was carried out: the incarnation knew the fence number by the stop, it has no record of the earlier run, and the lease in the start ends by the previous clock.

Cause: answers to orders state the executor's clock, which starts anew with each incarnation. The owner dropped it.

Change: the port returns the clock of orders. If it is below the bound that the known incarnation cannot fall below (its last clock, and 0.98 of the time since), the poll in progress is given up and another one is sent at once, as after an unanswered poll: it acknowledges nothing and extends no lease. Its answer blocks late starts as before. Starts, refused ones too, stops and paces are checked. Nothing changes on the wire. An incarnation that takes a late start before any call of the owner still runs it: nothing that a start carries (id, fence number, end of the lease) tells it apart.

--- a/gypsumring/cell/executor_polling.py
+++ b/gypsumring/cell/executor_polling.py
@@ -165,35 +165,41 @@
             if not executor.listed and self.may_evict(executor):
                 self.evict(executor)
                 return
-            client = self.state.clients[executor.executor_id]
-            try:
-                await self.poll(executor, client)
-            except ExecutorSilent:
-                self.state.metrics.count("cell.holds.unanswered")
-                executor.unanswered_polls += 1
+            with anyio.CancelScope() as executor.poll_scope:
+                await self.poll_once(executor)
+            if executor.may_have_restarted:
                 self.mark_unresponsive(executor)
+
+    async def poll_once(self, executor: ExecutorState) -> None:
+        """Poll an executor; pause if it has not answered."""
+        client = self.state.clients[executor.executor_id]
+        try:
+            await self.poll(executor, client)
+        except ExecutorSilent:
+            self.state.metrics.count("cell.holds.unanswered")
+            executor.unanswered_polls += 1
+            self.mark_unresponsive(executor)
+            await anyio.sleep(RETRY_PAUSE_S)
+        except (ExecutorGone, StartRefused):
+            if not self.proves_end(executor, client):
                 await anyio.sleep(RETRY_PAUSE_S)
-            except (ExecutorGone, StartRefused):
-                if not self.proves_end(executor, client):
-                    await anyio.sleep(RETRY_PAUSE_S)
-                    continue
-                self.request_release(executor, "another incarnation answered")
-                await anyio.sleep(LONG_POLL_S)
-            except FenceRefused as error:
-                raise OwnershipLost(
-                    f"executor {executor.executor_id} has accepted "
-                    "a higher fence number"
-                ) from error
-            except Exception as error:
-                # An error on one executor must not stop the polls of the others.
-                self.state.metrics.count("cell.looks.failed")
-                log.error(
-                    "executor poll failed",
-                    executor=executor.executor_id,
-                    **describe_error(error),
-                )
-                self.mark_unresponsive(executor)
-                await anyio.sleep(LONG_POLL_S)
+                return
+            self.request_release(executor, "another incarnation answered")
+            await anyio.sleep(LONG_POLL_S)
+        except FenceRefused as error:
+            raise OwnershipLost(
+                f"executor {executor.executor_id} has accepted a higher fence number"
+            ) from error
+        except Exception as error:
+            # An error on one executor must not stop the polls of the others.
+            self.state.metrics.count("cell.looks.failed")
+            log.error(
+                "executor poll failed",
+                executor=executor.executor_id,
+                **describe_error(error),
+            )
+            self.mark_unresponsive(executor)
+            await anyio.sleep(LONG_POLL_S)
 
     def proves_end(self, executor: ExecutorState, client: TaskExecutor) -> bool:
         """Return whether the answer of another incarnation shows that this one ended.
--- a/gypsumring/cell/orders.py
+++ b/gypsumring/cell/orders.py
@@ -14,6 +14,7 @@
     ExecutorSilent,
     FenceRefused,
     StartRefused,
+    TaskExecutor,
     TaskStart,
 )
 from gypsumring.transport import Purpose, sending_for
@@ -192,6 +193,7 @@
         order = self.make_start(run, executor, ticket, now)
         sent_at = anyio.current_time()
         sent_clock = self.state.clock()
+        bound = executor.bound_clock(sent_clock)
         deadline = sent_at + ORDER_TIMEOUT_S + traffic.send_s(size)
         run.start_sent_by = float("inf")
         run.was_sent = True
@@ -202,7 +204,7 @@
             with sending_for(
                 Purpose.STARTS_REPEATED if run.unanswered_orders else Purpose.STARTS
             ):
-                await client.start(order, self.state.fence, deadline)
+                clock_ms = await client.start(order, self.state.fence, deadline)
         except ExecutorSilent:
             run.start_sent_by = anyio.current_time()
             run.unanswered_orders += 1
@@ -220,8 +222,10 @@
             run.unanswered_orders += 1
             return ORDER_TIMEOUT_S
         except StartRefused as error:
+            self.state.check_incarnation(executor, bound, error.clock_ms)
             self.handle_refusal(run, executor, error.reason)
             return None
+        self.state.check_incarnation(executor, bound, clock_ms)
         executor.health.record_accepted(sent_clock)
         self.record_started(run)
         return None
@@ -414,9 +418,7 @@
             async with self.stop_slots.reserve(executor_id):
                 client = self.state.clients.get(executor_id)
                 if client is not None:
-                    deadline = anyio.current_time() + ORDER_TIMEOUT_S
-                    with sending_for(Purpose.STOPS):
-                        await client.stop(task, attempt, self.state.fence, deadline)
+                    await self.stop_once(client, executor_id, task, attempt)
                     return True
         except FenceRefused as error:
             raise OwnershipLost(
@@ -426,3 +428,15 @@
             self.state.metrics.count("cell.stops.unanswered")
         await anyio.sleep(RETRY_PAUSE_S)
         return False
+
+    async def stop_once(
+        self, client: TaskExecutor, executor_id: str, task: str, attempt: int
+    ) -> None:
+        """Send one stop and note which incarnation has answered it."""
+        executor = self.state.fleet.get(executor_id)
+        bound = executor and executor.bound_clock(self.state.clock())
+        deadline = anyio.current_time() + ORDER_TIMEOUT_S
+        with sending_for(Purpose.STOPS):
+            clock_ms = await client.stop(task, attempt, self.state.fence, deadline)
+        if executor is not None:
+            self.state.check_incarnation(executor, bound, clock_ms)
--- a/gypsumring/cell/pacing.py
+++ b/gypsumring/cell/pacing.py
@@ -92,9 +92,10 @@
         """Send the pace of one task; the next adjustment repeats a failed call."""
         client = self.state.clients[executor.executor_id]
         deadline = anyio.current_time() + CALL_TIMEOUT_S
+        bound = executor.bound_clock(self.state.clock())
         try:
             with sending_for(Purpose.STOPS):
-                await client.pace(
+                clock_ms = await client.pace(
                     run.task, run.attempt, pace, self.state.fence, deadline
                 )
         except FenceRefused as error:
@@ -104,6 +105,7 @@
         except (ExecutorSilent, ExecutorGone, StartRefused):
             self.state.metrics.count("cell.paces.unanswered")
             return
+        self.state.check_incarnation(executor, bound, clock_ms)
         log.info("pace changed", **run.log_fields(), pace=pace, load=round(load, 2))
         self.state.metrics.count("cell.paces")
         run.pace = pace
--- a/gypsumring/cell/state.py
+++ b/gypsumring/cell/state.py
@@ -13,7 +13,7 @@
 from gypsumring.cell.journal import Journal
 from gypsumring.cell.queues import QueueRegistry
 from gypsumring.cell.start_demand import StartDemand
-from gypsumring.fleet import ExecutorState, FleetKnowledge
+from gypsumring.fleet import ClockBound, ExecutorState, FleetKnowledge
 from gypsumring.metrics import Metrics
 from gypsumring.pipelines import (
     DesiredState,
@@ -32,6 +32,7 @@
 
 log = EventLogger("jobs")
 cell_log = EventLogger("cell")
+executor_log = EventLogger("executors")
 
 JOB_KEY = "j/"
 PROGRESS_KEY = "p/"
@@ -248,6 +249,26 @@
             else round(anyio.current_time() - owned_since, 3),
         )
 
+    def check_incarnation(
+        self, executor: ExecutorState, bound: ClockBound, clock_ms: int | None
+    ) -> None:
+        """Poll an executor at once if the clock in an order's answer is another's.
+
+        Answers to orders do not name the incarnation, but its clock starts anew. Late
+        starts have to be blocked there as soon as it takes orders.
+        """
+        if not executor.is_contradicted(bound, clock_ms):
+            return
+        self.metrics.count("cell.orders.answered_by_another")
+        executor_log.warning(
+            "another incarnation has answered an order",
+            executor=executor.executor_id,
+            born=bound.born_ms,
+            clock_ms=clock_ms,
+            expected_ms=bound.clock_ms,
+        )
+        executor.suspect_restart()
+
     def list_used_queues(self) -> set[str]:
         """Return the names of the queues of all recorded jobs."""
         return {job.spec.queue for job in self.table.jobs.values()}
--- a/gypsumring/fleet/__init__.py
+++ b/gypsumring/fleet/__init__.py
@@ -4,6 +4,7 @@
 from gypsumring.fleet.executor import (
     CONTACT_TIMEOUT_S,
     MAX_ORDER_DELAY_S,
+    ClockBound,
     ExecutorEntry,
     ExecutorState,
 )
@@ -13,6 +14,7 @@
 
 __all__ = [
     "CONTACT_TIMEOUT_S",
+    "ClockBound",
     "ExecutorEntry",
     "ExecutorHealth",
     "ExecutorProfile",
--- a/gypsumring/fleet/executor.py
+++ b/gypsumring/fleet/executor.py
@@ -13,7 +13,13 @@
 from gypsumring.pipelines.runs import Run
 from gypsumring.pipelines.state import Step
 
-__all__ = ["CONTACT_TIMEOUT_S", "ExecutorEntry", "ExecutorState", "MAX_ORDER_DELAY_S"]
+__all__ = [
+    "CONTACT_TIMEOUT_S",
+    "ClockBound",
+    "ExecutorEntry",
+    "ExecutorState",
+    "MAX_ORDER_DELAY_S",
+]
 
 # Maximum rate by which the clock of an executor may run slow.
 CLOCK_DRIFT = 0.02
@@ -49,6 +55,19 @@
         return self.cpu_millis, self.memory_mb, self.accelerators
 
 
+class ClockBound:
+    """Lower bound of the clock in answers to a call that is sent now.
+
+    An answer with a lower clock is one of another incarnation than ``born_ms``.
+    """
+
+    __slots__ = ("born_ms", "clock_ms")
+
+    def __init__(self, born_ms: int, clock_ms: int):
+        self.born_ms = born_ms
+        self.clock_ms = clock_ms
+
+
 class ExecutorState:
     """State of one incarnation of an executor.
 
@@ -77,6 +96,8 @@
         "knowledge",
         "may_leave_at",
         "may_list_lapsed_ends",
+        "may_have_restarted",
+        "poll_scope",
         "profile",
         "recent_runs",
         "runs",
@@ -119,6 +140,10 @@
         self.last_response_at = 0.0
         # Set if the latest order or long poll was not answered.
         self.is_unresponsive = False
+        # Set if an order was answered by another incarnation, until a poll is answered.
+        self.may_have_restarted = False
+        # Scope of the current poll and the pause after it.
+        self.poll_scope: anyio.CancelScope | None = None
         # Set while the release of its attempts waits for a confirmation by the store.
         self.is_release_pending = False
         # Set while the store has not confirmed the owner since this incarnation has
@@ -186,6 +211,7 @@
             self.first_response_at = now
         self.last_response_at = now
         self.is_unresponsive = False
+        self.may_have_restarted = False
         if clock_ms >= self.clock_ms:
             self.clock_ms = clock_ms
             self.clock_read_at = now
@@ -201,6 +227,27 @@
         elapsed = max(0.0, now - self.clock_read_at)
         return int(self.clock_ms + elapsed * 1000 * (1 - CLOCK_DRIFT))
 
+    def bound_clock(self, now: float) -> ClockBound:
+        """Return a lower bound of the clock in answers to calls sent from now on."""
+        is_known = self.first_response_at is not None
+        return ClockBound(self.born_ms, self.min_clock_ms(now) if is_known else 0)
+
+    def is_contradicted(self, bound: ClockBound, clock_ms: int | None) -> bool:
+        """Return whether an order shows that another incarnation has answered it.
+
+        The incarnation may have been noticed since the order was sent.
+        """
+        if clock_ms is None or self.may_have_restarted:
+            return False
+        return self.born_ms == bound.born_ms and clock_ms < bound.clock_ms
+
+    def suspect_restart(self) -> None:
+        """Poll at once, as another incarnation may have answered an order."""
+        self.may_have_restarted = True
+        self.is_unresponsive = True
+        if self.poll_scope is not None:
+            self.poll_scope.cancel()
+
     def extend_lease(self, lease_ms: int, now: float) -> int:
         """Return the end of the lease to send, and record the latest end.
 
--- a/gypsumring/fleet/tests/test_executor.py
+++ b/gypsumring/fleet/tests/test_executor.py
@@ -14,6 +14,27 @@
     assert executor.min_clock_ms(10.0) == 1000 + 9800
 
 
+# Guards against polls that are repeated for nothing: a slow clock, or an answer that
+# the next incarnation gave before a poll showed it, is no sign of a restart.
+def test_only_a_clock_below_the_bound_contradicts_the_incarnation():
+    executor = make_executor("i-0")
+    bound = executor.bound_clock(10.0)
+    assert not executor.is_contradicted(bound, 1000 + 9800)
+    assert not executor.is_contradicted(bound, None)
+    assert executor.is_contradicted(bound, 1000 + 9799)
+    executor.suspect_restart()
+    assert not executor.is_contradicted(bound, 5)
+    executor.start_incarnation(executor.born_ms + 1, 0)
+    executor.record_clock(20, 10.0)
+    assert not executor.is_contradicted(bound, 5)
+
+
+def test_first_answers_of_an_executor_contradict_nothing():
+    executor = make_executor("i-0")
+    executor.first_response_at = None
+    assert not executor.is_contradicted(executor.bound_clock(10.0), 0)
+
+
 def test_lease_ends_only_when_the_slowest_clock_has_passed_it():
     executor = make_executor("i-0")
     until = executor.extend_lease(5000, 0.0)
--- a/gypsumring/platform/executors.py
+++ b/gypsumring/platform/executors.py
@@ -33,7 +33,7 @@
 class OrderReply(msgspec.Struct, rename="camel"):
     """Reply to an order; ``reason`` says why the executor refused it."""
 
-    clock_ms: int = 0
+    clock_ms: int | None = None
     reason: str = ""
 
 
@@ -162,7 +162,7 @@
             raise ExecutorGone(self.executor_id)
         return response
 
-    async def start(self, start: TaskStart, fence: int, deadline: float) -> None:
+    async def start(self, start: TaskStart, fence: int, deadline: float) -> int | None:
         """Start an attempt, or confirm an earlier start of it; raise StartRefused."""
         body = StartBody(
             task=start.task,
@@ -175,24 +175,26 @@
         )
         response = await self.order("/-/run-start", msgspec.json.encode(body), deadline)
         if response.status == 200:
-            return
+            return decode_order_reply(response).clock_ms
         if response.status in (429, 503):
             raise StartRefused("unhealthy")
         raise_refusal_error(response)
 
-    async def stop(self, task: str, attempt: int, fence: int, deadline: float) -> None:
+    async def stop(
+        self, task: str, attempt: int, fence: int, deadline: float
+    ) -> int | None:
         """Stop an attempt and block a late start of it."""
         body = StopBody(task=task, attempt=attempt, fencing_token=fence)
         response = await self.order("/-/run-stop", msgspec.json.encode(body), deadline)
         if response.status == 200:
-            return
+            return decode_order_reply(response).clock_ms
         if response.status == 409:
             raise_refusal_error(response)
         raise ExecutorSilent(f"stop order answered with status {response.status}")
 
     async def pace(
         self, task: str, attempt: int, percent: int, fence: int, deadline: float
-    ) -> None:
+    ) -> int | None:
         """Set the speed of a filling task to 0 to 100 percent of its full speed."""
         body = msgspec.json.encode(PaceBody(task, attempt, percent, fence))
         response = await self.order("/-/pace", body, deadline)
@@ -200,6 +202,7 @@
             raise_refusal_error(response)
         if response.status != 200:
             raise ExecutorSilent(f"pace order answered with status {response.status}")
+        return decode_order_reply(response).clock_ms
 
     async def hold(
         self,
@@ -233,10 +236,15 @@
 
 def raise_refusal_error(response: HttpResponse) -> None:
     """Raise the error for the reason with which an executor refused an order."""
+    reply = decode_order_reply(response)
+    if reply.reason == "fence":
+        raise FenceRefused(reply.reason)
+    raise StartRefused(reply.reason or f"status {response.status}", reply.clock_ms)
+
+
+def decode_order_reply(response: HttpResponse) -> OrderReply:
+    """Decode the reply to an order; return an empty one if it is malformed."""
     try:
-        reason = msgspec.json.decode(response.body, type=OrderReply).reason
+        return msgspec.json.decode(response.body, type=OrderReply)
     except DECODE_ERRORS:
-        reason = ""
-    if reason == "fence":
-        raise FenceRefused(reason)
-    raise StartRefused(reason or f"status {response.status}")
+        return OrderReply()
--- a/gypsumring/platform/tests/test_connections.py
+++ b/gypsumring/platform/tests/test_connections.py
@@ -7,7 +7,7 @@
 import anyio
 
 from gypsumring.platform import PlatformExecutor
-from gypsumring.ports.tasks import ExecutorSilent, TaskStart
+from gypsumring.ports.tasks import ExecutorSilent, StartRefused, TaskStart
 from gypsumring.transport import HttpClient
 from gypsumring.utils.testing import after, make_load_tests, raised
 
@@ -38,7 +38,7 @@
     async def receive(self, max_bytes: int) -> bytes:
         """Return the response."""
         await anyio.sleep(self.server.answer_s)
-        return ANSWER
+        return self.server.answer
 
     async def aclose(self) -> None:
         """Close the connection."""
@@ -48,9 +48,17 @@
 class CountingServer:
     """Executor that counts the connections and requests that it receives."""
 
-    __slots__ = ("answer_s", "most_open", "open_count", "opened_count", "requests")
+    __slots__ = (
+        "answer",
+        "answer_s",
+        "most_open",
+        "open_count",
+        "opened_count",
+        "requests",
+    )
 
     def __init__(self):
+        self.answer = ANSWER
         self.answer_s = ANSWER_S
         self.open_count = 0
         self.opened_count = 0
@@ -113,6 +121,22 @@
         assert server.opened_count == server.most_open
 
 
+# Guards against answers whose clock is dropped: it shows that another incarnation of
+# the executor has answered. Answers without a valid one count all the same.
+async def test_orders_return_the_clock_of_the_executor():
+    with counting_server() as server:
+        executor = PlatformExecutor("i-0", "127.0.0.1:1")
+        start = TaskStart("job.0.0.0", 1, "", 1000, "", "")
+        assert await executor.start(start, 1, after(1.0)) == 1
+        assert await executor.stop("job.0.0.0", 1, 1, after(1.0)) == 1
+        assert await executor.pace("job.0.0.0", 1, 50, 1, after(1.0)) == 1
+        server.answer = ANSWER.replace(b":1}", b":x}")
+        assert await executor.stop("job.0.0.0", 1, 1, after(1.0)) is None
+        server.answer = ANSWER.replace(b"200", b"409")
+        refusal = await raised(StartRefused, executor.start(start, 1, after(1.0)))
+        assert refusal.clock_ms == 1
+
+
 async def test_closed_client_leaves_no_connection_open():
     # Orders in flight end by themselves and do not return their connection to the pool.
     with counting_server() as server:
--- a/gypsumring/ports/tasks.py
+++ b/gypsumring/ports/tasks.py
@@ -40,11 +40,15 @@
 
 
 class StartRefused(PortError):
-    """Raised when the executor refused an order; ``reason`` says why."""
+    """Raised when the executor refused an order; ``reason`` says why.
 
-    def __init__(self, reason: str):
+    ``clock_ms`` is the executor's clock, None if the answer does not state it.
+    """
+
+    def __init__(self, reason: str, clock_ms: int | None = None):
         super().__init__(reason)
         self.reason = reason
+        self.clock_ms = clock_ms
 
 
 class PolicyUnavailable(PortError):
@@ -131,18 +135,21 @@
     """Client that sends orders with a fence number to one executor.
 
     All calls raise ``ExecutorSilent``, ``ExecutorGone`` or FenceRefused. Deadlines are
-    times of ``anyio.current_time()``, in seconds.
+    times of ``anyio.current_time()``, in seconds. Orders return the executor's clock in
+    milliseconds, or None if the answer does not state it.
     """
 
-    async def start(self, start: TaskStart, fence: int, deadline: float) -> None:
+    async def start(self, start: TaskStart, fence: int, deadline: float) -> int | None:
         """Start an attempt, or confirm an earlier start of it; raise StartRefused."""
 
-    async def stop(self, task: str, attempt: int, fence: int, deadline: float) -> None:
+    async def stop(
+        self, task: str, attempt: int, fence: int, deadline: float
+    ) -> int | None:
         """Stop an attempt and block a late start of it."""
 
     async def pace(
         self, task: str, attempt: int, percent: int, fence: int, deadline: float
-    ) -> None:
+    ) -> int | None:
         """Set the speed of a filling task to 0 to 100 percent of its full speed."""
 
     async def hold(
--- a/stand_ins/platform/executor.py
+++ b/stand_ins/platform/executor.py
@@ -332,8 +332,8 @@
             until = min(lease_until_ms, max_until_ms)
             self.lease_until_ms = max(self.lease_until_ms, until)
 
-    def start(self, order: TaskStart, fence: int, sent_at: float | None = None) -> None:
-        """Start an attempt; raise StartRefused.
+    def start(self, order: TaskStart, fence: int, sent_at: float | None = None) -> int:
+        """Start an attempt and return the clock; raise StartRefused.
 
         An order that is carried out late was ``sent_at`` an earlier time.
         """
@@ -341,18 +341,18 @@
         self.check_fence(fence)
         key = (order.task, order.attempt)
         if key in self.runs:
-            return
+            return self.clock_ms
         if order.attempt <= self.highest.get(order.task, 0):
             self.extend_lease(order.lease_until_ms)
-            raise StartRefused("old")
+            raise StartRefused("old", self.clock_ms)
         if order.lease_until_ms <= self.clock_ms:
-            raise StartRefused("late")
+            raise StartRefused("late", self.clock_ms)
         if self.trouble is Trouble.UNHEALTHY:
             raise StartRefused("unhealthy")
         if self.tickets is not None:
             until = self.tickets.get((order.task.rpartition(".")[0], order.ticket), 0.0)
             if until < anyio.current_time():
-                raise StartRefused("ticket")
+                raise StartRefused("ticket", self.clock_ms)
         self.extend_lease(order.lease_until_ms)
         run = TaskRun(order.task, order.attempt, anyio.current_time())
         behaviour = self.world.behave(order.task, order.attempt)
@@ -370,7 +370,7 @@
             self.world.deadly.add(order.task)
             self.world.schedule_crash(self, run, behaviour.crashes_after_s)
             if not self.is_up:
-                return
+                return self.clock_ms
         if not self.is_gang(order.task):
             self.resume(run, order.checkpoint)
             run.ends_at = run.started_at + run.work_s
@@ -380,6 +380,7 @@
             self.start_gang(run)
         self.changed.set()
         self.changed = anyio.Event()
+        return self.clock_ms
 
     def resume(self, run: TaskRun, checkpoint: str) -> None:
         """Continue a task from its checkpoint, if it has one."""
@@ -405,8 +406,8 @@
                     other.ends_at = anyio.current_time() + behaviour_source.work_s
                     other.how = behaviour_source.how
 
-    def stop(self, task: str, attempt: int, fence: int) -> None:
-        """Stop an attempt and block late starts of it."""
+    def stop(self, task: str, attempt: int, fence: int) -> int:
+        """Stop an attempt, block late starts of it and return the clock."""
         self.advance()
         self.check_fence(fence)
         self.highest[task] = max(self.highest.get(task, 0), attempt)
@@ -414,11 +415,13 @@
         if run is not None:
             run.how = "stopped"
             run.ends_at = min(run.ends_at, anyio.current_time() + self.stop_s)
+        return self.clock_ms
 
-    def pace(self, task: str, percent: int, fence: int) -> None:
-        """Record the pace of a task."""
+    def pace(self, task: str, percent: int, fence: int) -> int:
+        """Record the pace of a task and return the clock."""
         self.check_fence(fence)
         self.paces[task] = percent
+        return self.clock_ms
 
     def hold(self, fence: int, last_seen: int, lease_until_ms: int | None) -> None:
         """Extend the lease and discard the ends that the owner has confirmed."""
--- a/stand_ins/platform/memory.py
+++ b/stand_ins/platform/memory.py
@@ -401,10 +401,10 @@
 
         return carry_out
 
-    async def start(self, start: TaskStart, fence: int, deadline: float) -> None:
+    async def start(self, start: TaskStart, fence: int, deadline: float) -> int:
         """Start an attempt unless it already runs; raise StartRefused."""
         sent_at = anyio.current_time()
-        await self.exchange(
+        return await self.exchange(
             START_BYTES + len(start.payload) + len(start.checkpoint),
             lambda until: self.order(
                 lambda: self.model.start(start, fence, sent_at), until
@@ -412,9 +412,9 @@
             deadline,
         )
 
-    async def stop(self, task: str, attempt: int, fence: int, deadline: float) -> None:
+    async def stop(self, task: str, attempt: int, fence: int, deadline: float) -> int:
         """Stop an attempt and block late starts of it."""
-        await self.exchange(
+        return await self.exchange(
             ORDER_BYTES,
             lambda until: self.order(
                 lambda: self.model.stop(task, attempt, fence), until
@@ -424,9 +424,9 @@
 
     async def pace(
         self, task: str, attempt: int, percent: int, fence: int, deadline: float
-    ) -> None:
+    ) -> int:
         """Set the speed of a filling task, 0 to 100 percent."""
-        await self.exchange(
+        return await self.exchange(
             ORDER_BYTES,
             lambda until: self.order(
                 lambda: self.model.pace(task, percent, fence), until
