Block late starts at each further incarnation

Cause: a start whose answer was missing was forgotten when it had been blocked at one incarnation.

Change: unanswered starts are kept until no copy can arrive, and blocked each time another incarnation answers. Older ones are forgotten with each new one; before, they were kept until the executor restarted.

The test crashes the executor four times after a task is done.

test_unconfirmed_starts_are_blocked_unless_in_progress asked for each key once, which is the fault; it now asks for both keys the second time. A new test asks that keys are forgotten once they are too old.

--- a/gypsumring/cell/lists.py
+++ b/gypsumring/cell/lists.py
@@ -161,7 +161,7 @@
 
     def block_late_start(self, executor: ExecutorState) -> None:
         """Block unanswered starts that may still be executed."""
-        for key in executor.pop_unconfirmed_starts(anyio.current_time()):
+        for key in executor.list_late_starts(anyio.current_time()):
             executor.starts_to_block.add(key)
             self.state.group.start_soon(self.orders.block_late_start, executor, *key)
 
--- a/gypsumring/cell/orders.py
+++ b/gypsumring/cell/orders.py
@@ -208,7 +208,7 @@
         except ExecutorSilent:
             run.start_sent_by = anyio.current_time()
             run.unanswered_orders += 1
-            executor.unconfirmed_starts[(run.task, run.attempt)] = sent_at
+            executor.record_unconfirmed_start((run.task, run.attempt), sent_at)
             self.state.metrics.count("cell.starts.unanswered")
             if run.state is RunState.STARTING:
                 self.back_off_if_unanswered(executor, run.unanswered_orders)
@@ -394,7 +394,7 @@
         """
         key = (task, attempt)
         deadline = anyio.current_time() + MAX_ORDER_DELAY_S
-        while key in executor.starts_to_block and anyio.current_time() < deadline:
+        while anyio.current_time() < deadline:
             if await self.send_stop(executor.executor_id, task, attempt):
                 break
         executor.starts_to_block.discard(key)
--- a/gypsumring/cell/tests/test_late_starts.py
+++ b/gypsumring/cell/tests/test_late_starts.py
@@ -97,4 +97,24 @@
                 assert cluster.metrics.counters["cell.orders.answered_by_another"] <= 1
 
 
+# Guards against a second run of a task that is done. A start that may still arrive was
+# blocked at the next incarnation only, and not at the one after it.
+async def test_late_start_is_blocked_at_each_incarnation():
+    with delayed_first_start() as delayed:
+        async with running_cluster(behave, nodes=1, executors=1) as cluster:
+            await complete_short_task(cluster)
+            model = delayed.model
+            for _ in range(3):
+                model.crash()
+                await anyio.sleep(0.5)
+                model.start_incarnation()
+                cluster.register(model)
+                await anyio.sleep(1.0)
+            model.crash()
+            await anyio.sleep(0.5)
+            model.start_incarnation()
+            await delayed.arrive()
+            assert cluster.world.starts[SHORT_TASK] == 1, cluster.world.violations
+
+
 load_tests = make_load_tests(globals())
--- a/gypsumring/fleet/executor.py
+++ b/gypsumring/fleet/executor.py
@@ -153,8 +153,9 @@
         self.runs: dict[tuple[str, int], Run] = {}
         # Those of ``runs`` that go on until they are stopped.
         self.lasting_runs: dict[tuple[str, int], Run] = {}
-        # Send times of start orders that were not answered, by attempt. The executor
-        # may still carry such an order out.
+        # Send times of start orders that were not answered, by attempt, the oldest
+        # first. For ``MAX_ORDER_DELAY_S`` the executor may still carry such an order
+        # out, as may each further incarnation.
         self.unconfirmed_starts: dict[tuple[str, int], float] = {}
         # Attempts whose late start must be blocked by a stop order before new work
         # starts on the executor.
@@ -289,19 +290,32 @@
         remaining_ms = self.lease_until_ms + LEASE_MARGIN_MS - self.min_clock_ms(now)
         return max(0.0, remaining_ms / 1000 / (1 - CLOCK_DRIFT))
 
-    def pop_unconfirmed_starts(self, now: float) -> list[tuple[str, int]]:
-        """Remove and return the attempts to block, once the executor responds again.
+    def record_unconfirmed_start(self, key: tuple[str, int], sent_at: float) -> None:
+        """Record that a start was not answered, and forget those that are too old."""
+        self.unconfirmed_starts.pop(key, None)
+        self.unconfirmed_starts[key] = sent_at
+        self.forget_old_starts(sent_at)
+
+    def forget_old_starts(self, now: float) -> None:
+        """Forget the starts that can no longer be carried out."""
+        while self.unconfirmed_starts:
+            key = next(iter(self.unconfirmed_starts))
+            if now - self.unconfirmed_starts[key] <= MAX_ORDER_DELAY_S:
+                return
+            del self.unconfirmed_starts[key]
+
+    def list_late_starts(self, now: float) -> list[tuple[str, int]]:
+        """Return the attempts to block once the executor responds again.
 
         Starts in progress are skipped, because their order is repeated until it is
-        answered. Orders older than ``MAX_ORDER_DELAY_S`` can no longer be carried out.
+        answered. The others are kept: the incarnation that is blocked now may crash
+        before a copy arrives.
         """
+        self.forget_old_starts(now)
         keys = []
-        for key, sent_at in list(self.unconfirmed_starts.items()):
+        for key in self.unconfirmed_starts:
             run = self.runs.get(key)
-            if run is not None and run.answered_at is None:
-                continue
-            del self.unconfirmed_starts[key]
-            if now - sent_at <= MAX_ORDER_DELAY_S:
+            if run is None or run.answered_at is not None:
                 keys.append(key)
         return keys
 
--- a/gypsumring/fleet/tests/test_executor.py
+++ b/gypsumring/fleet/tests/test_executor.py
@@ -5,6 +5,7 @@
     make_executor,
     make_step,
 )
+from gypsumring.fleet import MAX_ORDER_DELAY_S
 from gypsumring.pipelines import JobTable
 from gypsumring.utils.testing import make_load_tests
 
@@ -99,12 +100,26 @@
     executor, table = make_executor("i-0"), JobTable()
     run = table.place(make_step(), 0, 1, "i-0", 0.0)
     executor.add_run(run)
-    executor.unconfirmed_starts[(run.task, 1)] = 1.0
-    executor.unconfirmed_starts[("gone", 1)] = 1.0
-    executor.unconfirmed_starts[("old", 1)] = -20.0
-    assert executor.pop_unconfirmed_starts(2.0) == [("gone", 1)]
+    executor.record_unconfirmed_start(("old", 1), -20.0)
+    executor.record_unconfirmed_start((run.task, 1), 1.0)
+    executor.record_unconfirmed_start(("gone", 1), 1.0)
+    assert executor.list_late_starts(2.0) == [("gone", 1)]
     run.answered_at = 3.0
-    assert executor.pop_unconfirmed_starts(4.0) == [(run.task, 1)]
+    assert executor.list_late_starts(4.0) == [(run.task, 1), ("gone", 1)]
+
+
+# Guards against starts that are forgotten while a copy may arrive, and against records
+# that grow for as long as an executor runs.
+def test_unconfirmed_starts_are_kept_until_no_copy_can_arrive():
+    executor = make_executor("i-0")
+    executor.record_unconfirmed_start(("a", 1), 1.0)
+    executor.record_unconfirmed_start(("b", 1), 2.0)
+    executor.record_unconfirmed_start(("a", 1), 3.0)
+    last_s = 2.0 + MAX_ORDER_DELAY_S
+    assert executor.list_late_starts(last_s) == [("b", 1), ("a", 1)]
+    assert executor.list_late_starts(last_s + 0.1) == [("a", 1)]
+    executor.record_unconfirmed_start(("c", 1), 4.0 + MAX_ORDER_DELAY_S)
+    assert list(executor.unconfirmed_starts) == [("c", 1)]
 
 
 load_tests = make_load_tests(globals())
