Block late starts at executors that return after an eviction

Cause: the starts that may still arrive belong to the state of an executor, which an eviction discards. An executor that returns under its id within the 13 s that orders may take carried them out. Entries expire after three missed beats, so that a crash and a start of 5 to 12 s suffices.

Change: the cell keeps them until no copy can arrive, the state of an executor that returns takes them over, and its first answer blocks them.

The test lets the entry expire after a task is done, and the executor return.

--- a/gypsumring/cell/executor_polling.py
+++ b/gypsumring/cell/executor_polling.py
@@ -62,6 +62,8 @@
         )
         # An evicted executor that returns still lists its ends.
         executor.may_list_lapsed_ends = not inherited
+        late_starts = self.state.late_starts.pop(entry.executor_id, {})
+        executor.unconfirmed_starts.update(late_starts)
         self.state.fleet[entry.executor_id] = executor
         self.state.clients[entry.executor_id] = self.connect(
             entry.executor_id, entry.address
@@ -226,6 +228,7 @@
         executor_id = executor.executor_id
         if self.state.fleet.get(executor_id) is executor:
             del self.state.fleet[executor_id]
+            self.state.keep_late_starts(executor)
             self.close_client(executor_id)
             self.list_reader.orders.discard_slots(executor_id)
             self.state.enrolled.discard(executor_id)
--- a/gypsumring/cell/lists.py
+++ b/gypsumring/cell/lists.py
@@ -100,7 +100,7 @@
             executor.lease_until_ms = task_lists.clock_ms + inherited_ms
         # The ends of an earlier owner may take several answers.
         may_adopt = executor.executor_id in self.state.unreconciled
-        if has_restarted or runs_were_released:
+        if is_first_response or has_restarted or runs_were_released:
             self.block_late_start(executor)
         listed_keys = {(run.task, run.attempt) for run in task_lists.running}
         self.apply_running(executor, task_lists.running, may_adopt, requested_at)
--- a/gypsumring/cell/state.py
+++ b/gypsumring/cell/state.py
@@ -13,7 +13,12 @@
 from gypsumring.cell.journal import Journal
 from gypsumring.cell.queues import QueueRegistry
 from gypsumring.cell.start_demand import StartDemand
-from gypsumring.fleet import ClockBound, ExecutorState, FleetKnowledge
+from gypsumring.fleet import (
+    MAX_ORDER_DELAY_S,
+    ClockBound,
+    ExecutorState,
+    FleetKnowledge,
+)
 from gypsumring.metrics import Metrics
 from gypsumring.pipelines import (
     DesiredState,
@@ -103,6 +108,7 @@
         "inherited_lease_s",
         "journal",
         "knowledge",
+        "late_starts",
         "longest_durable_lease_ms",
         "metrics",
         "owned_since",
@@ -160,6 +166,8 @@
         self.enrolled: set[str] = set()
         # Executors that may run tasks of an earlier owner and have not responded yet.
         self.unreconciled: set[str] = set()
+        # Send times of unanswered starts to executors that have left, by attempt.
+        self.late_starts: dict[str, dict[tuple[str, int], float]] = {}
         # Set once an executor has changed its capacity within an incarnation, and when
         # the newest entries were requested, on ``clock``.
         self.capacities_vary = False
@@ -269,6 +277,19 @@
         )
         executor.suspect_restart()
 
+    def keep_late_starts(self, executor: ExecutorState) -> None:
+        """Keep the starts that may still arrive at an executor that has left.
+
+        It may return under its id, and carry them out.
+        """
+        now = anyio.current_time()
+        for executor_id, starts in list(self.late_starts.items()):
+            if max(starts.values()) + MAX_ORDER_DELAY_S < now:
+                del self.late_starts[executor_id]
+        executor.forget_old_starts(now)
+        if executor.unconfirmed_starts:
+            self.late_starts[executor.executor_id] = executor.unconfirmed_starts
+
     def list_used_queues(self) -> set[str]:
         """Return the names of the queues of all recorded jobs."""
         return {job.spec.queue for job in self.table.jobs.values()}
--- a/gypsumring/cell/tests/test_late_starts.py
+++ b/gypsumring/cell/tests/test_late_starts.py
@@ -12,7 +12,7 @@
 from gypsumring.utils.testing import make_load_tests
 from stand_ins.platform.cluster import MemoryCluster, make_job
 from stand_ins.platform.executor import ExecutorModel
-from stand_ins.platform.memory import MemoryExecutor
+from stand_ins.platform.memory import ENTRIES_TOPIC, MemoryExecutor
 from stand_ins.platform.world import TaskBehaviour
 
 SHORT_JOB, LONG_JOB = "a" * 16, "b" * 16
@@ -117,4 +117,25 @@
             assert cluster.world.starts[SHORT_TASK] == 1, cluster.world.violations
 
 
+# Guards against a second run of a task that is done: what may still arrive was
+# forgotten once the entry of an executor had expired, and the executor returned.
+async def test_late_start_is_blocked_at_an_executor_that_returns():
+    with delayed_first_start() as delayed:
+        async with running_cluster(behave, nodes=1, executors=2) as cluster:
+            await complete_short_task(cluster)
+            model = delayed.model
+            state = cluster.owner_node().owner().state
+            model.crash()
+            cluster.store.append(ENTRIES_TOPIC, 0, [(model.executor_id, b"")], None)
+            with anyio.fail_after(10.0):
+                while model.executor_id in state.fleet:
+                    await anyio.sleep(0.1)
+            assert list(state.late_starts) == [model.executor_id]
+            model.start_incarnation()
+            cluster.register(model)
+            await delayed.arrive()
+            assert cluster.world.starts[SHORT_TASK] == 1, cluster.world.violations
+            assert not state.late_starts
+
+
 load_tests = make_load_tests(globals())
