Start the step after a gang once no earlier owner can

Trace: four of five nodes are cut off from the store at 44.387 s; their owner (fence number 7001) goes on by their votes and reaches i-2. The fifth node owns the cell (11001) from 45.376 s on and reaches the other executors. A gang ends on i-0 and i-2 at 45.583 s. The next owner sees it on i-0 and starts the step after it at 45.588 s, the earlier one sees it on i-2 and starts the same step there at 45.646 s.

Cause: a takeover withholds the tasks of inherited jobs until no earlier owner can have started them. Steps after one that has ended under this owner are released at once, as nobody else knows of the end. That is true for a single task, whose executor refuses earlier owners. The end of one member completes a gang, and that of one copy a speculative task, and the others may be on executors that only the earlier owner reaches.

Change: steps after a gang are released at once only if all its members were seen running by this owner, those after a speculative step not before all inherited executors are reconciled.

Before, the new test of test_isolated_owner:

and the one of test_table fails for a speculative step.

--- a/gypsumring/cell/tests/test_isolated_owner.py
+++ b/gypsumring/cell/tests/test_isolated_owner.py
@@ -115,6 +115,24 @@
             assert stranger.owner() is not None
 
 
+# One end completes a gang. The next owner saw it on one executor and the earlier one on
+# another; each started the next step.
+async def test_gang_that_ends_on_both_sides_starts_the_next_step_once():
+    gang = StepSpec(task_count=4, cpu_millis=5000, estimated_ms=3000, gang=True)
+    after = StepSpec(task_count=2, cpu_millis=1000, estimated_ms=3000, after=(0,))
+    async with running_cluster(steady_behaviour(3.0), nodes=5) as cluster:
+        owner = cluster.owner_node().name
+        stranger = max(set(cluster.nodes) - {owner})
+        with cluster.partitioned({stranger}):
+            await anyio.sleep(STRANGER_S)
+        assert await cluster.submit(make_job(JOB, gang, after)) is Outcome.OK
+        await anyio.sleep(0.2)
+        reached = find_executor(cluster, has_tasks=True)
+        with cluster.partitioned(set(cluster.nodes) - {stranger}, {reached}):
+            await anyio.sleep(PARTITION_S)
+        assert await cluster.wait_final(JOB) is JobPhase.COMPLETED
+
+
 # A failure was listed, and its lease expired, before any owner confirmed it. The first
 # owner that reached the executor afterwards counted it: the job was given up early.
 async def test_failures_listed_after_the_lease_do_not_count_for_a_later_owner():
--- a/gypsumring/pipelines/table.py
+++ b/gypsumring/pipelines/table.py
@@ -182,12 +182,13 @@
         self.release(run)
         if step.job.phase.is_final:
             return EndEffects(False, [])
+        is_known_here_only = ended_under_this_owner(run)
         indices = range(step.spec.task_count) if step.spec.gang else (run.index,)
         changed = any([step.mark_done(index) for index in indices])
         # The other members of a gang end without a stop order; redundant copies of a
         # single task have to be stopped.
         stop = [] if step.spec.gang else list(step.runs.get(run.index, ()))
-        if run.ran_under_this_owner:
+        if is_known_here_only:
             step.job.release_withheld_dependents(step)
         if step.is_done:
             self.mark_changed(step.job)
@@ -236,3 +237,24 @@
             and not job.phase.is_final
             and not job.spec.repeats
         )
+
+
+def ended_under_this_owner(run: Run) -> bool:
+    """Return whether no earlier owner can learn that a task, or its gang, is done.
+
+    An executor that lists an attempt as running to this owner refuses earlier ones. The
+    end of any member ends a gang, and that of any copy a speculative task.
+    """
+    step = run.step
+    if not run.ran_under_this_owner or step.spec.speculative:
+        return False
+    if not step.spec.gang:
+        return True
+    return all(
+        any(
+            other.attempt == run.attempt and other.ran_under_this_owner
+            for other in step.runs.get(index, ())
+        )
+        for index in range(step.spec.task_count)
+        if index != run.index
+    )
--- a/gypsumring/pipelines/tests/test_table.py
+++ b/gypsumring/pipelines/tests/test_table.py
@@ -227,4 +227,35 @@
     assert table.count_waiting("q") == 0 and job.phase is JobPhase.RUNNING
 
 
+def is_next_step_withheld(first: StepSpec, members: dict[int, bool]) -> bool:
+    """Return whether an end of the first step leaves the next one withheld.
+
+    ``members`` says which tasks have been found, and whether they were running.
+    """
+    table = JobTable()
+    after = StepSpec(task_count=2, cpu_millis=1000, after=(0,))
+    job = table.add(make_spec(first, after), 0.0, inherited=True)
+    runs = [
+        table.adopt(f"{'a' * 16}.0.0.{index}", 1, f"i-{index}", 0.0, running)
+        for index, running in members.items()
+    ]
+    table.end(runs[0], "done", "", 3)
+    assert job.steps[0].is_done
+    return bool(job.steps[1].withheld)
+
+
+# Guards against a step that an earlier owner starts as well, since it can learn the end
+# of the step before it on an executor that this owner has not reached.
+def test_next_step_waits_while_an_earlier_owner_can_learn_the_end():
+    single = StepSpec(task_count=1, cpu_millis=1000)
+    assert not is_next_step_withheld(single, {0: True})
+    assert is_next_step_withheld(single, {0: False})
+    speculative = StepSpec(task_count=1, cpu_millis=1000, speculative=True)
+    assert is_next_step_withheld(speculative, {0: True})
+    gang = StepSpec(task_count=3, cpu_millis=1000, gang=True)
+    assert not is_next_step_withheld(gang, {0: True, 1: True, 2: True})
+    assert is_next_step_withheld(gang, {0: True, 1: True, 2: False})
+    assert is_next_step_withheld(gang, {0: True, 2: True})
+
+
 load_tests = make_load_tests(globals())
