Count a crash under a suspect whose executor is silent after a takeover

Trace: the owner records that it starts the suspect on i-2, which crashes with it at 37.176 s, and is cut off from the store before it can record the crash. The next owner reads the placement and does not reach i-2. When the lease has expired it starts the task on i-3, and the record of that start replaces the placement.

Cause: the crash of an executor on which an earlier owner has placed a suspect was counted when the executor answered or had left, but not when its lease had expired. An owner that has placed the suspect itself counts an unconfirmed crash then.

Change: the next owner does the same. The next answer of the executor confirms the crash or drops it, as before.

Both new tests fail before with an AssertionError: the silent executor is not among those that count for the task.

--- a/gypsumring/cell/crashes.py
+++ b/gypsumring/cell/crashes.py
@@ -61,7 +61,29 @@
         Without a directory entry it has crashed. Otherwise it may only be cut off,
         which its next answer shows.
         """
-        self.record(executor, list(executor.runs.values()), not executor.listed)
+        confirmed = not executor.listed
+        self.record(executor, list(executor.runs.values()), confirmed)
+        self.record_inherited_loss(executor, confirmed)
+
+    def record_inherited_loss(self, executor: ExecutorState, confirmed: bool) -> None:
+        """Count the same against suspects that an earlier owner has placed there.
+
+        Their next start replaces the placement.
+        """
+        if executor.is_leaving:
+            return
+        changed = []
+        for step, index, suspect in self.state.table.crashes.list_suspects():
+            if suspect.placed_on == executor.executor_id and not step.runs.get(index):
+                suspect.add_inherited_crash(confirmed)
+                changed.append((step, index))
+                log.warning(
+                    "executor may have crashed before the takeover",
+                    job=step.job.spec.job_id,
+                    task=step.task_name(index),
+                    executor=executor.executor_id,
+                )
+        self.apply(changed)
 
     def record(self, executor: ExecutorState, runs: list[Run], confirmed: bool) -> None:
         """Count a crash against the attempts that may have run on an executor.
--- a/gypsumring/cell/tests/test_crashes.py
+++ b/gypsumring/cell/tests/test_crashes.py
@@ -9,6 +9,7 @@
 from gypsumring.pipelines import JobPhase, StepSpec
 from gypsumring.utils.testing import make_load_tests
 from stand_ins.platform.cluster import MemoryCluster, make_job
+from stand_ins.platform.executor import ExecutorModel, Trouble
 from stand_ins.platform.world import deadly_behaviour, steady_behaviour
 
 DEADLY_JOB = "d" * 16
@@ -140,6 +141,70 @@
         await anyio.sleep(0.02)
 
 
+# Guards against a crash that no owner counts: the owner that has started a suspect
+# dies, the executor does not answer the next one, and the next start replaced the
+# placement.
+async def test_suspect_on_an_executor_that_is_silent_after_the_takeover_may_crash_it():
+    behave = deadly_behaviour(3.0, {DEADLY_TASK: 1.0})
+    async with running_cluster(behave, nodes=3) as cluster:
+        await submit(cluster, DEADLY_JOB, SINGLE)
+        await wait_for_starts(cluster, 2)
+        cluster.restart_s = 60.0
+        while cluster.world.crashes[DEADLY_TASK] < 2:
+            await anyio.sleep(0.02)
+        (silent,) = [name for name, each in cluster.executors.items() if not each.is_up]
+        await replace_owner(cluster)
+        await wait_for_starts(cluster, 3)
+        assert silent in list_crashed(cluster)
+
+
+# Guards against an executor that is taken for a crashed one for good: it has only not
+# answered since the takeover.
+async def test_suspect_on_an_executor_that_answers_late_has_not_crashed_it():
+    async with running_cluster(steady_behaviour(20.0), nodes=3) as cluster:
+        await submit(cluster, DEADLY_JOB, SINGLE)
+        await anyio.sleep(0.5)
+        await crash_and_return(cluster, find_busy(cluster))
+        await wait_for_starts(cluster, 2)
+        silent = find_busy(cluster)
+        silent.trouble = Trouble.SILENT
+        await replace_owner(cluster)
+        await wait_for_starts(cluster, 3)
+        assert silent.executor_id in list_crashed(cluster)
+        silent.trouble = Trouble.NONE
+        await anyio.sleep(3.0)
+        assert silent.executor_id not in list_crashed(cluster)
+        assert await cluster.wait_final(DEADLY_JOB) is JobPhase.COMPLETED
+
+
+async def wait_for_starts(cluster: MemoryCluster, count: int) -> None:
+    """Wait until the deadly task has been started so many times."""
+    with anyio.fail_after(60.0):
+        while cluster.world.starts.get(DEADLY_TASK, 0) < count:
+            await anyio.sleep(0.02)
+
+
+def find_busy(cluster: MemoryCluster) -> ExecutorModel:
+    """Return the executor that runs the only task."""
+    (model,) = [model for model in cluster.executors.values() if model.runs]
+    return model
+
+
+async def crash_and_return(cluster: MemoryCluster, model: ExecutorModel) -> None:
+    """Crash an executor, which starts again."""
+    model.crash()
+    await anyio.sleep(1.0)
+    model.start_incarnation()
+    cluster.register(model)
+
+
+def list_crashed(cluster: MemoryCluster) -> list[str]:
+    """Return the executors whose crashes count for the deadly task."""
+    table = cluster.owner_node().owner().state.table
+    (suspect,) = [suspect for _, _, suspect in table.crashes.list_suspects()]
+    return [crash.executor_id for crash in suspect.crashes]
+
+
 # Guards against a crash that is forgotten when the owner dies later.
 async def test_counts_outlive_the_owner():
     behave = deadly_behaviour(3.0, {DEADLY_TASK: 1.0})
--- a/gypsumring/pipelines/crashes.py
+++ b/gypsumring/pipelines/crashes.py
@@ -127,9 +127,14 @@
         self.crashes = confirmed
         return changed
 
-    def add_inherited_crash(self) -> None:
-        """Count the crash of the executor on which an earlier owner placed the task."""
-        self.add_crash(CrashRecord(self.placed_on, self.placed_born_ms))
+    def add_inherited_crash(self, confirmed: bool = True) -> None:
+        """Count the crash of the executor on which an earlier owner placed the task.
+
+        One that is not ``confirmed`` is resolved once the executor answers.
+        """
+        self.add_crash(
+            CrashRecord(self.placed_on, self.placed_born_ms, confirmed=confirmed)
+        )
         self.placed_on = ""
 
     def record_start(self, executor_id: str, born_ms: int) -> None:
