--- a/gypsumring/cell/lists.py
+++ b/gypsumring/cell/lists.py
@@ -108,7 +108,7 @@
             self.failures.record_first_answer(executor, task_lists)
         # The ends of an earlier owner may take several answers.
         may_adopt = executor.executor_id in self.state.unreconciled
-        if has_restarted or runs_were_released:
+        if is_first_response or has_restarted or runs_were_released:
             self.block_late_start(executor)
         listed_keys = {(run.task, run.attempt) for run in task_lists.running}
         self.apply_running(executor, task_lists.running, may_adopt, requested_at)
@@ -169,7 +169,7 @@
 
     def block_late_start(self, executor: ExecutorState) -> None:
         """Block unanswered starts that may still be executed."""
-        for key in executor.pop_unconfirmed_starts(anyio.current_time()):
+        for key in executor.list_late_starts(anyio.current_time()):
             executor.starts_to_block.add(key)
             self.state.group.start_soon(self.orders.block_late_start, executor, *key)
 
--- a/gypsumring/cell/state.py
+++ b/gypsumring/cell/state.py
@@ -13,7 +13,12 @@
 from gypsumring.cell.journal import Journal
 from gypsumring.cell.queues import QueueRegistry
 from gypsumring.cell.start_demand import StartDemand
-from gypsumring.fleet import ExecutorState, FleetKnowledge
+from gypsumring.fleet import (
+    MAX_ORDER_DELAY_S,
+    ClockBound,
+    ExecutorState,
+    FleetKnowledge,
+)
 from gypsumring.metrics import Metrics
 from gypsumring.pipelines import (
     DesiredState,
@@ -32,6 +37,7 @@
 
 log = EventLogger("jobs")
 cell_log = EventLogger("cell")
+executor_log = EventLogger("executors")
 
 JOB_KEY = "j/"
 PROGRESS_KEY = "p/"
@@ -108,6 +114,7 @@
         "inherited_lease_s",
         "journal",
         "knowledge",
+        "late_starts",
         "longest_durable_lease_ms",
         "metrics",
         "owned_since",
@@ -165,6 +172,8 @@
         self.enrolled: set[str] = set()
         # Executors that may run tasks of an earlier owner and have not responded yet.
         self.unreconciled: set[str] = set()
+        # Send times of unanswered starts to executors that have left, by attempt.
+        self.late_starts: dict[str, dict[tuple[str, int], float]] = {}
         # Set once an executor has changed its capacity within an incarnation, and when
         # the newest entries were requested, on ``clock``.
         self.capacities_vary = False
@@ -254,6 +263,39 @@
             else round(anyio.current_time() - owned_since, 3),
         )
 
+    def check_incarnation(
+        self, executor: ExecutorState, bound: ClockBound, clock_ms: int | None
+    ) -> None:
+        """Poll an executor at once if the clock in an order's answer is another's.
+
+        Answers to orders do not name the incarnation, but its clock starts anew. Late
+        starts have to be blocked there as soon as it takes orders.
+        """
+        if not executor.is_contradicted(bound, clock_ms):
+            return
+        self.metrics.count("cell.orders.answered_by_another")
+        executor_log.warning(
+            "another incarnation has answered an order",
+            executor=executor.executor_id,
+            born=bound.born_ms,
+            clock_ms=clock_ms,
+            expected_ms=bound.clock_ms,
+        )
+        executor.suspect_restart()
+
+    def keep_late_starts(self, executor: ExecutorState) -> None:
+        """Keep the starts that may still arrive at an executor that has left.
+
+        It may return under its id, and carry them out.
+        """
+        now = anyio.current_time()
+        for executor_id, starts in list(self.late_starts.items()):
+            if max(starts.values()) + MAX_ORDER_DELAY_S < now:
+                del self.late_starts[executor_id]
+        executor.forget_old_starts(now)
+        if executor.unconfirmed_starts:
+            self.late_starts[executor.executor_id] = executor.unconfirmed_starts
+
     def list_used_queues(self) -> set[str]:
         """Return the names of the queues of all recorded jobs."""
         return {job.spec.queue for job in self.table.jobs.values()}
--- a/gypsumring/fleet/executor.py
+++ b/gypsumring/fleet/executor.py
@@ -16,6 +16,7 @@
 
 __all__ = [
     "CONTACT_TIMEOUT_S",
+    "ClockBound",
     "ExecutorEntry",
     "ExecutorState",
     "LeaseEvidence",
@@ -56,6 +57,19 @@
         return self.cpu_millis, self.memory_mb, self.accelerators
 
 
+class ClockBound:
+    """Lower bound of the clock in answers to a call that is sent now.
+
+    An answer with a lower clock is one of another incarnation than ``born_ms``.
+    """
+
+    __slots__ = ("born_ms", "clock_ms")
+
+    def __init__(self, born_ms: int, clock_ms: int):
+        self.born_ms = born_ms
+        self.clock_ms = clock_ms
+
+
 class LeaseEvidence(enum.Enum):
     """What is known of the lease since the oldest end that is not listed yet."""
 
@@ -92,6 +106,8 @@
         "is_unconfirmed",
         "knowledge",
         "may_leave_at",
+        "may_have_restarted",
+        "poll_scope",
         "profile",
         "recent_runs",
         "runs",
@@ -135,6 +151,10 @@
         self.last_response_at = 0.0
         # Set if the latest order or long poll was not answered.
         self.is_unresponsive = False
+        # Set if an order was answered by another incarnation, until a poll is answered.
+        self.may_have_restarted = False
+        # Scope of the current poll and the pause after it.
+        self.poll_scope: anyio.CancelScope | None = None
         # Set while the release of its attempts waits for a confirmation by the store.
         self.is_release_pending = False
         # Set while the store has not confirmed the owner since this incarnation has
@@ -144,8 +164,9 @@
         self.runs: dict[tuple[str, int], Run] = {}
         # Those of ``runs`` that go on until they are stopped.
         self.lasting_runs: dict[tuple[str, int], Run] = {}
-        # Send times of start orders that were not answered, by attempt. The executor
-        # may still carry such an order out.
+        # Send times of start orders that were not answered, by attempt, the oldest
+        # first. For ``MAX_ORDER_DELAY_S`` the executor may still carry such an order
+        # out, as may each further incarnation.
         self.unconfirmed_starts: dict[tuple[str, int], float] = {}
         # Attempts whose late start must be blocked by a stop order before new work
         # starts on the executor.
@@ -203,6 +224,7 @@
             self.first_response_at = now
         self.last_response_at = now
         self.is_unresponsive = False
+        self.may_have_restarted = False
         if clock_ms >= self.clock_ms:
             self.clock_ms = clock_ms
             self.clock_read_at = now
@@ -234,6 +256,27 @@
         elapsed = max(0.0, now - self.clock_read_at)
         return int(self.clock_ms + elapsed * 1000 * (1 - CLOCK_DRIFT))
 
+    def bound_clock(self, now: float) -> ClockBound:
+        """Return a lower bound of the clock in answers to calls sent from now on."""
+        is_known = self.first_response_at is not None
+        return ClockBound(self.born_ms, self.min_clock_ms(now) if is_known else 0)
+
+    def is_contradicted(self, bound: ClockBound, clock_ms: int | None) -> bool:
+        """Return whether an order shows that another incarnation has answered it.
+
+        The incarnation may have been noticed since the order was sent.
+        """
+        if clock_ms is None or self.may_have_restarted:
+            return False
+        return self.born_ms == bound.born_ms and clock_ms < bound.clock_ms
+
+    def suspect_restart(self) -> None:
+        """Poll at once, as another incarnation may have answered an order."""
+        self.may_have_restarted = True
+        self.is_unresponsive = True
+        if self.poll_scope is not None:
+            self.poll_scope.cancel()
+
     def extend_lease(self, lease_ms: int, now: float) -> int:
         """Return the end of the lease to send, and record the latest end.
 
@@ -275,19 +318,32 @@
         remaining_ms = self.lease_until_ms + LEASE_MARGIN_MS - self.min_clock_ms(now)
         return max(0.0, remaining_ms / 1000 / (1 - CLOCK_DRIFT))
 
-    def pop_unconfirmed_starts(self, now: float) -> list[tuple[str, int]]:
-        """Remove and return the attempts to block, once the executor responds again.
+    def record_unconfirmed_start(self, key: tuple[str, int], sent_at: float) -> None:
+        """Record that a start was not answered, and forget those that are too old."""
+        self.unconfirmed_starts.pop(key, None)
+        self.unconfirmed_starts[key] = sent_at
+        self.forget_old_starts(sent_at)
+
+    def forget_old_starts(self, now: float) -> None:
+        """Forget the starts that can no longer be carried out."""
+        while self.unconfirmed_starts:
+            key = next(iter(self.unconfirmed_starts))
+            if now - self.unconfirmed_starts[key] <= MAX_ORDER_DELAY_S:
+                return
+            del self.unconfirmed_starts[key]
+
+    def list_late_starts(self, now: float) -> list[tuple[str, int]]:
+        """Return the attempts to block once the executor responds again.
 
         Starts in progress are skipped, because their order is repeated until it is
-        answered. Orders older than ``MAX_ORDER_DELAY_S`` can no longer be carried out.
+        answered. The others are kept: the incarnation that is blocked now may crash
+        before a copy arrives.
         """
+        self.forget_old_starts(now)
         keys = []
-        for key, sent_at in list(self.unconfirmed_starts.items()):
+        for key in self.unconfirmed_starts:
             run = self.runs.get(key)
-            if run is not None and run.answered_at is None:
-                continue
-            del self.unconfirmed_starts[key]
-            if now - sent_at <= MAX_ORDER_DELAY_S:
+            if run is None or run.answered_at is not None:
                 keys.append(key)
         return keys
 
