Bound the commands on their way to the owner by the time of its answers

What callers saw: "no answer came in time" for jobs that were asked for by the thousand, in particular right after the cell had changed hands. Cause: each node sent all waiting commands at once. Answers to pings waited behind them for seconds, so that the nodes left an owner that served, removed it, and sent everything again to the next one: a sender that pays for the lateness that it causes with more work. Change: a window for the commands of each node, as in congestion control. It grows while queries and pings are answered within half of the shortest time limit of a ping, and is halved otherwise. Commands that a later answer shows to have arrived do not count, so that submissions that wait for the store hold nothing up. A command that could not be sent is refused truly (503; counter node.refused.owner_busy if the owner was linked).

--- a/gypsumring/node/forwarding.py
+++ b/gypsumring/node/forwarding.py
@@ -14,6 +14,7 @@
     SubmitJob,
 )
 from gypsumring.metrics import Metrics
+from gypsumring.node.command_window import CommandWindow
 from gypsumring.node.link import OwnerLink
 from gypsumring.transport import ChannelClosed
 from gypsumring.utils.logs import EventLogger
@@ -42,7 +43,9 @@
         "execute",
         "link",
         "metrics",
+        "room",
         "turn",
+        "window",
     )
 
     def __init__(
@@ -60,6 +63,9 @@
         # Commands wait for the owner in the order in which they came; only the first
         # one checks whether it can be sent.
         self.turn = anyio.Lock()
+        self.window = CommandWindow()
+        # Set when a command has left the window.
+        self.room = anyio.Event()
 
     async def forward(self, command: Command, deadline: float) -> JobAnswer:
         """Return the owner's answer, or a refusal or uncertainty at the deadline.
@@ -68,7 +74,7 @@
         """
         # Fence number of the latest owner that may have executed the command.
         interrupted_fence: int | None = None
-        while await self.wait_for_turn(deadline):
+        while await self.wait_for_turn(command, deadline):
             deadline = min(deadline, self.answer_deadline)
             fence = self.link.fence
             try:
@@ -93,31 +99,49 @@
                 await self.link.owner_changed.wait()
         if interrupted_fence is not None:
             return self.report_uncertain(command)
-        self.metrics.count("node.refused.no_owner")
+        reason = "no owner reached"
+        if self.link.channel is not None:
+            reason = "the owner was busy"
+            self.metrics.count("node.refused.owner_busy")
+        else:
+            self.metrics.count("node.refused.no_owner")
         if isinstance(command, SubmitJob):
-            log.info("job refused", **job_fields(command), reason="no owner reached")
+            log.info("job refused", **job_fields(command), reason=reason)
         return JobAnswer(Outcome.REFUSED, retry_after_s=NO_OWNER_RETRY_AFTER_S)
 
-    async def wait_for_turn(self, deadline: float) -> bool:
+    async def wait_for_turn(self, command: Command, deadline: float) -> bool:
         """Wait until a command can be sent; return False once it is too late for that.
 
-        The caller sends it without a pause in between.
+        The caller sends it, which takes room in the window, without a pause in between.
         """
         with anyio.move_on_after(max(0.0, deadline - anyio.current_time())):
             async with self.turn:
                 while anyio.current_time() < min(deadline, self.answer_deadline):
-                    if self.can_send():
+                    if self.can_send(command):
                         return True
                     with anyio.move_on_after(CHECK_PERIOD_S):
-                        await self.link.owner_changed.wait()
+                        await self.room.wait()
         return False
 
-    def can_send(self) -> bool:
-        """Return whether an owner can be reached."""
+    def can_send(self, command: Command) -> bool:
+        """Return whether an owner can be reached and the window has room."""
         if self.link.own_fence() is not None:
             return True
         channel = self.link.channel
-        return channel is not None and not channel.closed
+        if channel is None or channel.closed:
+            return False
+        self.window.follow(channel)
+        return self.window.has_room(command_bytes(command))
+
+    def record_answer(self, sent_at: float, seconds: float) -> None:
+        """Record how long an answer took that the owner gave at once."""
+        self.window.record_answer(sent_at, seconds, self.turn.locked())
+        self.wake()
+
+    def wake(self) -> None:
+        """Wake the command that waits for its turn."""
+        self.room.set()
+        self.room = anyio.Event()
 
     def report_uncertain(self, command: Command) -> JobAnswer:
         """Return the answer for a command that an owner may have executed."""
@@ -140,12 +164,25 @@
             return await self.execute(command)
         if channel is None or channel.closed:
             return JobAnswer(Outcome.NOT_OWNER)
-        answer = await channel.call(command, deadline)
+        passage = self.window.enter(command_bytes(command))
+        try:
+            answer = await channel.call(command, deadline)
+        finally:
+            self.window.leave(passage)
+            self.wake()
         if not isinstance(answer, JobAnswer):
             raise ChannelClosed("unexpected answer")
+        if isinstance(command, (QueryJob, CountWaiting)):
+            sent_at = passage.sent_at
+            self.record_answer(sent_at, anyio.current_time() - sent_at)
         return answer
 
 
 def job_fields(command: SubmitJob) -> dict[str, str]:
     """Return the log fields that identify the job of a command."""
     return {"job": command.spec.job_id, "queue": command.spec.queue}
+
+
+def command_bytes(command: Command) -> int:
+    """Return the size of the part of a command that may be large."""
+    return len(command.spec.payload) if isinstance(command, SubmitJob) else 0
