Send a command that no owner answers less and less often

What callers saw: queries for jobs that a node does not know, and cannot deny since the store has not confirmed that it still owns the cell, kept its link and processor busy. Cause: each of them was sent again 0.03 s after the answer "not the owner", over the channel, for the whole time limit of its caller. Change: the pause doubles up to 0.5 s. A new owner, and a node that stops, end it at once.

--- a/gypsumring/node/forwarding.py
+++ b/gypsumring/node/forwarding.py
@@ -23,7 +23,10 @@
 
 log = EventLogger("jobs")
 
-RETRY_PAUSE_S = 0.03
+# Pauses between the copies of a command that a node does not answer as the owner.
+SHORTEST_PAUSE_S = 0.03
+LONGEST_PAUSE_S = 0.5
+PAUSE_GROWTH = 2
 # How often the first command that waits checks whether the owner can be reached.
 CHECK_PERIOD_S = 0.03
 NO_OWNER_RETRY_AFTER_S = 1.0
@@ -74,6 +77,7 @@
         """
         # Fence number of the latest owner that may have executed the command.
         interrupted_fence: int | None = None
+        pause_s = SHORTEST_PAUSE_S
         while await self.wait_for_turn(command, deadline):
             deadline = min(deadline, self.answer_deadline)
             fence = self.link.fence
@@ -95,8 +99,10 @@
                     return self.report_uncertain(command)
                 case _:
                     return answer
-            with anyio.move_on_after(RETRY_PAUSE_S):
+            left_s = deadline - anyio.current_time()
+            with anyio.move_on_after(max(0.0, min(pause_s, left_s))):
                 await self.link.owner_changed.wait()
+            pause_s = min(PAUSE_GROWTH * pause_s, LONGEST_PAUSE_S)
         if interrupted_fence is not None:
             return self.report_uncertain(command)
         reason = "no owner reached"
@@ -109,6 +115,12 @@
             log.info("job refused", **job_fields(command), reason=reason)
         return JobAnswer(Outcome.REFUSED, retry_after_s=NO_OWNER_RETRY_AFTER_S)
 
+    def answer_by(self, answer_deadline: float) -> None:
+        """Answer all callers by a deadline, since the node is stopping."""
+        self.answer_deadline = answer_deadline
+        # Commands that pause for longer look at the deadline again.
+        self.link.notify()
+
     async def wait_for_turn(self, command: Command, deadline: float) -> bool:
         """Wait until a command can be sent; return False once it is too late for that.
 
--- a/gypsumring/node/node.py
+++ b/gypsumring/node/node.py
@@ -340,7 +340,7 @@
     async def stop(self, answer_deadline: float) -> None:
         """Become not ready, hand the cell over and answer all callers by a deadline."""
         self.stopping = True
-        self.forwarder.answer_deadline = answer_deadline
+        self.forwarder.answer_by(answer_deadline)
         await self.link.withdraw()
         await self.membership.leave(answer_deadline - TAKEOVER_S)
 
--- a/gypsumring/node/tests/test_forwarding.py
+++ b/gypsumring/node/tests/test_forwarding.py
@@ -137,6 +137,39 @@
     assert link.checks <= 2 * 3.0 / CHECK_PERIOD_S, link.checks
 
 
+# A node that cannot tell whether it still owns the cell, as the store is slow, received
+# each query 33 times a second.
+async def test_command_that_no_owner_answers_is_sent_less_and_less_often():
+    class CountingLink(ScriptedLink):
+        calls = 0
+
+        async def call(self, command, deadline):
+            self.calls += 1
+            return NOT_OWNER
+
+    link = CountingLink()
+    forwarder = Forwarder(link, None, Metrics())
+    answer = await forwarder.forward(COMMAND, after(3.0))
+    assert answer.outcome is Outcome.REFUSED
+    assert 5 <= link.calls <= 12, link.calls
+
+
+async def test_pause_of_a_command_ends_when_the_owner_changes():
+    link = ScriptedLink(*[NOT_OWNER] * 6, OK)
+    forwarder = Forwarder(link, None, Metrics())
+
+    async def change_owner() -> None:
+        await anyio.sleep(1.0)
+        link.script = [OK]
+        link.owner_changed.set()
+
+    async with anyio.create_task_group() as group:
+        group.start_soon(change_owner)
+        began_at = anyio.current_time()
+        assert await forwarder.forward(COMMAND, after(3.0)) is OK
+        assert anyio.current_time() - began_at <= 1.05
+
+
 async def test_later_owner_receives_the_time_that_is_left():
     # It received the original time limit, waited for the store beyond the deadline of
     # the caller, and the caller got no answer in time.
