Let time limits of orders follow how long executors take to answer

What callers saw: work that was cancelled went on, and the owner was left, on a link that carried little more than its polls. Cause: a stop was sent again after 0.2 s. Answers waited for 0.25 to 0.47 s at the link, inward, so that hardly any stop counted as answered. The abandoned answers were carried all the same and kept the queue where it was; polls became late, too. Change: the limit of starts and stops follows the answers of executors (ResponseTimes, which moves to transport), 0.2 to 0.8 s, beside the queue at the link. Polls whose executor has not answered early are samples, too. Stops are repeated from the credit for repeats.

--- a/gypsumring/cell/executor_polling.py
+++ b/gypsumring/cell/executor_polling.py
@@ -265,6 +265,10 @@
                 requested_at + time_limit_s,
             )
         executor.unanswered_polls = max(0, executor.unanswered_polls - 1)
+        # An answer before the end of the poll says nothing about its way here.
+        answer_s = anyio.current_time() - requested_at - poll_duration_s
+        if answer_s >= 0:
+            self.state.response_times.record(answer_s)
         self.list_reader.apply(executor, task_lists, requested_at)
         self.state.authority.executors.record_answer(
             executor.executor_id,
--- a/gypsumring/cell/orders.py
+++ b/gypsumring/cell/orders.py
@@ -23,9 +23,13 @@
 
 log = EventLogger("orders")
 
-# An unanswered order is sent again after this time plus RETRY_PAUSE_S.
+# An unanswered order is sent again after a time between these, according to how long
+# executors take to answer, plus RETRY_PAUSE_S.
 ORDER_TIMEOUT_S = 0.2
+LONGEST_ORDER_TIMEOUT_S = 0.8
 RETRY_PAUSE_S = 0.05
+# Bytes of a stop, with its headers.
+STOP_BYTES = 250
 # Task lists show the end of a stopped attempt within this time.
 END_REPORT_DELAY_S = 1.5
 # If not all members of a gang have started within this time, the owner stops them. This
@@ -192,7 +196,7 @@
         order = self.make_start(run, executor, ticket, now)
         sent_at = anyio.current_time()
         sent_clock = self.state.clock()
-        deadline = sent_at + ORDER_TIMEOUT_S + traffic.send_s(size)
+        deadline = sent_at + self.answer_limit_s(size)
         run.start_sent_by = float("inf")
         run.was_sent = True
         self.state.start_demand.remove_unsent(run)
@@ -222,10 +226,21 @@
         except StartRefused as error:
             self.handle_refusal(run, executor, error.reason)
             return None
+        self.state.response_times.record(anyio.current_time() - sent_at)
         executor.health.record_accepted(sent_clock)
         self.record_started(run)
         return None
 
+    def answer_limit_s(self, size: int) -> float:
+        """Return after which time an order that is sent now is overdue.
+
+        The link of this machine, in either direction, may be busy with other messages.
+        """
+        answer_s = self.state.response_times.timeout_s(
+            ORDER_TIMEOUT_S, LONGEST_ORDER_TIMEOUT_S
+        )
+        return answer_s + self.state.traffic.send_s(size)
+
     def withdraw_start(
         self,
         run: Run,
@@ -367,11 +382,13 @@
         The capacity is released when the executor's task lists show the end.
         """
         unanswered = 0
+        purpose = Purpose.STOPS
         while (executor := self.find_executor(run)) is not None:
-            if await self.send_stop(run.executor_id, run.task, run.attempt):
+            if await self.send_stop(run.executor_id, run.task, run.attempt, purpose):
                 run.answered_at = anyio.current_time()
                 self.state.metrics.count("cell.stops")
                 return
+            purpose = Purpose.STOPS_REPEATED
             unanswered = 0 if executor.is_unresponsive else unanswered + 1
             self.back_off_if_unanswered(executor, unanswered)
 
@@ -390,9 +407,11 @@
         """
         key = (task, attempt)
         deadline = anyio.current_time() + MAX_ORDER_DELAY_S
+        purpose = Purpose.STOPS
         while key in executor.starts_to_block and anyio.current_time() < deadline:
-            if await self.send_stop(executor.executor_id, task, attempt):
+            if await self.send_stop(executor.executor_id, task, attempt, purpose):
                 break
+            purpose = Purpose.STOPS_REPEATED
         executor.starts_to_block.discard(key)
         self.state.wake()
 
@@ -400,23 +419,29 @@
         self, executor: ExecutorState, task: str, attempt: int
     ) -> None:
         """Stop an attempt that the cell has no record of until it is not listed."""
+        purpose = Purpose.STOPS
         while (task, attempt) in executor.unknown_runs and self.is_in_fleet(executor):
-            if await self.send_stop(executor.executor_id, task, attempt):
+            if await self.send_stop(executor.executor_id, task, attempt, purpose):
                 await anyio.sleep(self.state.timing.stop_s + END_REPORT_DELAY_S)
+            purpose = Purpose.STOPS_REPEATED
 
     def is_in_fleet(self, executor: ExecutorState) -> bool:
         """Return whether an executor has not been evicted from the fleet."""
         return self.state.fleet.get(executor.executor_id) is executor
 
-    async def send_stop(self, executor_id: str, task: str, attempt: int) -> bool:
+    async def send_stop(
+        self, executor_id: str, task: str, attempt: int, purpose: Purpose
+    ) -> bool:
         """Send one stop and return whether it was answered; pause if it was not."""
         try:
             async with self.stop_slots.reserve(executor_id):
                 client = self.state.clients.get(executor_id)
                 if client is not None:
-                    deadline = anyio.current_time() + ORDER_TIMEOUT_S
-                    with sending_for(Purpose.STOPS):
+                    sent_at = anyio.current_time()
+                    deadline = sent_at + self.answer_limit_s(STOP_BYTES)
+                    with sending_for(purpose):
                         await client.stop(task, attempt, self.state.fence, deadline)
+                    self.state.response_times.record(anyio.current_time() - sent_at)
                     return True
         except FenceRefused as error:
             raise OwnershipLost(
@@ -424,5 +449,11 @@
             ) from error
         except (ExecutorSilent, ExecutorGone, StartRefused):
             self.state.metrics.count("cell.stops.unanswered")
-        await anyio.sleep(RETRY_PAUSE_S)
+        await self.wait_for_repeat()
         return False
+
+    async def wait_for_repeat(self) -> None:
+        """Wait until a stop that was not answered may be sent again."""
+        await anyio.sleep(RETRY_PAUSE_S)
+        while not self.state.traffic.spend_repeat(STOP_BYTES):
+            await anyio.sleep(RETRY_PAUSE_S)
--- a/gypsumring/cell/state.py
+++ b/gypsumring/cell/state.py
@@ -24,7 +24,7 @@
     encode_progress,
 )
 from gypsumring.ports.tasks import TaskExecutor
-from gypsumring.transport import LinkTraffic
+from gypsumring.transport import LinkTraffic, ResponseTimes
 from gypsumring.utils.clock import Clock, WallClock
 from gypsumring.utils.logs import EventLogger
 
@@ -106,6 +106,7 @@
         "metrics",
         "owned_since",
         "queues",
+        "response_times",
         "start_demand",
         "table",
         "timing",
@@ -130,6 +131,8 @@
     ):
         self.traffic = traffic or LinkTraffic(metrics)
         self.start_demand = StartDemand(self.traffic)
+        # How long executors take to answer what they answer at once.
+        self.response_times = ResponseTimes()
         self.fence = fence
         self.journal = journal
         self.desired_state = desired_state
--- a/gypsumring/node/link.py
+++ b/gypsumring/node/link.py
@@ -27,7 +27,6 @@
     Handler,
     NodeCalls,
 )
-from gypsumring.node.response_times import ResponseTimes
 from gypsumring.ports.store import Store, StoreRefused, StoreUnavailable
 from gypsumring.transport import (
     Channel,
@@ -35,6 +34,7 @@
     ConnectFailed,
     ConnectRefused,
     Purpose,
+    ResponseTimes,
     sending_for,
 )
 from gypsumring.utils.logs import EventLogger
--- a/gypsumring/node/membership.py
+++ b/gypsumring/node/membership.py
@@ -6,9 +6,8 @@
 import anyio.abc
 
 from gypsumring.cell import CellOwner
-from gypsumring.node.response_times import ResponseTimes
 from gypsumring.ports.store import Assignment, Store, StoreRefused, StoreUnavailable
-from gypsumring.transport import Purpose, sending_for
+from gypsumring.transport import Purpose, ResponseTimes, sending_for
 from gypsumring.utils.clock import Clock
 from gypsumring.utils.logs import EventLogger
 from gypsumring.utils.ranges import parse_machine_size
--- a/gypsumring/node/tests/test_failure_detection.py
+++ b/gypsumring/node/tests/test_failure_detection.py
@@ -10,7 +10,7 @@
     OwnerTerm,
     choose_monitors,
 )
-from gypsumring.node.response_times import ResponseTimes
+from gypsumring.transport import ResponseTimes
 from gypsumring.utils.testing import make_load_tests
 
 NAMES = [f"n{number}" for number in range(97)]
--- a/gypsumring/transport/__init__.py
+++ b/gypsumring/transport/__init__.py
@@ -10,6 +10,7 @@
 )
 from gypsumring.transport.http_client import HttpClient, HttpResponse
 from gypsumring.transport.relayed import HttpCall, RelayedClient
+from gypsumring.transport.response_times import ResponseTimes
 from gypsumring.transport.traffic import LinkTraffic, Purpose, sending_for
 
 __all__ = [
@@ -25,6 +26,7 @@
     "NoResponse",
     "Purpose",
     "RelayedClient",
+    "ResponseTimes",
     "TransportError",
     "sending_for",
     "serve_channels",
--- a/gypsumring/transport/traffic.py
+++ b/gypsumring/transport/traffic.py
@@ -52,6 +52,7 @@
     STARTS_REPEATED = "starts_repeated"
     # Stops, and changes of the pace of tasks.
     STOPS = "stops"
+    STOPS_REPEATED = "stops_repeated"
     POLLS = "polls"
     POLICY = "policy"
     # Submissions and cancellations that nodes forward.
@@ -63,7 +64,12 @@
 
 
 # Messages that earn no credit for repeats. Some relayed calls are repeats too.
-REPEATS = (Purpose.RECORDS_REPEATED, Purpose.STARTS_REPEATED, Purpose.RELAYS)
+REPEATS = (
+    Purpose.RECORDS_REPEATED,
+    Purpose.STARTS_REPEATED,
+    Purpose.STOPS_REPEATED,
+    Purpose.RELAYS,
+)
 # Messages whose room at the link was reserved before they are sent.
 RESERVED = (Purpose.STARTS,)
 
