Keep pages of executor entries, and allow for the link in their time limit

What callers saw: after a takeover on a slow link no task started any more. Cause: the entries of all executors had to arrive within 1 s, whatever the link carries beside them. A read that took longer began again from nothing, and took the link each time. Change: as in the read of the cell, each page has a time limit that allows for its transfer twice, by the rate of the link, and pages that have arrived are kept. Entries may change between pages; the records after the end offset of the first page tell how, as before. On links of 10 Mbit/s the limit is 1.32 s, so that outages are noticed about as early.

--- a/gypsumring/cell/discovery.py
+++ b/gypsumring/cell/discovery.py
@@ -9,7 +9,9 @@
 from gypsumring.fleet import ExecutorEntry, InvalidEntry
 from gypsumring.ports.exceptions import OffsetExpired
 from gypsumring.ports.store import (
+    SMALL_PAGE_BYTES,
     KeyedRecord,
+    NewestPage,
     Store,
     StoreRefused,
     StoreUnavailable,
@@ -22,7 +24,10 @@
 log = EventLogger("discovery")
 
 POLL_PERIOD_S = 0.25
+# Time limit of a call, beside the time in which the link of this machine carries a page
+# of entries so many times.
 CALL_TIMEOUT_S = 1.0
+PAGE_TRANSFERS = 2
 # Executors whose entries expired while the store was unavailable register again within
 # this time.
 REREGISTRATION_TIME_S = 2.5
@@ -33,6 +38,22 @@
 DecodeEntry = Callable[[str, bytes], ExecutorEntry]
 
 
+class EntriesRead:
+    """Read of all entries, whose pages are kept when a call fails.
+
+    Entries may change between two pages; the records after ``end_offset`` tell how.
+    """
+
+    __slots__ = ("end_offset", "next_key", "present_ids", "requested_at")
+
+    def __init__(self, requested_at: float):
+        # When the first page was requested, and the end offset at that time.
+        self.requested_at = requested_at
+        self.end_offset: int | None = None
+        self.next_key: str | None = ""
+        self.present_ids: set[str] = set()
+
+
 class ExecutorDirectory:
     """Reader of executor entries, which passes them to the executor poller."""
 
@@ -40,6 +61,7 @@
         "executor_poller",
         "ignore_missing_until",
         "decode",
+        "entries_read",
         "offset",
         "reported_ids",
         "state",
@@ -61,6 +83,8 @@
         self.topic = topic
         self.decode = decode
         self.offset: int | None = None
+        # The read of all entries that has begun, if any.
+        self.entries_read: EntriesRead | None = None
         # Ids of the unusable entries that have been logged, oldest first.
         self.reported_ids: dict[str, None] = {}
         # Missing entries are ignored until this time.
@@ -84,15 +108,15 @@
 
     async def poll(self) -> None:
         """Read the new records, or the newest entry of each executor after a gap."""
-        deadline = anyio.current_time() + CALL_TIMEOUT_S
-        requested_at = self.state.clock()
         if self.offset is None:
-            await self.read_all(deadline)
-            self.state.entries_read_at = requested_at
+            await self.read_all()
             return
+        requested_at = self.state.clock()
         try:
             with sending_for(Purpose.ENTRIES):
-                batch = await self.store.read(self.topic, 0, self.offset, 0.0, deadline)
+                batch = await self.store.read(
+                    self.topic, 0, self.offset, 0.0, self.call_deadline()
+                )
         except OffsetExpired:
             self.offset = None
             return
@@ -102,20 +126,43 @@
         if not batch.records or self.offset >= batch.end_offset:
             self.state.entries_read_at = requested_at
 
-    async def read_all(self, deadline: float) -> None:
-        """Read the newest entry of each executor."""
-        with sending_for(Purpose.ENTRIES):
-            records, end_offset = await self.store.newest(self.topic, 0, deadline)
-        present_ids = set()
-        for record in records:
-            if record.value:
-                present_ids.add(record.key)
-                self.apply(record)
+    def call_deadline(self) -> float:
+        """Return the deadline of a call that is sent now."""
+        transfer_s = self.state.traffic.transfer_s(SMALL_PAGE_BYTES)
+        return anyio.current_time() + CALL_TIMEOUT_S + PAGE_TRANSFERS * transfer_s
+
+    async def read_all(self) -> None:
+        """Read the newest entry of each executor, or what is missing of them."""
+        entries_read = self.entries_read
+        if entries_read is None:
+            entries_read = self.entries_read = EntriesRead(self.state.clock())
+        while entries_read.next_key is not None:
+            with sending_for(Purpose.ENTRIES):
+                page = await self.store.read_newest_page(
+                    self.topic,
+                    0,
+                    entries_read.next_key,
+                    self.call_deadline(),
+                    SMALL_PAGE_BYTES,
+                )
+            self.apply_page(entries_read, page)
+        self.entries_read = None
         if anyio.current_time() >= self.ignore_missing_until:
             for executor_id, executor in self.state.fleet.items():
-                if executor_id not in present_ids:
+                if executor_id not in entries_read.present_ids:
                     executor.listed = False
-            self.offset = end_offset
+            self.offset = entries_read.end_offset
+        self.state.entries_read_at = entries_read.requested_at
+
+    def apply_page(self, entries_read: EntriesRead, page: NewestPage) -> None:
+        """Apply one page of the entries of all executors."""
+        if entries_read.end_offset is None:
+            entries_read.end_offset = page.end_offset
+        entries_read.next_key = page.next_key
+        for record in page.records:
+            if record.value:
+                entries_read.present_ids.add(record.key)
+                self.apply(record)
 
     def apply(self, record: KeyedRecord) -> None:
         """Apply one record; an entry that cannot be used affects no other."""
--- a/gypsumring/cell/owner.py
+++ b/gypsumring/cell/owner.py
@@ -50,7 +50,13 @@
     decode_progress,
     decode_spec,
 )
-from gypsumring.ports.store import KeyedRecord, Store, StoreRefused, StoreUnavailable
+from gypsumring.ports.store import (
+    PAGE_BYTES,
+    KeyedRecord,
+    Store,
+    StoreRefused,
+    StoreUnavailable,
+)
 from gypsumring.ports.tasks import TaskExecutor
 from gypsumring.transport import LinkTraffic, Purpose, sending_for
 from gypsumring.utils.clock import Clock, WallClock
@@ -69,7 +75,6 @@
 # largest page, twice as it carries other messages too. The limit is doubled after each
 # failure; the next page has at least twice the time that the one before it took.
 PAGE_TIMEOUT_S = 5.0
-PAGE_BYTES = 1_000_000
 PAGE_TRANSFERS = 2
 MAX_PAGE_TIMEOUT_S = 80.0
 # The store counts as slow if appends take longer than this.
--- a/gypsumring/platform/store.py
+++ b/gypsumring/platform/store.py
@@ -10,6 +10,8 @@
 from gypsumring.platform.exceptions import WireError
 from gypsumring.ports.exceptions import OffsetExpired
 from gypsumring.ports.store import (
+    PAGE_BYTES,
+    SMALL_PAGE_BYTES,
     AppendFenced,
     Assignment,
     KeyedRecord,
@@ -45,9 +47,6 @@
 
 RECORD_LENGTH = struct.Struct(">I")
 READ_HEADER = struct.Struct(">QQ")
-# Largest page of the newest records of a cell, and of other topics.
-PAGE_BYTES = 1_000_000
-SMALL_PAGE_BYTES = 200_000
 BINARY_CONTENT_TYPE = "application/octet-stream"
 
 
@@ -224,30 +223,26 @@
         self, topic: str, partition: int, deadline: float
     ) -> tuple[list[KeyedRecord], int]:
         """Return the newest record of each key and the end offset before the read."""
-        page = await self.read_page(topic, partition, "", deadline, SMALL_PAGE_BYTES)
+        page = await self.read_newest_page(
+            topic, partition, "", deadline, SMALL_PAGE_BYTES
+        )
         records, end_offset = page.records, page.end_offset
         while page.next_key is not None:
-            page = await self.read_page(
+            page = await self.read_newest_page(
                 topic, partition, page.next_key, deadline, SMALL_PAGE_BYTES
             )
             records += page.records
         return records, end_offset
 
     async def read_newest_page(
-        self, topic: str, partition: int, after_key: str, deadline: float
-    ) -> NewestPage:
-        """Return one page of the newest records, from the keys after one on."""
-        return await self.read_page(topic, partition, after_key, deadline, PAGE_BYTES)
-
-    async def read_page(
         self,
         topic: str,
         partition: int,
         after_key: str,
         deadline: float,
-        page_bytes: int,
+        page_bytes: int = PAGE_BYTES,
     ) -> NewestPage:
-        """Read one page of about a size, which may be larger."""
+        """Return one page of the newest records, from the keys after one on."""
         query: dict[str, str | int] = {"topic": topic, "part": partition}
         if after_key:
             # In this request, ``dependsOn`` is the last key of the previous page.
--- a/gypsumring/ports/store.py
+++ b/gypsumring/ports/store.py
@@ -10,13 +10,19 @@
     "KeyedRecord",
     "LogBatch",
     "NewestPage",
+    "PAGE_BYTES",
     "Producer",
+    "SMALL_PAGE_BYTES",
     "SequenceMismatch",
     "Store",
     "StoreRefused",
     "StoreUnavailable",
 ]
 
+# About the largest page of the newest records of a cell, and of other topics.
+PAGE_BYTES = 1_000_000
+SMALL_PAGE_BYTES = 200_000
+
 
 class StoreUnavailable(PortError):
     """Raised when the store gave no valid answer; a write may have taken effect."""
@@ -122,12 +128,18 @@
         """Return the newest record of each key and the end offset before the read."""
 
     async def read_newest_page(
-        self, topic: str, partition: int, after_key: str, deadline: float
+        self,
+        topic: str,
+        partition: int,
+        after_key: str,
+        deadline: float,
+        page_bytes: int = PAGE_BYTES,
     ) -> NewestPage:
         """Return one page of ``newest``, from the keys after ``after_key`` on.
 
         An empty key begins the read. Pages are not a snapshot, so that the end offset
-        before the read is that of the first page.
+        before the read is that of the first page. ``page_bytes`` is about the largest
+        size of a page of the topic.
         """
 
     async def read(
--- a/stand_ins/platform/fleet.py
+++ b/stand_ins/platform/fleet.py
@@ -21,7 +21,7 @@
 from gypsumring.cell.messages import Pong
 from gypsumring.metrics import Metrics
 from gypsumring.node.node import CELL_TOPIC, GROUP, Node
-from gypsumring.ports.store import NewestPage
+from gypsumring.ports.store import PAGE_BYTES, NewestPage
 from gypsumring.settings.node import NodeSettings
 from gypsumring.transport import ChannelClosed, ConnectFailed, ConnectRefused
 from stand_ins.platform.faults import Faults
@@ -113,12 +113,19 @@
         await super().pass_faults(deadline)
 
     async def read_newest_page(
-        self, topic: str, partition: int, after_key: str, deadline: float
+        self,
+        topic: str,
+        partition: int,
+        after_key: str,
+        deadline: float,
+        page_bytes: int = PAGE_BYTES,
     ) -> NewestPage:
         """Return a page of records; those of the cell take time to read."""
         if topic == CELL_TOPIC and not after_key:
             await self.machine.processor.receive(self.machine.fleet.cell_read_s)
-        return await super().read_newest_page(topic, partition, after_key, deadline)
+        return await super().read_newest_page(
+            topic, partition, after_key, deadline, page_bytes
+        )
 
 
 class StorePath:
