Give the probe of the path to the store the time of its transfer

What callers saw: nothing of its own was traced. On a slow link all calls to the store went through other nodes for longer than the path had failed, which takes the same link, and probes took it twice. Cause: while the direct path counts as failing, one call in 0.5 s tries it for 0.1 s. A large append, or a page, cannot be answered in 0.1 s on a link that needs longer for it, nor behind a queue at the link. Change: the probe has 0.1 s beside the time for its transfer, as the limit after which a path counts as failing has already.

test_probe_of_a_failing_path_has_the_time_of_the_transfer (an append of 400 KB and a page of 400 KB on 10 Mbit/s) failed before: the append was relayed although the store answered after 0.35 s. test_probe_of_a_silent_path_leaves_the_call_to_another_node passes before and after. The scripted client can now give up at its deadline; the other tests are as they were.

--- a/gypsumring/transport/relayed.py
+++ b/gypsumring/transport/relayed.py
@@ -16,7 +16,8 @@
 
 # The server refuses requests of this node with these statuses and does nothing.
 REFUSAL_STATUSES = (429, 503)
-# While the direct path fails, one call per period tries it first.
+# While the direct path fails, one call per period tries it first, for this time beside
+# that of its transfer, times the factor.
 PROBE_PERIOD_S = 0.5
 PROBE_TIMEOUT_S = 0.1
 # This node relays calls of peers only if the server has answered it within this time.
@@ -102,10 +103,21 @@
             for call in self.calls_in_flight
             if call.sent_at > self.last_answer_at
         ]
-        # Large responses delay all others on the link.
+        due_at = min(due_times, default=float("inf")) + self.replies_s()
+        return due_at < anyio.current_time()
+
+    def replies_s(self, more_bytes: int = 0) -> float:
+        """Return the time to allow for the responses in flight, and for more bytes.
+
+        Large responses delay all others on the link.
+        """
         reply_bytes = sum(call.reply_bytes for call in self.calls_in_flight)
-        reply_s = TRANSFER_FACTOR * self.traffic.transfer_s(reply_bytes)
-        return min(due_times, default=float("inf")) + reply_s < anyio.current_time()
+        return TRANSFER_FACTOR * self.traffic.transfer_s(reply_bytes + more_bytes)
+
+    def probe_limit_s(self, call: HttpCall) -> float:
+        """Return how long a call that is sent now may try the direct path."""
+        send_s = TRANSFER_FACTOR * self.traffic.send_s(len(call.body))
+        return PROBE_TIMEOUT_S + send_s + self.replies_s(call.reply_bytes)
 
     def is_healthy(self) -> bool:
         """Return whether the direct path works and has answered recently."""
@@ -135,7 +147,7 @@
                     return response
             else:
                 self.next_probe_at = now + PROBE_PERIOD_S
-                direct_deadline = min(deadline, now + PROBE_TIMEOUT_S)
+                direct_deadline = min(deadline, now + self.probe_limit_s(call))
         return await self.send_direct_or_relayed(call, direct_deadline, deadline)
 
     async def send_direct_or_relayed(
--- a/gypsumring/transport/tests/test_relayed.py
+++ b/gypsumring/transport/tests/test_relayed.py
@@ -20,13 +20,15 @@
 class ScriptedClient:
     """HTTP client that answers with a status or fails, as ``outcome`` says."""
 
-    __slots__ = ("calls", "outcome", "took_s")
+    __slots__ = ("calls", "gives_up", "outcome", "took_s")
 
     def __init__(self):
         self.calls = 0
         # ``silent`` (no response), ``unreachable`` or the status of the response.
         self.outcome: str | int = 200
         self.took_s = 0.0
+        # Whether a request that takes longer than until its deadline fails then.
+        self.gives_up = False
 
     async def request(self, method, path, deadline, body, content_type):
         """Answer one request."""
@@ -37,6 +39,9 @@
                 raise NoResponse("no response in time")
             case "unreachable":
                 raise ConnectFailed("refused")
+        if self.gives_up and anyio.current_time() + self.took_s > deadline:
+            await anyio.sleep_until(deadline)
+            raise NoResponse("no response in time")
         await anyio.sleep(self.took_s)
         return HttpResponse(self.outcome, b"direct", {}, False)
 
@@ -173,6 +178,38 @@
     assert client.is_healthy()
 
 
+# A probe had 0.1 s, however long its transfer takes. While calls were large, or answers
+# waited at a full link, all of them went through other nodes, and the probes twice.
+async def test_probe_of_a_failing_path_has_the_time_of_the_transfer():
+    append = HttpCall("POST", "/append", bytes(400_000), "application/octet-stream")
+    page = HttpCall("GET", "/newest", reply_bytes=400_000)
+    for call in (append, page):
+        client, path, relayed = make_client(link_mbps=10)
+        path.outcome = 503
+        await send(client)
+        assert (await send(client)).body == b"relayed"
+        relayed.clear()
+        path.outcome, path.took_s, path.gives_up = 200, 0.35, True
+        await anyio.sleep(0.6)
+        response = await client.request(call, anyio.current_time() + 5)
+        assert (response.body, relayed) == (b"direct", []), call.path
+        assert client.is_healthy()
+
+
+async def test_probe_of_a_silent_path_leaves_the_call_to_another_node():
+    append = HttpCall("POST", "/append", bytes(40_000), "application/octet-stream")
+    client, path, relayed = make_client(link_mbps=10)
+    path.outcome = 503
+    await send(client)
+    assert (await send(client)).body == b"relayed"
+    path.outcome = "silent"
+    await anyio.sleep(0.6)
+    started_at = anyio.current_time()
+    response = await client.request(append, started_at + 5)
+    assert response.body == b"relayed"
+    assert anyio.current_time() - started_at < 0.25
+
+
 async def test_calls_from_before_an_answer_say_nothing_about_the_path():
     # Calls sent during an outage of the whole store reached their deadlines one by one
     # after it, and each marked the path as failing for another 0.5 s.
