Allow for the rate of the link in reads of the desired state

What callers saw: nothing was reported. A node whose link takes longer than 1 s for the desired state would refuse everything for ever, and fill its link with reads. Cause: the first read had 1 s for everything and a change 1.4 s. A read that took longer began again from nothing after 0.15 s. Change: both have in addition the time in which the link carries a page twice.

--- a/gypsumring/node/desired.py
+++ b/gypsumring/node/desired.py
@@ -9,12 +9,13 @@
 from gypsumring.pipelines import DesiredState
 from gypsumring.ports.exceptions import OffsetExpired
 from gypsumring.ports.store import (
+    SMALL_PAGE_BYTES,
     KeyedRecord,
     Store,
     StoreRefused,
     StoreUnavailable,
 )
-from gypsumring.transport import Purpose, sending_for
+from gypsumring.transport import LinkTraffic, Purpose, sending_for
 from gypsumring.utils.logs import DependencyLogger, EventLogger
 
 __all__ = ["DesiredStateWatch"]
@@ -24,13 +25,25 @@
 # The store delays its response by up to this time while there is nothing new.
 LONG_POLL_S = 1.0
 CALL_MARGIN_S = 0.4
+# Calls have the time in which the link of this machine carries a page so many times,
+# beside these limits.
+PAGE_TRANSFERS = 2
 RETRY_DELAY_S = 0.15
 
 
 class DesiredStateWatch:
     """Latest desired state; a version replaces only an older one."""
 
-    __slots__ = ("current", "decode", "key", "key_ring", "offset", "store", "topic")
+    __slots__ = (
+        "current",
+        "decode",
+        "key",
+        "key_ring",
+        "offset",
+        "store",
+        "topic",
+        "traffic",
+    )
 
     def __init__(
         self,
@@ -38,7 +51,9 @@
         topic: str,
         key: str,
         decode: Callable[[bytes], DesiredState],
+        traffic: LinkTraffic | None = None,
     ):
+        self.traffic = traffic or LinkTraffic()
         self.store = store
         self.topic = topic
         self.key = key
@@ -74,12 +89,12 @@
 
     async def read_records(self) -> list[KeyedRecord]:
         """Return the latest version, or the records after those that were read."""
-        now = anyio.current_time()
+        transfer_s = PAGE_TRANSFERS * self.traffic.transfer_s(SMALL_PAGE_BYTES)
+        deadline = anyio.current_time() + LONG_POLL_S + transfer_s
         if self.offset is None:
-            deadline = now + LONG_POLL_S
             records, self.offset = await self.store.newest(self.topic, 0, deadline)
             return records
-        deadline = now + LONG_POLL_S + CALL_MARGIN_S
+        deadline += CALL_MARGIN_S
         try:
             batch = await self.store.read(
                 self.topic, 0, self.offset, LONG_POLL_S, deadline
--- a/gypsumring/node/node.py
+++ b/gypsumring/node/node.py
@@ -141,7 +141,11 @@
         self.peer_voters: dict[str, Voter] = {}
         self.votes = VoteRegister()
         self.desired = DesiredStateWatch(
-            store, DESIRED_STATE_TOPIC, DESIRED_STATE_KEY, decode_desired_state
+            store,
+            DESIRED_STATE_TOPIC,
+            DESIRED_STATE_KEY,
+            decode_desired_state,
+            self.traffic,
         )
         size = settings.processor.size
         incarnation = uuid.uuid4().hex[:8]
