--- a/gypsumring/node/link.py
+++ b/gypsumring/node/link.py
@@ -27,7 +27,6 @@
     Handler,
     NodeCalls,
 )
-from gypsumring.node.response_times import ResponseTimes
 from gypsumring.ports.store import Store, StoreRefused, StoreUnavailable
 from gypsumring.transport import (
     Channel,
@@ -35,6 +34,7 @@
     ConnectFailed,
     ConnectRefused,
     Purpose,
+    ResponseTimes,
     sending_for,
 )
 from gypsumring.utils.logs import EventLogger
@@ -99,6 +99,7 @@
         "next_queried",
         "node_addresses",
         "nodes_version",
+        "on_answer",
         "own_fence",
         "owner_address",
         "owner_changed",
@@ -127,6 +128,7 @@
         metrics: Metrics | None = None,
         list_peers: Callable[[], dict[str, Channel]] = dict,
         list_missing_voters: Callable[[], dict[str, str]] = dict,
+        on_answer: Callable[[float, float], None] = lambda sent_at, seconds: None,
     ):
         self.metrics = metrics or Metrics()
         self.store = store
@@ -140,6 +142,9 @@
         # Returns the addresses of voters of earlier owners that have not answered this
         # owner, by node name.
         self.list_missing_voters = list_missing_voters
+        # Called when the linked owner has answered a ping, with the time at which the
+        # ping was sent and the seconds that the answer took.
+        self.on_answer = on_answer
         self.next_announcement_at = 0.0
         self.calls = NodeCalls(connect, handler, self.metrics)
         # Size of the largest machine in the group, None if the last lookup failed.
@@ -608,6 +613,8 @@
             raise
         if is_known:
             self.response_times.record(anyio.current_time() - sent_at)
+        if self.channel is channel:
+            self.on_answer(sent_at, anyio.current_time() - sent_at)
         return answer
 
     def record_owner(self, channel: Channel, address: str, pong: Pong) -> None:
--- a/gypsumring/node/node.py
+++ b/gypsumring/node/node.py
@@ -141,7 +141,11 @@
         self.peer_voters: dict[str, Voter] = {}
         self.votes = VoteRegister()
         self.desired = DesiredStateWatch(
-            store, DESIRED_STATE_TOPIC, DESIRED_STATE_KEY, decode_desired_state
+            store,
+            DESIRED_STATE_TOPIC,
+            DESIRED_STATE_KEY,
+            decode_desired_state,
+            self.traffic,
         )
         size = settings.processor.size
         incarnation = uuid.uuid4().hex[:8]
@@ -175,10 +179,15 @@
             metrics=metrics,
             list_peers=lambda: dict(self.peers),
             list_missing_voters=self.list_missing_voters,
+            on_answer=self.record_owner_answer,
         )
         self.forwarder = Forwarder(self.link, self.execute, metrics)
         self.relay = StoreRelay(store_path, self.list_channels, metrics)
 
+    def record_owner_answer(self, sent_at: float, seconds: float) -> None:
+        """Record how long the owner took to answer a ping."""
+        self.forwarder.record_answer(sent_at, seconds)
+
     def own_fence(self) -> int | None:
         """Return this node's fence number, or None if it does not own the cell."""
         owner = self.membership.active_owner()
@@ -336,7 +345,7 @@
     async def stop(self, answer_deadline: float) -> None:
         """Become not ready, hand the cell over and answer all callers by a deadline."""
         self.stopping = True
-        self.forwarder.answer_deadline = answer_deadline
+        self.forwarder.answer_by(answer_deadline)
         await self.link.withdraw()
         await self.membership.leave(answer_deadline - TAKEOVER_S)
 
--- a/gypsumring/node/tests/test_forwarding.py
+++ b/gypsumring/node/tests/test_forwarding.py
@@ -5,7 +5,7 @@
 
 from gypsumring.cell.messages import JobAnswer, Outcome, QueryJob, SubmitJob
 from gypsumring.metrics import Metrics
-from gypsumring.node.forwarding import Forwarder
+from gypsumring.node.forwarding import CHECK_PERIOD_S, Forwarder
 from gypsumring.pipelines import StepSpec
 from gypsumring.transport import ChannelClosed
 from gypsumring.utils.testing import after, make_load_tests
@@ -96,6 +96,80 @@
     assert anyio.current_time() - began < 0.2
 
 
+class UnreachableLink(ScriptedLink):
+    """Link without a channel to an owner, which counts how often that is checked."""
+
+    __slots__ = ("checks",)
+
+    def __init__(self):
+        super().__init__()
+        self.checks = 0
+
+    @property
+    def channel(self):
+        """Return None, as there is no owner."""
+        return None
+
+    def own_fence(self):
+        """Count a check and return None."""
+        self.checks += 1
+        return None
+
+
+# Each command that waited for a takeover looked for the owner every 0.03 s: with the
+# thousands of queries at the end of a day, the machine was busy with that and answered
+# its callers late.
+async def test_one_of_the_waiting_commands_looks_for_the_owner():
+    link = UnreachableLink()
+    forwarder = Forwarder(link, None, Metrics())
+    deadline = after(3.0)
+    answers = []
+
+    async def forward_one() -> None:
+        answers.append(await forwarder.forward(COMMAND, deadline))
+
+    async with anyio.create_task_group() as group:
+        for _ in range(1_000):
+            group.start_soon(forward_one)
+    assert anyio.current_time() <= deadline + 0.1
+    assert {answer.outcome for answer in answers} == {Outcome.REFUSED}
+    # Twice what one command needs alone.
+    assert link.checks <= 2 * 3.0 / CHECK_PERIOD_S, link.checks
+
+
+# A node that cannot tell whether it still owns the cell, as the store is slow, received
+# each query 33 times a second.
+async def test_command_that_no_owner_answers_is_sent_less_and_less_often():
+    class CountingLink(ScriptedLink):
+        calls = 0
+
+        async def call(self, command, deadline):
+            self.calls += 1
+            return NOT_OWNER
+
+    link = CountingLink()
+    forwarder = Forwarder(link, None, Metrics())
+    answer = await forwarder.forward(COMMAND, after(3.0))
+    assert answer.outcome is Outcome.REFUSED
+    assert 5 <= link.calls <= 12, link.calls
+
+
+async def test_pause_of_a_command_ends_when_the_owner_changes():
+    link = ScriptedLink(*[NOT_OWNER] * 6, OK)
+    forwarder = Forwarder(link, None, Metrics())
+
+    async def change_owner() -> None:
+        await anyio.sleep(1.0)
+        link.script = [OK]
+        link.owner_changed.set()
+
+    async with anyio.create_task_group() as group:
+        group.start_soon(change_owner)
+        began_at = anyio.current_time()
+        assert await forwarder.forward(COMMAND, after(3.0)) is OK
+        assert anyio.current_time() - began_at <= 1.05
+
+
 async def test_later_owner_receives_the_time_that_is_left():
     # It received the original time limit, waited for the store beyond the deadline of
     # the caller, and the caller got no answer in time.
