Show that calls between slow nodes do not make a lost owner last

Single calls between nodes have 0.2 s to connect and as long for the answer, whatever the machine needs. By this test (18 and 38 nodes with 0.12 of a core) that makes nothing last: the calls are not repeated by a period of their own but by the search for an owner, whose pauses grow, and go to a few nodes. No change of the product.

--- a/gypsumring/node/tests/test_fleet.py
+++ b/gypsumring/node/tests/test_fleet.py
@@ -63,6 +63,27 @@
             assert max(connections) <= MAX_CONNECTIONS, (size, max(connections))
 
 
+# Single calls between nodes have 0.2 s. Machines that need longer must not make
+# more calls for it, or lose the next owner, too.
+async def test_calls_of_slow_nodes_that_have_lost_the_owner_are_not_repeated():
+    for size in (18, 38):
+        async with running_fleet(size, 0.12) as fleet:
+            await anyio.sleep(5.0)
+            fleet.clear_calls()
+            fleet.owner().cut_power()
+            assert await fleet.wait_until_settled(SETTLING_S) is not None
+            await anyio.sleep(2.0)
+            owner = fleet.owner()
+            connections = [
+                machine.calls["connect"]
+                for machine in fleet.running()
+                if machine is not owner
+            ]
+            assert max(connections) <= MAX_CONNECTIONS, (size, max(connections))
+            assert owner.calls["connect"] <= MAX_CONNECTIONS + size
+            assert fleet.count_takeovers() == 2
+
+
 async def test_owner_without_power_is_replaced_before_its_membership_expires():
     for size in (9, 38):
         async with running_fleet(size) as fleet:
