Let the window of commands allow for slow stores and busy owners

Change: the window grows with all commands that a later answer shows to have arrived, by half of itself in the time of an answer until one is late, as in the slow start of TCP; payloads count less; a window that is not needed shrinks by and by. An answer is late after half of the time that a ping has now, which follows the answers of the owner, in place of 0.1 s.

--- a/gypsumring/node/command_window.py
+++ b/gypsumring/node/command_window.py
@@ -11,15 +11,20 @@
 
 __all__ = ["CommandWindow", "Passage"]
 
-# Messages that may be on their way at one time: at first, and at most. A large command
-# counts as one more for each of its thousand bytes.
+# Messages that may be on their way at one time: at first, and at most. A command counts
+# as one more for so many of its bytes, which is the largest payload.
 INITIAL_MESSAGES = 4.0
-MAX_MESSAGES = 32.0
-BYTES_PER_MESSAGE = 1_000
-# The window grows while answers arrive within half of the shortest time after which a
-# ping to the owner is overdue, and shrinks otherwise.
-TARGET_ANSWER_S = 0.1
+MAX_MESSAGES = 64.0
+BYTES_PER_MESSAGE = 4_000
+LEAST_MESSAGES = 1.0
+# The window grows while answers arrive within this share of the time after which a ping
+# to the owner is overdue, and shrinks otherwise.
+TIMEOUT_SHARE = 0.5
 SHRINK_FACTOR = 0.5
+# Until an answer is late, the window grows by this share of what has arrived.
+GROWTH_SHARE = 0.5
+# A window that is not needed shrinks by this factor with each answer.
+UNUSED_FACTOR = 0.9
 
 
 class Passage:
@@ -36,15 +41,27 @@
     """Window of the commands on one channel, which follows the time of its answers.
 
     The channel delivers in order: commands have arrived if a later message has been
-    answered, and do not count any more.
+    answered, and do not count any more. As in TCP, the window grows by a share of
+    itself in the time of an answer until one is late, and then by one message.
     """
 
-    __slots__ = ("channel", "passages", "shrunk_at", "size")
-
-    def __init__(self):
+    __slots__ = (
+        "channel",
+        "passages",
+        "ping_timeout_s",
+        "shrunk_at",
+        "size",
+        "threshold",
+    )
+
+    def __init__(self, ping_timeout_s: float):
+        # After which time the last ping would have been overdue.
+        self.ping_timeout_s = ping_timeout_s
         self.channel: Any = None
         self.passages: set[Passage] = set()
         self.size = INITIAL_MESSAGES
+        # From this size on it grows by one message in the time of an answer.
+        self.threshold = MAX_MESSAGES
         # Answers to messages that were sent before this time do not shrink it again.
         self.shrunk_at = float("-inf")
 
@@ -54,6 +71,7 @@
             self.channel = channel
             self.passages.clear()
             self.size = min(self.size, INITIAL_MESSAGES)
+            self.threshold = MAX_MESSAGES
 
     def has_room(self, size: int) -> bool:
         """Return whether a command of so many bytes may be sent now."""
@@ -77,14 +95,24 @@
         """
         arrived = [passage for passage in self.passages if passage.sent_at < sent_at]
         self.passages.difference_update(arrived)
-        if seconds > TARGET_ANSWER_S:
-            if sent_at >= self.shrunk_at:
-                self.shrunk_at = anyio.current_time()
-                self.size = max(1.0, self.size * SHRINK_FACTOR)
+        if seconds > TIMEOUT_SHARE * self.ping_timeout_s:
+            self.shrink(sent_at)
         elif is_full:
-            self.size = min(self.size + 1 / self.size, MAX_MESSAGES)
-        else:
-            self.size = min(self.size, INITIAL_MESSAGES)
+            self.grow(1 + sum(passage.messages for passage in arrived))
+        elif self.size > INITIAL_MESSAGES:
+            self.size = max(INITIAL_MESSAGES, self.size * UNUSED_FACTOR)
+
+    def grow(self, messages: float) -> None:
+        """Grow after so many messages have arrived in time."""
+        share = GROWTH_SHARE if self.size < self.threshold else 1 / self.size
+        self.size = min(self.size + share * messages, MAX_MESSAGES)
+
+    def shrink(self, sent_at: float) -> None:
+        """Shrink after the late answer to a message, once in the time of an answer."""
+        if sent_at >= self.shrunk_at:
+            self.shrunk_at = anyio.current_time()
+            self.size = max(LEAST_MESSAGES, self.size * SHRINK_FACTOR)
+            self.threshold = self.size
 
 
 def count_messages(size: int) -> float:
--- a/gypsumring/node/forwarding.py
+++ b/gypsumring/node/forwarding.py
@@ -15,7 +15,7 @@
 )
 from gypsumring.metrics import Metrics
 from gypsumring.node.command_window import CommandWindow
-from gypsumring.node.link import OwnerLink
+from gypsumring.node.link import SHORTEST_PING_TIMEOUT_S, OwnerLink
 from gypsumring.transport import ChannelClosed
 from gypsumring.utils.logs import EventLogger
 
@@ -66,7 +66,7 @@
         # Commands wait for the owner in the order in which they came; only the first
         # one checks whether it can be sent.
         self.turn = anyio.Lock()
-        self.window = CommandWindow()
+        self.window = CommandWindow(SHORTEST_PING_TIMEOUT_S)
         # Set when a command has left the window.
         self.room = anyio.Event()
 
@@ -145,6 +145,11 @@
         self.window.follow(channel)
         return self.window.has_room(command_bytes(command))
 
+    def record_ping(self, sent_at: float, seconds: float, timeout_s: float) -> None:
+        """Record how long the answer to a ping took, and when it had been overdue."""
+        self.window.ping_timeout_s = timeout_s
+        self.record_answer(sent_at, seconds)
+
     def record_answer(self, sent_at: float, seconds: float) -> None:
         """Record how long an answer took that the owner gave at once."""
         self.window.record_answer(sent_at, seconds, self.turn.locked())
--- a/gypsumring/node/link.py
+++ b/gypsumring/node/link.py
@@ -96,7 +96,7 @@
         "next_queried",
         "node_addresses",
         "nodes_version",
-        "on_answer",
+        "on_ping_answer",
         "own_fence",
         "owner_address",
         "owner_changed",
@@ -125,7 +125,7 @@
         metrics: Metrics | None = None,
         list_peers: Callable[[], dict[str, Channel]] = dict,
         list_missing_voters: Callable[[], dict[str, str]] = dict,
-        on_answer: Callable[[float, float], None] = lambda sent_at, seconds: None,
+        on_ping_answer: Callable[[float, float, float], None] = lambda *_: None,
     ):
         self.metrics = metrics or Metrics()
         self.store = store
@@ -140,8 +140,8 @@
         # owner, by node name.
         self.list_missing_voters = list_missing_voters
         # Called when the linked owner has answered a ping, with the time at which the
-        # ping was sent and the seconds that the answer took.
-        self.on_answer = on_answer
+        # ping was sent, the seconds that the answer took, and those that it had.
+        self.on_ping_answer = on_ping_answer
         self.next_announcement_at = 0.0
         self.calls = NodeCalls(connect, handler, self.metrics)
         # Size of the largest machine in the group, None if the last lookup failed.
@@ -581,7 +581,7 @@
         if is_known:
             self.response_times.record(anyio.current_time() - sent_at)
         if self.channel is channel:
-            self.on_answer(sent_at, anyio.current_time() - sent_at)
+            self.on_ping_answer(sent_at, anyio.current_time() - sent_at, timeout_s)
         return answer
 
     def record_owner(self, channel: Channel, address: str, pong: Pong) -> None:
--- a/gypsumring/node/node.py
+++ b/gypsumring/node/node.py
@@ -179,14 +179,14 @@
             metrics=metrics,
             list_peers=lambda: dict(self.peers),
             list_missing_voters=self.list_missing_voters,
-            on_answer=self.record_owner_answer,
+            on_ping_answer=self.record_ping,
         )
         self.forwarder = Forwarder(self.link, self.execute, metrics)
         self.relay = StoreRelay(store_path, self.list_channels, metrics)
 
-    def record_owner_answer(self, sent_at: float, seconds: float) -> None:
-        """Record how long the owner took to answer a ping."""
-        self.forwarder.record_answer(sent_at, seconds)
+    def record_ping(self, sent_at: float, seconds: float, timeout_s: float) -> None:
+        """Record how long the owner took to answer a ping, and how long it had."""
+        self.forwarder.record_ping(sent_at, seconds, timeout_s)
 
     def own_fence(self) -> int | None:
         """Return this node's fence number, or None if it does not own the cell."""
--- a/gypsumring/node/tests/test_forwarding.py
+++ b/gypsumring/node/tests/test_forwarding.py
@@ -1,11 +1,15 @@
 """Tests of the answers to callers when answers of owners are lost."""
 
+from collections import Counter
+
 import anyio
 import logbook
+import msgspec
 
 from gypsumring.cell.messages import JobAnswer, Outcome, QueryJob, SubmitJob
 from gypsumring.metrics import Metrics
 from gypsumring.node.forwarding import CHECK_PERIOD_S, Forwarder
+from gypsumring.node.link import PING_PERIOD_S
 from gypsumring.pipelines import StepSpec
 from gypsumring.transport import ChannelClosed
 from gypsumring.utils.testing import after, make_load_tests
@@ -170,6 +174,39 @@
         assert anyio.current_time() - began_at <= 1.05
 
 
+# Submissions that wait for the store took the window of a node, which let a few of them
+# pass with each answer to a ping, and refused the rest.
+async def test_slow_store_does_not_hold_up_submissions():
+    rate, store_s, seconds = 65, 0.5, 6.0
+    outcomes = Counter()
+
+    class SlowStoreLink(ScriptedLink):
+        async def call(self, command, deadline):
+            await anyio.sleep(store_s)
+            return OK
+
+    forwarder = Forwarder(SlowStoreLink(), None, Metrics())
+
+    async def answer_pings() -> None:
+        while True:
+            await anyio.sleep(PING_PERIOD_S)
+            forwarder.record_answer(anyio.current_time() - 0.002, 0.002)
+
+    async def submit(number: int) -> None:
+        job = msgspec.structs.replace(make_job(f"{number:016x}"), payload="x" * 2_400)
+        answer = await forwarder.forward(SubmitJob(job, 3.0), after(3.0))
+        outcomes[answer.outcome] += 1
+
+    async with anyio.create_task_group() as pings:
+        pings.start_soon(answer_pings)
+        async with anyio.create_task_group() as group:
+            for number in range(int(rate * seconds)):
+                group.start_soon(submit, number)
+                await anyio.sleep(1 / rate)
+        pings.cancel_scope.cancel()
+    assert outcomes == {Outcome.OK: int(rate * seconds)}, outcomes
+
+
 async def test_later_owner_receives_the_time_that_is_left():
     # It received the original time limit, waited for the store beyond the deadline of
     # the caller, and the caller got no answer in time.
