Record the first starts after a takeover that lost executors

Trace: all crashes under a known suspect are counted, since its placement is recorded before it starts. The ones that are not come before that. But the next owner starts the task a second time without a record as well, and the third one a third time.

Change: an owner that finds executors restarted (within a minute) or silent at its takeover notes which tasks it withheld and did not find. The first start of each is recorded as that of a suspect is, and waits for the record. If the owner does not outlive a crash there, the next one counts it. Without a crash such a task is kept apart from nobody and counts as no suspect. After a takeover that lost no executor nothing is recorded. At most one crash is not counted as long as each takeover sees the executor.

The new test kills the owner with each crash, from the first one on. Before, the task is started for ever: TimeoutError after 120 s.

--- a/gypsumring/cell/crashes.py
+++ b/gypsumring/cell/crashes.py
@@ -8,6 +8,7 @@
 from gypsumring.cell.state import CellState
 from gypsumring.fleet import ExecutorState
 from gypsumring.pipelines import Job, JobPhase, Run, RunState, Step
+from gypsumring.pipelines.crashes import Suspect
 from gypsumring.utils.logs import EventLogger
 
 __all__ = ["CrashAttribution"]
@@ -139,8 +140,7 @@
         for step, index, suspect in self.state.table.crashes.list_suspects():
             if suspect.resolve(executor_id, born_ms):
                 changed.append((step, index))
-            if not suspect.crashes:
-                del step.suspects[index]
+            discard_if_unused(step, index)
         self.apply(changed)
         self.record_inherited(executor_id, born_ms)
 
@@ -169,6 +169,8 @@
             if suspect.placed_born_ms == born_ms:
                 # The attempt has ended there.
                 suspect.placed_on = ""
+                discard_if_unused(step, index)
+                changed.append((step, index))
             else:
                 log.warning(
                     "executor has crashed before the takeover",
@@ -217,26 +219,34 @@
     def record_start(self, run: Run, start: Callable[[], None]) -> None:
         """Send the start of a task; that of a suspect once its placement is durable.
 
-        The other members of its gang wait as well, as all have to start together.
+        So is that of a task that an earlier owner may have started on an executor that
+        has crashed. The other members of its gang wait as well, as all have to start
+        together.
         """
         step = run.step
+        if run.index in step.watched:
+            self.state.table.crashes.watch(step, run.index)
+            self.state.metrics.count("cell.starts.watched")
         suspect = step.suspects.get(run.index)
-        if suspect is None:
-            if step.spec.gang and step.suspects:
-                self.state.write_progress(step.job, start, urgent=True)
-            else:
-                start()
+        if suspect is not None:
+            self.record_placement(run, suspect)
+        elif not step.spec.gang or not step.suspects:
+            start()
             return
+        self.state.write_progress(step.job, start, urgent=True)
+
+    def record_placement(self, run: Run, suspect: Suspect) -> None:
+        """Record where a suspect, or a task that is watched, is about to start."""
         executor = self.state.fleet[run.executor_id]
         suspect.record_start(run.executor_id, executor.born_ms)
-        log.info(
-            "suspect is started",
-            **run.log_fields(),
-            crashed=[crash.executor_id for crash in suspect.crashes],
-            beside=len(executor.runs) - 1,
-            final_starts=suspect.final_starts,
-        )
-        self.state.write_progress(step.job, start, urgent=True)
+        if suspect.crashes:
+            log.info(
+                "suspect is started",
+                **run.log_fields(),
+                crashed=[crash.executor_id for crash in suspect.crashes],
+                beside=len(executor.runs) - 1,
+                final_starts=suspect.final_starts,
+            )
 
     def record_refusal(self, run: Run) -> None:
         """Discount a start of a suspect that the executor has refused."""
@@ -251,6 +261,7 @@
         if suspect is None or job.phase.is_final or run.step.runs.get(run.index):
             return
         suspect.placed_on = ""
+        discard_if_unused(run.step, run.index)
         self.give_up_if_certain(run.step, run.index)
         self.state.write_progress(job)
 
@@ -271,9 +282,17 @@
                 for run in runs
             ):
                 del step.suspects[index]
-                log.info(
-                    "suspect is cleared",
-                    job=step.job.spec.job_id,
-                    task=step.task_name(index),
-                )
+                if suspect.crashes:
+                    log.info(
+                        "suspect is cleared",
+                        job=step.job.spec.job_id,
+                        task=step.task_name(index),
+                    )
                 self.state.write_progress(step.job)
+
+
+def discard_if_unused(step: Step, index: int) -> None:
+    """Discard the record of a task without crashes that is not placed any more."""
+    suspect = step.suspects[index]
+    if not suspect.crashes and not suspect.placed_on:
+        del step.suspects[index]
--- a/gypsumring/cell/lists.py
+++ b/gypsumring/cell/lists.py
@@ -26,6 +26,8 @@
 FULL_PROGRESS_TIMEOUT_FACTOR = 2.0
 # These times double with each attempt of a task that was stopped for want of progress.
 MAX_STALL_DOUBLINGS = 10
+# Owners notice a restart, and record it, within this time unless the store is away.
+RECENT_RESTART_MS = 60_000
 # An executor reports at most this many ends in one answer.
 MAX_LISTED_ENDS = 500
 
@@ -54,12 +56,25 @@
             self.state.metrics.count("cell.attempts.lost", len(runs))
         executor.runs_were_released = True
         executor.may_list_lapsed_ends = True
+        if executor.executor_id in self.state.unreconciled:
+            self.state.may_have_lost_attempts = True
         self.orders.crashes.record_loss(executor)
         for run in runs:
             self.orders.release(run)
             self.stop_remaining_members(run, reason)
         self.mark_reconciled(executor)
 
+    def note_restart_before_takeover(
+        self, executor: ExecutorState, born_ms: int
+    ) -> None:
+        """Note that the earlier owner may not have counted a crash of an executor.
+
+        Its record may be of an incarnation of long ago.
+        """
+        is_recent = self.state.wall_clock() - born_ms < RECENT_RESTART_MS
+        if is_recent and executor.executor_id in self.state.unreconciled:
+            self.state.may_have_lost_attempts = True
+
     def mark_reconciled(self, executor: ExecutorState) -> None:
         """Mark an inherited executor as reconciled; this may release withheld tasks."""
         if executor.executor_id in self.state.unreconciled:
@@ -90,6 +105,8 @@
                 task_lists.born_ms, task_lists.clock_ms + max_lease_ms
             )
             self.back_off_after_restart(executor)
+        if has_restarted and is_first_response:
+            self.note_restart_before_takeover(executor, task_lists.born_ms)
         executor.born_ms = task_lists.born_ms or executor.born_ms
         runs_were_released = executor.runs_were_released
         executor.runs_were_released = False
--- a/gypsumring/cell/owner.py
+++ b/gypsumring/cell/owner.py
@@ -217,7 +217,7 @@
             "cell.jobs.active": len(state.table.active),
             "cell.jobs.known": len(state.table.jobs),
             "cell.executors": len(fleet),
-            "cell.tasks.suspects": len(state.table.crashes.list_suspects()),
+            "cell.tasks.suspects": state.table.crashes.count_suspects(),
             "cell.executors.resting": sum(
                 executor.health.is_quarantined(now) for executor in fleet
             ),
--- a/gypsumring/cell/state.py
+++ b/gypsumring/cell/state.py
@@ -110,6 +110,7 @@
         "knowledge",
         "late_starts",
         "longest_durable_lease_ms",
+        "may_have_lost_attempts",
         "metrics",
         "owned_since",
         "queues",
@@ -166,6 +167,8 @@
         self.enrolled: set[str] = set()
         # Executors that may run tasks of an earlier owner and have not responded yet.
         self.unreconciled: set[str] = set()
+        # Whether one of these may have crashed under attempts of an earlier owner.
+        self.may_have_lost_attempts = False
         # Send times of unanswered starts to executors that have left, by attempt.
         self.late_starts: dict[str, dict[tuple[str, int], float]] = {}
         # Set once an executor has changed its capacity within an incarnation, and when
@@ -238,8 +241,9 @@
                 len(step.withheld) for job in inherited for step in job.steps
             )
             for job in inherited:
-                job.release_withheld()
+                job.release_withheld(self.may_have_lost_attempts)
                 self.table.mark_changed(job)
+            self.may_have_lost_attempts = False
             if inherited:
                 self.log_released_tasks(len(inherited), withheld_count)
         self.wake()
--- a/gypsumring/cell/tests/test_crashes.py
+++ b/gypsumring/cell/tests/test_crashes.py
@@ -131,6 +131,37 @@
         assert 2 <= cluster.world.crashes[DEADLY_TASK] <= 5
 
 
+# Guards against a task that crashes executors for ever, since no owner outlives its
+# crashes. The first one leaves no trace; later starts are recorded for the next owner.
+async def test_task_is_given_up_though_no_owner_outlives_its_crashes():
+    behave = deadly_behaviour(3.0, {DEADLY_TASK: 1.0})
+    async with running_cluster(behave, nodes=3) as cluster:
+        await submit(cluster, DEADLY_JOB, SINGLE)
+        seen = 0
+        with anyio.fail_after(120.0):
+            while cluster.phase(DEADLY_JOB) is not JobPhase.FAILED:
+                await anyio.sleep(0.02)
+                crashes = cluster.world.crashes.get(DEADLY_TASK, 0)
+                if crashes > seen:
+                    seen = crashes
+                    await replace_owner(cluster)
+        assert 2 <= cluster.world.crashes[DEADLY_TASK] <= 5
+        assert cluster.metrics.counters["cell.starts.watched"] >= 1
+
+
+# Guards against records for each start after each takeover: they would delay all work
+# that waits, and take the link.
+async def test_starts_after_a_calm_takeover_are_not_recorded():
+    async with running_cluster(steady_behaviour(1.0), nodes=3) as cluster:
+        wide = StepSpec(task_count=16, cpu_millis=8000, estimated_ms=1000)
+        await submit(cluster, OTHER_JOB, wide)
+        await anyio.sleep(1.5)
+        await replace_owner(cluster)
+        assert await cluster.wait_final(OTHER_JOB) is JobPhase.COMPLETED
+        assert cluster.metrics.counters["cell.starts.watched"] == 0
+        assert cluster.metrics.counters["cell.tasks.suspected"] == 0
+
+
 async def replace_owner(cluster: MemoryCluster) -> None:
     """Kill the owner's node and start it again."""
     node = cluster.owner_node()
--- a/gypsumring/dispatch/placing.py
+++ b/gypsumring/dispatch/placing.py
@@ -376,7 +376,9 @@
         while ordered and free[ordered[0].executor_id] <= 0:
             del ordered[0]
         avoided = avoided_by.get(index, no_executors)
-        suspect = step.suspects.get(index) if isolation is not None else None
+        suspect = None
+        if isolation is not None and step.is_suspect(index):
+            suspect = step.suspects[index]
         if suspect is None:
             executor = find_first(ordered, free, avoided)
         else:
--- a/gypsumring/dispatch/tests/test_isolation.py
+++ b/gypsumring/dispatch/tests/test_isolation.py
@@ -66,6 +66,18 @@
 
 # Guards against a wait that begins before there is capacity, so that a busy cell would
 # keep nothing apart.
+# Guards against tasks that wait for an executor of their own although no executor has
+# crashed under them: only their placement is recorded.
+def test_watched_tasks_are_not_kept_apart():
+    table, step = JobTable(), make_step(task_count=3, cpu_millis=1000)
+    for index in range(3):
+        table.crashes.watch(step, index)
+    fleet = make_fleet(1)
+    start(table, step, fleet[0], 0.0)
+    assert list_used(place(table, step, fleet, 1.0)) == ["i-0", "i-0"]
+    assert table.crashes.count_suspects() == 0
+
+
 def test_wait_begins_once_there_is_capacity():
     table, fleet = JobTable(), make_fleet(1)
     other = make_step("b" * 16, task_count=1, cpu_millis=8000)
--- a/gypsumring/pipelines/crashes.py
+++ b/gypsumring/pipelines/crashes.py
@@ -33,6 +33,7 @@
 class Suspect:
     """Crashes of executors under one task, and its latest placement.
 
+    Without any crash the placement alone is recorded, for the next owner.
     ``separate_until`` is the time until which the task waits for an executor of its
     own, None while no wait has begun.
     """
@@ -164,6 +165,16 @@
         """Add the suspects of a job that has been restored."""
         self.steps.update((step, None) for step in job.steps if step.suspects)
 
+    def watch(self, step: "Step", index: int) -> None:
+        """Record the next placement of a task, so that the next owner knows it."""
+        step.watched.discard(index)
+        self.steps[step] = None
+        step.suspects.setdefault(index, Suspect())
+
+    def count_suspects(self) -> int:
+        """Return how many tasks of active jobs have crashes."""
+        return sum(bool(suspect.crashes) for _, _, suspect in self.list_suspects())
+
     def list_suspects(self) -> "list[tuple[Step, int, Suspect]]":
         """Return the step, index and state of all suspects of active jobs."""
         if not self.steps:
@@ -182,8 +193,8 @@
     def find_occupied(self) -> "dict[str, list[Run]]":
         """Return the attempts of suspects by the executors on which they may run."""
         occupied: dict[str, list[Run]] = {}
-        for step, index, _ in self.list_suspects():
-            for run in step.runs.get(index, ()):
+        for step, index, suspect in self.list_suspects():
+            for run in step.runs.get(index, ()) if suspect.crashes else ():
                 occupied.setdefault(run.executor_id, []).append(run)
         return occupied
 
@@ -201,7 +212,7 @@
         common cause is more likely than a task. A crash that is not ``confirmed`` is
         resolved once the executor answers or has left.
         """
-        earlier = [run for run in runs if run.index in run.step.suspects]
+        earlier = [run for run in runs if run.step.is_suspect(run.index)]
         counted = []
         for run in runs:
             step = run.step
--- a/gypsumring/pipelines/state.py
+++ b/gypsumring/pipelines/state.py
@@ -78,6 +78,7 @@
         "tickets_needed_until",
         "uncertain",
         "waiting_since",
+        "watched",
         "withheld",
     )
 
@@ -121,6 +122,9 @@
         # not placed until the uncertain ones are reconciled.
         self.uncertain: set[int] = set()
         self.withheld: set[int] = set()
+        # Tasks under which an executor may have crashed that an earlier owner has not
+        # counted: their next placement is recorded before they start.
+        self.watched: set[int] = set()
         self.done_count = 0
         self.runs: dict[int, list[Run]] = {}
         # Earliest times of the next query to the policy service and the next start.
@@ -171,6 +175,11 @@
         """Return whether tasks are pending and all predecessors are done."""
         return bool(self.pending) and all(step.is_done for step in self.predecessors)
 
+    def is_suspect(self, index: int) -> bool:
+        """Return whether executors have crashed under a task."""
+        suspect = self.suspects.get(index)
+        return suspect is not None and bool(suspect.crashes)
+
     def task_name(self, index: int) -> str:
         """Return the name of the task with this index."""
         return format_task(self.job.spec.job_id, self.occurrence, self.number, index)
@@ -187,6 +196,7 @@
         self.pending.discard(index)
         self.withheld.discard(index)
         self.uncertain.discard(index)
+        self.watched.discard(index)
         self.checkpoints.pop(index, None)
         self.suspects.pop(index, None)
         self.interrupted.pop(index, None)
@@ -215,8 +225,13 @@
         """Record that a task's only attempt has been found on an executor."""
         self.uncertain.discard(index)
 
-    def release_withheld(self) -> None:
-        """Make the withheld tasks pending, as no executor runs them."""
+    def release_withheld(self, may_have_crashed: bool = False) -> None:
+        """Make the withheld tasks pending, as no executor runs them.
+
+        An earlier owner may have started them on an executor that has crashed.
+        """
+        if may_have_crashed and all(step.is_done for step in self.predecessors):
+            self.watched |= self.uncertain
         self.uncertain.clear()
         self.pending |= self.withheld
         self.withheld.clear()
@@ -292,11 +307,11 @@
         self.steps.extend(steps)
         return steps
 
-    def release_withheld(self) -> None:
+    def release_withheld(self, may_have_crashed: bool = False) -> None:
         """Release all withheld tasks, as earlier owners' attempts are reconciled."""
         self.inherited = False
         for step in self.steps:
-            step.release_withheld()
+            step.release_withheld(may_have_crashed)
 
     def release_withheld_dependents(self, step: Step) -> None:
         """Release withheld tasks that no earlier owner can have started.
