Split the lookup of the owner and the reports about it from the link to it

node/link.py had grown to 669 lines, with three jobs. owner_directory.py finds the owner in the store and through other nodes and knows the addresses of nodes, owner_reports.py sends reports to the monitors; the link follows an owner. Behaviour, messages and bounds are as they were.

Run: all tests of gypsumring.node; those of the stand-in's users.

--- a/gypsumring/node/link.py
+++ b/gypsumring/node/link.py
@@ -15,11 +15,7 @@
     decoder,
 )
 from gypsumring.metrics import Metrics
-from gypsumring.node.failure_detection import (
-    OwnerReports,
-    OwnerTerm,
-    choose_monitors,
-)
+from gypsumring.node.failure_detection import OwnerReports, OwnerTerm
 from gypsumring.node.membership import Member
 from gypsumring.node.node_calls import (
     CONNECT_TIMEOUT_S,
@@ -27,15 +23,15 @@
     Handler,
     NodeCalls,
 )
-from gypsumring.ports.store import Store, StoreRefused, StoreUnavailable
+from gypsumring.node.owner_directory import OwnerDirectory
+from gypsumring.node.owner_reports import ReportSender
+from gypsumring.ports.store import Store
 from gypsumring.transport import (
     Channel,
     ChannelClosed,
     ConnectFailed,
     ConnectRefused,
-    Purpose,
     ResponseTimes,
-    sending_for,
 )
 from gypsumring.utils.logs import EventLogger
 
@@ -54,7 +50,6 @@
 # An owner whose answer is overdue, and whose machine accepts connections, has as much
 # time to answer as another node would need to read the cell, up to this time.
 LONGEST_HELLO_TIMEOUT_S = 2.0
-LOOKUP_TIMEOUT_S = 0.5
 # A node that takes over the cell may be slow to answer while it reads the records.
 TAKEOVER_ANSWER_TIMEOUT_S = 2.0
 # How often a node that waits for a takeover looks the owner up, and how often it checks
@@ -65,11 +60,6 @@
 SHORTEST_PAUSE_S = 0.06
 LONGEST_PAUSE_S = 0.5
 PAUSE_GROWTH = 1.5
-# A report is sent at most this often in all, to the next monitors each time, while some
-# of them do not answer.
-MAX_REPORT_ATTEMPTS = 3
-# Nodes that are queried for the owner at one time while the store does not name it.
-MAX_QUERIED_NODES = 4
 
 
 class OwnerLink:
@@ -79,15 +69,12 @@
         "announced",
         "announced_address",
         "calls",
-        "cell",
         "channel",
         "data_centre",
+        "directory",
         "fence",
-        "group_name",
         "has_announced",
         "has_linked",
-        "has_other_members",
-        "largest_member",
         "last_linked_at",
         "linked_since",
         "list_missing_voters",
@@ -96,20 +83,17 @@
         "member",
         "metrics",
         "next_announcement_at",
-        "next_queried",
-        "node_addresses",
         "nodes_version",
         "on_ping_answer",
         "own_fence",
         "owner_address",
         "owner_changed",
-        "owner_member",
         "owner_sent_at",
         "promised_fence",
+        "report_sender",
         "reports",
         "response_times",
         "size",
-        "store",
         "takeover_s",
         "term",
     )
@@ -131,9 +115,6 @@
         on_ping_answer: Callable[[float, float, float], None] = lambda *_: None,
     ):
         self.metrics = metrics or Metrics()
-        self.store = store
-        self.group_name = group_name
-        self.cell = cell
         self.member = member
         # Returns the fence number of this node while it owns the cell, else None.
         self.own_fence = own_fence
@@ -147,10 +128,9 @@
         self.on_ping_answer = on_ping_answer
         self.next_announcement_at = 0.0
         self.calls = NodeCalls(connect, handler, self.metrics)
-        # Size of the largest machine in the group, None if the last lookup failed.
-        self.largest_member: int | None = None
-        # Whether the group had other members at the last lookup.
-        self.has_other_members = False
+        self.directory = OwnerDirectory(
+            store, group_name, cell, member, self.calls, self.metrics
+        )
         # Size of this machine, 0 once the node is stopping.
         self.size = size
         self.data_centre = data_centre
@@ -161,12 +141,9 @@
         self.has_linked = False
         # Time since which the owner at ``owner_address`` has responded.
         self.linked_since = 0.0
-        # Addresses of other nodes by name, received from the owner and the store.
-        self.node_addresses: dict[str, str] = {}
         self.nodes_version = 0
-        # Address of the linked owner, and the group name of the owner last looked up.
+        # Address of the linked owner.
         self.owner_address = ""
-        self.owner_member = ""
         # Address of an owner whose answer is overdue and that is tried once more before
         # it is looked up: messages may be late while the store does not answer.
         self.lost_address = ""
@@ -188,8 +165,7 @@
         self.response_times = ResponseTimes()
         # Reports of other nodes that do not reach the owner.
         self.reports = OwnerReports()
-        # Index, modulo their number, of the node that is queried next for the owner.
-        self.next_queried = 0
+        self.report_sender = ReportSender(member.node, self.calls, self.record_report)
 
     def notify(self) -> None:
         """Wake the tasks that wait for a change of the owner."""
@@ -256,7 +232,7 @@
         channels = self.list_peers()
         addresses = [
             address
-            for name, address in self.list_other_nodes().items()
+            for name, address in self.directory.list_other_nodes().items()
             if name not in channels
         ]
         async with anyio.create_task_group() as group:
@@ -280,44 +256,8 @@
         return announced_address or lost_address or await self.look_up()
 
     async def look_up(self) -> str | None:
-        """Return the address of the owner, None if there is none or it is this node.
-
-        If the store is unavailable or refuses the call, query other nodes.
-        """
-        try:
-            with sending_for(Purpose.MEMBERSHIP):
-                owners = await self.store.owners(
-                    self.group_name, anyio.current_time() + LOOKUP_TIMEOUT_S
-                )
-        except (StoreUnavailable, StoreRefused) as error:
-            log.debug("owner not found in the store", error=str(error))
-            self.largest_member = None
-            return await self.query_nodes()
-        members = [Member.parse(name) for name in owners.values()]
-        self.largest_member = max((member.size for member in members), default=0)
-        self.has_other_members = any(
-            member.node != self.member.node for member in members
-        )
-        name = owners.get(self.cell)
-        if name is None:
-            return None
-        owner = Member.parse(name)
-        if owner.node == self.member.node:
-            if name != str(self.member):
-                self.owner_member = name
-                await self.remove_owner(owner.address, "predecessor of this process")
-            return None
-        self.node_addresses[owner.node] = owner.address
-        self.owner_member = name
-        return owner.address
-
-    def list_other_nodes(self, without: str = "") -> dict[str, str]:
-        """Return the addresses of the other recorded nodes by name, but for one."""
-        return {
-            name: address
-            for name, address in self.node_addresses.items()
-            if name != self.member.node and address != without
-        }
+        """Return the address of the owner, None if there is none or it is this node."""
+        return await self.directory.look_up(self.fence)
 
     def highest_fence(self) -> int:
         """Return the highest fence number of an owner that this process has seen."""
@@ -334,29 +274,6 @@
             self.owner_sent_at,
         )
 
-    def knows_other_nodes(self) -> bool:
-        """Return whether the installation has other nodes, as far as is known."""
-        return self.has_other_members or bool(self.list_other_nodes())
-
-    async def query_nodes(self) -> str | None:
-        """Return the owner's address as recorded by a few other nodes, or None.
-
-        Successive queries go to different nodes.
-        """
-        addresses = sorted(self.list_other_nodes().values())
-        if not addresses:
-            return None
-        first = self.next_queried % len(addresses)
-        self.next_queried = first + MAX_QUERIED_NODES
-        queried = (addresses[first:] + addresses[:first])[:MAX_QUERIED_NODES]
-        answers = await self.calls.call_all(queried, Ping())
-        best = max(
-            answers.values(), key=lambda pong: (pong.owns, pong.fence), default=None
-        )
-        if best is None or not best.owner_address:
-            return None
-        return best.owner_address
-
     async def record_announced_owner(self, message: Announce) -> None:
         """Switch to an owner that has announced itself, unless its fence is stale."""
         if message.fence <= self.fence:
@@ -381,10 +298,10 @@
             return
         if not term.is_reportable(address, self.fence, self.last_linked_at):
             return
-        others = self.list_other_nodes(without=address)
+        others = self.directory.list_other_nodes(without=address)
         message = ReportOwner(self.member.node, address, term.fence, len(others) + 1)
         self.metrics.count("link.owners_reported")
-        monitors = await self.report_to_monitors(message, others)
+        monitors = await self.report_sender.send(message, others)
         log.info(
             "owner reported",
             owner=address,
@@ -393,39 +310,6 @@
             monitors=monitors,
         )
 
-    async def report_to_monitors(
-        self, message: ReportOwner, others: dict[str, str]
-    ) -> list[str]:
-        """Send a report and return the names of the monitors that have answered.
-
-        Monitors may be lost together with the owner. All nodes then choose the same
-        next ones.
-        """
-        names = {*others, self.member.node}
-        reached: list[str] = []
-        for _ in range(MAX_REPORT_ATTEMPTS):
-            monitors = choose_monitors(message.fence, sorted(names))
-            called = [name for name in monitors if name not in reached]
-            if not called:
-                break
-            answered = await self.send_report(message, called, others)
-            reached += answered
-            names.difference_update(set(called) - set(answered))
-        return reached
-
-    async def send_report(
-        self, message: ReportOwner, monitors: list[str], others: dict[str, str]
-    ) -> list[str]:
-        """Send a report to some monitors and return those that have answered."""
-        addresses = {others[name]: name for name in monitors if name in others}
-        answered: list[str] = []
-        async with anyio.create_task_group() as group:
-            if self.member.node in monitors:
-                group.start_soon(self.record_report, message)
-                answered.append(self.member.node)
-            answers = await self.calls.call_all(list(addresses), message)
-        return answered + [addresses[address] for address in answers]
-
     async def record_report(self, message: ReportOwner) -> None:
         """Record, as a monitor, that a node gets no answer from the owner.
 
@@ -441,36 +325,13 @@
         )
         if self.owner_address == address:
             return
-        known_count = len(self.list_other_nodes(without=address)) + 1
+        known_count = len(self.directory.list_other_nodes(without=address)) + 1
         if not self.reports.is_confirmed(max(message.node_count, known_count), now):
             return
         self.reports.clear()
         if await self.look_up() == address:
-            await self.remove_owner(address, "reported by a majority")
-
-    async def remove_owner(self, address: str, reason: str) -> None:
-        """Remove a dead owner from the group so that the cell is reassigned at once.
-
-        If the owner is alive after all, the next owner's fence keeps the cell's state
-        consistent.
-        """
-        member, self.owner_member = self.owner_member, ""
-        if not member or Member.parse(member).address != address:
-            return
-        try:
-            await self.store.leave(
-                self.group_name, member, anyio.current_time() + LOOKUP_TIMEOUT_S
-            )
-            self.metrics.count("link.owners_removed")
-            log.info(
-                "dead owner removed from the group",
-                member=member,
-                reason=reason,
-                fence=self.fence,
-            )
-        except (StoreUnavailable, StoreRefused) as error:
-            log.debug(
-                "dead owner could not be removed from the group", error=str(error)
+            await self.directory.remove_owner(
+                address, "reported by a majority", self.fence
             )
 
     async def try_follow(self, address: str) -> None:
@@ -479,7 +340,7 @@
             has_answered = await self.follow(address)
         except ConnectRefused:
             # A refused connection proves that the owner's process has ended.
-            await self.remove_owner(address, "connection refused")
+            await self.directory.remove_owner(address, "connection refused", self.fence)
             return
         except ConnectFailed as error:
             log.debug("owner not reached", error=str(error))
@@ -625,7 +486,7 @@
         self.fence = max(self.fence, pong.fence)
         self.takeover_s = pong.takeover_s
         if pong.nodes is not None:
-            self.node_addresses = {**pong.nodes, **self.list_owner_address(address)}
+            self.directory.replace_nodes(pong.nodes, address)
             self.nodes_version = pong.nodes_version
         term = self.term
         if term is None or (term.address, term.fence) != (address, pong.fence):
@@ -652,14 +513,6 @@
             unanswered_s=round(now - self.last_linked_at, 3),
         )
 
-    def list_owner_address(self, address: str) -> dict[str, str]:
-        """Return the owner's name and address, which its own list does not contain."""
-        return {
-            name: node_address
-            for name, node_address in self.node_addresses.items()
-            if node_address == address
-        }
-
 
 async def announce_over(channel: Channel, message: Announce) -> None:
     """Announce the ownership over a channel that another node has opened."""
--- a/gypsumring/node/node.py
+++ b/gypsumring/node/node.py
@@ -203,7 +203,9 @@
         if owns:
             self.candidacy.record_linked_sizes(list(self.peer_sizes.values()))
         unlinked_s = anyio.current_time() - self.link.last_linked_at
-        return self.candidacy.is_candidate(owns, unlinked_s, self.link.largest_member)
+        return self.candidacy.is_candidate(
+            owns, unlinked_s, self.link.directory.largest_member
+        )
 
     def list_missing_voters(self) -> dict[str, str]:
         """Return the addresses of voters that may vote for an earlier owner."""
@@ -235,7 +237,7 @@
         """
         self.link.promised_fence = max(self.link.promised_fence, fence)
         self.node_table.add(self.settings.node, self.settings.peer_address)
-        self.node_table.inherit(self.link.node_addresses)
+        self.node_table.inherit(self.link.directory.addresses)
         return CellOwner(
             self.store,
             CELL_TOPIC,
@@ -256,7 +258,7 @@
                 self.votes,
                 self.link.highest_fence,
                 lambda: list(self.peer_voters.values()),
-                self.link.knows_other_nodes,
+                self.link.directory.knows_other_nodes,
             ),
             self.traffic,
         )
--- a/gypsumring/node/tests/test_node_table.py
+++ b/gypsumring/node/tests/test_node_table.py
@@ -105,7 +105,7 @@
         await anyio.sleep(0.2)
         machine.start()
         await anyio.sleep(5.0)
-        assert len(machine.node.link.node_addresses) == 8
+        assert len(machine.node.link.directory.addresses) == 8
         machine.hold_from([owner])
         await anyio.sleep(3.0)
         machine.release_from([owner])
--- a/stand_ins/platform/cluster.py
+++ b/stand_ins/platform/cluster.py
@@ -15,8 +15,9 @@
 from gypsumring.cell.voters import Voter, VoteRegister
 from gypsumring.metrics import Metrics
 from gypsumring.node.failure_detection import OwnerReports, OwnerTerm
-from gypsumring.node.link import LONGEST_PING_TIMEOUT_S, LOOKUP_TIMEOUT_S
+from gypsumring.node.link import LONGEST_PING_TIMEOUT_S
 from gypsumring.node.membership import Membership
+from gypsumring.node.owner_directory import LOOKUP_TIMEOUT_S
 from gypsumring.pipelines import (
     DesiredState,
     JobPhase,
