Add a known failure: failures that count after a time without nodes

A cell whose nodes are all down until a lease has expired still counts a failure that was listed before, if nothing else ran on the executor: the new owner presumes that the last one has extended the lease until the takeover, and no record says when it did.

--- a/gypsumring/cell/tests/test_isolated_owner.py
+++ b/gypsumring/cell/tests/test_isolated_owner.py
@@ -157,6 +157,22 @@
         )
 
 
+# The same without any node until the lease had expired: the next owner presumes that
+# the last one has extended the lease until shortly before.
+async def test_failures_of_a_cell_that_had_no_node_do_not_count():
+    def behave(task: str, attempt: int) -> TaskBehaviour:
+        return TaskBehaviour(2.0, "failed")
+
+    async with running_cluster(behave, nodes=3) as cluster:
+        assert await cluster.submit(make_job(JOB)) is Outcome.OK
+        await anyio.sleep(0.5)
+        await cluster.restart_nodes(sorted(cluster.nodes), EXPIRED_S)
+        assert await cluster.wait_final(JOB) is JobPhase.FAILED
+        assert list(cluster.world.failed_runs.values()) == [3], (
+            cluster.world.failed_runs
+        )
+
+
 # The same if the owner is replaced while it lets the lease expire. Guards against work
 # that is done again because its end is listed with such a failure, too, and against an
 # executor that is not used any more afterwards.
