Let gangs that wait for the link share one hold of it

Cause: the time limit of a hold was one of each gang, and steps that a hold had left out counted as starts that wait for the link.

Change: one hold for all gangs, and as long without one after it; such steps count no more. A gang without a time limit for its members may always start.

Measured: both new tests of test_gang_links fail before ('assert await cluster.submit(gang) is Outcome.OK' at the second gang; 'assert can_carry_gang_now(state, job.steps[0])').

--- a/gypsumring/cell/gang_starts.py
+++ b/gypsumring/cell/gang_starts.py
@@ -41,27 +41,33 @@
     such a gang was evaluated, and steps after it in the order of service are left out.
     """
 
-    __slots__ = ("is_held", "since", "state")
+    __slots__ = ("held_until", "is_held", "next_hold_at", "state", "waiting")
 
     def __init__(self, state: CellState):
         self.state = state
-        self.since: dict[Step, float] = {}
+        self.waiting: set[Step] = set()
+        # All gangs share one hold, and as long a time without one follows it.
+        self.held_until = 0.0
+        self.next_hold_at = 0.0
         self.is_held = False
 
     def begin_pass(self, waiting: Container[Step]) -> None:
         """Forget the steps that do not wait any more."""
         self.is_held = False
-        self.since = {step: at for step, at in self.since.items() if step in waiting}
+        self.waiting = {step for step in self.waiting if step in waiting}
 
     def admit(self, step: Step, now: float) -> bool:
         """Return whether a step may start; hold the link for a gang that may not."""
         if can_carry_gang_now(self.state, step):
-            self.since.pop(step, None)
+            self.waiting.discard(step)
             return True
-        if step not in self.since:
-            self.since[step] = now
+        if step not in self.waiting:
+            self.waiting.add(step)
             self.state.metrics.count("cell.gangs.held_for_link")
-        if now - self.since[step] <= MAX_HOLD_S:
+        if now >= self.next_hold_at:
+            self.held_until = now + MAX_HOLD_S
+            self.next_hold_at = self.held_until + MAX_HOLD_S
+        if now <= self.held_until:
             self.is_held = True
         return False
 
@@ -89,7 +95,7 @@
 
 def can_carry_gang_now(state: CellState, step: Step) -> bool:
     """Return whether the link carries the starts of a gang in time beside the rest."""
-    if not step.spec.gang:
+    if not step.spec.gang or math.isinf(longest_start_s(state)):
         return True
     free_share = 1 - state.traffic.other_share()
     needed_s = transfer_s(state, step.job.spec, step.spec)
--- a/gypsumring/cell/scheduling.py
+++ b/gypsumring/cell/scheduling.py
@@ -148,10 +148,13 @@
         ordered_at = anyio.current_time()
         half_at = ordered_at + MAX_PASS_S / 2
         for step, queue in share_time(ordered, overdue, half_at):
-            if self.state.start_demand.is_link_full() or self.link_holds.is_held:
+            if self.state.start_demand.is_link_full():
                 unstarted.append((step, queue))
                 self.deferred.add(step)
                 continue
+            if self.link_holds.is_held:
+                self.deferred.add(step)
+                continue
             if anyio.current_time() > ordered_at + MAX_PASS_S:
                 unstarted.append((step, queue))
                 self.overdue[step] = None
--- a/gypsumring/cell/tests/test_gang_links.py
+++ b/gypsumring/cell/tests/test_gang_links.py
@@ -16,6 +16,7 @@
     GANG_START_TIMEOUT_S,
     MAX_HOLD_S,
     can_carry_gang,
+    can_carry_gang_now,
     is_member_start_late,
 )
 from gypsumring.cell.messages import Outcome
@@ -268,4 +269,41 @@
         assert not can_carry_gang(state, step.job.spec, step.spec)
 
 
+# Each gang that waited for the link kept everything behind it from starting for 4 s,
+# one after the other, and further jobs were refused meanwhile.
+async def test_gangs_that_wait_for_the_link_share_one_hold():
+    async with linked_cluster() as cluster, anyio.create_task_group() as others:
+        traffic = cluster.owner_node().owner().state.traffic
+
+        async def use_link() -> None:
+            while True:
+                traffic.record_sent(15_000, Purpose.QUERIES)
+                await anyio.sleep(0.1)
+
+        others.start_soon(use_link)
+        await anyio.sleep(4.0)
+        for number in range(3):
+            gang = make_gang(60, estimated_ms=10_000)
+            gang = msgspec.structs.replace(gang, job_id=f"{number + 10:016x}")
+            assert await cluster.submit(gang) is Outcome.OK
+        await anyio.sleep(0.5)
+        single = make_single(1, tasks=5)
+        deadline = anyio.current_time() + MAX_HOLD_S + 1.0
+        assert await cluster.submit(single) is Outcome.OK
+        while cluster.phase(single.job_id) is not JobPhase.COMPLETED:
+            assert anyio.current_time() < deadline
+            await anyio.sleep(0.1)
+        others.cancel_scope.cancel()
+
+
+# Without a limit for members that wait, no gang started while the link was busy.
+async def test_gang_without_a_time_limit_may_always_start():
+    async with linked_cluster() as cluster:
+        state = cluster.owner_node().owner().state
+        state.timing.gang_s = 0.0
+        state.traffic.record_sent(10_000_000, Purpose.QUERIES)
+        job = JobTable().add(make_gang(60), anyio.current_time())
+        assert can_carry_gang_now(state, job.steps[0])
+
+
 load_tests = make_load_tests(globals())
