Repeat stops that block late starts whatever the queue at the link

On a link with a queue of 0.2 s no stop was repeated any more, so that a late start could arrive first.

Cause: repeats of stops needed the credit for repeats, which nothing has while the queue is longer than 0.05 s.

Change: stops are small, and are repeated after a pause that doubles up to 0.4 s. They take no credit from records and starts.

--- a/gypsumring/cell/orders.py
+++ b/gypsumring/cell/orders.py
@@ -30,6 +30,8 @@
 ORDER_TIMEOUT_S = 0.2
 LONGEST_ORDER_TIMEOUT_S = 0.8
 RETRY_PAUSE_S = 0.05
+# The pause doubles at most this often for stops.
+MAX_STOP_DOUBLINGS = 3
 # Bytes of a stop, with its headers.
 STOP_BYTES = 250
 # Task lists show the end of a stopped attempt within this time.
@@ -379,14 +381,13 @@
 
         The capacity is released when the executor's task lists show the end.
         """
-        unanswered = 0
-        purpose = Purpose.STOPS
+        unanswered = repeats = 0
         while (executor := self.find_executor(run)) is not None:
-            if await self.send_stop(run.executor_id, run.task, run.attempt, purpose):
+            if await self.send_stop(run.executor_id, run.task, run.attempt, repeats):
                 run.answered_at = anyio.current_time()
                 self.state.metrics.count("cell.stops")
                 return
-            purpose = Purpose.STOPS_REPEATED
+            repeats += 1
             unanswered = 0 if executor.is_unresponsive else unanswered + 1
             self.back_off_if_unanswered(executor, unanswered)
 
@@ -405,11 +406,11 @@
         """
         key = (task, attempt)
         deadline = anyio.current_time() + MAX_ORDER_DELAY_S
-        purpose = Purpose.STOPS
+        repeats = 0
         while anyio.current_time() < deadline:
-            if await self.send_stop(executor.executor_id, task, attempt, purpose):
+            if await self.send_stop(executor.executor_id, task, attempt, repeats):
                 break
-            purpose = Purpose.STOPS_REPEATED
+            repeats += 1
         executor.starts_to_block.discard(key)
         self.state.wake()
 
@@ -417,20 +418,25 @@
         self, executor: ExecutorState, task: str, attempt: int
     ) -> None:
         """Stop an attempt that the cell has no record of until it is not listed."""
-        purpose = Purpose.STOPS
+        repeats = 0
         while (task, attempt) in executor.unknown_runs and self.is_in_fleet(executor):
-            if await self.send_stop(executor.executor_id, task, attempt, purpose):
+            if await self.send_stop(executor.executor_id, task, attempt, repeats):
                 await anyio.sleep(self.state.timing.stop_s + END_REPORT_DELAY_S)
-            purpose = Purpose.STOPS_REPEATED
+            repeats += 1
 
     def is_in_fleet(self, executor: ExecutorState) -> bool:
         """Return whether an executor has not been evicted from the fleet."""
         return self.state.fleet.get(executor.executor_id) is executor
 
     async def send_stop(
-        self, executor_id: str, task: str, attempt: int, purpose: Purpose
+        self, executor_id: str, task: str, attempt: int, repeats: int
     ) -> bool:
-        """Send one stop and return whether it was answered; pause if it was not."""
+        """Send one stop and return whether it was answered; pause if it was not.
+
+        The pause doubles with each repeat. Stops are small and block late starts, so
+        that they do not wait for the credit for repeats.
+        """
+        purpose = Purpose.STOPS_REPEATED if repeats else Purpose.STOPS
         try:
             async with self.stop_slots.reserve(executor_id):
                 client = self.state.clients.get(executor_id)
@@ -444,7 +450,7 @@
             ) from error
         except (ExecutorSilent, ExecutorGone, StartRefused):
             self.state.metrics.count("cell.stops.unanswered")
-        await self.wait_for_repeat()
+        await anyio.sleep(RETRY_PAUSE_S * 2 ** min(repeats, MAX_STOP_DOUBLINGS))
         return False
 
     async def stop_once(
@@ -459,9 +465,3 @@
         self.state.response_times.record(anyio.current_time() - sent_at)
         if executor is not None:
             self.state.check_incarnation(executor, bound, clock_ms)
-
-    async def wait_for_repeat(self) -> None:
-        """Wait until a stop that was not answered may be sent again."""
-        await anyio.sleep(RETRY_PAUSE_S)
-        while not self.state.traffic.spend_repeat(STOP_BYTES):
-            await anyio.sleep(RETRY_PAUSE_S)
--- a/gypsumring/cell/tests/test_orders_on_full_links.py
+++ b/gypsumring/cell/tests/test_orders_on_full_links.py
@@ -110,4 +110,33 @@
         assert all(count == 1 for count in cluster.world.starts.values())
 
 
+# Stops that block late starts waited for the queue at the link, in which nothing was
+# repeated at all while the link was full.
+async def test_stops_are_repeated_while_the_link_has_a_queue():
+    async with (
+        running_cluster(
+            steady_behaviour(TASK_S), nodes=1, executors=2, link_mbps=10.0
+        ) as cluster,
+        anyio.create_task_group() as others,
+    ):
+        await anyio.sleep(2.0)
+        owner = cluster.owner_node()
+        state, orders = owner.owner().state, owner.owner().scheduler.orders
+        executor = state.fleet[sorted(cluster.executors)[0]]
+        owner.faults.cut_executors.add(executor.executor_id)
+
+        async def keep_queue() -> None:
+            while True:
+                state.traffic.idle_at = anyio.current_time() + 0.2
+                await anyio.sleep(0.01)
+
+        others.start_soon(keep_queue)
+        sent_before = state.metrics.counters["traffic.sent_messages.stops_repeated"]
+        others.start_soon(orders.block_late_start, executor, "a" * 16 + ".0.0.0", 1)
+        await anyio.sleep(6.0)
+        sent = state.metrics.counters["traffic.sent_messages.stops_repeated"]
+        assert sent - sent_before >= 3, sent - sent_before
+        others.cancel_scope.cancel()
+
+
 load_tests = make_load_tests(globals())
