Count the queue, and not the way, in the window of commands

Cause: an answer counted as late by its whole time, and unused windows shrank.

Change: the time beyond the shortest recent answer counts. A window is small at first on each new channel, and only late answers make it smaller.

--- a/gypsumring/node/command_window.py
+++ b/gypsumring/node/command_window.py
@@ -17,14 +17,15 @@
 MAX_MESSAGES = 64.0
 BYTES_PER_MESSAGE = 4_000
 LEAST_MESSAGES = 1.0
-# The window grows while answers arrive within this share of the time after which a ping
-# to the owner is overdue, and shrinks otherwise.
+# The window grows while answers are queued for no longer than this share of the time
+# after which a ping to the owner is overdue, and shrinks otherwise.
 TIMEOUT_SHARE = 0.5
+# By how much the shortest time of an answer is raised with each one, to follow a path
+# that has become longer.
+SHORTEST_GROWTH = 1.02
 SHRINK_FACTOR = 0.5
 # Until an answer is late, the window grows by this share of what has arrived.
 GROWTH_SHARE = 0.5
-# A window that is not needed shrinks by this factor with each answer.
-UNUSED_FACTOR = 0.9
 
 
 class Passage:
@@ -49,6 +50,7 @@
         "channel",
         "passages",
         "ping_timeout_s",
+        "shortest_s",
         "shrunk_at",
         "size",
         "threshold",
@@ -57,6 +59,8 @@
     def __init__(self, ping_timeout_s: float):
         # After which time the last ping would have been overdue.
         self.ping_timeout_s = ping_timeout_s
+        # Shortest recent time of an answer, which has waited in no queue.
+        self.shortest_s = float("inf")
         self.channel: Any = None
         self.passages: set[Passage] = set()
         self.size = INITIAL_MESSAGES
@@ -72,6 +76,7 @@
             self.passages.clear()
             self.size = min(self.size, INITIAL_MESSAGES)
             self.threshold = MAX_MESSAGES
+            self.shortest_s = float("inf")
 
     def has_room(self, size: int) -> bool:
         """Return whether a command of so many bytes may be sent now."""
@@ -95,12 +100,11 @@
         """
         arrived = [passage for passage in self.passages if passage.sent_at < sent_at]
         self.passages.difference_update(arrived)
-        if seconds > TIMEOUT_SHARE * self.ping_timeout_s:
+        self.shortest_s = min(seconds, self.shortest_s * SHORTEST_GROWTH)
+        if seconds - self.shortest_s > TIMEOUT_SHARE * self.ping_timeout_s:
             self.shrink(sent_at)
         elif is_full:
             self.grow(1 + sum(passage.messages for passage in arrived))
-        elif self.size > INITIAL_MESSAGES:
-            self.size = max(INITIAL_MESSAGES, self.size * UNUSED_FACTOR)
 
     def grow(self, messages: float) -> None:
         """Grow after so many messages have arrived in time."""
