Record no first starts of very wide steps after a takeover

Cause: the first start of each task that may have been started is recorded, and each record holds those before it.

Change: steps with more than 200 such tasks record none.

Measured: test_starts_of_very_wide_steps_are_not_recorded; on the code before, all 1,000 tasks of its step were watched.

--- a/gypsumring/pipelines/state.py
+++ b/gypsumring/pipelines/state.py
@@ -22,6 +22,9 @@
 # Tasks of a job that may be open at once, as many as one occurrence may have. A
 # schedule that lies in the past would otherwise fill the memory of each owner.
 MAX_OPEN_TASKS = MAX_STEPS * MAX_STEP_TASKS
+# The first starts of more tasks than this of one step are not recorded: each record
+# holds those before it.
+MAX_WATCHED_TASKS = 200
 # Steps of a scheduled job that may be open at once, if one occurrence has no more: all
 # are looked at in one pass, and written in one record.
 MAX_OPEN_STEPS = 1_000
@@ -230,7 +233,11 @@
 
         An earlier owner may have started them on an executor that has crashed.
         """
-        if may_have_crashed and all(step.is_done for step in self.predecessors):
+        if (
+            may_have_crashed
+            and len(self.uncertain) <= MAX_WATCHED_TASKS
+            and all(step.is_done for step in self.predecessors)
+        ):
             self.watched |= self.uncertain
         self.uncertain.clear()
         self.pending |= self.withheld
--- a/gypsumring/pipelines/tests/test_table.py
+++ b/gypsumring/pipelines/tests/test_table.py
@@ -9,6 +9,7 @@
     decode_progress,
     encode,
 )
+from gypsumring.pipelines.state import MAX_WATCHED_TASKS
 from gypsumring.utils.testing import make_load_tests
 
 TASK = StepSpec(task_count=2, cpu_millis=1000, estimated_ms=500)
@@ -258,4 +259,16 @@
     assert is_next_step_withheld(gang, {0: True, 2: True})
 
 
+# The record of each start held all those before it, so that the starts of one step of
+# 1,000 tasks after a takeover kept the owner busy for half a second.
+def test_starts_of_very_wide_steps_are_not_recorded():
+    for count, watched in ((MAX_WATCHED_TASKS, MAX_WATCHED_TASKS), (1_000, 0)):
+        spec = make_spec(StepSpec(task_count=count))
+        (step,) = JobTable().add(spec, 0.0).steps
+        step.withhold()
+        step.release_withheld(may_have_crashed=True)
+        assert len(step.watched) == watched
+        assert len(step.pending) == count
+
+
 load_tests = make_load_tests(globals())
