--- a/gypsumring/cell/orders.py
+++ b/gypsumring/cell/orders.py
@@ -433,8 +433,8 @@
     ) -> bool:
         """Send one stop and return whether it was answered; pause if it was not.
 
-        The pause doubles with each repeat. Stops are small and block late starts, so
-        that they do not wait for the credit for repeats.
+        The pause doubles with each repeat once the executor backs off. Stops are small
+        and block late starts, so that they do not wait for the credit for repeats.
         """
         purpose = Purpose.STOPS_REPEATED if repeats else Purpose.STOPS
         try:
@@ -450,7 +450,8 @@
             ) from error
         except (ExecutorSilent, ExecutorGone, StartRefused):
             self.state.metrics.count("cell.stops.unanswered")
-        await anyio.sleep(RETRY_PAUSE_S * 2 ** min(repeats, MAX_STOP_DOUBLINGS))
+        doublings = max(0, repeats + 1 - MAX_UNANSWERED_ORDERS)
+        await anyio.sleep(RETRY_PAUSE_S * 2 ** min(doublings, MAX_STOP_DOUBLINGS))
         return False
 
     async def stop_once(
