Do not take a queue that lasts for a longer way to the owner

Cause: raised the shortest time of an answer by a fiftieth with each answer, so that a queue of some hundred answers counted as a longer way, and the window grew again.

Change: it is raised by a thousandth.

Measured: test_queue_that_lasts_keeps_the_window_small fails before ('assert window.size <= INITIAL_MESSAGES'); test_command_herds passes as it is.

--- a/gypsumring/node/command_window.py
+++ b/gypsumring/node/command_window.py
@@ -22,7 +22,7 @@
 TIMEOUT_SHARE = 0.5
 # By how much the shortest time of an answer is raised with each one, to follow a path
 # that has become longer.
-SHORTEST_GROWTH = 1.02
+SHORTEST_GROWTH = 1.001
 SHRINK_FACTOR = 0.5
 # Until an answer is late, the window grows by this share of what has arrived.
 GROWTH_SHARE = 0.5
--- a/gypsumring/node/tests/test_command_window.py
+++ b/gypsumring/node/tests/test_command_window.py
@@ -30,4 +30,12 @@
     assert window.size == size > 2 * INITIAL_MESSAGES
 
 
+# Guards against a queue that is taken for a longer way once it has lasted for a while.
+async def test_queue_that_lasts_keeps_the_window_small():
+    window = CommandWindow(PING_TIMEOUT_S)
+    answer(window, 0.003, 20, is_full=True)
+    answer(window, 0.2, 1_000, is_full=True)
+    assert window.size <= INITIAL_MESSAGES
+
+
 load_tests = make_load_tests(globals())
