--- a/gypsumring/cell/orders.py
+++ b/gypsumring/cell/orders.py
@@ -410,7 +410,8 @@
         while anyio.current_time() < deadline:
             if await self.send_stop(executor.executor_id, task, attempt, repeats):
                 break
-            repeats += 1
+            # The pause does not grow, as a copy of the start may arrive at any time.
+            repeats = 1
         executor.starts_to_block.discard(key)
         self.state.wake()
 
