Compare a failure with the last lapsed end in one place

FailureJudge.judge asked whether a failure is listed before the last lapsed end twice, once for attempts of this owner and once for those of earlier ones. The order of the verdicts is as it was.

Run: test_failures, test_isolated_owner and test_lists (30 tests, one expected failure), formatter and linter.

--- a/gypsumring/cell/failures.py
+++ b/gypsumring/cell/failures.py
@@ -67,10 +67,10 @@
         self, executor: ExecutorState, run: Run, end: ListedEnd, last_lapse: int
     ) -> Verdict:
         """Return how a failure is treated; ``last_lapse`` is the last lapsed end."""
-        if run.attempt >= self.state.table.first_attempt:
-            return Verdict.VOID if end.number < last_lapse else Verdict.COUNTS
         if end.number < last_lapse:
             return Verdict.VOID
+        if run.attempt >= self.state.table.first_attempt:
+            return Verdict.COUNTS
         if run.step.spec.long_running or run.step.job.phase.is_final:
             return Verdict.COUNTS
         if run.step.has_failed(run.index, run.attempt):
