--- a/benchmarks/takeover_reads.py
+++ b/benchmarks/takeover_reads.py
@@ -20,6 +20,7 @@
 from gypsumring.pipelines import PipelineSpec, StepSpec, parse_task
 from gypsumring.platform.store import NewestReply, PlatformStore
 from gypsumring.transport import HttpCall, HttpResponse
+from gypsumring.transport.relayed import OnReceived
 from gypsumring.utils.testing import run_on_mock_clock
 from stand_ins.platform.cluster import CELL_TOPIC, MemoryCluster, make_job
 from stand_ins.platform.servers import StoreApp
@@ -56,7 +57,9 @@
         # Bytes of the records by job.
         self.job_bytes: Counter[str] = Counter()
 
-    async def request(self, call: HttpCall, deadline: float) -> HttpResponse:
+    async def request(
+        self, call: HttpCall, deadline: float, on_received: OnReceived | None = None
+    ) -> HttpResponse:
         """Carry out one call; the response takes the link for its time."""
         target = urlsplit(call.path)
         query = dict(parse_qsl(target.query))
--- a/gypsumring/cell/tests/test_takeover_reads.py
+++ b/gypsumring/cell/tests/test_takeover_reads.py
@@ -15,6 +15,7 @@
 from gypsumring.pipelines.records import Progress, StepProgress
 from gypsumring.platform.store import PlatformStore
 from gypsumring.transport import HttpCall, HttpResponse, LinkTraffic, NoResponse
+from gypsumring.transport.relayed import OnReceived
 from gypsumring.utils.testing import make_load_tests
 from stand_ins.platform.cluster import CELL_TOPIC, MemoryCluster, make_job
 from stand_ins.platform.servers import StoreApp
@@ -37,7 +38,9 @@
         # Number of requests by the key after which a page begins.
         self.requests: Counter[str] = Counter()
 
-    async def request(self, call: HttpCall, deadline: float) -> HttpResponse:
+    async def request(
+        self, call: HttpCall, deadline: float, on_received: OnReceived | None = None
+    ) -> HttpResponse:
         """Carry out one call; raise NoResponse if a page takes too long or is lost."""
         target = urlsplit(call.path)
         query = dict(parse_qsl(target.query))
--- a/gypsumring/node/app.py
+++ b/gypsumring/node/app.py
@@ -123,6 +123,13 @@
         host = headers.get(b"host", b"").decode("latin-1").partition(":")[0]
         queue = desired.match_queue(host, scope["path"])
         if queue is None:
+            self.node.metrics.count("node.refused.no_queue")
+            log.info(
+                "request refused",
+                path=scope["path"],
+                reason="no such queue",
+                version=desired.version,
+            )
             return make_error_response(404, "no such queue")
         try:
             account = self.identify_account(queue, desired, scope["headers"])
@@ -136,6 +143,12 @@
         job_id = scope["path"][len(queue.path_prefix) :]
         method = scope["method"]
         if method == "GET" and not job_id:
+            log.info(
+                "jobs counted",
+                path=scope["path"],
+                queue=queue.name,
+                version=desired.version,
+            )
             command = CountWaiting(queue.name)
             return render_waiting(await self.node.forward(command, deadline))
         if not JOB_ID.match(job_id):
--- a/gypsumring/node/desired.py
+++ b/gypsumring/node/desired.py
@@ -6,11 +6,13 @@
 
 from gypsumring.accounts import KeyRing
 from gypsumring.exceptions import GypsumringError
+from gypsumring.metrics import Metrics
 from gypsumring.pipelines import DesiredState
 from gypsumring.ports.exceptions import OffsetExpired
 from gypsumring.ports.store import (
     SMALL_PAGE_BYTES,
     KeyedRecord,
+    ReadProgress,
     Store,
     StoreRefused,
     StoreUnavailable,
@@ -35,10 +37,14 @@
     """Latest desired state; a version replaces only an older one."""
 
     __slots__ = (
+        "abandoned_bytes",
+        "abandoned_reads",
+        "checked_at",
         "current",
         "decode",
         "key",
         "key_ring",
+        "metrics",
         "offset",
         "store",
         "topic",
@@ -52,8 +58,10 @@
         key: str,
         decode: Callable[[bytes], DesiredState],
         traffic: LinkTraffic | None = None,
+        metrics: Metrics | None = None,
     ):
         self.traffic = traffic or LinkTraffic()
+        self.metrics = metrics or Metrics()
         self.store = store
         self.topic = topic
         self.key = key
@@ -62,6 +70,11 @@
         # Keys of the client accounts of the current version.
         self.key_ring = KeyRing(())
         self.offset: int | None = None
+        # Reads that were given up since the last one that arrived, and their bytes.
+        self.abandoned_reads = 0
+        self.abandoned_bytes = 0
+        # When the last read was sent that showed the end of the topic.
+        self.checked_at = float("-inf")
 
     def get(self) -> DesiredState | None:
         """Return the desired state in force, or None before the first read."""
@@ -81,33 +94,59 @@
 
     async def read_next(self) -> None:
         """Read the latest version first, then wait for the next records."""
-        with sending_for(Purpose.ENTRIES):
-            records = await self.read_records()
+        began_at = anyio.current_time()
+        progress = ReadProgress()
+        try:
+            with sending_for(Purpose.ENTRIES):
+                records = await self.read_records(progress)
+        except (StoreUnavailable, StoreRefused):
+            self.record_abandoned(progress)
+            raise
         for record in records:
             if record.key == self.key and record.value:
-                self.apply(record.value)
+                self.apply(record.value, anyio.current_time() - began_at)
+
+    def record_abandoned(self, progress: ReadProgress) -> None:
+        """Record a read that was given up, and what had arrived of it."""
+        self.abandoned_reads += 1
+        self.abandoned_bytes += progress.received_bytes
+        self.metrics.count("desired.abandoned_reads")
+        self.metrics.count("desired.abandoned_bytes", progress.received_bytes)
+
+    def unchecked_s(self) -> float:
+        """Return for how long no read has shown that the version is the newest."""
+        return anyio.current_time() - self.checked_at
 
-    async def read_records(self) -> list[KeyedRecord]:
+    async def read_records(self, progress: ReadProgress) -> list[KeyedRecord]:
         """Return the latest version, or the records after those that were read."""
         transfer_s = PAGE_TRANSFERS * self.traffic.transfer_s(SMALL_PAGE_BYTES)
-        deadline = anyio.current_time() + LONG_POLL_S + transfer_s
+        sent_at = anyio.current_time()
+        deadline = sent_at + LONG_POLL_S + transfer_s
         if self.offset is None:
-            records, self.offset = await self.store.newest(self.topic, 0, deadline)
+            records, self.offset = await self.store.newest(
+                self.topic, 0, deadline, progress
+            )
+            self.checked_at = sent_at
             return records
         deadline += CALL_MARGIN_S
         try:
             batch = await self.store.read(
-                self.topic, 0, self.offset, LONG_POLL_S, deadline
+                self.topic, 0, self.offset, LONG_POLL_S, deadline, progress
             )
         except OffsetExpired:
             self.offset = None
             return []
         if batch.records:
             self.offset = batch.records[-1].offset + 1
+        if self.offset >= batch.end_offset:
+            self.checked_at = sent_at
         return batch.records
 
-    def apply(self, value: bytes) -> None:
-        """Apply a version unless it is unreadable or not newer than the current one."""
+    def apply(self, value: bytes, read_s: float) -> None:
+        """Apply a version unless it is unreadable or not newer than the current one.
+
+        The read took ``read_s``, with the wait for the version.
+        """
         try:
             desired = self.decode(value)
         except GypsumringError as error:
@@ -117,4 +156,12 @@
             return
         self.current = desired
         self.key_ring = KeyRing(desired.accounts or ())
-        log.info("desired state in force", version=desired.version)
+        log.info(
+            "desired state in force",
+            version=desired.version,
+            bytes=len(value),
+            read_ms=round(read_s * 1000),
+            abandoned_reads=self.abandoned_reads,
+            abandoned_bytes=self.abandoned_bytes,
+        )
+        self.abandoned_reads = self.abandoned_bytes = 0
--- a/gypsumring/node/node.py
+++ b/gypsumring/node/node.py
@@ -146,6 +146,7 @@
             DESIRED_STATE_KEY,
             decode_desired_state,
             self.traffic,
+            metrics,
         )
         size = settings.processor.size
         incarnation = uuid.uuid4().hex[:8]
@@ -325,6 +326,12 @@
             owner = self.membership.active_owner()
             self.metrics.set_gauge("node.owns_cell", 1 if owner else 0)
             self.metrics.set_gauge("node.ready", 1 if self.is_ready() else 0)
+            desired = self.desired.get()
+            if desired is not None:
+                self.metrics.set_gauge("desired.version", desired.version)
+                self.metrics.set_gauge(
+                    "desired.unchecked_s", self.desired.unchecked_s()
+                )
             # Accounts come and go with versions of the desired state.
             self.metrics.discard_gauges(ACCOUNT_GAUGES)
             if owner is not None:
--- a/gypsumring/node/tests/test_relay.py
+++ b/gypsumring/node/tests/test_relay.py
@@ -45,7 +45,7 @@
 class ScriptedPath:
     """Direct path that answers every request."""
 
-    async def request(self, method, path, deadline, body, content_type):
+    async def request(self, method, path, deadline, body, content_type, on_received):
         """Return a successful response."""
         return HttpResponse(200, b"direct", {}, False)
 
--- a/gypsumring/platform/store.py
+++ b/gypsumring/platform/store.py
@@ -18,6 +18,7 @@
     LogBatch,
     NewestPage,
     Producer,
+    ReadProgress,
     SequenceMismatch,
     StoreRefused,
     StoreUnavailable,
@@ -28,6 +29,7 @@
     HttpResponse,
     NoResponse,
     RelayedClient,
+    ResponseCollector,
 )
 from gypsumring.utils.decoding import DECODE_ERRORS
 from gypsumring.utils.ranges import Number, Quantity
@@ -170,16 +172,23 @@
         content_type: str = "application/json",
         waits: bool = False,
         reply_bytes: int = 0,
+        progress: ReadProgress | None = None,
     ) -> HttpResponse:
         """Send one request; raise StoreUnavailable or StoreRefused.
 
         ``waits`` says that the store may delay the response until records arrive, and
-        ``reply_bytes`` is the size of a response that may be large.
+        ``reply_bytes`` is the size of a response that may be large. ``progress`` is
+        kept up to date while the response arrives.
         """
+
+        def note_received(response: ResponseCollector) -> None:
+            if progress is not None:
+                progress.received_bytes = response.size
+
         target = f"{path}?{urlencode(query)}" if query else path
         call = HttpCall(method, target, body, content_type, waits, reply_bytes)
         try:
-            response = await self.client.request(call, deadline)
+            response = await self.client.request(call, deadline, note_received)
         except ConnectFailed as error:
             raise StoreRefused(str(error)) from error
         except NoResponse as error:
@@ -220,16 +229,20 @@
         return reply.end_offset
 
     async def newest(
-        self, topic: str, partition: int, deadline: float
+        self,
+        topic: str,
+        partition: int,
+        deadline: float,
+        progress: ReadProgress | None = None,
     ) -> tuple[list[KeyedRecord], int]:
         """Return the newest record of each key and the end offset before the read."""
         page = await self.read_newest_page(
-            topic, partition, "", deadline, SMALL_PAGE_BYTES
+            topic, partition, "", deadline, SMALL_PAGE_BYTES, progress
         )
         records, end_offset = page.records, page.end_offset
         while page.next_key is not None:
             page = await self.read_newest_page(
-                topic, partition, page.next_key, deadline, SMALL_PAGE_BYTES
+                topic, partition, page.next_key, deadline, SMALL_PAGE_BYTES, progress
             )
             records += page.records
         return records, end_offset
@@ -241,6 +254,7 @@
         after_key: str,
         deadline: float,
         page_bytes: int = PAGE_BYTES,
+        progress: ReadProgress | None = None,
     ) -> NewestPage:
         """Return one page of the newest records, from the keys after one on."""
         query: dict[str, str | int] = {"topic": topic, "part": partition}
@@ -248,7 +262,12 @@
             # In this request, ``dependsOn`` is the last key of the previous page.
             query["dependsOn"] = after_key
         response = await self.call(
-            "GET", "/-/log-newest", deadline, query, reply_bytes=page_bytes
+            "GET",
+            "/-/log-newest",
+            deadline,
+            query,
+            reply_bytes=page_bytes,
+            progress=progress,
         )
         if response.status != 200:
             raise StoreUnavailable(
@@ -260,7 +279,13 @@
         return NewestPage(reply.end_offset, records, next_key)
 
     async def read(
-        self, topic: str, partition: int, offset: int, wait_s: float, deadline: float
+        self,
+        topic: str,
+        partition: int,
+        offset: int,
+        wait_s: float,
+        deadline: float,
+        progress: ReadProgress | None = None,
     ) -> LogBatch:
         """Return the records from ``offset`` on; raise OffsetExpired."""
         query: dict[str, str | int] = {
@@ -271,7 +296,12 @@
         if wait_s > 0:
             query["waitMs"] = int(wait_s * 1000)
         response = await self.call(
-            "GET", "/-/log-read", deadline, query, waits=wait_s > 0
+            "GET",
+            "/-/log-read",
+            deadline,
+            query,
+            waits=wait_s > 0,
+            progress=progress,
         )
         if response.status == 410:
             reply = decode_reply(response, OffsetReply)
--- a/gypsumring/ports/store.py
+++ b/gypsumring/ports/store.py
@@ -12,6 +12,7 @@
     "NewestPage",
     "PAGE_BYTES",
     "Producer",
+    "ReadProgress",
     "SMALL_PAGE_BYTES",
     "SequenceMismatch",
     "Store",
@@ -82,6 +83,15 @@
         self.next_key = next_key
 
 
+class ReadProgress:
+    """Bytes that have arrived of a read in flight."""
+
+    __slots__ = ("received_bytes",)
+
+    def __init__(self):
+        self.received_bytes = 0
+
+
 class LogBatch:
     """Records of one read and the end offset of the partition."""
 
@@ -123,7 +133,11 @@
         """
 
     async def newest(
-        self, topic: str, partition: int, deadline: float
+        self,
+        topic: str,
+        partition: int,
+        deadline: float,
+        progress: ReadProgress | None = None,
     ) -> tuple[list[KeyedRecord], int]:
         """Return the newest record of each key and the end offset before the read."""
 
@@ -143,7 +157,13 @@
         """
 
     async def read(
-        self, topic: str, partition: int, offset: int, wait_s: float, deadline: float
+        self,
+        topic: str,
+        partition: int,
+        offset: int,
+        wait_s: float,
+        deadline: float,
+        progress: ReadProgress | None = None,
     ) -> LogBatch:
         """Return the records from ``offset`` on; raise OffsetExpired."""
 
--- a/gypsumring/transport/__init__.py
+++ b/gypsumring/transport/__init__.py
@@ -8,7 +8,7 @@
     NoResponse,
     TransportError,
 )
-from gypsumring.transport.http_client import HttpClient, HttpResponse
+from gypsumring.transport.http_client import HttpClient, HttpResponse, ResponseCollector
 from gypsumring.transport.relayed import HttpCall, RelayedClient
 from gypsumring.transport.response_times import ResponseTimes
 from gypsumring.transport.traffic import LinkTraffic, Purpose, sending_for
@@ -26,6 +26,7 @@
     "NoResponse",
     "Purpose",
     "RelayedClient",
+    "ResponseCollector",
     "ResponseTimes",
     "TransportError",
     "sending_for",
--- a/gypsumring/transport/http_client.py
+++ b/gypsumring/transport/http_client.py
@@ -6,6 +6,7 @@
 
 import re
 import socket
+from collections.abc import Callable
 
 import anyio
 import anyio.abc
@@ -15,7 +16,7 @@
 from gypsumring.transport.traffic import LinkTraffic
 from gypsumring.utils.addresses import split_address
 
-__all__ = ["HttpClient", "HttpResponse"]
+__all__ = ["HttpClient", "HttpResponse", "ResponseCollector"]
 
 READ_BYTES = 65536
 CONNECT_TIMEOUT_S = 0.5
@@ -69,9 +70,14 @@
 
 
 async def read_response(
-    stream: anyio.abc.ByteReceiveStream, traffic: LinkTraffic | None = None
+    stream: anyio.abc.ByteReceiveStream,
+    traffic: LinkTraffic | None = None,
+    on_received: Callable[[ResponseCollector], None] | None = None,
 ) -> HttpResponse:
-    """Read one response; raise NoResponse if the connection fails before its end."""
+    """Read one response; raise NoResponse if the connection fails before its end.
+
+    ``on_received`` is called after each part of the response.
+    """
     collector = ResponseCollector()
     parser = collector.parser
     try:
@@ -82,6 +88,8 @@
             parser.feed_data(received)
             if collector.size > MAX_RESPONSE_BYTES:
                 raise NoResponse(f"response of more than {MAX_RESPONSE_BYTES} bytes")
+            if on_received is not None:
+                on_received(collector)
     except (
         anyio.EndOfStream,
         anyio.BrokenResourceError,
@@ -151,16 +159,18 @@
         body: bytes = b"",
         headers: dict[str, str] | None = None,
         content_type: str = "application/json",
+        on_received: Callable[[ResponseCollector], None] | None = None,
     ) -> HttpResponse:
         """Return the response that arrives before ``deadline`` (``current_time``).
 
-        Raise ConnectFailed if nothing was sent and NoResponse if the request may
-        have been executed.
+        ``on_received`` is called after each part of the response.
+        Raise ConnectFailed if nothing was sent and NoResponse if the request may have
+        been executed.
         """
         message = self.encode_head(method, path, body, headers, content_type) + body
         await self.acquire_slot(deadline)
         try:
-            return await self.exchange(message, deadline)
+            return await self.exchange(message, deadline, on_received)
         finally:
             if self.free_slots is not None:
                 self.free_slots.release()
@@ -202,7 +212,12 @@
                     f"{self.address}: all connections in use"
                 ) from error
 
-    async def exchange(self, message: bytes, deadline: float) -> HttpResponse:
+    async def exchange(
+        self,
+        message: bytes,
+        deadline: float,
+        on_received: Callable[[ResponseCollector], None] | None = None,
+    ) -> HttpResponse:
         """Send a request over an idle or a new connection and return the response."""
         stream = (
             self.idle_connections.pop().stream
@@ -214,7 +229,7 @@
             with anyio.fail_after(max(0.0, deadline - anyio.current_time())):
                 self.traffic.record_sent(len(message))
                 await stream.send(message)
-                response = await read_response(stream, self.traffic)
+                response = await read_response(stream, self.traffic, on_received)
             reusable = not (response.closes_connection or self.closed)
             return response
         except TimeoutError as error:
--- a/gypsumring/transport/relayed.py
+++ b/gypsumring/transport/relayed.py
@@ -6,7 +6,11 @@
 import msgspec
 
 from gypsumring.transport.exceptions import ConnectFailed, NoResponse
-from gypsumring.transport.http_client import HttpClient, HttpResponse
+from gypsumring.transport.http_client import (
+    HttpClient,
+    HttpResponse,
+    ResponseCollector,
+)
 from gypsumring.transport.traffic import LinkTraffic
 from gypsumring.utils.logs import DependencyLogger, EventLogger
 
@@ -43,6 +47,8 @@
 
 
 Relay = Callable[[HttpCall, float], Awaitable[HttpResponse]]
+# Called after each part of a response that is received directly.
+OnReceived = Callable[[ResponseCollector], None]
 
 
 class DirectCall:
@@ -132,9 +138,15 @@
         self.was_failing = failing
         return failing
 
-    async def request(self, call: HttpCall, deadline: float) -> HttpResponse:
+    async def request(
+        self,
+        call: HttpCall,
+        deadline: float,
+        on_received: OnReceived | None = None,
+    ) -> HttpResponse:
         """Return the response that arrives before ``deadline`` (``current_time``).
 
+        ``on_received`` is called after each part of a direct response.
         Raise ConnectFailed if nothing was sent and NoResponse if the request may have
         been executed.
         """
@@ -148,14 +160,20 @@
             else:
                 self.next_probe_at = now + PROBE_PERIOD_S
                 direct_deadline = min(deadline, now + self.probe_limit_s(call))
-        return await self.send_direct_or_relayed(call, direct_deadline, deadline)
+        return await self.send_direct_or_relayed(
+            call, direct_deadline, deadline, on_received
+        )
 
     async def send_direct_or_relayed(
-        self, call: HttpCall, direct_deadline: float, deadline: float
+        self,
+        call: HttpCall,
+        direct_deadline: float,
+        deadline: float,
+        on_received: OnReceived | None = None,
     ) -> HttpResponse:
         """Send a call directly until ``direct_deadline``, then through a peer."""
         try:
-            response = await self.send_direct(call, direct_deadline)
+            response = await self.send_direct(call, direct_deadline, on_received)
         except (ConnectFailed, NoResponse):
             if anyio.current_time() >= deadline:
                 raise
@@ -179,7 +197,12 @@
             log.debug("no peer could forward the call to the server", error=str(error))
             return None
 
-    async def send_direct(self, call: HttpCall, deadline: float) -> HttpResponse:
+    async def send_direct(
+        self,
+        call: HttpCall,
+        deadline: float,
+        on_received: OnReceived | None = None,
+    ) -> HttpResponse:
         """Send a call to the server and record whether the path works."""
         sent_at = anyio.current_time()
         transfer_s = self.traffic.send_s(len(call.body))
@@ -197,6 +220,7 @@
                 deadline,
                 call.body,
                 content_type=call.content_type,
+                on_received=on_received,
             )
         except (ConnectFailed, NoResponse) as error:
             if sent_at >= self.last_answer_at:
--- a/gypsumring/transport/tests/test_relayed.py
+++ b/gypsumring/transport/tests/test_relayed.py
@@ -30,7 +30,7 @@
         # Whether a request that takes longer than until its deadline fails then.
         self.gives_up = False
 
-    async def request(self, method, path, deadline, body, content_type):
+    async def request(self, method, path, deadline, body, content_type, on_received):
         """Answer one request."""
         self.calls += 1
         match self.outcome:
--- a/stand_ins/platform/memory.py
+++ b/stand_ins/platform/memory.py
@@ -14,6 +14,7 @@
     LogBatch,
     NewestPage,
     Producer,
+    ReadProgress,
     StoreRefused,
     StoreUnavailable,
 )
@@ -192,7 +193,11 @@
         )
 
     async def newest(
-        self, topic: str, partition: int, deadline: float
+        self,
+        topic: str,
+        partition: int,
+        deadline: float,
+        progress: ReadProgress | None = None,
     ) -> tuple[list[KeyedRecord], int]:
         """Return the newest record of each key and the end offset before the read."""
         records, end = await self.exchange(
@@ -246,7 +251,13 @@
         return NewestPage(end_offset, page, next_key)
 
     async def read(
-        self, topic: str, partition: int, offset: int, wait_s: float, deadline: float
+        self,
+        topic: str,
+        partition: int,
+        offset: int,
+        wait_s: float,
+        deadline: float,
+        progress: ReadProgress | None = None,
     ) -> LogBatch:
         """Return the records from ``offset`` on; raise OffsetExpired."""
         return await self.exchange(
