Read a desired state as long as it arrives, and only the newest one

A confirmed version was in force at some nodes too late or never; a route that it removed was served, one that it added refused with 404, and for seconds hardly any request was in time.

Cause: a read had a fixed time for all of its bytes. One that was given up counted as a failure of the path to the store, so that the next one went through the owner: as one message of the size of all versions since the last one that the node had, for 35 nodes at a time, on the connections that carry pings and commands.

Change, for all reads of the store: the deadline is for the beginning of the response, which is then received while its parts follow each other within 1 s. Each part proves that the path works. The watch of the desired state declines a response that would carry several large versions by its first bytes, and reads the last record, or the newest ones. The time in which the store has to begin an answer follows its response times, so that a slow store fails no polls.

--- a/gypsumring/node/desired.py
+++ b/gypsumring/node/desired.py
@@ -10,14 +10,14 @@
 from gypsumring.pipelines import DesiredState
 from gypsumring.ports.exceptions import OffsetExpired
 from gypsumring.ports.store import (
-    SMALL_PAGE_BYTES,
+    BacklogTooLarge,
     KeyedRecord,
     ReadProgress,
     Store,
     StoreRefused,
     StoreUnavailable,
 )
-from gypsumring.transport import LinkTraffic, Purpose, sending_for
+from gypsumring.transport import Purpose, ResponseTimes, sending_for
 from gypsumring.utils.logs import DependencyLogger, EventLogger
 
 __all__ = ["DesiredStateWatch"]
@@ -26,11 +26,13 @@
 
 # The store delays its response by up to this time while there is nothing new.
 LONG_POLL_S = 1.0
-CALL_MARGIN_S = 0.4
-# Calls have the time in which the link of this machine carries a page so many times,
-# beside these limits.
-PAGE_TRANSFERS = 2
+# A response is overdue after a time between these, beside that delay, according to how
+# long the store takes to answer.
+SHORTEST_ANSWER_S = 0.4
+LONGEST_ANSWER_S = 2.0
 RETRY_DELAY_S = 0.15
+# Of several versions only the newest is read, unless all are no larger than this.
+MAX_BACKLOG_BYTES = 64_000
 
 
 class DesiredStateWatch:
@@ -47,8 +49,8 @@
         "metrics",
         "offset",
         "store",
+        "response_times",
         "topic",
-        "traffic",
     )
 
     def __init__(
@@ -57,10 +59,8 @@
         topic: str,
         key: str,
         decode: Callable[[bytes], DesiredState],
-        traffic: LinkTraffic | None = None,
         metrics: Metrics | None = None,
     ):
-        self.traffic = traffic or LinkTraffic()
         self.metrics = metrics or Metrics()
         self.store = store
         self.topic = topic
@@ -73,6 +73,7 @@
         # Reads that were given up since the last one that arrived, and their bytes.
         self.abandoned_reads = 0
         self.abandoned_bytes = 0
+        self.response_times = ResponseTimes()
         # When the last read was sent that showed the end of the topic.
         self.checked_at = float("-inf")
 
@@ -99,8 +100,10 @@
         try:
             with sending_for(Purpose.ENTRIES):
                 records = await self.read_records(progress)
-        except (StoreUnavailable, StoreRefused):
+        except (StoreUnavailable, StoreRefused) as error:
             self.record_abandoned(progress)
+            if isinstance(error, StoreUnavailable) and not progress.received_bytes:
+                self.response_times.record(self.answer_s())
             raise
         for record in records:
             if record.key == self.key and record.value:
@@ -117,27 +120,60 @@
         """Return for how long no read has shown that the version is the newest."""
         return anyio.current_time() - self.checked_at
 
+    def answer_s(self) -> float:
+        """Return how long the store may take to begin a response, without its delay."""
+        return self.response_times.timeout_s(SHORTEST_ANSWER_S, LONGEST_ANSWER_S)
+
     async def read_records(self, progress: ReadProgress) -> list[KeyedRecord]:
         """Return the latest version, or the records after those that were read."""
-        transfer_s = PAGE_TRANSFERS * self.traffic.transfer_s(SMALL_PAGE_BYTES)
-        sent_at = anyio.current_time()
-        deadline = sent_at + LONG_POLL_S + transfer_s
         if self.offset is None:
-            records, self.offset = await self.store.newest(
-                self.topic, 0, deadline, progress
-            )
-            self.checked_at = sent_at
-            return records
-        deadline += CALL_MARGIN_S
+            return await self.read_newest(progress)
         try:
-            batch = await self.store.read(
-                self.topic, 0, self.offset, LONG_POLL_S, deadline, progress
-            )
+            return await self.read_from(self.offset, LONG_POLL_S, progress)
         except OffsetExpired:
             self.offset = None
             return []
+        except BacklogTooLarge as backlog:
+            end_offset = backlog.end_offset
+        # The last record usually is the newest version, and smaller than its encoding
+        # in a page of newest records.
+        self.offset = None
+        try:
+            records = await self.read_from(end_offset - 1, 0.0, progress)
+        except (OffsetExpired, BacklogTooLarge):
+            return []
+        if not any(record.key == self.key for record in records):
+            self.offset = None
+        return records
+
+    async def read_newest(self, progress: ReadProgress) -> list[KeyedRecord]:
+        """Read the newest record of each key."""
+        sent_at = anyio.current_time()
+        records, self.offset = await self.store.newest(
+            self.topic, 0, sent_at + LONG_POLL_S + self.answer_s(), progress
+        )
+        self.checked_at = sent_at
+        return records
+
+    async def read_from(
+        self, offset: int, wait_s: float, progress: ReadProgress
+    ) -> list[KeyedRecord]:
+        """Read the records from an offset on, unless they are several large ones."""
+        sent_at = anyio.current_time()
+        batch = await self.store.read(
+            self.topic,
+            0,
+            offset,
+            wait_s,
+            sent_at + wait_s + self.answer_s(),
+            progress,
+            MAX_BACKLOG_BYTES,
+        )
+        self.offset = offset
         if batch.records:
             self.offset = batch.records[-1].offset + 1
+        else:
+            self.response_times.record(anyio.current_time() - sent_at - wait_s)
         if self.offset >= batch.end_offset:
             self.checked_at = sent_at
         return batch.records
--- a/gypsumring/node/node.py
+++ b/gypsumring/node/node.py
@@ -145,7 +145,6 @@
             DESIRED_STATE_TOPIC,
             DESIRED_STATE_KEY,
             decode_desired_state,
-            self.traffic,
             metrics,
         )
         size = settings.processor.size
--- a/gypsumring/node/tests/test_desired_state.py
+++ b/gypsumring/node/tests/test_desired_state.py
@@ -38,7 +38,7 @@
         client = MemoryStore(
             store, Faults(random.Random(0)), group, Connections(link, traffic, group)
         )
-        watch = DesiredStateWatch(client, TOPIC, KEY, decode_desired_state, traffic)
+        watch = DesiredStateWatch(client, TOPIC, KEY, decode_desired_state)
         group.start_soon(watch.run)
         yield watch
         group.cancel_scope.cancel()
--- a/gypsumring/node/tests/test_desired_state_in_time.py
+++ b/gypsumring/node/tests/test_desired_state_in_time.py
@@ -55,9 +55,7 @@
             group,
             Connections(self.link, traffic, group),
         )
-        self.watch = DesiredStateWatch(
-            client, TOPIC, KEY, decode_desired_state, traffic
-        )
+        self.watch = DesiredStateWatch(client, TOPIC, KEY, decode_desired_state)
 
     def publish(self, number: int, kilobytes: float) -> None:
         """Publish a version."""
--- a/gypsumring/platform/store.py
+++ b/gypsumring/platform/store.py
@@ -14,6 +14,7 @@
     SMALL_PAGE_BYTES,
     AppendFenced,
     Assignment,
+    BacklogTooLarge,
     KeyedRecord,
     LogBatch,
     NewestPage,
@@ -31,6 +32,7 @@
     RelayedClient,
     ResponseCollector,
 )
+from gypsumring.transport.relayed import OnReceived
 from gypsumring.utils.decoding import DECODE_ERRORS
 from gypsumring.utils.ranges import Number, Quantity
 
@@ -154,6 +156,18 @@
     return KeyedRecord(item.offset, item.key, value)
 
 
+def check_backlog(response: ResponseCollector, offset: int, max_bytes: int) -> None:
+    """Raise BacklogTooLarge by the beginning of the response to a read."""
+    if response.parser.get_status_code() != 200:
+        return
+    declared_bytes = response.headers.get("content-length", "")
+    if declared_bytes.isdigit() and int(declared_bytes) <= max_bytes:
+        return
+    end_offset, _ = READ_HEADER.unpack_from(b"".join(response.parts))
+    if end_offset > offset + 1:
+        raise BacklogTooLarge(end_offset)
+
+
 class PlatformStore:
     """HTTP client of the store; implements the port ``Store``."""
 
@@ -172,23 +186,18 @@
         content_type: str = "application/json",
         waits: bool = False,
         reply_bytes: int = 0,
-        progress: ReadProgress | None = None,
+        on_received: OnReceived | None = None,
     ) -> HttpResponse:
         """Send one request; raise StoreUnavailable or StoreRefused.
 
         ``waits`` says that the store may delay the response until records arrive, and
-        ``reply_bytes`` is the size of a response that may be large. ``progress`` is
-        kept up to date while the response arrives.
+        ``reply_bytes`` is the size of a response that may be large. ``on_received`` is
+        called after each part of a response that may take longer than the deadline.
         """
-
-        def note_received(response: ResponseCollector) -> None:
-            if progress is not None:
-                progress.received_bytes = response.size
-
         target = f"{path}?{urlencode(query)}" if query else path
         call = HttpCall(method, target, body, content_type, waits, reply_bytes)
         try:
-            response = await self.client.request(call, deadline, note_received)
+            response = await self.client.request(call, deadline, on_received)
         except ConnectFailed as error:
             raise StoreRefused(str(error)) from error
         except NoResponse as error:
@@ -261,13 +270,18 @@
         if after_key:
             # In this request, ``dependsOn`` is the last key of the previous page.
             query["dependsOn"] = after_key
+
+        def note_received(response: ResponseCollector) -> None:
+            if progress is not None:
+                progress.received_bytes = response.size
+
         response = await self.call(
             "GET",
             "/-/log-newest",
             deadline,
             query,
             reply_bytes=page_bytes,
-            progress=progress,
+            on_received=note_received,
         )
         if response.status != 200:
             raise StoreUnavailable(
@@ -286,8 +300,9 @@
         wait_s: float,
         deadline: float,
         progress: ReadProgress | None = None,
+        max_backlog_bytes: int | None = None,
     ) -> LogBatch:
-        """Return the records from ``offset`` on; raise OffsetExpired."""
+        """Return records; raise OffsetExpired or BacklogTooLarge."""
         query: dict[str, str | int] = {
             "topic": topic,
             "part": partition,
@@ -295,13 +310,24 @@
         }
         if wait_s > 0:
             query["waitMs"] = int(wait_s * 1000)
+
+        is_checked = max_backlog_bytes is None
+
+        def note_received(response: ResponseCollector) -> None:
+            nonlocal is_checked
+            if progress is not None:
+                progress.received_bytes = response.size
+            if not is_checked and response.size >= READ_HEADER.size:
+                is_checked = True
+                check_backlog(response, offset, max_backlog_bytes)
+
         response = await self.call(
             "GET",
             "/-/log-read",
             deadline,
             query,
             waits=wait_s > 0,
-            progress=progress,
+            on_received=note_received,
         )
         if response.status == 410:
             reply = decode_reply(response, OffsetReply)
--- a/gypsumring/ports/store.py
+++ b/gypsumring/ports/store.py
@@ -7,6 +7,7 @@
 __all__ = [
     "AppendFenced",
     "Assignment",
+    "BacklogTooLarge",
     "KeyedRecord",
     "LogBatch",
     "NewestPage",
@@ -45,6 +46,14 @@
         self.expected = expected
 
 
+class BacklogTooLarge(PortError):
+    """Raised when a read would return several records that are too large together."""
+
+    def __init__(self, end_offset: int):
+        super().__init__(f"too many records before offset {end_offset}")
+        self.end_offset = end_offset
+
+
 class Producer:
     """Name and epoch of a writer and the sequence number of its append."""
 
@@ -115,7 +124,8 @@
 class Store(Protocol):
     """Client of the store; all calls raise StoreUnavailable or StoreRefused.
 
-    Deadlines are times of ``anyio.current_time()``, in seconds.
+    Deadlines are times of ``anyio.current_time()``, in seconds. Those of reads are for
+    the beginning of the response, which then takes as long as its bytes arrive.
     """
 
     async def append(
@@ -164,8 +174,13 @@
         wait_s: float,
         deadline: float,
         progress: ReadProgress | None = None,
+        max_backlog_bytes: int | None = None,
     ) -> LogBatch:
-        """Return the records from ``offset`` on; raise OffsetExpired."""
+        """Return the records from ``offset`` on; raise OffsetExpired.
+
+        Raise BacklogTooLarge, before the records are received, if there are several of
+        more than ``max_backlog_bytes`` in total.
+        """
 
     async def join(
         self,
--- a/gypsumring/transport/http_client.py
+++ b/gypsumring/transport/http_client.py
@@ -16,10 +16,13 @@
 from gypsumring.transport.traffic import LinkTraffic
 from gypsumring.utils.addresses import split_address
 
-__all__ = ["HttpClient", "HttpResponse", "ResponseCollector"]
+__all__ = ["PROGRESS_TIMEOUT_S", "HttpClient", "HttpResponse", "ResponseCollector"]
 
 READ_BYTES = 65536
 CONNECT_TIMEOUT_S = 0.5
+# A response that may be large is read on as long as no more than this time passes
+# between two of its parts.
+PROGRESS_TIMEOUT_S = 1.0
 # More than the store returns in one response.
 MAX_RESPONSE_BYTES = 64 * 1024 * 1024
 # The kernel closes a connection whose data stays unacknowledged for this long.
@@ -163,7 +166,10 @@
     ) -> HttpResponse:
         """Return the response that arrives before ``deadline`` (``current_time``).
 
-        ``on_received`` is called after each part of the response.
+        With ``on_received``, which is called after each part of the response, the
+        deadline is that of the first part: the response is read on while its parts
+        follow each other within PROGRESS_TIMEOUT_S.
+
         Raise ConnectFailed if nothing was sent and NoResponse if the request may have
         been executed.
         """
@@ -225,11 +231,19 @@
             else await self.connect(deadline)
         )
         reusable = False
+
+        def note_received(response: ResponseCollector) -> None:
+            progress_deadline = anyio.current_time() + PROGRESS_TIMEOUT_S
+            scope.deadline = max(scope.deadline, progress_deadline)
+            on_received(response)
+
         try:
-            with anyio.fail_after(max(0.0, deadline - anyio.current_time())):
+            with anyio.fail_after(max(0.0, deadline - anyio.current_time())) as scope:
                 self.traffic.record_sent(len(message))
                 await stream.send(message)
-                response = await read_response(stream, self.traffic, on_received)
+                response = await read_response(
+                    stream, self.traffic, note_received if on_received else None
+                )
             reusable = not (response.closes_connection or self.closed)
             return response
         except TimeoutError as error:
--- a/gypsumring/transport/relayed.py
+++ b/gypsumring/transport/relayed.py
@@ -45,6 +45,11 @@
     waits: bool = False
     reply_bytes: int = 0
 
+    @property
+    def is_read(self) -> bool:
+        """Return whether the response may be large and take as long as it arrives."""
+        return self.method == "GET"
+
 
 Relay = Callable[[HttpCall, float], Awaitable[HttpResponse]]
 # Called after each part of a response that is received directly.
@@ -54,10 +59,12 @@
 class DirectCall:
     """Direct call in flight, and the time from which its response is overdue."""
 
-    __slots__ = ("due_at", "reply_bytes", "sent_at")
+    __slots__ = ("due_at", "received_at", "reply_bytes", "sent_at")
 
     def __init__(self, sent_at: float, due_at: float, reply_bytes: int):
         self.sent_at = sent_at
+        # When the last part of the response arrived, ``sent_at`` before the first one.
+        self.received_at = sent_at
         self.due_at = due_at
         self.reply_bytes = reply_bytes
 
@@ -146,7 +153,10 @@
     ) -> HttpResponse:
         """Return the response that arrives before ``deadline`` (``current_time``).
 
-        ``on_received`` is called after each part of a direct response.
+        The response to a read may take longer once it has begun, as described for
+        ``HttpClient.request``. ``on_received`` is called after each of its parts if it
+        is received directly.
+
         Raise ConnectFailed if nothing was sent and NoResponse if the request may have
         been executed.
         """
@@ -213,6 +223,12 @@
         )
         if not call.waits:
             self.calls_in_flight.append(in_flight)
+
+        def note_received(response: ResponseCollector) -> None:
+            in_flight.received_at = self.last_answer_at = anyio.current_time()
+            if on_received is not None:
+                on_received(response)
+
         try:
             response = await self.client.request(
                 call.method,
@@ -220,10 +236,10 @@
                 deadline,
                 call.body,
                 content_type=call.content_type,
-                on_received=on_received,
+                on_received=note_received if call.is_read else None,
             )
         except (ConnectFailed, NoResponse) as error:
-            if sent_at >= self.last_answer_at:
+            if in_flight.received_at >= self.last_answer_at:
                 self.record_failed_call(error)
             raise
         finally:
--- a/stand_ins/platform/links.py
+++ b/stand_ins/platform/links.py
@@ -8,6 +8,7 @@
 
 from gypsumring.exceptions import PortError
 from gypsumring.transport import LinkTraffic
+from gypsumring.transport.http_client import PROGRESS_TIMEOUT_S
 
 __all__ = ["Connections", "LinkModel"]
 
@@ -28,8 +29,10 @@
         # When all pieces that were queued so far have been carried.
         self.idle_at = 0.0
 
-    async def carry(self, size: float) -> None:
-        """Return once the link has carried a message.
+    async def carry(
+        self, size: float, on_piece: Callable[[], None] | None = None
+    ) -> None:
+        """Return once the link has carried a message; call a function for each piece.
 
         A piece that has been queued is carried also if the caller is cancelled.
         """
@@ -39,6 +42,8 @@
             begins_at = max(self.idle_at, anyio.current_time())
             self.idle_at = begins_at + piece / self.bytes_per_s
             await anyio.sleep_until(self.idle_at)
+            if on_piece is not None:
+                on_piece()
 
 
 class LinkModel:
@@ -57,18 +62,22 @@
         """Return once the link has carried a message of the process."""
         await self.outward.carry(size)
 
-    async def receive(self, size: float) -> None:
+    async def receive(
+        self, size: float, on_piece: Callable[[], None] | None = None
+    ) -> None:
         """Return once the link has carried a message to the process."""
-        await self.inward.carry(size)
+        await self.inward.carry(size, on_piece)
 
 
 class Exchange:
     """Request and its answer, until the caller gives up."""
 
-    __slots__ = ("answering", "ended", "error", "result")
+    __slots__ = ("answering", "ended", "error", "on_piece", "result")
 
     def __init__(self):
         self.answering = anyio.CancelScope()
+        # Called for each piece of the answer that arrives.
+        self.on_piece: Callable[[], None] | None = None
         self.ended = anyio.Event()
         self.error: PortError | None = None
         self.result: Any = None
@@ -97,17 +106,26 @@
         operation: Callable[[], Awaitable[Any]],
         measure_answer: Callable[[Any], float],
         deadline: float,
+        is_read: bool = False,
     ) -> Any:
         """Send a request, carry it out and return its answer; raise TimeoutError.
 
-        ``measure_answer`` returns the size of the answer. A request is carried out also
+        ``measure_answer`` returns the size of the answer. A read ends only when its
+        deadline has passed and nothing arrives. A request is carried out also
         if the caller has given up before it arrives; its answer is then not sent.
         """
         exchange = Exchange()
         self.traffic.record_sent(size)
         self.group.start_soon(self.run, exchange, size, operation, measure_answer)
         try:
-            with anyio.fail_after(max(0.0, deadline - anyio.current_time())):
+            with anyio.fail_after(max(0.0, deadline - anyio.current_time())) as scope:
+
+                def extend() -> None:
+                    progress_deadline = anyio.current_time() + PROGRESS_TIMEOUT_S
+                    scope.deadline = max(scope.deadline, progress_deadline)
+
+                if is_read:
+                    exchange.on_piece = extend
                 await exchange.ended.wait()
         finally:
             exchange.answering.cancel()
@@ -131,6 +149,6 @@
             exchange.error = error
             answer_size = ERROR_BYTES
         with exchange.answering:
-            await self.link.receive(answer_size)
+            await self.link.receive(answer_size, exchange.on_piece)
             self.traffic.record_received(answer_size)
             exchange.ended.set()
--- a/stand_ins/platform/memory.py
+++ b/stand_ins/platform/memory.py
@@ -10,6 +10,7 @@
 from gypsumring.ports.store import (
     PAGE_BYTES,
     Assignment,
+    BacklogTooLarge,
     KeyedRecord,
     LogBatch,
     NewestPage,
@@ -75,6 +76,13 @@
     )
 
 
+def measure_batch(batch: LogBatch) -> int:
+    """Return the size of the records of one read in bytes."""
+    return READ_ANSWER_BYTES + sum(
+        READ_RECORD_BYTES + len(record.value) for record in batch.records
+    )
+
+
 def measure_lists(lists: TaskLists) -> int:
     """Return the size of the answer to a poll in bytes."""
     return LISTS_BYTES + LISTED_BYTES * (len(lists.running) + len(lists.ended))
@@ -127,6 +135,7 @@
         operation: Callable[[float], Awaitable[Any]],
         measure_answer: Callable[[Any], float],
         deadline: float,
+        is_read: bool = False,
     ) -> Any:
         """Carry out an operation, which gets a deadline, over the link if there is one.
 
@@ -140,6 +149,7 @@
                 lambda: operation(extend_deadline(deadline)),
                 measure_answer,
                 deadline,
+                is_read,
             )
         except TimeoutError as error:
             raise StoreUnavailable("no answer in time") from error
@@ -205,12 +215,17 @@
             lambda until: self.read_newest(topic, partition, until),
             lambda answer: measure_page(answer[0][:PAGE_RECORDS]),
             deadline,
+            is_read=True,
         )
         if self.connections is not None:
             for first in range(PAGE_RECORDS, len(records), PAGE_RECORDS):
                 size = measure_page(records[first : first + PAGE_RECORDS])
                 await self.exchange(
-                    READ_BYTES, self.pass_faults, lambda _, size=size: size, deadline
+                    READ_BYTES,
+                    self.pass_faults,
+                    lambda _, size=size: size,
+                    deadline,
+                    is_read=True,
                 )
         return records, end
 
@@ -237,6 +252,7 @@
             lambda until: self.read_page(topic, partition, after_key, until),
             lambda page: measure_page(page.records),
             deadline,
+            is_read=True,
         )
 
     async def read_page(
@@ -258,18 +274,23 @@
         wait_s: float,
         deadline: float,
         progress: ReadProgress | None = None,
+        max_backlog_bytes: int | None = None,
     ) -> LogBatch:
-        """Return the records from ``offset`` on; raise OffsetExpired."""
-        return await self.exchange(
-            READ_BYTES,
-            lambda until: self.read_when_changed(
+        """Return records; raise OffsetExpired or BacklogTooLarge."""
+
+        async def read(until: float) -> LogBatch:
+            batch = await self.read_when_changed(
                 topic, partition, offset, wait_s, until
-            ),
-            lambda batch: (
-                READ_ANSWER_BYTES
-                + sum(READ_RECORD_BYTES + len(each.value) for each in batch.records)
-            ),
-            deadline,
+            )
+            is_large = max_backlog_bytes is not None and (
+                measure_batch(batch) > max_backlog_bytes
+            )
+            if is_large and len(batch.records) > 1:
+                raise BacklogTooLarge(batch.end_offset)
+            return batch
+
+        return await self.exchange(
+            READ_BYTES, read, measure_batch, deadline, is_read=True
         )
 
     async def read_when_changed(
