Pass versions of the desired state on between nodes in small pieces

Nobody noticed that a node was behind.

Change: pings and their answers name the newest version that the sender knows of. Reads of the desired state are not relayed any more.

--- a/benchmarks/takeover_reads.py
+++ b/benchmarks/takeover_reads.py
@@ -58,7 +58,11 @@
         self.job_bytes: Counter[str] = Counter()
 
     async def request(
-        self, call: HttpCall, deadline: float, on_received: OnReceived | None = None
+        self,
+        call: HttpCall,
+        deadline: float,
+        on_received: OnReceived | None = None,
+        may_relay: bool = True,
     ) -> HttpResponse:
         """Carry out one call; the response takes the link for its time."""
         target = urlsplit(call.path)
--- a/gypsumring/cell/messages.py
+++ b/gypsumring/cell/messages.py
@@ -30,10 +30,12 @@
     "PolicyAnswer",
     "Pong",
     "QueryJob",
+    "ReadVersion",
     "RelayAnswer",
     "RelayCall",
     "ReportOwner",
     "SubmitJob",
+    "VersionPiece",
     "VoteMessage",
     "decoder",
 ]
@@ -90,11 +92,14 @@
 
     ``nodes_version`` is the version of the owner's list of nodes that the sender has
     recorded. ``vote`` is present once the receiver has answered on this channel.
+    ``desired_version`` is the newest version of the desired state that the sender knows
+    of.
     """
 
     purpose: ClassVar[Purpose] = Purpose.LIVENESS
     nodes_version: Number = 0
     vote: VoteMessage | None = None
+    desired_version: Number = 0
 
 
 class Pong(msgspec.Struct, tag=True, array_like=True):
@@ -103,7 +108,8 @@
     ``nodes`` contains the addresses of the owner's peers by name if ``nodes_version``
     of the ping was a different one. ``sent_at`` is in seconds of the sender's clock,
     which has a meaning only for the sender. ``takeover_s`` is about how long another
-    node would take to read the records of the cell.
+    node would take to read the records of the cell. ``desired_version`` is as in
+    ``Ping``.
     """
 
     purpose: ClassVar[Purpose] = Purpose.LIVENESS
@@ -114,6 +120,7 @@
     nodes: dict[str, str] | None = None
     sent_at: Measure | None = None
     takeover_s: Measure = 0.0
+    desired_version: Number = 0
 
 
 class Announce(msgspec.Struct, tag=True, array_like=True):
@@ -200,6 +207,33 @@
     rows: list[tuple[str, str]] = []
 
 
+class ReadVersion(msgspec.Struct, tag=True, array_like=True):
+    """Request for a piece of a version of the desired state, 0 for the newest one.
+
+    The sender has the version ``newer_than``.
+    """
+
+    purpose: ClassVar[Purpose] = Purpose.ENTRIES
+    version: Number = 0
+    piece: Quantity = 0
+    newer_than: Number = 0
+
+
+class VersionPiece(msgspec.Struct, tag=True, array_like=True):
+    """Compressed piece of a version of the desired state, 0 if there is none.
+
+    The version has ``count`` pieces and the store the offset ``next_offset`` after its
+    record.
+    """
+
+    purpose: ClassVar[Purpose] = Purpose.ENTRIES
+    version: Number = 0
+    number: Quantity = 0
+    count: Quantity = 0
+    next_offset: Number = 0
+    data: bytes = b""
+
+
 class RelayCall(msgspec.Struct, tag=True, array_like=True):
     """Request to the peer to relay a call to a store that refuses the sender."""
 
@@ -232,6 +266,8 @@
     | JobAnswer
     | AskPolicy
     | PolicyAnswer
+    | ReadVersion
+    | VersionPiece
     | RelayCall
     | RelayAnswer
     | ReportOwner
--- a/gypsumring/cell/tests/test_takeover_reads.py
+++ b/gypsumring/cell/tests/test_takeover_reads.py
@@ -39,7 +39,11 @@
         self.requests: Counter[str] = Counter()
 
     async def request(
-        self, call: HttpCall, deadline: float, on_received: OnReceived | None = None
+        self,
+        call: HttpCall,
+        deadline: float,
+        on_received: OnReceived | None = None,
+        may_relay: bool = True,
     ) -> HttpResponse:
         """Carry out one call; raise NoResponse if a page takes too long or is lost."""
         target = urlsplit(call.path)
--- a/gypsumring/node/desired.py
+++ b/gypsumring/node/desired.py
@@ -7,6 +7,7 @@
 from gypsumring.accounts import KeyRing
 from gypsumring.exceptions import GypsumringError
 from gypsumring.metrics import Metrics
+from gypsumring.node.version_copies import VersionCopies
 from gypsumring.pipelines import DesiredState
 from gypsumring.ports.exceptions import OffsetExpired
 from gypsumring.ports.store import (
@@ -42,12 +43,14 @@
         "abandoned_bytes",
         "abandoned_reads",
         "checked_at",
+        "copies",
         "current",
         "decode",
         "key",
         "key_ring",
         "metrics",
         "offset",
+        "progress",
         "store",
         "response_times",
         "topic",
@@ -74,6 +77,9 @@
         self.abandoned_reads = 0
         self.abandoned_bytes = 0
         self.response_times = ResponseTimes()
+        # The read in flight, or the last one.
+        self.progress = ReadProgress()
+        self.copies = VersionCopies()
         # When the last read was sent that showed the end of the topic.
         self.checked_at = float("-inf")
 
@@ -81,6 +87,15 @@
         """Return the desired state in force, or None before the first read."""
         return self.current
 
+    def version(self) -> int:
+        """Return the version in force, 0 before the first read."""
+        return 0 if self.current is None else self.current.version
+
+    @property
+    def received_at(self) -> float:
+        """Return when bytes of the read in flight have arrived last."""
+        return self.progress.received_at
+
     async def run(self) -> None:
         """Read the topic until cancelled, retrying on store errors."""
         dependency = DependencyLogger(log, "desired state")
@@ -96,7 +111,7 @@
     async def read_next(self) -> None:
         """Read the latest version first, then wait for the next records."""
         began_at = anyio.current_time()
-        progress = ReadProgress()
+        self.progress = progress = ReadProgress()
         try:
             with sending_for(Purpose.ENTRIES):
                 records = await self.read_records(progress)
@@ -107,7 +122,8 @@
             raise
         for record in records:
             if record.key == self.key and record.value:
-                self.apply(record.value, anyio.current_time() - began_at)
+                read_s = anyio.current_time() - began_at
+                self.apply(record.value, record.offset + 1, read_s)
 
     def record_abandoned(self, progress: ReadProgress) -> None:
         """Record a read that was given up, and what had arrived of it."""
@@ -150,7 +166,11 @@
         """Read the newest record of each key."""
         sent_at = anyio.current_time()
         records, self.offset = await self.store.newest(
-            self.topic, 0, sent_at + LONG_POLL_S + self.answer_s(), progress
+            self.topic,
+            0,
+            sent_at + LONG_POLL_S + self.answer_s(),
+            progress,
+            may_relay=False,
         )
         self.checked_at = sent_at
         return records
@@ -168,6 +188,7 @@
             sent_at + wait_s + self.answer_s(),
             progress,
             MAX_BACKLOG_BYTES,
+            may_relay=False,
         )
         self.offset = offset
         if batch.records:
@@ -178,10 +199,19 @@
             self.checked_at = sent_at
         return batch.records
 
-    def apply(self, value: bytes, read_s: float) -> None:
+    def apply_copy(self, value: bytes, next_offset: int, read_s: float) -> None:
+        """Apply a version that another node has passed on, and read on after it."""
+        self.apply(value, next_offset, read_s, "node")
+        if self.offset is not None:
+            self.offset = max(self.offset, next_offset)
+
+    def apply(
+        self, value: bytes, next_offset: int, read_s: float, source: str = "store"
+    ) -> None:
         """Apply a version unless it is unreadable or not newer than the current one.
 
-        The read took ``read_s``, with the wait for the version.
+        ``next_offset`` is the offset after its record. The read took ``read_s``, with
+        the wait for the version.
         """
         try:
             desired = self.decode(value)
@@ -192,9 +222,11 @@
             return
         self.current = desired
         self.key_ring = KeyRing(desired.accounts or ())
+        self.copies.add(desired.version, value, next_offset)
         log.info(
             "desired state in force",
             version=desired.version,
+            source=source,
             bytes=len(value),
             read_ms=round(read_s * 1000),
             abandoned_reads=self.abandoned_reads,
--- a/gypsumring/node/link.py
+++ b/gypsumring/node/link.py
@@ -25,6 +25,7 @@
 )
 from gypsumring.node.owner_directory import OwnerDirectory
 from gypsumring.node.owner_reports import ReportSender
+from gypsumring.node.version_exchange import VersionExchange
 from gypsumring.ports.store import Store
 from gypsumring.transport import (
     Channel,
@@ -96,6 +97,7 @@
         "size",
         "takeover_s",
         "term",
+        "versions",
     )
 
     def __init__(
@@ -113,6 +115,7 @@
         list_peers: Callable[[], dict[str, Channel]] = dict,
         list_missing_voters: Callable[[], dict[str, str]] = dict,
         on_ping_answer: Callable[[float, float, float], None] = lambda *_: None,
+        versions: VersionExchange | None = None,
     ):
         self.metrics = metrics or Metrics()
         self.member = member
@@ -126,6 +129,8 @@
         # Called when the linked owner has answered a ping, with the time at which the
         # ping was sent, the seconds that the answer took, and those that it had.
         self.on_ping_answer = on_ping_answer
+        # What pings tell of the versions of the desired state.
+        self.versions = versions
         self.next_announcement_at = 0.0
         self.calls = NodeCalls(connect, handler, self.metrics)
         self.directory = OwnerDirectory(
@@ -441,11 +446,14 @@
                 max(SHORTEST_PING_TIMEOUT_S, self.shortest_patience_s()),
                 LONGEST_PING_TIMEOUT_S,
             )
-        ping = Ping(self.nodes_version, self.make_vote())
+        desired_version = 0 if self.versions is None else self.versions.newest_known()
+        ping = Ping(self.nodes_version, self.make_vote(), desired_version)
         pong = await self.call_owner(channel, ping, timeout_s, is_linked)
         if not isinstance(pong, Pong):
             return False
         self.owner_sent_at = pong.sent_at
+        if self.versions is not None:
+            self.versions.record(pong.desired_version, channel)
         if not pong.owns:
             if self.term is not None and self.term.address == address:
                 # The node may take over again, which is another term.
--- a/gypsumring/node/node.py
+++ b/gypsumring/node/node.py
@@ -22,6 +22,7 @@
     PolicyAnswer,
     Pong,
     QueryJob,
+    ReadVersion,
     RelayCall,
     ReportOwner,
     SubmitJob,
@@ -38,6 +39,7 @@
 from gypsumring.node.membership import Member, Membership
 from gypsumring.node.node_table import NodeTable
 from gypsumring.node.relay import StoreRelay
+from gypsumring.node.version_exchange import VersionExchange
 from gypsumring.platform import (
     DESIRED_STATE_KEY,
     DESIRED_STATE_TOPIC,
@@ -107,6 +109,7 @@
         "stopping",
         "store",
         "traffic",
+        "versions",
         "voter",
         "votes",
     )
@@ -147,6 +150,7 @@
             decode_desired_state,
             metrics,
         )
+        self.versions = VersionExchange(self.desired, self.traffic, metrics)
         size = settings.processor.size
         incarnation = uuid.uuid4().hex[:8]
         member = Member(settings.node, settings.peer_address, incarnation, size)
@@ -180,6 +184,7 @@
             list_peers=lambda: dict(self.peers),
             list_missing_voters=self.list_missing_voters,
             on_ping_answer=self.record_ping,
+            versions=self.versions,
         )
         self.forwarder = Forwarder(self.link, self.execute, metrics)
         self.relay = StoreRelay(store_path, self.list_channels, metrics)
@@ -296,6 +301,7 @@
         async with anyio.create_task_group() as group:
             for part, run in (
                 ("desired state", self.desired.run),
+                ("versions of other nodes", self.versions.run),
                 ("sizes of machines", self.candidacy.load_sizes),
                 ("membership", self.membership.run),
                 ("link to the owner", self.link.run),
@@ -380,6 +386,7 @@
                 self.node_table.add(node, address)
                 return self.make_pong()
             case Ping(nodes_version=version, vote=vote):
+                self.versions.record(message.desired_version, channel)
                 if vote is not None:
                     self.votes.record(
                         vote.node, vote.incarnation, vote.fence, vote.answers_sent_at
@@ -392,6 +399,8 @@
             case ReportOwner():
                 await self.link.record_report(message)
                 return self.make_pong()
+            case ReadVersion():
+                return await self.versions.serve(message)
             case AskPolicy():
                 return await self.answer_policy(message)
             case RelayCall():
@@ -414,6 +423,7 @@
                 self.link.fence,
                 self.link.owner_address,
                 sent_at=self.clock(),
+                desired_version=self.versions.newest_known(),
             )
         self.node_table.refresh()
         version = self.node_table.version
@@ -428,6 +438,7 @@
             self.node_table.published if is_sent else None,
             self.clock(),
             min(owner.state.journal.read_s(), MAX_TAKEOVER_S),
+            self.versions.newest_known(),
         )
 
     async def execute(self, message: Command) -> JobAnswer:
--- a/gypsumring/node/tests/test_accounts.py
+++ b/gypsumring/node/tests/test_accounts.py
@@ -66,7 +66,7 @@
     """Return an application whose first version has these accounts."""
     store = MemoryStore(StoreModel(), Faults(random.Random(0)), None)
     watch = DesiredStateWatch(store, "keyed.op", "config", decode_desired_state)
-    watch.apply(encode_version(1, accounts), 0.0)
+    watch.apply(encode_version(1, accounts), 1, 0.0)
     return NodeApp(FakeNode(watch))
 
 
@@ -131,7 +131,7 @@
 async def test_removed_key_is_refused_and_an_added_one_is_admitted():
     app = make_app(ACCOUNTS)
     changed = [{"name": "a", "apiKeys": ["key-a1", "key-a3"]}]
-    app.node.desired.apply(encode_version(5, changed), 0.0)
+    app.node.desired.apply(encode_version(5, changed), 1, 0.0)
     statuses = [
         await call(app, keys=[key]) for key in (b"key-a1", b"key-a2", b"key-a3")
     ]
@@ -142,9 +142,9 @@
 async def test_older_version_brings_no_key_back():
     app = make_app(ACCOUNTS)
     app.node.desired.apply(
-        encode_version(9, [{"name": "a", "apiKeys": ["key-a1"]}]), 0.0
+        encode_version(9, [{"name": "a", "apiKeys": ["key-a1"]}]), 1, 0.0
     )
-    app.node.desired.apply(encode_version(8, ACCOUNTS), 0.0)
+    app.node.desired.apply(encode_version(8, ACCOUNTS), 1, 0.0)
     assert await call(app, keys=[b"key-a2"]) == 401
 
 
@@ -178,7 +178,7 @@
         ),
         start=2,
     ):
-        watch.apply(encode_version(version, accounts), 0.0)
+        watch.apply(encode_version(version, accounts), 1, 0.0)
         assert watch.get().version == 1, accounts
     with anyio.fail_after(1):
         assert await call(app, keys=[b"key-b"]) == 200
--- a/gypsumring/platform/store.py
+++ b/gypsumring/platform/store.py
@@ -187,17 +187,19 @@
         waits: bool = False,
         reply_bytes: int = 0,
         on_received: OnReceived | None = None,
+        may_relay: bool = True,
     ) -> HttpResponse:
         """Send one request; raise StoreUnavailable or StoreRefused.
 
         ``waits`` says that the store may delay the response until records arrive, and
         ``reply_bytes`` is the size of a response that may be large. ``on_received`` is
         called after each part of a response that may take longer than the deadline.
+        Other nodes relay a call that fails if ``may_relay`` is set.
         """
         target = f"{path}?{urlencode(query)}" if query else path
         call = HttpCall(method, target, body, content_type, waits, reply_bytes)
         try:
-            response = await self.client.request(call, deadline, on_received)
+            response = await self.client.request(call, deadline, on_received, may_relay)
         except ConnectFailed as error:
             raise StoreRefused(str(error)) from error
         except NoResponse as error:
@@ -243,15 +245,22 @@
         partition: int,
         deadline: float,
         progress: ReadProgress | None = None,
+        may_relay: bool = True,
     ) -> tuple[list[KeyedRecord], int]:
         """Return the newest record of each key and the end offset before the read."""
         page = await self.read_newest_page(
-            topic, partition, "", deadline, SMALL_PAGE_BYTES, progress
+            topic, partition, "", deadline, SMALL_PAGE_BYTES, progress, may_relay
         )
         records, end_offset = page.records, page.end_offset
         while page.next_key is not None:
             page = await self.read_newest_page(
-                topic, partition, page.next_key, deadline, SMALL_PAGE_BYTES, progress
+                topic,
+                partition,
+                page.next_key,
+                deadline,
+                SMALL_PAGE_BYTES,
+                progress,
+                may_relay,
             )
             records += page.records
         return records, end_offset
@@ -264,6 +273,7 @@
         deadline: float,
         page_bytes: int = PAGE_BYTES,
         progress: ReadProgress | None = None,
+        may_relay: bool = True,
     ) -> NewestPage:
         """Return one page of the newest records, from the keys after one on."""
         query: dict[str, str | int] = {"topic": topic, "part": partition}
@@ -273,7 +283,7 @@
 
         def note_received(response: ResponseCollector) -> None:
             if progress is not None:
-                progress.received_bytes = response.size
+                progress.record(response.size)
 
         response = await self.call(
             "GET",
@@ -282,6 +292,7 @@
             query,
             reply_bytes=page_bytes,
             on_received=note_received,
+            may_relay=may_relay,
         )
         if response.status != 200:
             raise StoreUnavailable(
@@ -301,6 +312,7 @@
         deadline: float,
         progress: ReadProgress | None = None,
         max_backlog_bytes: int | None = None,
+        may_relay: bool = True,
     ) -> LogBatch:
         """Return records; raise OffsetExpired or BacklogTooLarge."""
         query: dict[str, str | int] = {
@@ -316,7 +328,7 @@
         def note_received(response: ResponseCollector) -> None:
             nonlocal is_checked
             if progress is not None:
-                progress.received_bytes = response.size
+                progress.record(response.size)
             if not is_checked and response.size >= READ_HEADER.size:
                 is_checked = True
                 check_backlog(response, offset, max_backlog_bytes)
@@ -328,6 +340,7 @@
             query,
             waits=wait_s > 0,
             on_received=note_received,
+            may_relay=may_relay,
         )
         if response.status == 410:
             reply = decode_reply(response, OffsetReply)
--- a/gypsumring/ports/store.py
+++ b/gypsumring/ports/store.py
@@ -2,6 +2,8 @@
 
 from typing import Protocol
 
+import anyio
+
 from gypsumring.exceptions import PortError
 
 __all__ = [
@@ -93,12 +95,18 @@
 
 
 class ReadProgress:
-    """Bytes that have arrived of a read in flight."""
+    """Bytes that have arrived of a read in flight, and when the last ones did."""
 
-    __slots__ = ("received_bytes",)
+    __slots__ = ("received_at", "received_bytes")
 
     def __init__(self):
         self.received_bytes = 0
+        self.received_at = float("-inf")
+
+    def record(self, received_bytes: int) -> None:
+        """Record how many bytes have arrived by now."""
+        self.received_bytes = received_bytes
+        self.received_at = anyio.current_time()
 
 
 class LogBatch:
@@ -148,8 +156,12 @@
         partition: int,
         deadline: float,
         progress: ReadProgress | None = None,
+        may_relay: bool = True,
     ) -> tuple[list[KeyedRecord], int]:
-        """Return the newest record of each key and the end offset before the read."""
+        """Return the newest record of each key and the end offset before the read.
+
+        Other nodes carry the response of a call that fails if ``may_relay`` is set.
+        """
 
     async def read_newest_page(
         self,
@@ -175,6 +187,7 @@
         deadline: float,
         progress: ReadProgress | None = None,
         max_backlog_bytes: int | None = None,
+        may_relay: bool = True,
     ) -> LogBatch:
         """Return the records from ``offset`` on; raise OffsetExpired.
 
--- a/gypsumring/transport/relayed.py
+++ b/gypsumring/transport/relayed.py
@@ -150,6 +150,7 @@
         call: HttpCall,
         deadline: float,
         on_received: OnReceived | None = None,
+        may_relay: bool = True,
     ) -> HttpResponse:
         """Return the response that arrives before ``deadline`` (``current_time``).
 
@@ -161,7 +162,10 @@
         been executed.
         """
         direct_deadline = deadline
-        if self.update_path_state():
+        is_failing = self.update_path_state()
+        if not may_relay:
+            return await self.send_direct(call, deadline, on_received)
+        if is_failing:
             now = anyio.current_time()
             if call.waits or now < self.next_probe_at:
                 response = await self.send_relayed(call, deadline)
--- a/gypsumring/transport/tests/test_relayed.py
+++ b/gypsumring/transport/tests/test_relayed.py
@@ -75,6 +75,18 @@
     assert relayed == []
 
 
+# A read of the desired state was relayed as one message of its size.
+async def test_calls_that_may_not_be_relayed_use_the_direct_path_only():
+    client, path, relayed = make_client()
+    for outcome in (503, 200):
+        path.outcome = outcome
+        deadline = anyio.current_time() + TIME_LIMIT_S
+        response = await client.request(WAITING_CALL, deadline, may_relay=False)
+        assert response.status == outcome
+        assert client.is_healthy() is (outcome == 200)
+    assert relayed == []
+
+
 async def test_refused_calls_are_relayed_at_once():
     client, path, relayed = make_client()
     for outcome in ("unreachable", 503, 429):
--- a/stand_ins/platform/links.py
+++ b/stand_ins/platform/links.py
@@ -7,6 +7,7 @@
 import anyio.abc
 
 from gypsumring.exceptions import PortError
+from gypsumring.ports.store import ReadProgress
 from gypsumring.transport import LinkTraffic
 from gypsumring.transport.http_client import PROGRESS_TIMEOUT_S
 
@@ -106,13 +107,14 @@
         operation: Callable[[], Awaitable[Any]],
         measure_answer: Callable[[Any], float],
         deadline: float,
-        is_read: bool = False,
+        progress: ReadProgress | None = None,
     ) -> Any:
         """Send a request, carry it out and return its answer; raise TimeoutError.
 
-        ``measure_answer`` returns the size of the answer. A read ends only when its
-        deadline has passed and nothing arrives. A request is carried out also
-        if the caller has given up before it arrives; its answer is then not sent.
+        ``measure_answer`` returns the size of the answer. A call with ``progress``, a
+        read, ends only when its deadline has passed and nothing arrives. A request is
+        carried out also if the caller has given up before it arrives; its answer is
+        then not sent.
         """
         exchange = Exchange()
         self.traffic.record_sent(size)
@@ -120,12 +122,13 @@
         try:
             with anyio.fail_after(max(0.0, deadline - anyio.current_time())) as scope:
 
-                def extend() -> None:
+                def note_piece() -> None:
+                    progress.record(progress.received_bytes + PIECE_BYTES)
                     progress_deadline = anyio.current_time() + PROGRESS_TIMEOUT_S
                     scope.deadline = max(scope.deadline, progress_deadline)
 
-                if is_read:
-                    exchange.on_piece = extend
+                if progress is not None:
+                    exchange.on_piece = note_piece
                 await exchange.ended.wait()
         finally:
             exchange.answering.cancel()
--- a/stand_ins/platform/memory.py
+++ b/stand_ins/platform/memory.py
@@ -135,7 +135,7 @@
         operation: Callable[[float], Awaitable[Any]],
         measure_answer: Callable[[Any], float],
         deadline: float,
-        is_read: bool = False,
+        progress: ReadProgress | None = None,
     ) -> Any:
         """Carry out an operation, which gets a deadline, over the link if there is one.
 
@@ -149,7 +149,7 @@
                 lambda: operation(extend_deadline(deadline)),
                 measure_answer,
                 deadline,
-                is_read,
+                progress,
             )
         except TimeoutError as error:
             raise StoreUnavailable("no answer in time") from error
@@ -208,6 +208,7 @@
         partition: int,
         deadline: float,
         progress: ReadProgress | None = None,
+        may_relay: bool = True,
     ) -> tuple[list[KeyedRecord], int]:
         """Return the newest record of each key and the end offset before the read."""
         records, end = await self.exchange(
@@ -215,7 +216,7 @@
             lambda until: self.read_newest(topic, partition, until),
             lambda answer: measure_page(answer[0][:PAGE_RECORDS]),
             deadline,
-            is_read=True,
+            progress or ReadProgress(),
         )
         if self.connections is not None:
             for first in range(PAGE_RECORDS, len(records), PAGE_RECORDS):
@@ -225,7 +226,7 @@
                     self.pass_faults,
                     lambda _, size=size: size,
                     deadline,
-                    is_read=True,
+                    progress or ReadProgress(),
                 )
         return records, end
 
@@ -252,7 +253,7 @@
             lambda until: self.read_page(topic, partition, after_key, until),
             lambda page: measure_page(page.records),
             deadline,
-            is_read=True,
+            ReadProgress(),
         )
 
     async def read_page(
@@ -275,6 +276,7 @@
         deadline: float,
         progress: ReadProgress | None = None,
         max_backlog_bytes: int | None = None,
+        may_relay: bool = True,
     ) -> LogBatch:
         """Return records; raise OffsetExpired or BacklogTooLarge."""
 
@@ -290,7 +292,7 @@
             return batch
 
         return await self.exchange(
-            READ_BYTES, read, measure_batch, deadline, is_read=True
+            READ_BYTES, read, measure_batch, deadline, progress or ReadProgress()
         )
 
     async def read_when_changed(
