Check commands by the newest desired state that node or owner has

What callers saw: a node that was still reading a version refused a route of that version with 404, which tells a caller to give up, and passed on requests for a route that it removed, which the owner served though it had the version.

Cause: nothing compared what the node that receives a request knows with what others know. Change: each command names the version by which it was handled. An owner with a newer one refuses it if the queue or the client account is gone, unless it is the repeated submission of an accepted job; 0, that of earlier builds, is not checked. A node that knows of a newer version answers 503 with Retry-After for a queue that it does not know. It does not refuse anything else: an outage of the store, in which nobody names a newer version, costs nothing.

A key that was withdrawn from an account that stays is still checked at the node alone.

--- a/gypsumring/cell/commands.py
+++ b/gypsumring/cell/commands.py
@@ -3,7 +3,13 @@
 import anyio
 
 from gypsumring.cell.gang_starts import can_carry_gangs
-from gypsumring.cell.messages import JobAnswer, Outcome
+from gypsumring.cell.messages import (
+    Command,
+    CountWaiting,
+    JobAnswer,
+    Outcome,
+    SubmitJob,
+)
 from gypsumring.cell.orders import Orders
 from gypsumring.cell.state import JOB_KEY, CellState
 from gypsumring.dispatch.ordering import job_target_s
@@ -206,6 +212,23 @@
             store_ms=round(store_s * 1000),
         )
 
+    def check_version(self, command: Command) -> Outcome:
+        """Return whether a command stands by a newer version than that of its node.
+
+        A job that has been accepted is not refused to a caller who submits it again.
+        """
+        desired = self.state.desired_state()
+        if desired is None or not 0 < command.version < desired.version:
+            return Outcome.OK
+        if isinstance(command, SubmitJob) and self.find_spec(command.job_id):
+            return Outcome.OK
+        if desired.find_queue(command.queue_name) is None:
+            return Outcome.NO_QUEUE
+        account = "" if isinstance(command, CountWaiting) else command.account
+        if account and account not in desired.account_names:
+            return Outcome.NO_ACCOUNT
+        return Outcome.OK
+
     def find_spec(self, job_id: str) -> PipelineSpec | None:
         """Return the specification of a job that is accepted or being stored."""
         job = self.state.table.jobs.get(job_id)
--- a/gypsumring/cell/messages.py
+++ b/gypsumring/cell/messages.py
@@ -21,6 +21,7 @@
     "Announce",
     "AskPolicy",
     "CancelJob",
+    "Command",
     "CountWaiting",
     "Hello",
     "JobAnswer",
@@ -48,6 +49,10 @@
     UNKNOWN_JOB = "unknown_job"
     # The job was not accepted and will not run; the caller may submit it again.
     REFUSED = "refused"
+    # The owner knows a newer version of the desired state, without the queue.
+    NO_QUEUE = "no_queue"
+    # The same for the client account.
+    NO_ACCOUNT = "no_account"
     # A job of another client account has the id.
     OTHER_ACCOUNT = "other_account"
     # The node does not own the cell, or has not taken it over completely.
@@ -147,37 +152,69 @@
 class SubmitJob(msgspec.Struct, tag=True, array_like=True):
     """Request to accept a job; ``time_limit_s`` is how long the caller waits.
 
-    ``queue`` is the job's queue as the node knows it that has received the request.
+    ``queue`` is the job's queue as the node knows it that has received the request, and
+    ``version`` the version of the desired state by which it was handled there, 0 if it
+    is not to be checked by a newer one.
     """
 
     purpose: ClassVar[Purpose] = Purpose.COMMANDS
     spec: PipelineSpec
     time_limit_s: SignedMeasure
     queue: Queue | None = None
+    version: Number = 0
+
+    @property
+    def queue_name(self) -> str:
+        """Return the name of the job's queue."""
+        return self.spec.queue
+
+    @property
+    def account(self) -> str:
+        """Return the name of the job's client account, empty for none."""
+        return self.spec.account
+
+    @property
+    def job_id(self) -> str:
+        """Return the id of the job."""
+        return self.spec.job_id
 
 
 class QueryJob(msgspec.Struct, tag=True, array_like=True):
-    """Request for the state of a job by a client account, None without accounts."""
+    """Request for the state of a job by a client account, None without accounts.
+
+    ``queue_name`` is the queue of the request; ``version`` is as in ``SubmitJob``.
+    """
 
     purpose: ClassVar[Purpose] = Purpose.QUERIES
     job_id: str
     account: Text | None = None
+    queue_name: Text = ""
+    version: Number = 0
 
 
 class CancelJob(msgspec.Struct, tag=True, array_like=True):
-    """Request to cancel a job by a client account, None without accounts."""
+    """Request to cancel a job by a client account, None without accounts.
+
+    ``queue_name`` is the queue of the request; ``version`` is as in ``SubmitJob``.
+    """
 
     purpose: ClassVar[Purpose] = Purpose.COMMANDS
     job_id: str
     time_limit_s: SignedMeasure
     account: Text | None = None
+    queue_name: Text = ""
+    version: Number = 0
 
 
 class CountWaiting(msgspec.Struct, tag=True, array_like=True):
-    """Request for the number of jobs of a queue of which no task has started."""
+    """Request for the number of jobs of a queue of which no task has started.
+
+    ``version`` is as in ``SubmitJob``.
+    """
 
     purpose: ClassVar[Purpose] = Purpose.QUERIES
-    queue: str
+    queue_name: str
+    version: Number = 0
 
 
 class JobAnswer(msgspec.Struct, tag=True, array_like=True):
@@ -254,6 +291,7 @@
     body: bytes = b""
 
 
+Command = SubmitJob | QueryJob | CancelJob | CountWaiting
 Message = (
     Announce
     | Hello
--- a/gypsumring/node/app.py
+++ b/gypsumring/node/app.py
@@ -2,7 +2,7 @@
 
 import math
 import re
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from typing import Any
 
 import anyio
@@ -11,6 +11,7 @@
 from gypsumring.accounts import UnknownKey
 from gypsumring.cell.messages import (
     CancelJob,
+    Command,
     CountWaiting,
     JobAnswer,
     Outcome,
@@ -45,6 +46,8 @@
 # int() refuses numbers of thousands of digits.
 MAX_LENGTH_DIGITS = 18
 NO_MEMORY_RETRY_AFTER_S = 1.0
+# A node reads a version that others have within about this time.
+BEHIND_RETRY_AFTER_S = 1.0
 
 
 class Response:
@@ -123,14 +126,7 @@
         host = headers.get(b"host", b"").decode("latin-1").partition(":")[0]
         queue = desired.match_queue(host, scope["path"])
         if queue is None:
-            self.node.metrics.count("node.refused.no_queue")
-            log.info(
-                "request refused",
-                path=scope["path"],
-                reason="no such queue",
-                version=desired.version,
-            )
-            return make_error_response(404, "no such queue")
+            return self.refuse_without_queue(scope["path"], desired)
         try:
             account = self.identify_account(queue, desired, scope["headers"])
         except WireError as error:
@@ -149,8 +145,8 @@
                 queue=queue.name,
                 version=desired.version,
             )
-            command = CountWaiting(queue.name)
-            return render_waiting(await self.node.forward(command, deadline))
+            command = CountWaiting(queue.name, desired.version)
+            return await self.forward(command, deadline, render_waiting)
         if not JOB_ID.match(job_id):
             return make_error_response(400, "id: not 16 hexadecimal digits")
         match method:
@@ -165,16 +161,47 @@
                     deadline,
                 )
             case "GET":
-                answer = await self.node.forward(QueryJob(job_id, account), deadline)
-                return render_phase(answer)
+                query = QueryJob(job_id, account, queue.name, desired.version)
+                return await self.forward(query, deadline, render_phase)
             case "DELETE":
                 time_limit_s = deadline - anyio.current_time()
-                answer = await self.node.forward(
-                    CancelJob(job_id, time_limit_s, account), deadline
+                cancel = CancelJob(
+                    job_id, time_limit_s, account, queue.name, desired.version
                 )
-                return render_cancel(answer)
+                return await self.forward(cancel, deadline, render_cancel)
         return make_error_response(405, "method not allowed")
 
+    async def forward(
+        self,
+        command: Command,
+        deadline: float,
+        render: Callable[[JobAnswer], Response],
+    ) -> Response:
+        """Forward a command and return the response for its answer."""
+        answer = await self.node.forward(command, deadline)
+        match answer.outcome:
+            case Outcome.NO_QUEUE:
+                return make_error_response(404, "no such queue")
+            case Outcome.NO_ACCOUNT:
+                return make_error_response(401, "unknown or missing key")
+        return render(answer)
+
+    def refuse_without_queue(self, path: str, desired: DesiredState) -> Response:
+        """Return the response to a request for which this node knows no queue.
+
+        While a newer version is on its way, the queue may be one that it adds.
+        """
+        if self.node.is_behind():
+            reason = "a newer desired state is being read"
+            self.node.metrics.count("node.refused.behind")
+            response = make_error_response(503, reason, BEHIND_RETRY_AFTER_S)
+        else:
+            reason = "no such queue"
+            self.node.metrics.count("node.refused.no_queue")
+            response = make_error_response(404, reason)
+        log.info("request refused", path=path, reason=reason, version=desired.version)
+        return response
+
     def identify_account(
         self,
         queue: Queue,
@@ -233,9 +260,8 @@
             account=account or "",
         )
         time_limit_s = deadline - anyio.current_time()
-        return render_submit(
-            await self.node.forward(SubmitJob(spec, time_limit_s, queue), deadline)
-        )
+        command = SubmitJob(spec, time_limit_s, queue, desired.version)
+        return await self.forward(command, deadline, render_submit)
 
 
 def render_submit(answer: JobAnswer) -> Response:
--- a/gypsumring/node/forwarding.py
+++ b/gypsumring/node/forwarding.py
@@ -7,6 +7,7 @@
 
 from gypsumring.cell.messages import (
     CancelJob,
+    Command,
     CountWaiting,
     JobAnswer,
     Outcome,
@@ -19,7 +20,7 @@
 from gypsumring.transport import ChannelClosed
 from gypsumring.utils.logs import EventLogger
 
-__all__ = ["Command", "Forwarder"]
+__all__ = ["Forwarder"]
 
 log = EventLogger("jobs")
 
@@ -31,8 +32,6 @@
 CHECK_PERIOD_S = 0.03
 NO_OWNER_RETRY_AFTER_S = 1.0
 
-Command = SubmitJob | QueryJob | CancelJob | CountWaiting
-
 
 class Forwarder:
     """Forward a command, with retries, until an owner has answered it.
@@ -91,7 +90,9 @@
                     pass
                 case Outcome.INTERRUPTED:
                     interrupted_fence = fence
-                case Outcome.REFUSED if interrupted_fence is not None:
+                case Outcome.REFUSED | Outcome.NO_QUEUE | Outcome.NO_ACCOUNT if (
+                    interrupted_fence is not None
+                ):
                     # An owner with a higher fence has read all earlier accepted jobs.
                     if self.link.fence > interrupted_fence:
                         return answer
--- a/gypsumring/node/node.py
+++ b/gypsumring/node/node.py
@@ -14,6 +14,7 @@
     Announce,
     AskPolicy,
     CancelJob,
+    Command,
     CountWaiting,
     Hello,
     JobAnswer,
@@ -34,7 +35,7 @@
 from gypsumring.metrics import Metrics
 from gypsumring.node.candidacy import Candidacy
 from gypsumring.node.desired import DesiredStateWatch
-from gypsumring.node.forwarding import Command, Forwarder
+from gypsumring.node.forwarding import Forwarder
 from gypsumring.node.link import OwnerLink
 from gypsumring.node.membership import Member, Membership
 from gypsumring.node.node_table import NodeTable
@@ -446,12 +447,23 @@
         owner = self.membership.active_owner()
         if owner is None:
             return JobAnswer(Outcome.NOT_OWNER)
+        outcome = owner.commands.check_version(message)
+        if outcome is not Outcome.OK:
+            self.metrics.count(f"node.refused.{outcome}_any_more")
+            log.info(
+                "command refused",
+                queue=message.queue_name,
+                reason=outcome.value,
+                version=self.desired.version(),
+                received_by=message.version,
+            )
+            return JobAnswer(outcome)
         fresh = self.membership.is_recently_confirmed()
         match message:
             case QueryJob(job_id=job_id, account=account):
                 return owner.commands.query(job_id, fresh, account)
-            case CountWaiting(queue=queue):
-                return owner.commands.count_waiting(queue)
+            case CountWaiting(queue_name=queue_name):
+                return owner.commands.count_waiting(queue_name)
             case SubmitJob(spec=spec, time_limit_s=time_limit_s, queue=queue):
                 return await run_until_stopped(
                     owner, lambda: owner.commands.submit(spec, time_limit_s, queue)
@@ -462,6 +474,10 @@
                     lambda: owner.commands.cancel(job_id, time_limit_s, fresh, account),
                 )
 
+    def is_behind(self) -> bool:
+        """Return whether another node has a newer version of the desired state."""
+        return self.versions.is_behind()
+
     async def forward(self, message: Command, deadline: float) -> JobAnswer:
         """Forward a command to the current owner of the cell."""
         return await self.forwarder.forward(message, deadline)
--- a/gypsumring/node/tests/test_accounts.py
+++ b/gypsumring/node/tests/test_accounts.py
@@ -56,6 +56,10 @@
         self.desired = desired
         self.metrics = Metrics()
 
+    def is_behind(self):
+        """Return that no other node has a newer version."""
+        return False
+
     async def forward(self, command, deadline):
         """Record a command."""
         self.commands.append(command)
